--- /dev/null
+++ b/code_test.go
@@ -0,0 +1,21 @@
+package corianderwing
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a code without a text, status or word, and against a refusal
+// that callers would take for success.
+func TestCodesAreComplete(t *testing.T) {
+	is := is.New(t)
+	for _, c := range Codes() {
+		is.True(c.Text() != "")
+		is.True(ValidID(c.String()))
+		is.True(c.Ran() == RanNo || c.Ran() == RanYes || c.Ran() == RanUnknown)
+		is.Equal(c.Status() < http.StatusBadRequest, c < 200)
+		is.Equal(c.Exit() == 0, c < 200)
+	}
+}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,17 @@
+package corianderwing
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+)
+
+// HashKey returns the keyed hash under which a caller's key is stored and
+// looked up. Without the fleet's secret a stored hash cannot be tested against
+// guessed keys.
+func HashKey(secret []byte, key string) KeyHash {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(key))
+	var h KeyHash
+	mac.Sum(h[:0])
+	return h
+}
--- /dev/null
+++ b/share.go
@@ -0,0 +1,42 @@
+package corianderwing
+
+// BoundID names a fleet-wide bound, such as the rate of one workspace.
+type BoundID string
+
+// RateBound returns the bound on a workspace's rate and burst.
+func RateBound(w WorkspaceID) BoundID { return BoundID("rate/" + string(w)) }
+
+// Spend reports what a holder did with a bound since its last report, and
+// asks for more.
+type Spend struct {
+	Bound BoundID `json:"bound"`
+	Spent Tokens  `json:"spent,omitempty"` // granted tokens used since the last report
+	Held  Tokens  `json:"held,omitempty"`  // granted tokens still unspent
+	Give  Tokens  `json:"give,omitempty"`  // tokens of the fixed part, moved to the pool and already deducted
+	Want  Tokens  `json:"want,omitempty"`
+}
+
+// Grant moves tokens from a grantor's pool to a holder, for a limited time.
+type Grant struct {
+	Bound  BoundID `json:"bound"`
+	Tokens Tokens  `json:"tokens"`
+	Left   Millis  `json:"left"` // time until the tokens lapse, counted from when the holder asked
+}
+
+// Renew asks the leader of a group for a freshness lease and for tokens.
+type Renew struct {
+	Group       GroupID     `json:"group"`
+	Instance    InstanceID  `json:"instance"`
+	Incarnation Incarnation `json:"incarnation"`
+	Domain      DomainID    `json:"domain"`
+	Seq         uint64      `json:"seq"` // grows with each renewal; a repeated one is answered from memory
+	Revision    Revision    `json:"revision"`
+	Spends      []Spend     `json:"spends,omitempty"`
+}
+
+// Renewed answers Renew.
+type Renewed struct {
+	Revision Revision `json:"revision"` // the holder is fresh once its snapshot has this revision
+	Left     Millis   `json:"left"`     // length of the lease, counted from when the holder asked
+	Grants   []Grant  `json:"grants,omitempty"`
+}
