Add peer transport and layout tests

Cause: processes need one way to call each other; the direction of imports must hold from the start. Ruled out: protobuf with generated types (second set of types), gRPC resolvers and balancers (every call names its address). Before: none. Conclusion: control and entry roles can be built on it.

--- a/code.go
+++ b/code.go
@@ -159,10 +159,11 @@
 
 // Error is a refusal or failure with its code. It crosses process boundaries.
 type Error struct {
-	Code   Code     `json:"code"`
-	Run    Ran      `json:"run"`
-	Detail string   `json:"detail,omitempty"`
-	At     Revision `json:"revision,omitempty"` // current revision, with Conflict
+	Code   Code       `json:"code"`
+	Run    Ran        `json:"run"`
+	Detail string     `json:"detail,omitempty"`
+	At     Revision   `json:"revision,omitempty"` // current revision, with Conflict
+	Leader InstanceID `json:"leader,omitempty"`   // whom to ask instead, with NoLeader
 }
 
 // Errorf returns an Error whose Run field is what the code alone says.
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+)
+
+// Client holds one connection to each peer that it has called.
+type Client struct {
+	token string
+	mu    sync.Mutex
+	conns map[string]*conn
+}
+
+type conn struct {
+	*grpc.ClientConn
+	timeouts int // calls in a row that got no answer
+}
+
+// maxTimeouts is how many calls in a row may time out before the connection
+// is replaced. A connection whose path has silently lost its state never
+// recovers by itself, while a new one works.
+const maxTimeouts = 2
+
+// NewClient returns a client for the fleet with the given secret.
+func NewClient(secret []byte) *Client {
+	return &Client{token: fleetToken(secret), conns: map[string]*conn{}}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, cc := range c.conns {
+		cc.Close()
+		delete(c.conns, addr)
+	}
+}
+
+// Call calls a method at addr. A refusal by the peer is a *corianderwing.Error.
+func Call[Req, Resp any](ctx context.Context, c *Client, addr string, m Method[Req, Resp], req *Req) (*Resp, error) {
+	cc, err := c.conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	resp := new(Resp)
+	err = cc.Invoke(c.outgoing(ctx), "/"+service+"/"+m.Name, req, resp)
+	err = fromStatus(err)
+	c.observe(addr, cc, err)
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// Follow opens a stream at addr and calls f with each message. It returns nil
+// when the peer ends the stream.
+func Follow[Req, Msg any](ctx context.Context, c *Client, addr string, m Stream[Req, Msg], req *Req, f func(*Msg) error) error {
+	cc, err := c.conn(addr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(c.outgoing(ctx))
+	defer cancel()
+	desc := &grpc.StreamDesc{StreamName: m.Name, ServerStreams: true}
+	stream, err := cc.NewStream(ctx, desc, "/"+service+"/"+m.Name)
+	if err != nil {
+		return fromStatus(err)
+	}
+	if err := stream.SendMsg(req); err != nil {
+		return fromStatus(err)
+	}
+	if err := stream.CloseSend(); err != nil {
+		return fromStatus(err)
+	}
+	return receive(stream, f)
+}
+
+func receive[Msg any](stream grpc.ClientStream, f func(*Msg) error) error {
+	for {
+		msg := new(Msg)
+		err := stream.RecvMsg(msg)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fromStatus(err)
+		}
+		if err := f(msg); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) outgoing(ctx context.Context) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, tokenKey, c.token)
+}
+
+func (c *Client) conn(addr string) (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cc := c.conns[addr]; cc != nil {
+		return cc, nil
+	}
+	// The passthrough scheme bypasses gRPC's resolvers: addr is dialled as it is.
+	gc, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(
+			grpc.CallContentSubtype(codecName),
+			grpc.MaxCallRecvMsgSize(maxMessage),
+			grpc.MaxCallSendMsgSize(maxMessage),
+		),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: time.Second,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout, PermitWithoutStream: true}),
+	)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open connection to peer %s", addr)
+	}
+	cc := &conn{ClientConn: gc}
+	c.conns[addr] = cc
+	return cc, nil
+}
+
+// observe replaces a connection after maxTimeouts calls without an answer.
+func (c *Client) observe(addr string, cc *conn, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !errors.Is(err, context.DeadlineExceeded) {
+		cc.timeouts = 0
+		return
+	}
+	cc.timeouts++
+	if cc.timeouts < maxTimeouts || c.conns[addr] != cc {
+		return
+	}
+	delete(c.conns, addr)
+	go cc.Close()
+}
--- /dev/null
+++ b/io/peer/errors.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"corianderwing"
+)
+
+// toStatus turns an error of a handler into a gRPC status. A
+// corianderwing.Error travels as JSON in the status message, so that the
+// caller gets its code and what is known about the run.
+func toStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *corianderwing.Error
+	if !errors.As(err, &e) {
+		return status.FromContextError(err).Err()
+	}
+	text, jsonErr := json.Marshal(e)
+	if jsonErr != nil {
+		return status.Error(codes.Internal, e.Error())
+	}
+	return status.Error(codes.Aborted, string(text))
+}
+
+// fromStatus is the inverse of toStatus on the caller's side.
+func fromStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	s, ok := status.FromError(err)
+	if !ok {
+		return err
+	}
+	switch s.Code() {
+	case codes.Aborted:
+		e := new(corianderwing.Error)
+		if json.Unmarshal([]byte(s.Message()), e) == nil {
+			return e
+		}
+	case codes.DeadlineExceeded:
+		return context.DeadlineExceeded
+	case codes.Canceled:
+		return context.Canceled
+	}
+	return err
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+type ask struct {
+	N int `json:"n"`
+}
+
+type reply struct {
+	N int `json:"n"`
+}
+
+var (
+	double = Method[ask, reply]{Name: "Double"}
+	count  = Stream[ask, reply]{Name: "Count"}
+)
+
+func serve(t *testing.T, secret string) string {
+	t.Helper()
+	s := NewServer([]byte(secret))
+	Handle(s, double, func(_ context.Context, a *ask) (*reply, error) {
+		if a.N < 0 {
+			return nil, corianderwing.Errorf(corianderwing.BadInput, "n is %d, want 0 or more", a.N)
+		}
+		return &reply{N: 2 * a.N}, nil
+	})
+	HandleStream(s, count, func(_ context.Context, a *ask, send func(*reply) error) error {
+		for i := range a.N {
+			if err := send(&reply{N: i}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+// Guards against a lost error code on the way between processes.
+func TestCallCarriesValuesAndErrors(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, "s")
+	c := NewClient([]byte("s"))
+	defer c.Close()
+
+	got, err := Call(t.Context(), c, addr, double, &ask{N: 21})
+	is.NoErr(err)
+	is.Equal(got.N, 42)
+
+	_, err = Call(t.Context(), c, addr, double, &ask{N: -1})
+	is.Equal(corianderwing.CodeOf(err), corianderwing.BadInput)
+
+	sum := 0
+	err = Follow(t.Context(), c, addr, count, &ask{N: 4}, func(r *reply) error {
+		sum += r.N
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(sum, 6)
+}
+
+// Guards against a process of another fleet joining this one.
+func TestWrongSecretIsRefused(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, "s")
+	c := NewClient([]byte("other"))
+	defer c.Close()
+	_, err := Call(t.Context(), c, addr, double, &ask{N: 1})
+	is.True(err != nil)
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,130 @@
+// Package peer carries messages between the system's processes: gRPC with a
+// CBOR codec and generic handlers. It uses none of gRPC's resolvers or
+// balancers; every call names the address that it goes to.
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	service = "corianderwing"
+	// tokenKey is the metadata field that holds the fleet token.
+	tokenKey = "cw-fleet"
+	// maxMessage is the largest message in bytes. A snapshot of a group is
+	// the largest message there is.
+	maxMessage = 64 << 20
+	// pingEvery is how often an idle connection is probed. grpc-go allows no
+	// shorter interval for clients than 10 s.
+	pingEvery   = 10 * time.Second
+	pingTimeout = 2 * time.Second
+)
+
+// Method names a call that has one request and one response.
+type Method[Req, Resp any] struct{ Name string }
+
+// Stream names a call that has one request and any number of responses.
+type Stream[Req, Msg any] struct{ Name string }
+
+// Server serves the registered methods to processes that know the fleet's
+// secret.
+type Server struct {
+	desc  grpc.ServiceDesc
+	token string
+	grpc  *grpc.Server
+}
+
+// NewServer returns a server without methods.
+func NewServer(secret []byte) *Server {
+	return &Server{
+		desc:  grpc.ServiceDesc{ServiceName: service, HandlerType: (*any)(nil)},
+		token: fleetToken(secret),
+	}
+}
+
+// Handle registers f for a method. It must be called before Serve.
+func Handle[Req, Resp any](s *Server, m Method[Req, Resp], f func(context.Context, *Req) (*Resp, error)) {
+	call := func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		if err := s.authorize(ctx); err != nil {
+			return nil, err
+		}
+		req := new(Req)
+		if err := dec(req); err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+		resp, err := f(ctx, req)
+		if err != nil {
+			return nil, toStatus(err)
+		}
+		return resp, nil
+	}
+	s.desc.Methods = append(s.desc.Methods, grpc.MethodDesc{MethodName: m.Name, Handler: call})
+}
+
+// HandleStream registers f for a stream. The stream ends when f returns.
+func HandleStream[Req, Msg any](s *Server, m Stream[Req, Msg], f func(ctx context.Context, req *Req, send func(*Msg) error) error) {
+	call := func(_ any, stream grpc.ServerStream) error {
+		ctx := stream.Context()
+		if err := s.authorize(ctx); err != nil {
+			return err
+		}
+		req := new(Req)
+		if err := stream.RecvMsg(req); err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		send := func(msg *Msg) error { return stream.SendMsg(msg) }
+		return toStatus(f(ctx, req, send))
+	}
+	s.desc.Streams = append(s.desc.Streams, grpc.StreamDesc{
+		StreamName:    m.Name,
+		Handler:       call,
+		ServerStreams: true,
+	})
+}
+
+// Serve serves on l until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	s.grpc = grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingEvery / 2, PermitWithoutStream: true}),
+	)
+	s.grpc.RegisterService(&s.desc, nil)
+	return eris.Wrap(s.grpc.Serve(l), "serve peers")
+}
+
+// Stop closes all connections at once.
+func (s *Server) Stop() {
+	if s.grpc != nil {
+		s.grpc.Stop()
+	}
+}
+
+func (s *Server) authorize(ctx context.Context) error {
+	md, _ := metadata.FromIncomingContext(ctx)
+	got := md.Get(tokenKey)
+	if len(got) != 1 || subtle.ConstantTimeCompare([]byte(got[0]), []byte(s.token)) != 1 {
+		return status.Error(codes.Unauthenticated, "the fleet token is missing or wrong")
+	}
+	return nil
+}
+
+func fleetToken(secret []byte) string {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte("peer"))
+	return hex.EncodeToString(mac.Sum(nil))
+}
--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,63 @@
+package corianderwing
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// allowed reports whether a file in dir may import path. Decisions in core
+// must stay free of sockets, files and adapters; the root package imports
+// nothing of the module.
+func allowed(dir, path string) bool {
+	switch {
+	case strings.HasPrefix(dir, "core"+string(filepath.Separator)):
+		return !strings.HasPrefix(path, "corianderwing/io") && path != "net/http" && path != "net" && path != "os"
+	case dir == ".":
+		return !strings.HasPrefix(path, "corianderwing/")
+	}
+	return true
+}
+
+// Guards against a decision that depends on an adapter, and so cannot run in
+// virtual time.
+func TestImportDirection(t *testing.T) {
+	is := is.New(t)
+	err := filepath.WalkDir(".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, imp := range f.Imports {
+			path, _ := strconv.Unquote(imp.Path.Value)
+			if !allowed(filepath.Dir(name), path) {
+				t.Errorf("%s imports %s", name, path)
+			}
+		}
+		return nil
+	})
+	is.NoErr(err)
+}
+
+// Guards against package names outside 4 to 6 letters.
+func TestPackageNames(t *testing.T) {
+	is := is.New(t)
+	for _, pattern := range []string{"core/*", "io/*"} {
+		dirs, err := filepath.Glob(pattern)
+		is.NoErr(err)
+		for _, dir := range dirs {
+			if n := len(filepath.Base(dir)); n < 4 || n > 6 {
+				t.Errorf("%s: the name has %d letters", dir, n)
+			}
+		}
+	}
+}
