Add the settings tree and the replicated state machine

Cause: entry, control and operators need one tree, one set of rules for changes, and views that entry instances can follow. Ruled out: separate rules for replicas and followers (they could drift apart; both call View.apply); one table of applied requests for orders and changes (a burst of orders would push out operators' results). Change: core/tree, core/state; root: Settings.Seats, DefaultSeats, MaxAnswer, Answer.Cut. Before: no state. Conclusion: others can build on these packages.

--- a/change.go
+++ b/change.go
@@ -113,9 +113,13 @@
 	Answer    *Answer     `json:"answer,omitempty"`
 }
 
+// MaxAnswer is the largest stored answer: header and body together.
+const MaxAnswer Bytes = 64 << 10
+
 // Answer is a stored answer to an order.
 type Answer struct {
 	Status int                 `json:"status"`
 	Header map[string][]string `json:"header,omitempty"`
 	Body   []byte              `json:"body,omitempty"`
+	Cut    bool                `json:"cut,omitempty"` // header and body are not stored: over MaxAnswer, or no room
 }
--- /dev/null
+++ b/core/state/orders.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"container/list"
+	"time"
+
+	"corianderwing"
+)
+
+// Bounds of stored orders.
+const (
+	keepOrders  = 24 * time.Hour
+	maxOrders   = 500_000
+	maxOrderKey = 256       // bytes of an idempotency key
+	maxAnswers  = 256 << 20 // bytes of all stored answers together
+)
+
+func ofOrder(k corianderwing.Kind) bool {
+	return k == corianderwing.Claim || k == corianderwing.Settle
+}
+
+type orderID struct {
+	workspace corianderwing.WorkspaceID
+	key       string
+}
+
+// orders are the claims on orders. A stored *Order is never written again: a
+// change replaces it, so results and snapshots can share it.
+//
+// An open or done order leaves only by age. If the table is full, free orders
+// go first, and then new claims are refused: without its claim, a resent order
+// could run a second time.
+type orders struct {
+	byID  map[orderID]*list.Element
+	held  *list.List // open and done orders, by Since
+	free  *list.List // free orders, by Since
+	bytes int        // of stored answers
+	most  int
+}
+
+func newOrders(most int) *orders {
+	return &orders{byID: map[orderID]*list.Element{}, held: list.New(), free: list.New(), most: most}
+}
+
+func (o *orders) find(w corianderwing.WorkspaceID, key string) *corianderwing.Order {
+	e := o.byID[orderID{w, key}]
+	if e == nil {
+		return nil
+	}
+	return e.Value.(*corianderwing.Order)
+}
+
+// put stores an order as the youngest one, in place of the one with its key.
+func (o *orders) put(order *corianderwing.Order) {
+	id := orderID{order.Workspace, order.Key}
+	o.remove(o.byID[id])
+	to := o.held
+	if order.State == corianderwing.OrderFree {
+		to = o.free
+	}
+	o.byID[id] = to.PushBack(order)
+	o.bytes += answerSize(order.Answer)
+}
+
+func (o *orders) remove(e *list.Element) {
+	if e == nil {
+		return
+	}
+	order := e.Value.(*corianderwing.Order)
+	delete(o.byID, orderID{order.Workspace, order.Key})
+	o.held.Remove(e)
+	o.free.Remove(e)
+	o.bytes -= answerSize(order.Answer)
+}
+
+func (o *orders) list(from *list.List) []*corianderwing.Order {
+	all := make([]*corianderwing.Order, 0, from.Len())
+	for e := from.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*corianderwing.Order))
+	}
+	return all
+}
+
+// expire drops orders that have not changed since keepOrders before now.
+func (o *orders) expire(now time.Time) {
+	for _, l := range []*list.List{o.held, o.free} {
+		for e := l.Front(); e != nil && now.Sub(e.Value.(*corianderwing.Order).Since) >= keepOrders; e = l.Front() {
+			o.remove(e)
+		}
+	}
+}
+
+// room reports whether one more order fits, after dropping free ones.
+func (o *orders) room() bool {
+	for len(o.byID) >= o.most && o.free.Len() > 0 {
+		o.remove(o.free.Front())
+	}
+	return len(o.byID) < o.most
+}
+
+// claim decides a Claim. The returned order is as it stands afterwards.
+func (o *orders) claim(c *corianderwing.Command) (*corianderwing.Order, error) {
+	want, err := orderOf(c)
+	if err != nil {
+		return nil, err
+	}
+	has := o.find(want.Workspace, want.Key)
+	switch {
+	case has == nil && !o.room():
+		return nil, corianderwing.Errorf(corianderwing.NoClaim, "the table of orders is full at %d", o.most)
+	case has != nil && has.Print != want.Print:
+		return nil, corianderwing.Errorf(corianderwing.ClaimDiffers, "idempotency key %q was claimed for another request", want.Key)
+	case has != nil && has.State != corianderwing.OrderFree:
+		return has, nil
+	}
+	open := &corianderwing.Order{
+		Workspace: want.Workspace,
+		Key:       want.Key,
+		Print:     want.Print,
+		Holder:    want.Holder,
+		State:     corianderwing.OrderOpen,
+		Since:     c.Now,
+	}
+	o.put(open)
+	return open, nil
+}
+
+// settle decides a Settle. The returned order is as it stands afterwards.
+func (o *orders) settle(c *corianderwing.Command) (*corianderwing.Order, error) {
+	want, err := orderOf(c)
+	if err != nil {
+		return nil, err
+	}
+	done := want.State == corianderwing.OrderDone
+	if !done && want.State != corianderwing.OrderFree {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "state is %q, allowed: done or free", want.State)
+	}
+	if done && want.Answer == nil {
+		return nil, missing("answer of a done order")
+	}
+	has := o.find(want.Workspace, want.Key)
+	switch {
+	case has == nil:
+		return nil, corianderwing.Errorf(corianderwing.Unknown, "no claim on idempotency key %q", want.Key)
+	case has.Holder != want.Holder:
+		return has, corianderwing.Errorf(corianderwing.NoClaim, "the claim on idempotency key %q is held by request %s", want.Key, has.Holder)
+	case has.State == want.State:
+		return has, nil
+	case has.State != corianderwing.OrderOpen:
+		return has, corianderwing.Errorf(corianderwing.NoClaim, "the claim on idempotency key %q is already %s", want.Key, has.State)
+	}
+	next := *has
+	next.State = want.State
+	next.Since = c.Now
+	if done {
+		next.Answer = o.keep(want.Answer)
+	}
+	o.put(&next)
+	return &next, nil
+}
+
+// keep returns the answer as it is stored: with its status alone if it is too
+// large or the table has no room for it.
+func (o *orders) keep(a *corianderwing.Answer) *corianderwing.Answer {
+	size := answerSize(a)
+	if a.Cut || size > int(corianderwing.MaxAnswer) || o.bytes+size > maxAnswers {
+		return &corianderwing.Answer{Status: a.Status, Cut: true}
+	}
+	return a
+}
+
+func answerSize(a *corianderwing.Answer) int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
+	for name, values := range a.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
+func orderOf(c *corianderwing.Command) (*corianderwing.Order, error) {
+	o := c.Order
+	if o == nil {
+		return nil, missing("order")
+	}
+	if o.Key == "" || len(o.Key) > maxOrderKey {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "idempotency key has %d bytes, allowed: 1 to %d", len(o.Key), maxOrderKey)
+	}
+	if !corianderwing.ValidID(string(o.Holder)) {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "holder is %q, allowed: an id", o.Holder)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/core/state/rules.go
@@ -0,0 +1,208 @@
+package state
+
+import (
+	"time"
+
+	"corianderwing"
+)
+
+// rule changes v, a private copy of the current view, as the command says. It
+// replaces the maps of v and never writes into them, because older views share
+// them. It returns false if v is already as the command wants it.
+type rule func(v *View, c *corianderwing.Command, r *corianderwing.Result) (changed bool, err error)
+
+var rules = map[corianderwing.Kind]rule{
+	corianderwing.SetNode:   setNode,
+	corianderwing.DropNode:  dropNode,
+	corianderwing.AddKey:    addKey,
+	corianderwing.RevokeKey: revokeKey,
+	corianderwing.SetDrain:  setDrain,
+	corianderwing.EndDrain:  endDrain,
+	corianderwing.StartMove: startMove,
+	corianderwing.EndMove:   endMove,
+	corianderwing.TakeSeat:  takeSeat,
+	corianderwing.LeaveSeat: leaveSeat,
+}
+
+// needsBase tells for which commands two operators who start from the same
+// revision must not both succeed.
+func needsBase(k corianderwing.Kind) bool {
+	return k == corianderwing.SetNode || k == corianderwing.DropNode || k == corianderwing.StartMove
+}
+
+// apply returns the view after the command, which is v itself if the command
+// changed nothing.
+func (v *View) apply(c *corianderwing.Command) (*View, corianderwing.Result) {
+	next := *v
+	r := corianderwing.Result{Revision: v.revision}
+	changed, err := next.change(c, &r)
+	if err != nil {
+		r.Error = asError(err)
+		return v, r
+	}
+	if !changed {
+		return v, r
+	}
+	next.revision++
+	if needsBase(c.Kind) {
+		next.changed = next.revision
+	}
+	r.Revision = next.revision
+	return &next, r
+}
+
+func (v *View) change(c *corianderwing.Command, r *corianderwing.Result) (bool, error) {
+	f, ok := rules[c.Kind]
+	if !ok {
+		return false, corianderwing.Errorf(corianderwing.BadInput, "kind %q is not a kind of command", c.Kind)
+	}
+	if needsBase(c.Kind) {
+		if err := v.checkBase(c.Base); err != nil {
+			return false, err
+		}
+	}
+	return f(v, c, r)
+}
+
+func (v *View) checkBase(base corianderwing.Revision) error {
+	if base > v.revision {
+		return corianderwing.Errorf(corianderwing.BadInput,
+			"base is %d, allowed: a revision up to the current one, %d", base, v.revision)
+	}
+	if base < v.changed {
+		err := corianderwing.Errorf(corianderwing.Conflict,
+			"the tree changed at revision %d, after base %d; the current revision is %d", v.changed, base, v.revision)
+		err.At = v.revision
+		return err
+	}
+	return nil
+}
+
+func setNode(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	next, err := v.tree.Set(c.Path, c.Settings)
+	if err != nil {
+		return false, err
+	}
+	// A seat beyond the new number would still use its fixed part of the
+	// bounds, so the parts together would exceed them.
+	for _, s := range v.Seats() {
+		if n := next.Seats(s.Domain); s.Index >= n {
+			return false, corianderwing.Errorf(corianderwing.BadChange,
+				"node /: seats of %s is %d, allowed: more than %d while instance %s has seat %d",
+				s.Domain, n, s.Index, s.Instance, s.Index)
+		}
+	}
+	v.tree = next
+	return true, nil
+}
+
+func dropNode(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	next, err := v.tree.Drop(c.Path)
+	if err != nil {
+		return false, err
+	}
+	// Keys go with their workspace: a workspace that is created later under
+	// the same id must not accept them.
+	if !next.Has(c.Path.Workspace) {
+		v.keys = v.keys.drop(c.Path.Workspace)
+	}
+	v.tree = next
+	return true, nil
+}
+
+func addKey(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	key := c.Key
+	if key == nil {
+		return false, missing("key")
+	}
+	if !corianderwing.ValidID(string(key.ID)) {
+		return false, corianderwing.Errorf(corianderwing.BadInput, "key id %q is no id", key.ID)
+	}
+	if len(key.Label) > maxText {
+		return false, tooLong("label", len(key.Label))
+	}
+	if !v.Has(key.Workspace) {
+		return false, unknownWorkspace(key.Workspace)
+	}
+	if _, ok := v.keys.named(key.Workspace, key.ID); ok {
+		return false, corianderwing.Errorf(corianderwing.BadChange, "workspace %s already has a key %s", key.Workspace, key.ID)
+	}
+	if _, ok := v.keys.find(key.Hash); ok || key.Hash == (corianderwing.KeyHash{}) {
+		return false, corianderwing.Errorf(corianderwing.BadChange, "the hash of key %s is empty or belongs to another key", key.ID)
+	}
+	if len(v.keys.ids[key.Workspace]) >= maxKeys {
+		return false, corianderwing.Errorf(corianderwing.BadChange, "workspace %s has %d keys, allowed: %d", key.Workspace, maxKeys, maxKeys)
+	}
+	v.keys = v.keys.put(*key)
+	return true, nil
+}
+
+func revokeKey(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	if c.Key == nil {
+		return false, missing("key")
+	}
+	key, ok := v.keys.named(c.Key.Workspace, c.Key.ID)
+	if !ok {
+		return false, corianderwing.Errorf(corianderwing.Unknown, "workspace %s has no key %s", c.Key.Workspace, c.Key.ID)
+	}
+	if key.Revoked {
+		return false, nil
+	}
+	key.Revoked = true
+	v.keys = v.keys.put(key)
+	return true, nil
+}
+
+func setDrain(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	if c.Drain == nil {
+		return false, missing("drain")
+	}
+	u := c.Drain.Upstream
+	if !corianderwing.ValidID(string(u)) {
+		return false, corianderwing.Errorf(corianderwing.BadInput, "upstream %q is no id", u)
+	}
+	if v.Drained(u) {
+		return false, nil
+	}
+	v.drains = with(v.drains, u, corianderwing.Drain{Upstream: u, Since: c.Now})
+	return true, nil
+}
+
+func endDrain(v *View, c *corianderwing.Command, _ *corianderwing.Result) (bool, error) {
+	if c.Drain == nil {
+		return false, missing("drain")
+	}
+	if !v.Drained(c.Drain.Upstream) {
+		return false, corianderwing.Errorf(corianderwing.Unknown, "upstream %q is not drained", c.Drain.Upstream)
+	}
+	v.drains = without(v.drains, c.Drain.Upstream)
+	return true, nil
+}
+
+// maxText bounds free text that operators attach, in bytes.
+const maxText = 16 << 10
+
+func missing(field string) error {
+	return corianderwing.Errorf(corianderwing.BadInput, "%s is missing", field)
+}
+
+func tooLong(field string, n int) error {
+	return corianderwing.Errorf(corianderwing.BadInput, "%s has %d bytes, allowed: %d", field, n, maxText)
+}
+
+func unknownWorkspace(w corianderwing.WorkspaceID) error {
+	return corianderwing.Errorf(corianderwing.Unknown, "workspace %q does not exist", w)
+}
+
+func asError(err error) *corianderwing.Error {
+	if e, ok := err.(*corianderwing.Error); ok {
+		return e
+	}
+	return corianderwing.Errorf(corianderwing.Internal, "%v", err)
+}
+
+// validTime reports whether t can be written to a snapshot and read back:
+// four-digit years only.
+func validTime(t time.Time) bool {
+	return t.Year() >= 2000 && t.Year() < 10_000
+}
--- /dev/null
+++ b/core/state/save.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"corianderwing"
+)
+
+// snapshotVersion changes when an older program could not read a snapshot.
+const snapshotVersion = 1
+
+// machineSnapshot is the encoded form of a Machine. The window of updates is
+// not part of it: a watcher of a restored replica gets a snapshot of the view.
+type machineSnapshot struct {
+	Version int                    `json:"version"`
+	Index   corianderwing.Index    `json:"index"`
+	Now     time.Time              `json:"now,omitzero"`
+	View    viewSnapshot           `json:"view"`
+	Changes []*record              `json:"changes,omitempty"`
+	Claims  []*record              `json:"claims,omitempty"`
+	Held    []*corianderwing.Order `json:"held,omitempty"`
+	Free    []*corianderwing.Order `json:"free,omitempty"`
+}
+
+// Save returns the whole state, encoded. Two replicas with the same state
+// return the same bytes.
+func (m *Machine) Save() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := machineSnapshot{
+		Version: snapshotVersion,
+		Index:   m.index,
+		Now:     m.now,
+		View:    m.View().snapshot(),
+		Changes: m.changes.records(),
+		Claims:  m.claims.records(),
+		Held:    m.orders.list(m.orders.held),
+		Free:    m.orders.list(m.orders.free),
+	}
+	data, err := encoding.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encoding a snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the whole state by what Save returned. On an error the
+// state is as before. It refuses the snapshot of another group and one that is
+// behind the replica.
+func (m *Machine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var s machineSnapshot
+	if err := snapshotDecoding.Unmarshal(data, &s); err != nil {
+		return snapshotError(err)
+	}
+	if s.Version != snapshotVersion {
+		return fmt.Errorf("snapshot has version %d, this program reads %d", s.Version, snapshotVersion)
+	}
+	old := m.public.Load()
+	if s.View.Group != old.view.group {
+		return fmt.Errorf("snapshot of group %q for a replica of group %q", s.View.Group, old.view.group)
+	}
+	if s.Index < m.index || s.View.Revision < old.view.revision {
+		m.broken("revision order", "restored revision %d, entry %d after revision %d, entry %d",
+			s.View.Revision, s.Index, old.view.revision, m.index)
+		return fmt.Errorf("snapshot at entry %d is behind the replica at entry %d", s.Index, m.index)
+	}
+	view, err := s.View.view()
+	if err != nil {
+		return err
+	}
+	m.index, m.now = s.Index, s.Now.UTC()
+	m.changes = loadApplied(m.changes.most, s.Changes)
+	m.claims = loadApplied(m.claims.most, s.Claims)
+	m.orders = loadOrders(m.orders.most, s.Held, s.Free)
+	m.public.Store(&public{view: view, changed: make(chan struct{})})
+	close(old.changed)
+	return nil
+}
+
+func loadApplied(most int, records []*record) *applied {
+	a := newApplied(most)
+	for _, r := range records {
+		a.add(r)
+	}
+	return a
+}
+
+func loadOrders(most int, held, free []*corianderwing.Order) *orders {
+	o := newOrders(most)
+	for _, order := range held {
+		o.put(order)
+	}
+	for _, order := range free {
+		o.put(order)
+	}
+	return o
+}
--- /dev/null
+++ b/core/state/view.go
@@ -0,0 +1,138 @@
+// Package state is the replicated state of a control group: the settings tree,
+// keys, drains, version moves, seats and claims on orders.
+//
+// A View is the immutable part that entry instances follow. A Machine is one
+// replica: it applies the group's agreed commands and publishes Views. Both
+// change a View with the same pure function, so an entry instance that applies
+// the accepted commands has the same View as a replica.
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"corianderwing"
+	"corianderwing/core/tree"
+)
+
+// View is an immutable snapshot of one group's settings and keys. It
+// implements corianderwing.View. NewView makes an empty one, Update the next.
+type View struct {
+	group    corianderwing.GroupID
+	revision corianderwing.Revision
+	changed  corianderwing.Revision // last change of the tree or start of a move
+	tree     *tree.Tree
+	keys     keys
+	drains   map[corianderwing.UpstreamID]corianderwing.Drain
+	moves    map[corianderwing.PoolID]corianderwing.Move
+	seats    map[corianderwing.InstanceID]corianderwing.Seat
+}
+
+var _ corianderwing.View = (*View)(nil)
+
+// NewView returns the view of a group without any settings, at revision 0.
+func NewView(g corianderwing.GroupID) *View {
+	return &View{group: g, tree: tree.New()}
+}
+
+// Group returns the group that the view is of.
+func (v *View) Group() corianderwing.GroupID { return v.group }
+
+// Revision returns how many changes the group has accepted.
+func (v *View) Revision() corianderwing.Revision { return v.revision }
+
+// Tree returns the settings tree.
+func (v *View) Tree() *tree.Tree { return v.tree }
+
+// TreeRevision returns the revision of the last change that needed a base:
+// a change of the tree or the start of a move. A base before it conflicts.
+func (v *View) TreeRevision() corianderwing.Revision { return v.changed }
+
+// Route returns the effective settings of the route with the longest prefix of
+// path below the service. It does not allocate.
+func (v *View) Route(w corianderwing.WorkspaceID, s corianderwing.ServiceID, path string) (*corianderwing.Effective, bool) {
+	return v.tree.Route(w, s, path)
+}
+
+// Key returns the key with the given hash, revoked ones included.
+func (v *View) Key(h corianderwing.KeyHash) (corianderwing.Key, bool) { return v.keys.find(h) }
+
+// Keys returns the keys of a workspace by id, revoked ones included.
+func (v *View) Keys(w corianderwing.WorkspaceID) []corianderwing.Key { return v.keys.of(w) }
+
+// Drained reports whether an operator drains the upstream.
+func (v *View) Drained(u corianderwing.UpstreamID) bool {
+	_, ok := v.drains[u]
+	return ok
+}
+
+// Drains returns the drains by upstream.
+func (v *View) Drains() []corianderwing.Drain { return sorted(v.drains) }
+
+// Move returns the latest version move of a pool.
+func (v *View) Move(p corianderwing.PoolID) (corianderwing.Move, bool) {
+	m, ok := v.moves[p]
+	return m, ok
+}
+
+// Moves returns the latest move of each pool, by pool.
+func (v *View) Moves() []corianderwing.Move { return sorted(v.moves) }
+
+// Workspaces returns the workspaces whose home is this group, sorted.
+func (v *View) Workspaces() []corianderwing.WorkspaceID { return v.tree.Workspaces() }
+
+// Has reports whether a workspace's home is this group.
+func (v *View) Has(w corianderwing.WorkspaceID) bool { return v.tree.Has(w) }
+
+// Seat returns the seat of an entry instance.
+func (v *View) Seat(i corianderwing.InstanceID) (corianderwing.Seat, bool) {
+	s, ok := v.seats[i]
+	return s, ok
+}
+
+// Seats returns the taken seats, by instance.
+func (v *View) Seats() []corianderwing.Seat { return sorted(v.seats) }
+
+// SeatTotal returns the number of seats, taken or free, over which the fixed
+// part of each bound is divided. Where the root lists no seats, it counts the
+// default number for each failure domain that holds a seat now; a deployment
+// that needs a division that never changes lists its seats on the root.
+func (v *View) SeatTotal() int {
+	root, _ := v.tree.Node(corianderwing.Path{})
+	total := 0
+	for _, n := range root.Seats {
+		total += n
+	}
+	if len(root.Seats) > 0 {
+		return total
+	}
+	domains := map[corianderwing.DomainID]bool{}
+	for _, s := range v.seats {
+		domains[s.Domain] = true
+	}
+	return len(domains) * corianderwing.DefaultSeats
+}
+
+// sorted returns the values of m by key.
+func sorted[K ~string, V any](m map[K]V) []V {
+	all := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		all = append(all, m[k])
+	}
+	return all
+}
+
+// with returns a copy of m that has v at k.
+func with[K comparable, V any](m map[K]V, k K, v V) map[K]V {
+	c := make(map[K]V, len(m)+1)
+	maps.Copy(c, m)
+	c[k] = v
+	return c
+}
+
+// without returns a copy of m that has nothing at k.
+func without[K comparable, V any](m map[K]V, k K) map[K]V {
+	c := maps.Clone(m)
+	delete(c, k)
+	return c
+}
--- /dev/null
+++ b/core/tree/check.go
@@ -0,0 +1,231 @@
+package tree
+
+import (
+	"fmt"
+	"maps"
+	"net/url"
+	"path"
+	"slices"
+	"strings"
+
+	"corianderwing"
+)
+
+// Limits of single fields.
+const (
+	maxRate   = 1e9     // requests per second; far above any fleet, keeps sums of tokens within int64
+	maxMillis = 600_000 // 10 minutes
+	maxTries  = 5
+	maxBody   = 1 << 30 // 1 GiB
+	maxPrefix = 1024    // bytes
+	maxSeats  = 256     // per failure domain
+)
+
+// knownMethods are the methods that a route may list. CONNECT and TRACE are
+// not forwarded.
+var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// Problem is one fault of a node's settings: the field, what it holds, and
+// what is allowed.
+type Problem struct {
+	Field   string
+	Got     string
+	Allowed string
+}
+
+// String returns the problem as part of an error message.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s is %s, allowed: %s", p.Field, p.Got, p.Allowed)
+}
+
+// Check returns a BadChange error that lists every problem of the settings s
+// for the node p, or nil. It does not look at other nodes.
+func Check(p corianderwing.Path, s *corianderwing.Settings) error {
+	if problems := check(p, s); len(problems) > 0 {
+		return reject(p, problems)
+	}
+	return nil
+}
+
+func reject(p corianderwing.Path, problems []Problem) error {
+	texts := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		texts = append(texts, problem.String())
+	}
+	return corianderwing.Errorf(corianderwing.BadChange, "node %s: %s", p, strings.Join(texts, "; "))
+}
+
+// checker collects problems.
+type checker struct {
+	problems []Problem
+}
+
+func (c *checker) add(field string, got any, allowed string) {
+	text := fmt.Sprint(got)
+	if s, ok := got.(string); ok {
+		text = fmt.Sprintf("%q", s)
+	}
+	c.problems = append(c.problems, Problem{Field: field, Got: text, Allowed: allowed})
+}
+
+func check(p corianderwing.Path, s *corianderwing.Settings) []Problem {
+	c := &checker{problems: checkPath(p)}
+	if s == nil {
+		c.add("settings", "missing", "an object")
+		return c.problems
+	}
+	c.bounds(p, s)
+	c.times(s)
+	c.choices(s)
+	c.route(p, s)
+	c.seats(p, s)
+	return c.problems
+}
+
+func checkPath(p corianderwing.Path) []Problem {
+	c := &checker{}
+	c.id("workspace", string(p.Workspace), level(p) >= workspaceLevel)
+	c.id("service", string(p.Service), level(p) >= serviceLevel)
+	c.id("route", string(p.Route), level(p) >= routeLevel)
+	return c.problems
+}
+
+func (c *checker) id(field, id string, needed bool) {
+	if needed && !corianderwing.ValidID(id) {
+		c.add(field, id, allowedID)
+	}
+}
+
+func (c *checker) bounds(p corianderwing.Path, s *corianderwing.Settings) {
+	above := level(p) <= workspaceLevel
+	const place = "only on the root or a workspace"
+	if !above && s.Rate != nil {
+		c.add("rate", "set on "+p.String(), place)
+	}
+	if !above && s.Burst != nil {
+		c.add("burst", "set on "+p.String(), place)
+	}
+	if !above && s.Fixed != nil {
+		c.add("fixed", "set on "+p.String(), place)
+	}
+	// Written so that NaN, which CBOR can carry, fails every test.
+	if r := s.Rate; r != nil && !(*r > 0 && *r <= maxRate) {
+		c.add("rate", float64(*r), fmt.Sprintf("greater than 0, at most %g requests per second", maxRate))
+	}
+	if b := s.Burst; b != nil && (*b < 1 || *b > maxRate) {
+		c.add("burst", int64(*b), fmt.Sprintf("1 to %d requests", int64(maxRate)))
+	}
+	if f := s.Fixed; f != nil && !(*f >= 0 && *f <= 1) {
+		c.add("fixed", *f, "0 to 1")
+	}
+}
+
+func (c *checker) times(s *corianderwing.Settings) {
+	c.millis("timeout", s.Timeout)
+	c.millis("wait", s.Wait)
+	c.millis("slow", s.Slow)
+}
+
+func (c *checker) millis(field string, m *corianderwing.Millis) {
+	if m != nil && (*m < 1 || *m > maxMillis) {
+		c.add(field, int64(*m), fmt.Sprintf("1 to %d ms", maxMillis))
+	}
+}
+
+func (c *checker) choices(s *corianderwing.Settings) {
+	classes := []corianderwing.Class{corianderwing.Urgent, corianderwing.Normal, corianderwing.Bulk}
+	if s.Class != nil && !slices.Contains(classes, *s.Class) {
+		c.add("class", string(*s.Class), "urgent, normal or bulk")
+	}
+	if s.Tries != nil && (*s.Tries < 1 || *s.Tries > maxTries) {
+		c.add("tries", *s.Tries, fmt.Sprintf("1 to %d", maxTries))
+	}
+	if s.Body != nil && (*s.Body < 0 || *s.Body > maxBody) {
+		c.add("body", int64(*s.Body), fmt.Sprintf("0 to %d bytes", maxBody))
+	}
+	if s.Pool != nil {
+		c.id("pool", string(*s.Pool), true)
+	}
+}
+
+func (c *checker) route(p corianderwing.Path, s *corianderwing.Settings) {
+	const place = "only on a route"
+	onRoute := level(p) == routeLevel
+	if !onRoute && s.Prefix != nil {
+		c.add("prefix", "set on "+p.String(), place)
+	}
+	if !onRoute && len(s.Methods) > 0 {
+		c.add("methods", "set on "+p.String(), place)
+	}
+	if s.Prefix != nil && !cleanPrefix(*s.Prefix) {
+		c.add("prefix", *s.Prefix, fmt.Sprintf("a clean path of at most %d bytes that starts with / and does not end with one", maxPrefix))
+	}
+	seen := map[string]bool{}
+	for _, m := range s.Methods {
+		if !slices.Contains(knownMethods, m) || seen[m] {
+			c.add("methods", m, "each once of "+strings.Join(knownMethods, ", "))
+		}
+		seen[m] = true
+	}
+}
+
+// cleanPrefix reports whether s is a prefix that the path of a request can
+// have: absolute, without dot segments and empty segments, and without
+// characters that only an escape can bring.
+func cleanPrefix(s string) bool {
+	if !strings.HasPrefix(s, "/") || len(s) > maxPrefix || path.Clean(s) != s {
+		return false
+	}
+	u, err := url.Parse(s)
+	return err == nil && u.Path == s && u.EscapedPath() == s
+}
+
+// maxDomains bounds the seats that one fleet can have.
+const maxDomains = 1024
+
+func (c *checker) seats(p corianderwing.Path, s *corianderwing.Settings) {
+	if level(p) != rootLevel && len(s.Seats) > 0 {
+		c.add("seats", "set on "+p.String(), "only on the root")
+	}
+	if len(s.Seats) > maxDomains {
+		c.add("seats", len(s.Seats), fmt.Sprintf("at most %d failure domains", maxDomains))
+		return
+	}
+	for _, d := range slices.Sorted(maps.Keys(s.Seats)) {
+		c.id("seats", string(d), true)
+		if n := s.Seats[d]; n < 0 || n > maxSeats {
+			c.add("seats of "+string(d), n, fmt.Sprintf("0 to %d", maxSeats))
+		}
+	}
+}
+
+// clash returns a problem if another route of the service has the prefix that
+// the route p would have. Which of the two serves a request would be chance.
+func clash(service *node, p corianderwing.Path, s *corianderwing.Settings) *Problem {
+	if service == nil {
+		return nil
+	}
+	want := prefixOf(s)
+	for _, id := range slices.Sorted(maps.Keys(service.kids)) {
+		if id != string(p.Route) && prefixOf(&service.kids[id].settings) == want {
+			problem := samePrefix(s, corianderwing.RouteID(id))
+			return &problem
+		}
+	}
+	return nil
+}
+
+func samePrefix(s *corianderwing.Settings, other corianderwing.RouteID) Problem {
+	return Problem{
+		Field:   "prefix",
+		Got:     fmt.Sprintf("%q, which route %s has", prefixOf(s), other),
+		Allowed: "a prefix that no other route of the service has",
+	}
+}
+
+func prefixOf(s *corianderwing.Settings) string {
+	if s.Prefix != nil {
+		return *s.Prefix
+	}
+	return corianderwing.Defaults.Prefix
+}
--- /dev/null
+++ b/core/tree/path.go
@@ -0,0 +1,87 @@
+package tree
+
+import (
+	"fmt"
+	"strings"
+
+	"corianderwing"
+)
+
+// level returns the depth of p. A path with a gap has the depth of its lowest
+// id; checkPath reports the gap.
+func level(p corianderwing.Path) int {
+	switch {
+	case p.Route != "":
+		return routeLevel
+	case p.Service != "":
+		return serviceLevel
+	case p.Workspace != "":
+		return workspaceLevel
+	}
+	return rootLevel
+}
+
+// ids returns the ids of p from the workspace down.
+func ids(p corianderwing.Path) []string {
+	all := []string{string(p.Workspace), string(p.Service), string(p.Route)}
+	return all[:level(p)]
+}
+
+func lastID(p corianderwing.Path) string {
+	return ids(p)[level(p)-1]
+}
+
+func parent(p corianderwing.Path) corianderwing.Path {
+	switch level(p) {
+	case routeLevel:
+		p.Route = ""
+	case serviceLevel:
+		p.Service = ""
+	case workspaceLevel:
+		p.Workspace = ""
+	}
+	return p
+}
+
+func child(p corianderwing.Path, id string) corianderwing.Path {
+	switch level(p) {
+	case rootLevel:
+		p.Workspace = corianderwing.WorkspaceID(id)
+	case workspaceLevel:
+		p.Service = corianderwing.ServiceID(id)
+	case serviceLevel:
+		p.Route = corianderwing.RouteID(id)
+	}
+	return p
+}
+
+// ParsePath returns the path that Path.String formats: "/" or "" for the root,
+// else workspace, workspace/service or workspace/service/route. It fails with
+// BadInput, which names the part that is wrong.
+func ParsePath(s string) (corianderwing.Path, error) {
+	var p corianderwing.Path
+	if s == "" || s == "/" {
+		return p, nil
+	}
+	parts := strings.Split(s, "/")
+	if len(parts) > routeLevel {
+		return p, corianderwing.Errorf(corianderwing.BadInput,
+			"path %q has %d parts, allowed: workspace/service/route", s, len(parts))
+	}
+	for _, part := range parts {
+		if !corianderwing.ValidID(part) {
+			return corianderwing.Path{}, corianderwing.Errorf(corianderwing.BadInput,
+				"path %q: part %q is no id, allowed: %s", s, part, allowedID)
+		}
+		p = child(p, part)
+	}
+	return p, nil
+}
+
+func unknown(p corianderwing.Path) error {
+	kinds := [...]string{"root", "workspace", "service", "route"}
+	return corianderwing.Errorf(corianderwing.Unknown, "%s %s does not exist", kinds[level(p)], p)
+}
+
+var allowedID = fmt.Sprintf("1 to %d lower-case letters, digits, dots and hyphens, starting with a letter or digit",
+	corianderwing.MaxIDLen)
--- a/settings.go
+++ b/settings.go
@@ -30,8 +30,13 @@
 	Body    *Bytes           `json:"body,omitempty"`    // largest request body
 	Prefix  *string          `json:"prefix,omitempty"`  // route: path prefix below the service
 	Methods []string         `json:"methods,omitempty"` // route: allowed methods, empty for all
+	Seats   map[DomainID]int `json:"seats,omitempty"`   // root: seats of each failure domain; empty: DefaultSeats in any
 }
 
+// DefaultSeats is the number of seats of each failure domain where the root
+// sets none.
+const DefaultSeats = 2
+
 // Millis is a time span in settings, in milliseconds. It becomes a deadline
 // as soon as a request uses it.
 type Millis int64
