Read and check the settings file of a deployment

Cause: a process needs its addresses, failure domain and groups, and operators need the seed tree, from one checked file.

Ruled out: decoding into structs with yaml.Unmarshal, because it stops at the first fault and reports no position for checks between sections.

Change: io/conf walks the AST of goccy/go-yaml, so that every fault is reported at once with line, column, field and what is allowed. Anchors, aliases and tags are refused. An even number of voters is a warning.

--- /dev/null
+++ b/io/conf/check.go
@@ -0,0 +1,157 @@
+package conf
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"corianderwing"
+)
+
+// reference is the use of an id that another part of the file declares.
+type reference struct {
+	at   spot
+	kind string
+	id   string
+}
+
+// refer reads a required id of a thing of the given kind. It is looked up
+// after the whole file is read, so that sections may come in any order.
+func (p *parse) refer(o *object, name, kind string) string {
+	s := o.id(name)
+	if s != "" {
+		p.refs = append(p.refs, reference{o.at(name), kind, s})
+	}
+	return s
+}
+
+// check compares the parts of the file with each other.
+func (p *parse) check() {
+	for _, ref := range p.refs {
+		if _, ok := p.marks[ref.kind+"/"+ref.id]; !ok {
+			p.fail(ref.at, p.declared(ref.kind), "no %s %q", ref.kind, ref.id)
+		}
+	}
+	p.sections()
+	p.regions()
+	p.domains()
+	p.voters()
+	p.linked()
+	p.pools()
+}
+
+// declared lists the ids of a kind for an error message.
+func (p *parse) declared(kind string) string {
+	var all []string
+	for key := range p.marks {
+		if id, ok := strings.CutPrefix(key, kind+"/"); ok {
+			all = append(all, id)
+		}
+	}
+	slices.Sort(all)
+	const most = 12
+	if len(all) > most {
+		all = append(all[:most], fmt.Sprintf("and %d more", len(all)-most))
+	}
+	if len(all) == 0 {
+		return "the id of a declared " + kind
+	}
+	return strings.Join(all, ", ")
+}
+
+func (p *parse) sections() {
+	for _, name := range []string{"regions", "domains", "groups", "processes"} {
+		if _, ok := p.values[name]; !ok {
+			p.fail(p.at(name), "a list with at least one item", "field is missing")
+		}
+	}
+}
+
+// regions checks that the domains listed by a region name that region.
+func (p *parse) regions() {
+	lists := map[corianderwing.DomainID]corianderwing.RegionID{}
+	for _, r := range p.cfg.Regions {
+		if r.Name == "" {
+			continue
+		}
+		at := p.marks["region/"+string(r.Name)]
+		for _, d := range r.Domains {
+			lists[d] = r.Name
+			if own := p.cfg.Region(d); own != "" && own != r.Name {
+				p.fail(at, "the domains whose region is this one", "lists domain %q, which is in region %q", d, own)
+			}
+		}
+	}
+	for _, d := range p.cfg.Domains {
+		_, known := p.marks["region/"+string(d.Region)]
+		if d.Name != "" && known && lists[d.Name] == "" {
+			p.fail(p.marks["domain/"+string(d.Name)], "a domain that its region lists in domains", "region %q does not list this domain", d.Region)
+		}
+	}
+}
+
+// domains checks that every entry instance can have a seat. Without one it
+// has no part of any bound and refuses whenever it cannot reach a grantor.
+func (p *parse) domains() {
+	entries := map[corianderwing.DomainID]int{}
+	for _, proc := range p.cfg.Processes {
+		if proc.Entry != nil {
+			entries[proc.Domain]++
+		}
+	}
+	for _, d := range p.cfg.Domains {
+		at, ok := p.marks["seats/"+string(d.Name)]
+		if n := entries[d.Name]; ok && d.Seats < n {
+			p.fail(at, fmt.Sprintf("seats from %d to %d", n, maxSeats), "has %d seats for %d entry instances", d.Seats, n)
+		}
+	}
+}
+
+func (p *parse) voters() {
+	for _, g := range p.cfg.Groups {
+		at := p.marks["voters/"+string(g.Name)]
+		for _, v := range g.Voters {
+			if proc, ok := p.cfg.Process(v); ok && proc.Control == nil {
+				p.fail(at, "processes with the control role", "process %q has no control role", v)
+			}
+		}
+	}
+}
+
+// linked warns of two regions without a link: nothing can be steered between
+// them, which is seldom meant.
+func (p *parse) linked() {
+	for i, a := range p.cfg.Regions {
+		for _, b := range p.cfg.Regions[i+1:] {
+			pair := []string{string(a.Name), string(b.Name)}
+			slices.Sort(pair)
+			if _, ok := p.marks["link/"+strings.Join(pair, "/")]; !ok {
+				p.warn(p.at("links"), "a link for each pair of regions", "no link between %s and %s", a.Name, b.Name)
+			}
+		}
+	}
+}
+
+// pools warns of stand-ins that no service of the seed tree uses.
+func (p *parse) pools() {
+	if len(p.cfg.Tree) == 0 {
+		return
+	}
+	used := map[corianderwing.PoolID]bool{}
+	for _, w := range p.cfg.Tree {
+		for _, s := range w.Services {
+			used[s.pool(w)] = true
+			for _, r := range s.Routes {
+				if r.Settings.Pool != nil {
+					used[*r.Settings.Pool] = true
+				}
+			}
+		}
+	}
+	for i, s := range p.cfg.Stubs {
+		if s.Pool != "" && !used[s.Pool] {
+			at := spot{p.at("stubs").token, fmt.Sprintf("stubs[%d].pool", i)}
+			p.warn(at, "the pool of a service in the seed tree", "no service uses pool %q", s.Pool)
+		}
+	}
+}
--- /dev/null
+++ b/io/conf/conf.go
@@ -0,0 +1,212 @@
+// Package conf reads the settings file of a deployment. One YAML file
+// describes all processes; each process picks its own part by its id.
+//
+// The file is checked in full: Parse reports every fault at once, each with
+// its position, field and what is allowed.
+package conf
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"corianderwing"
+)
+
+// Config is a settings file that passed every check.
+type Config struct {
+	Name       string    // file name, for messages
+	Secret     []byte    // fleet secret, keys the hashes of callers' keys
+	SecretFile string    // file that Load read Secret from
+	Regions    []Region  //
+	Domains    []Domain  //
+	Links      []Link    //
+	Groups     []Group   //
+	Processes  []Process //
+	Tree       []Workspace
+	Stubs      []Stub
+	Log        Log
+	Warnings   []Problem // allowed, but probably not meant
+}
+
+// Region is a set of failure domains that are near to each other.
+type Region struct {
+	Name    corianderwing.RegionID
+	Domains []corianderwing.DomainID
+	Delay   float64 // one way between its failure domains, ms
+}
+
+// Domain is a failure domain.
+type Domain struct {
+	Name   corianderwing.DomainID
+	Region corianderwing.RegionID
+	Seats  int // places for entry instances, over which bounds are divided
+}
+
+// Link connects two regions in both directions.
+type Link struct {
+	From  corianderwing.RegionID
+	To    corianderwing.RegionID
+	Delay float64 // one way, ms
+	Cap   float64 // each direction, Mbit/s
+}
+
+// BytesPerSecond returns the cap of the link in each direction.
+func (l Link) BytesPerSecond() corianderwing.BytesPerSecond {
+	return corianderwing.BytesPerSecond(l.Cap * 1e6 / 8)
+}
+
+// Group is a control group with its first voters.
+type Group struct {
+	Name   corianderwing.GroupID
+	Voters []corianderwing.InstanceID
+}
+
+// Process is one process of the system with its roles. At least one of
+// Control and Entry is set.
+type Process struct {
+	ID      corianderwing.InstanceID
+	Domain  corianderwing.DomainID
+	Control *Control
+	Entry   *Entry
+}
+
+// Control holds the settings of the control role.
+type Control struct {
+	Data  string // data directory, relative to the directory of the process
+	Peer  string // address for gRPC
+	Admin string // address of the operators' API
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	Public string // address for callers
+	Inner  string // address for hand-over between entry instances
+	Peer   string // address for gRPC
+}
+
+// Stub describes stand-in upstreams of one pool in one failure domain.
+type Stub struct {
+	Pool    corianderwing.PoolID
+	Domain  corianderwing.DomainID
+	Version corianderwing.VersionID
+	Count   int
+	Slots   corianderwing.Slots
+	Conns   corianderwing.Conns
+	Time    float64 // mean service time, ms
+	Address string  // address of the first; the others take the next ports
+}
+
+// Log holds the settings of the log.
+type Log struct {
+	Level string // debug, info, warn or error
+}
+
+// maxSize bounds a settings file. The example deployments take about 12 KB.
+const maxSize = 1 << 20
+
+// Load reads and checks a settings file, and reads the secret file that it
+// names. The error is a Problems if the content is at fault.
+func Load(path string) (*Config, error) {
+	data, err := readSmall(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	cfg, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.SecretFile == "" {
+		return cfg, nil
+	}
+	if !filepath.IsAbs(cfg.SecretFile) {
+		cfg.SecretFile = filepath.Join(filepath.Dir(path), cfg.SecretFile)
+	}
+	secret, err := readSmall(cfg.SecretFile)
+	if err != nil {
+		return nil, fmt.Errorf("read secret: %w", err)
+	}
+	cfg.Secret = bytes.TrimSpace(secret)
+	if len(cfg.Secret) < minSecret {
+		return nil, fmt.Errorf("secret in %s has %d bytes, allowed: %d or more", cfg.SecretFile, len(cfg.Secret), minSecret)
+	}
+	return cfg, nil
+}
+
+func readSmall(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > maxSize {
+		return nil, fmt.Errorf("%s has %d bytes, allowed: %d", path, info.Size(), maxSize)
+	}
+	return os.ReadFile(path)
+}
+
+// Process returns the process with the given id.
+func (c *Config) Process(id corianderwing.InstanceID) (Process, bool) {
+	for _, p := range c.Processes {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Process{}, false
+}
+
+// Region returns the region of a failure domain, or "" if there is none.
+func (c *Config) Region(d corianderwing.DomainID) corianderwing.RegionID {
+	for _, domain := range c.Domains {
+		if domain.Name == d {
+			return domain.Region
+		}
+	}
+	return ""
+}
+
+// Home returns the home group of a workspace of the seed tree.
+func (c *Config) Home(w corianderwing.WorkspaceID) (corianderwing.GroupID, bool) {
+	for _, ws := range c.Tree {
+		if ws.Name == w {
+			return ws.Home, true
+		}
+	}
+	return "", false
+}
+
+// Hosted returns the groups that a process has a vote in.
+func (c *Config) Hosted(id corianderwing.InstanceID) []Group {
+	var hosted []Group
+	for _, g := range c.Groups {
+		for _, v := range g.Voters {
+			if v == id {
+				hosted = append(hosted, g)
+				break
+			}
+		}
+	}
+	return hosted
+}
+
+// Delay returns the one-way delay between two failure domains in ms. Without
+// a link between their regions, ok is false.
+func (c *Config) Delay(a, b corianderwing.DomainID) (ms float64, ok bool) {
+	from, to := c.Region(a), c.Region(b)
+	if a == b {
+		return 0, true
+	}
+	if from == to {
+		for _, r := range c.Regions {
+			if r.Name == from {
+				return r.Delay, true
+			}
+		}
+	}
+	for _, l := range c.Links {
+		if l.From == from && l.To == to || l.From == to && l.To == from {
+			return l.Delay, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/io/conf/read.go
@@ -0,0 +1,260 @@
+package conf
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// spot is a place in the file that problems can refer to.
+type spot struct {
+	token *token.Token
+	field string
+}
+
+// reader collects the problems of one file.
+type reader struct {
+	file     string
+	problems []Problem
+	warnings []Problem
+}
+
+func (r *reader) fail(s spot, allowed, format string, args ...any) {
+	r.problems = append(r.problems, r.problem(s, allowed, format, args...))
+}
+
+func (r *reader) warn(s spot, allowed, format string, args ...any) {
+	r.warnings = append(r.warnings, r.problem(s, allowed, format, args...))
+}
+
+func (r *reader) problem(s spot, allowed, format string, args ...any) Problem {
+	p := Problem{File: r.file, Line: 1, Column: 1, Field: s.field, Text: fmt.Sprintf(format, args...), Allowed: allowed}
+	if s.token != nil && s.token.Position != nil {
+		p.Line = max(s.token.Position.Line, 1)
+		p.Column = max(s.token.Position.Column, 1)
+	}
+	return p
+}
+
+// object is a mapping of which the expected fields are read one by one.
+type object struct {
+	*reader
+	spot
+	values map[string]ast.Node
+	keys   []*ast.MappingValueNode
+	known  []string
+}
+
+// object reads a mapping. It reports fields that occur twice.
+func (r *reader) object(n ast.Node, at spot) *object {
+	o := &object{reader: r, spot: at, values: map[string]ast.Node{}}
+	m, ok := n.(*ast.MappingNode)
+	if !ok {
+		r.wrongType(n, at, "a mapping of fields")
+		return nil
+	}
+	for _, v := range m.Values {
+		name := v.Key.GetToken().Value
+		if _, ok := o.values[name]; ok {
+			r.fail(spot{v.Key.GetToken(), o.under(name)}, "each field once", "field occurs twice")
+			continue
+		}
+		o.values[name] = v.Value
+		o.keys = append(o.keys, v)
+	}
+	return o
+}
+
+func (o *object) under(name string) string {
+	if o.field == "" {
+		return name
+	}
+	return o.field + "." + name
+}
+
+// at returns the place of a field's value, or of the object without one.
+func (o *object) at(name string) spot {
+	if n := o.values[name]; n != nil {
+		return spot{n.GetToken(), o.under(name)}
+	}
+	return spot{o.token, o.under(name)}
+}
+
+// has notes that the field is known, and reports whether it has a value.
+func (o *object) has(name string) bool {
+	if !slices.Contains(o.known, name) {
+		o.known = append(o.known, name)
+	}
+	n, ok := o.values[name]
+	if !ok {
+		return false
+	}
+	if _, null := n.(*ast.NullNode); null || n == nil {
+		o.fail(o.at(name), "", "field has no value")
+		return false
+	}
+	return true
+}
+
+func (o *object) need(name, allowed string) bool {
+	if o.has(name) {
+		return true
+	}
+	if _, ok := o.values[name]; !ok {
+		o.fail(o.at(name), allowed, "field is missing")
+	}
+	return false
+}
+
+// done reports the fields that nothing asked for.
+func (o *object) done() {
+	for _, v := range o.keys {
+		key := v.Key.GetToken()
+		if !slices.Contains(o.known, key.Value) {
+			o.fail(spot{key, o.under(key.Value)}, strings.Join(o.known, ", "), "unknown field")
+		}
+	}
+}
+
+func (r *reader) wrongType(n ast.Node, at spot, want string) {
+	r.fail(at, want, "is %s", kindOf(n))
+}
+
+func kindOf(n ast.Node) string {
+	switch n := n.(type) {
+	case nil, *ast.NullNode:
+		return "empty"
+	case *ast.MappingNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode, *ast.LiteralNode:
+		return "text"
+	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "a number"
+	case *ast.BoolNode:
+		return "true or false"
+	case *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode, *ast.TagNode:
+		return "an anchor, alias or tag, which this file does not support"
+	default:
+		return strings.ToLower(n.Type().String())
+	}
+}
+
+// list calls f for each item of a list.
+func (o *object) list(name string, f func(n ast.Node, at spot)) {
+	if !o.has(name) {
+		return
+	}
+	seq, ok := o.values[name].(*ast.SequenceNode)
+	if !ok {
+		o.wrongType(o.values[name], o.at(name), "a list")
+		return
+	}
+	for i, n := range seq.Values {
+		field := fmt.Sprintf("%s[%d]", o.under(name), i)
+		if n == nil {
+			o.fail(spot{seq.GetToken(), field}, "", "item is empty")
+			continue
+		}
+		f(n, spot{n.GetToken(), field})
+	}
+}
+
+// objects calls f for each mapping of a list, and reports unknown fields.
+func (o *object) objects(name string, f func(item *object)) {
+	o.list(name, func(n ast.Node, at spot) {
+		if item := o.object(n, at); item != nil {
+			f(item)
+			item.done()
+		}
+	})
+}
+
+// child calls f for a mapping below a field, if there is one.
+func (o *object) child(name string, f func(c *object)) {
+	if !o.has(name) {
+		return
+	}
+	if c := o.object(o.values[name], o.at(name)); c != nil {
+		f(c)
+		c.done()
+	}
+}
+
+func (o *object) text(name, allowed string) (string, bool) {
+	if !o.has(name) {
+		return "", false
+	}
+	return o.scalar(o.values[name], o.at(name), allowed)
+}
+
+func (r *reader) scalar(n ast.Node, at spot, allowed string) (string, bool) {
+	s, ok := n.(*ast.StringNode)
+	if !ok {
+		r.wrongType(n, at, allowed)
+		return "", false
+	}
+	return s.Value, true
+}
+
+// number reads a finite number in [lo, hi].
+func (o *object) number(name string, lo, hi float64) (float64, bool) {
+	if !o.has(name) {
+		return 0, false
+	}
+	allowed := fmt.Sprintf("a number from %s to %s", figure(lo), figure(hi))
+	n := o.values[name]
+	switch n.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+	default:
+		o.wrongType(n, o.at(name), allowed)
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(n.GetToken().Value, 64)
+	if err != nil || math.IsNaN(v) || v < lo || v > hi {
+		o.fail(o.at(name), allowed, "is %s", n.GetToken().Value)
+		return 0, false
+	}
+	return v, true
+}
+
+// whole reads a decimal whole number in [lo, hi].
+func (o *object) whole(name string, lo, hi int64) (int64, bool) {
+	if !o.has(name) {
+		return 0, false
+	}
+	allowed := fmt.Sprintf("a whole number from %d to %d", lo, hi)
+	n := o.values[name]
+	switch n.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+	default:
+		o.wrongType(n, o.at(name), allowed)
+		return 0, false
+	}
+	v, err := strconv.ParseInt(n.GetToken().Value, 10, 64)
+	if err != nil || v < lo || v > hi {
+		o.fail(o.at(name), allowed, "is %s", n.GetToken().Value)
+		return 0, false
+	}
+	return v, true
+}
+
+func figure(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+func (o *object) truth(name string) (value, ok bool) {
+	if !o.has(name) {
+		return false, false
+	}
+	b, ok := o.values[name].(*ast.BoolNode)
+	if !ok {
+		o.wrongType(o.values[name], o.at(name), "true or false")
+		return false, false
+	}
+	return b.Value, true
+}
--- /dev/null
+++ b/io/conf/sections.go
@@ -0,0 +1,240 @@
+package conf
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"corianderwing"
+)
+
+// The largest values of a settings file. They catch slips of the unit, such
+// as bytes for Mbit/s; the planned scale stays well below them.
+const (
+	maxDelay = 10_000
+	maxCap   = 1_000_000
+	maxSeats = 1000
+	maxCount = 1000
+	maxSlots = 10_000
+	maxConns = 100_000
+)
+
+const addressRule = "host:port with the host as IP number that other processes can reach and the port from 1 to 65535"
+
+func (p *parse) region(o *object) {
+	r := Region{Name: corianderwing.RegionID(p.declare(o, "region", "name")), Delay: 0.5}
+	r.Domains = convert[corianderwing.DomainID](p.ids(o, "domains", "domain"))
+	if v, ok := o.number("delay", 0, maxDelay); ok {
+		r.Delay = v
+	}
+	p.cfg.Regions = append(p.cfg.Regions, r)
+}
+
+func (p *parse) domain(o *object) {
+	d := Domain{Name: corianderwing.DomainID(p.declare(o, "domain", "name"))}
+	d.Region = corianderwing.RegionID(p.refer(o, "region", "region"))
+	if o.need("seats", fmt.Sprintf("a whole number from 0 to %d", maxSeats)) {
+		v, ok := o.whole("seats", 0, maxSeats)
+		d.Seats = int(v)
+		if ok {
+			p.marks[fmt.Sprintf("seats/%s", d.Name)] = o.at("seats")
+		}
+	}
+	p.cfg.Domains = append(p.cfg.Domains, d)
+}
+
+func (p *parse) link(o *object) {
+	l := Link{
+		From: corianderwing.RegionID(p.refer(o, "from", "region")),
+		To:   corianderwing.RegionID(p.refer(o, "to", "region")),
+	}
+	if o.need("delay", "a number of ms") {
+		l.Delay, _ = o.number("delay", 0, maxDelay)
+	}
+	if o.need("cap", "a number of Mbit/s") {
+		l.Cap, _ = o.number("cap", 0.001, maxCap)
+	}
+	p.cfg.Links = append(p.cfg.Links, l)
+	if l.From == "" || l.To == "" {
+		return
+	}
+	if l.From == l.To {
+		p.fail(o.at("to"), "two different regions", "link from %q to itself", l.From)
+		return
+	}
+	pair := []string{string(l.From), string(l.To)}
+	slices.Sort(pair)
+	key := "link/" + strings.Join(pair, "/")
+	if first, ok := p.marks[key]; ok {
+		p.fail(o.spot, "one link for each pair of regions", "%s and %s are already linked by %s", pair[0], pair[1], first.field)
+		return
+	}
+	p.marks[key] = o.spot
+}
+
+func (p *parse) group(o *object) {
+	g := Group{Name: corianderwing.GroupID(p.declare(o, "group", "name"))}
+	if o.need("voters", "a list of ids of processes with the control role") {
+		g.Voters = convert[corianderwing.InstanceID](p.ids(o, "voters", "process"))
+	}
+	if seq, ok := o.values["voters"].(*ast.SequenceNode); ok && len(seq.Values) == 0 {
+		p.fail(o.at("voters"), "an odd number of voters, such as 3", "group has no voters")
+	}
+	if n := len(g.Voters); n > 0 && n%2 == 0 {
+		p.warn(o.at("voters"), "an odd number of voters, such as 3", "%d voters survive no more failures than %d", n, n-1)
+	}
+	p.marks[fmt.Sprintf("voters/%s", g.Name)] = o.at("voters")
+	p.cfg.Groups = append(p.cfg.Groups, g)
+}
+
+func (p *parse) process(o *object) {
+	proc := Process{ID: corianderwing.InstanceID(p.declare(o, "process", "id"))}
+	proc.Domain = corianderwing.DomainID(p.refer(o, "domain", "domain"))
+	o.child("control", func(c *object) {
+		proc.Control = &Control{Data: p.data(c), Peer: p.address(c, "peer", ""), Admin: p.address(c, "admin", "")}
+	})
+	o.child("entry", func(e *object) {
+		var shared string
+		if proc.Control != nil {
+			shared = proc.Control.Peer
+		}
+		proc.Entry = &Entry{Public: p.address(e, "public", ""), Inner: p.address(e, "inner", ""), Peer: p.address(e, "peer", shared)}
+	})
+	if o.values["control"] == nil && o.values["entry"] == nil {
+		p.fail(o.spot, "control, entry or both", "process has no role")
+	}
+	p.cfg.Processes = append(p.cfg.Processes, proc)
+}
+
+// data reads the data directory of a control process.
+func (p *parse) data(c *object) string {
+	const rule = "a directory that no other process uses"
+	if !c.need("data", rule) {
+		return ""
+	}
+	dir, ok := c.text("data", rule)
+	if !ok {
+		return ""
+	}
+	if dir == "" {
+		p.fail(c.at("data"), rule, "is empty")
+		return ""
+	}
+	if first, taken := p.marks["data/"+dir]; taken {
+		p.fail(c.at("data"), rule, "%q is already used by %s", dir, first.field)
+	}
+	p.marks["data/"+dir] = c.at("data")
+	return dir
+}
+
+// address reads a required address that nothing else in the file uses, except
+// that it may equal shared: both roles of a process may use one gRPC address.
+func (p *parse) address(o *object, name, shared string) string {
+	if !o.need(name, addressRule) {
+		return ""
+	}
+	s, ok := o.text(name, addressRule)
+	if !ok {
+		return ""
+	}
+	addr, ok := p.parseAddress(o, name, s)
+	if !ok {
+		return ""
+	}
+	if addr.String() != shared {
+		p.occupy(o.at(name), addr)
+	}
+	return addr.String()
+}
+
+func (p *parse) parseAddress(o *object, name, s string) (netip.AddrPort, bool) {
+	addr, err := netip.ParseAddrPort(s)
+	if err != nil {
+		p.fail(o.at(name), addressRule, "%q is no address", s)
+		return addr, false
+	}
+	ip := addr.Addr().Unmap()
+	if addr.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" {
+		p.fail(o.at(name), addressRule, "%q cannot be reached", s)
+		return addr, false
+	}
+	return netip.AddrPortFrom(ip, addr.Port()), true
+}
+
+func (p *parse) occupy(at spot, addr netip.AddrPort) {
+	key := "address/" + addr.String()
+	if first, ok := p.marks[key]; ok {
+		p.fail(at, "each address once", "%s is already used by %s", addr, first.field)
+		return
+	}
+	p.marks[key] = at
+}
+
+func (p *parse) stub(o *object) {
+	s := Stub{
+		Pool:    corianderwing.PoolID(o.id("pool")),
+		Domain:  corianderwing.DomainID(p.refer(o, "domain", "domain")),
+		Version: "v1",
+		Count:   1,
+		Slots:   1,
+		Conns:   300,
+		Time:    10,
+	}
+	if o.values["version"] != nil {
+		s.Version = corianderwing.VersionID(o.id("version"))
+	}
+	o.has("version")
+	if v, ok := o.whole("count", 1, maxCount); ok {
+		s.Count = int(v)
+	}
+	if v, ok := o.whole("slots", 1, maxSlots); ok {
+		s.Slots = corianderwing.Slots(v)
+	}
+	if v, ok := o.whole("conns", 1, maxConns); ok {
+		s.Conns = corianderwing.Conns(v)
+	}
+	if v, ok := o.number("time", 0, 60_000); ok {
+		s.Time = v
+	}
+	s.Address = p.stubAddress(o, s.Count)
+	p.cfg.Stubs = append(p.cfg.Stubs, s)
+}
+
+// stubAddress reads the first of count addresses with consecutive ports.
+func (p *parse) stubAddress(o *object, count int) string {
+	if !o.need("address", addressRule) {
+		return ""
+	}
+	s, ok := o.text("address", addressRule)
+	if !ok {
+		return ""
+	}
+	addr, ok := p.parseAddress(o, "address", s)
+	if !ok {
+		return ""
+	}
+	if int(addr.Port())+count-1 > 65535 {
+		p.fail(o.at("address"), addressRule, "%d ports from %s go past 65535", count, addr)
+		return ""
+	}
+	for i := range count {
+		p.occupy(o.at("address"), netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(i)))
+	}
+	return addr.String()
+}
+
+func (p *parse) log(o *object) {
+	const rule = "debug, info, warn or error"
+	level, ok := o.text("level", rule)
+	if !ok {
+		return
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, level) {
+		p.fail(o.at("level"), rule, "is %q", level)
+		return
+	}
+	p.cfg.Log.Level = level
+}
--- /dev/null
+++ b/io/conf/tree.go
@@ -0,0 +1,209 @@
+package conf
+
+import (
+	"fmt"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"corianderwing"
+)
+
+// Workspace is a workspace of the seed tree.
+type Workspace struct {
+	Name     corianderwing.WorkspaceID
+	Home     corianderwing.GroupID
+	Settings corianderwing.Settings
+	Services []Service
+	Keys     []SeedKey
+}
+
+// Service is a service of the seed tree.
+type Service struct {
+	Name     corianderwing.ServiceID
+	Settings corianderwing.Settings
+	Routes   []Route
+}
+
+// Route is a route of the seed tree.
+type Route struct {
+	Name     corianderwing.RouteID
+	Settings corianderwing.Settings
+}
+
+// SeedKey is a caller's key that is given to a workspace at the start. It is
+// meant for trials: in other deployments, operators add keys over their API,
+// and no file holds them.
+type SeedKey struct {
+	Name corianderwing.KeyID
+	Key  string
+}
+
+func (s Service) pool(w Workspace) corianderwing.PoolID {
+	switch {
+	case s.Settings.Pool != nil:
+		return *s.Settings.Pool
+	case w.Settings.Pool != nil:
+		return *w.Settings.Pool
+	default:
+		return corianderwing.PoolID(s.Name)
+	}
+}
+
+// minKey is the shortest seed key, in bytes.
+const minKey = 8
+
+func (p *parse) seed(o *object) {
+	o.objects("tree", p.workspace)
+}
+
+func (p *parse) workspace(o *object) {
+	w := Workspace{
+		Name: corianderwing.WorkspaceID(p.declare(o, "workspace", "name")),
+		Home: corianderwing.GroupID(p.refer(o, "home", "group")),
+	}
+	o.bounds(&w.Settings)
+	o.settings(&w.Settings)
+	o.objects("services", func(s *object) { w.Services = append(w.Services, p.service(s, w.Name)) })
+	o.objects("keys", func(k *object) { w.Keys = append(w.Keys, p.seedKey(k)) })
+	p.cfg.Tree = append(p.cfg.Tree, w)
+}
+
+func (p *parse) service(o *object, w corianderwing.WorkspaceID) Service {
+	s := Service{Name: corianderwing.ServiceID(p.declare(o, fmt.Sprintf("service/%s", w), "name"))}
+	o.settings(&s.Settings)
+	o.objects("routes", func(r *object) { s.Routes = append(s.Routes, p.route(r, w, s)) })
+	return s
+}
+
+func (p *parse) route(o *object, w corianderwing.WorkspaceID, s Service) Route {
+	below := fmt.Sprintf("%s/%s", w, s.Name)
+	r := Route{Name: corianderwing.RouteID(p.declare(o, "route/"+below, "name"))}
+	o.settings(&r.Settings)
+	p.prefix(o, &r.Settings, below)
+	o.methods(&r.Settings)
+	return r
+}
+
+func (p *parse) seedKey(o *object) SeedKey {
+	rule := fmt.Sprintf("text of %d bytes or more that no other key has", minKey)
+	k := SeedKey{Name: corianderwing.KeyID(p.declare(o, "key", "name"))}
+	if !o.need("key", rule) {
+		return k
+	}
+	text, ok := o.text("key", rule)
+	if !ok {
+		return k
+	}
+	if len(text) < minKey {
+		p.fail(o.at("key"), rule, "has %d bytes", len(text))
+	}
+	if first, taken := p.marks["secret/"+text]; taken {
+		p.fail(o.at("key"), rule, "is already used by %s", first.field)
+	}
+	p.marks["secret/"+text] = o.at("key")
+	k.Key = text
+	return k
+}
+
+// prefix reads the path prefix of a route, which no other route of the
+// service may have.
+func (p *parse) prefix(o *object, s *corianderwing.Settings, below string) {
+	const rule = "a clean path that starts with /"
+	text := "/"
+	if o.has("prefix") {
+		var ok bool
+		if text, ok = o.text("prefix", rule); !ok {
+			return
+		}
+		if !strings.HasPrefix(text, "/") || path.Clean(text) != strings.TrimSuffix(text, "/") && text != "/" {
+			p.fail(o.at("prefix"), rule, "is %q", text)
+			return
+		}
+		s.Prefix = &text
+	}
+	key := "prefix/" + below + text
+	if first, taken := p.marks[key]; taken {
+		p.fail(o.at("prefix"), "one route for each prefix of a service", "prefix %q is already used by %s", text, first.field)
+		return
+	}
+	p.marks[key] = o.at("prefix")
+}
+
+var allMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+func (o *object) methods(s *corianderwing.Settings) {
+	rule := strings.Join(allMethods, ", ")
+	o.list("methods", func(n ast.Node, at spot) {
+		m, ok := o.scalar(n, at, rule)
+		switch {
+		case !ok:
+		case !slices.Contains(allMethods, m):
+			o.fail(at, rule, "is %q", m)
+		case slices.Contains(s.Methods, m):
+			o.fail(at, "each method once", "%s occurs twice", m)
+		default:
+			s.Methods = append(s.Methods, m)
+		}
+	})
+}
+
+// bounds reads the fields that apply to a workspace as a whole.
+func (o *object) bounds(s *corianderwing.Settings) {
+	if v, ok := o.number("rate", 0, 10_000_000); ok {
+		s.Rate = new(corianderwing.TokensPerSecond(v))
+	}
+	if v, ok := o.whole("burst", 1, 100_000_000); ok {
+		s.Burst = new(corianderwing.Tokens(v))
+	}
+	if v, ok := o.number("fixed", 0, 1); ok {
+		s.Fixed = &v
+	}
+}
+
+// settings reads the fields that every level of the tree may set.
+func (o *object) settings(s *corianderwing.Settings) {
+	if v, ok := o.truth("open"); ok {
+		s.Open = &v
+	}
+	if o.has("pool") {
+		s.Pool = new(corianderwing.PoolID(o.id("pool")))
+	}
+	o.class(s)
+	if v, ok := o.truth("once"); ok {
+		s.Once = &v
+	}
+	s.Timeout = o.millis("timeout", 1)
+	s.Wait = o.millis("wait", 0)
+	s.Slow = o.millis("slow", 1)
+	if v, ok := o.whole("tries", 1, 10); ok {
+		s.Tries = new(int(v))
+	}
+	if v, ok := o.whole("body", 0, 1<<30); ok {
+		s.Body = new(corianderwing.Bytes(v))
+	}
+}
+
+func (o *object) class(s *corianderwing.Settings) {
+	const rule = "urgent, normal or bulk"
+	text, ok := o.text("class", rule)
+	if !ok {
+		return
+	}
+	c := corianderwing.Class(text)
+	if c != corianderwing.Urgent && c != corianderwing.Normal && c != corianderwing.Bulk {
+		o.fail(o.at("class"), rule, "is %q", text)
+		return
+	}
+	s.Class = &c
+}
+
+func (o *object) millis(name string, lo int64) *corianderwing.Millis {
+	v, ok := o.whole(name, lo, 600_000)
+	if !ok {
+		return nil
+	}
+	return new(corianderwing.Millis(v))
+}
