Add consensus, its storage and its driver

Cause: the control role needs a replicated log within one group. Before: no code. Conclusion: io/ctrl can build on the API; randomised runs and disk faults are not tested yet.

--- /dev/null
+++ b/core/raft/elect.go
@@ -0,0 +1,143 @@
+package raft
+
+import (
+	"fmt"
+	"time"
+
+	"corianderwing"
+)
+
+func (n *Node) resetElection() {
+	spread := time.Duration(n.rand.Int64N(int64(n.cfg.Election)))
+	n.electionAt = n.now.Add(n.cfg.Election + spread)
+}
+
+// follow makes this replica a follower in the given term. The leader may be
+// unknown.
+func (n *Node) follow(t corianderwing.Term, leader corianderwing.InstanceID) {
+	if t < n.vote.Term {
+		n.broken("term went back from %d to %d", n.vote.Term, t)
+		return
+	}
+	if t > n.vote.Term {
+		n.vote = corianderwing.Vote{Term: t}
+	}
+	if n.role == Leader {
+		n.stopLeading()
+	}
+	n.role, n.leader, n.votes = Follower, leader, nil
+	n.resetElection()
+}
+
+// campaign asks for pre-votes, or for votes if for real. Force marks an
+// election that the leader asked for.
+func (n *Node) campaign(real, force bool) {
+	kind, term := PreVote, n.vote.Term+1
+	n.role, n.leader = PreCandidate, ""
+	if real {
+		kind = VoteAsk
+		n.role = Candidate
+		n.vote = corianderwing.Vote{Term: term, For: n.cfg.Self}
+	}
+	n.votes = map[corianderwing.InstanceID]bool{n.cfg.Self: true}
+	n.resetElection()
+	for _, id := range n.hist.now().Voters {
+		if id != n.cfg.Self {
+			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Force: force})
+		}
+	}
+	n.countVotes()
+}
+
+// countVotes moves on once a majority has granted or refused.
+func (n *Node) countVotes() {
+	v := n.hist.now()
+	yes, no := 0, 0
+	for _, id := range v.Voters {
+		if granted, ok := n.votes[id]; ok && granted {
+			yes++
+		} else if ok {
+			no++
+		}
+	}
+	switch {
+	case yes >= quorum(v) && n.role == PreCandidate:
+		n.campaign(true, false)
+	case yes >= quorum(v):
+		n.startLeading()
+	case no >= quorum(v):
+		n.follow(n.vote.Term, "")
+	}
+}
+
+// hasLeader reports whether this replica leads or heard from a leader within
+// the shortest election timeout. It then supports no other candidate, so that
+// a replica that returns from a partition does not disturb the group.
+func (n *Node) hasLeader() bool {
+	if n.role == Leader {
+		return true
+	}
+	return n.leader != "" && n.now.Before(n.heard.Add(n.cfg.Election))
+}
+
+// receive handles a message. It adopts a higher term first, unless the message
+// only asks for or answers a pre-vote.
+func (n *Node) receive(m Message) {
+	if m.To != n.cfg.Self || m.Group != n.cfg.Group || m.From == n.cfg.Self {
+		return
+	}
+	if m.Kind == VoteAsk && m.Term > n.vote.Term && !m.Force && n.hasLeader() {
+		return
+	}
+	probe := m.Kind == PreVote || m.Kind == PreVoteReply && !m.Reject
+	if m.Term > n.vote.Term && !probe {
+		n.follow(m.Term, "")
+	}
+	switch m.Kind {
+	case PreVote:
+		n.onPreVote(m)
+	case VoteAsk:
+		n.onVote(m)
+	case PreVoteReply:
+		if n.role == PreCandidate && (m.Reject || m.Term == n.vote.Term+1) {
+			n.votes[m.From] = !m.Reject
+			n.countVotes()
+		}
+	case VoteReply:
+		if n.role == Candidate && m.Term == n.vote.Term {
+			n.votes[m.From] = !m.Reject
+			n.countVotes()
+		}
+	case Append, Install:
+		n.onLeaderMessage(m)
+	case AppendReply:
+		n.onAppendReply(m)
+	case TimeoutNow:
+		if m.Term == n.vote.Term && n.role != Leader && isVoter(n.hist.now(), n.cfg.Self) {
+			n.campaign(true, true)
+		}
+	}
+}
+
+func (n *Node) onPreVote(m Message) {
+	grant := m.Term > n.vote.Term && !n.hasLeader() && !n.log.newer(m.Index, m.LogTerm)
+	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
+	if !grant {
+		reply.Term = n.vote.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) onVote(m Message) {
+	free := n.vote.For == "" || n.vote.For == m.From
+	grant := m.Term == n.vote.Term && n.role != Leader && free && !n.log.newer(m.Index, m.LogTerm)
+	if grant {
+		n.vote.For = m.From
+		n.resetElection()
+	}
+	n.send(Message{Kind: VoteReply, To: m.From, Reject: !grant})
+}
+
+func (n *Node) broken(format string, args ...any) {
+	n.cfg.Broken(fmt.Sprintf("%s/%s: %s", n.cfg.Group, n.cfg.Self, fmt.Sprintf(format, args...)))
+}
--- /dev/null
+++ b/core/raft/follow.go
@@ -0,0 +1,135 @@
+package raft
+
+import "corianderwing"
+
+// onLeaderMessage checks that a message comes from the leader of this term.
+func (n *Node) onLeaderMessage(m Message) {
+	if m.Term < n.vote.Term {
+		n.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: m.Index})
+		return
+	}
+	if n.role == Leader || n.leader != "" && n.leader != m.From {
+		n.broken("term %d has two leaders, %s and %s", m.Term, n.leader, m.From)
+		return
+	}
+	if n.role != Follower || n.leader == "" {
+		n.follow(m.Term, m.From)
+	}
+	n.heard = n.now
+	n.resetElection()
+	if m.Kind == Install {
+		n.onInstall(m)
+		return
+	}
+	n.onAppend(m)
+}
+
+func (n *Node) onAppend(m Message) {
+	reply := Message{Kind: AppendReply, To: m.From, Round: m.Round}
+	switch {
+	case m.Index < n.commit:
+		reply.Index = n.commit
+	case n.log.matches(m.Index, m.LogTerm):
+		if !n.take(m.Entries) {
+			return
+		}
+		reply.Index = m.Index + corianderwing.Index(len(m.Entries))
+		n.advance(min(m.Commit, reply.Index))
+	default:
+		reply.Reject, reply.Index = true, m.Index
+		reply.Hint = n.log.backoff(m.Index, m.LogTerm)
+		reply.HintTerm, _ = n.log.term(reply.Hint)
+	}
+	n.send(reply)
+}
+
+// take appends the entries that the log lacks, and first drops its own
+// entries from the first conflict on.
+func (n *Node) take(entries []corianderwing.Entry) bool {
+	for k, e := range entries {
+		own, ok := n.log.term(e.Index)
+		if ok && own == e.Term {
+			continue
+		}
+		if ok {
+			if e.Index <= n.commit {
+				n.broken("committed entry %d of term %d would be replaced by one of term %d", e.Index, own, e.Term)
+				return false
+			}
+			n.log.truncate(e.Index)
+			n.hist.truncate(e.Index)
+			n.synced = min(n.synced, e.Index-1)
+		}
+		n.eff.Entries = entries[k:]
+		for _, e := range entries[k:] {
+			if err := n.remember(e); err != nil {
+				n.broken("%v", err)
+				return false
+			}
+		}
+		break
+	}
+	return true
+}
+
+// advance raises the commit index. A smaller index is old news.
+func (n *Node) advance(to corianderwing.Index) {
+	if to <= n.commit {
+		return
+	}
+	if to > n.log.last() {
+		n.broken("commit index %d is beyond the last entry %d", to, n.log.last())
+		return
+	}
+	n.commit = to
+}
+
+func (n *Node) onInstall(m Message) {
+	if m.Snapshot == nil {
+		return
+	}
+	s := *m.Snapshot
+	switch {
+	case s.Index <= n.commit:
+	case n.log.matches(s.Index, s.Term):
+		n.advance(s.Index)
+	default:
+		n.log = memLog{prev: s.Index, prevTerm: s.Term}
+		n.hist.reset(s.Index, s.Voters)
+		n.snap = s
+		n.commit, n.handed, n.synced = s.Index, s.Index, s.Index
+		n.eff.Snapshot, n.eff.Restore = &s, true
+	}
+	n.send(Message{Kind: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
+}
+
+// persisted notes which of the own entries are on disk. Entries that were
+// replaced since do not count.
+func (n *Node) persisted(ev Persisted) {
+	if ev.Index <= n.synced || !n.log.matches(ev.Index, ev.Term) {
+		return
+	}
+	n.synced = ev.Index
+	if n.role == Leader {
+		n.tryCommit()
+	}
+}
+
+// compacted replaces the log up to ev.Index by a snapshot.
+func (n *Node) compacted(ev Compacted) {
+	if ev.Index <= n.snap.Index {
+		return
+	}
+	t, ok := n.log.term(ev.Index)
+	if !ok || ev.Index > n.handed {
+		n.broken("snapshot at %d does not fit a log with commit index %d", ev.Index, n.commit)
+		return
+	}
+	n.snap = corianderwing.Snapshot{Index: ev.Index, Term: t, Voters: n.hist.at(ev.Index), Data: ev.Data}
+	s := n.snap
+	n.eff.Snapshot = &s
+	n.hist.compact(ev.Index)
+	if keep := corianderwing.Index(n.cfg.Keep); ev.Index > keep {
+		n.log.compact(ev.Index - keep)
+	}
+}
--- /dev/null
+++ b/core/raft/log.go
@@ -0,0 +1,104 @@
+package raft
+
+import (
+	"sort"
+
+	"corianderwing"
+)
+
+// memLog is the log in memory: the entries after (prev, prevTerm).
+type memLog struct {
+	prev     corianderwing.Index
+	prevTerm corianderwing.Term
+	entries  []corianderwing.Entry
+}
+
+func (l *memLog) last() corianderwing.Index {
+	return l.prev + corianderwing.Index(len(l.entries))
+}
+
+func (l *memLog) lastTerm() corianderwing.Term {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at i. It fails for entries that are
+// compacted or beyond the end.
+func (l *memLog) term(i corianderwing.Index) (corianderwing.Term, bool) {
+	switch {
+	case i == l.prev:
+		return l.prevTerm, true
+	case i < l.prev || i > l.last():
+		return 0, false
+	}
+	return l.entries[i-l.prev-1].Term, true
+}
+
+func (l *memLog) matches(i corianderwing.Index, t corianderwing.Term) bool {
+	own, ok := l.term(i)
+	return ok && own == t
+}
+
+// newer reports whether this log is more up to date than one that ends with
+// the given entry.
+func (l *memLog) newer(i corianderwing.Index, t corianderwing.Term) bool {
+	if own := l.lastTerm(); own != t {
+		return own > t
+	}
+	return l.last() > i
+}
+
+// slice returns the entries in (after, upTo]. The caller must not change it.
+func (l *memLog) slice(after, upTo corianderwing.Index) []corianderwing.Entry {
+	if after < l.prev || upTo <= after {
+		return nil
+	}
+	from, to := after-l.prev, upTo-l.prev
+	return l.entries[from:to:to]
+}
+
+// batch returns entries after the given index, limited to n entries and about
+// size bytes, but at least one.
+func (l *memLog) batch(after corianderwing.Index, n, size int) []corianderwing.Entry {
+	all := l.slice(after, l.last())
+	if len(all) > n {
+		all = all[:n]
+	}
+	for i := range all {
+		size -= len(all[i].Data)
+		if size < 0 && i > 0 {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+// truncate drops the entry at from and everything after it. Messages may hold
+// slices of the old array, so the next append must not write into it.
+func (l *memLog) truncate(from corianderwing.Index) {
+	n := from - l.prev - 1
+	l.entries = l.entries[:n:n]
+}
+
+// compact drops the entries up to and including i.
+func (l *memLog) compact(i corianderwing.Index) {
+	if i <= l.prev {
+		return
+	}
+	t, _ := l.term(i)
+	l.entries = append([]corianderwing.Entry(nil), l.entries[i-l.prev:]...)
+	l.prev, l.prevTerm = i, t
+}
+
+// backoff returns the last index up to i whose term is at most t, so that one
+// rejection skips a whole conflicting term.
+func (l *memLog) backoff(i corianderwing.Index, t corianderwing.Term) corianderwing.Index {
+	if i > l.last() {
+		i = l.last()
+	}
+	if i <= l.prev {
+		return i
+	}
+	n := sort.Search(int(i-l.prev), func(k int) bool { return l.entries[k].Term > t })
+	return l.prev + corianderwing.Index(n)
+}
--- /dev/null
+++ b/core/raft/voters.go
@@ -0,0 +1,88 @@
+package raft
+
+import (
+	"encoding/json"
+	"slices"
+
+	"corianderwing"
+)
+
+// history is the memberships that the log holds, oldest first. A membership
+// is in force from the moment its entry is appended, so a truncation of the
+// log must bring the one before it back.
+type history struct {
+	list []dated
+}
+
+type dated struct {
+	index  corianderwing.Index
+	voters corianderwing.Voters
+}
+
+func (h *history) now() corianderwing.Voters                           { return h.list[len(h.list)-1].voters }
+func (h *history) lastIndex() corianderwing.Index                      { return h.list[len(h.list)-1].index }
+func (h *history) reset(i corianderwing.Index, v corianderwing.Voters) { h.list = []dated{{i, v}} }
+
+// at returns the membership in force at index i.
+func (h *history) at(i corianderwing.Index) corianderwing.Voters {
+	for k := len(h.list) - 1; k > 0; k-- {
+		if h.list[k].index <= i {
+			return h.list[k].voters
+		}
+	}
+	return h.list[0].voters
+}
+
+func (h *history) add(e corianderwing.Entry) error {
+	var v corianderwing.Voters
+	if err := json.Unmarshal(e.Data, &v); err != nil {
+		return err
+	}
+	h.list = append(h.list, dated{e.Index, v})
+	return nil
+}
+
+func (h *history) truncate(from corianderwing.Index) {
+	for len(h.list) > 1 && h.lastIndex() >= from {
+		h.list = h.list[:len(h.list)-1]
+	}
+}
+
+func (h *history) compact(i corianderwing.Index) {
+	for len(h.list) > 1 && h.list[1].index <= i {
+		h.list = h.list[1:]
+	}
+}
+
+func isVoter(v corianderwing.Voters, id corianderwing.InstanceID) bool {
+	return slices.Contains(v.Voters, id)
+}
+
+func members(v corianderwing.Voters) []corianderwing.InstanceID {
+	return slices.Concat(v.Voters, v.Learners)
+}
+
+// quorum returns the number of voters that form a majority.
+func quorum(v corianderwing.Voters) int { return len(v.Voters)/2 + 1 }
+
+// apply returns the membership after a change, or an error that tells which
+// rule the change breaks.
+func (c Change) apply(v corianderwing.Voters) (corianderwing.Voters, *corianderwing.Error) {
+	next := corianderwing.Voters{Voters: slices.Clone(v.Voters), Learners: slices.Clone(v.Learners)}
+	learner := slices.Index(next.Learners, c.Instance)
+	voter := slices.Index(next.Voters, c.Instance)
+	switch {
+	case c.Op == AddLearner && c.Instance != "" && learner < 0 && voter < 0:
+		next.Learners = append(next.Learners, c.Instance)
+	case c.Op == Promote && learner >= 0:
+		next.Learners = slices.Delete(next.Learners, learner, learner+1)
+		next.Voters = append(next.Voters, c.Instance)
+	case c.Op == Remove && learner >= 0:
+		next.Learners = slices.Delete(next.Learners, learner, learner+1)
+	case c.Op == Remove && voter >= 0 && len(next.Voters) > 1:
+		next.Voters = slices.Delete(next.Voters, voter, voter+1)
+	default:
+		return v, corianderwing.Errorf(corianderwing.BadChange, "%s of %q does not fit voters %v and learners %v", c.Op, c.Instance, v.Voters, v.Learners)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/io/group/call.go
@@ -0,0 +1,117 @@
+package group
+
+import (
+	"context"
+
+	"corianderwing"
+	"corianderwing/core/raft"
+)
+
+type callKind uint8
+
+const (
+	callPropose callKind = iota
+	callRead
+	callChange
+	callTransfer
+)
+
+// call is a caller that waits for an answer from the loop.
+type call struct {
+	kind   callKind
+	ctx    context.Context
+	data   []byte
+	change raft.Change
+	reply  chan reply // has room for one
+}
+
+type reply struct {
+	data  []byte
+	index corianderwing.Index
+	err   *corianderwing.Error
+}
+
+// failure returns err without the pitfall of a typed nil in an interface.
+func (r reply) failure() error {
+	if r.err == nil {
+		return nil
+	}
+	return r.err
+}
+
+func failed(c corianderwing.Code, detail string) reply {
+	return reply{err: corianderwing.Errorf(c, "%s", detail)}
+}
+
+// placed is a call whose entry is in the log and not yet committed.
+type placed struct {
+	id   uint64
+	term corianderwing.Term
+}
+
+// inbox is what waits for the loop.
+type inbox struct {
+	messages []raft.Message
+	calls    []*call
+}
+
+// ask queues a call and waits for its answer or the end of ctx.
+func (g *Group) ask(ctx context.Context, c *call) reply {
+	c.ctx = ctx
+	c.reply = make(chan reply, 1)
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return failed(corianderwing.NoLeader, "this replica has stopped")
+	}
+	g.inbox.calls = append(g.inbox.calls, c)
+	g.mu.Unlock()
+	g.poke()
+	select {
+	case r := <-c.reply:
+		return r
+	case <-ctx.Done():
+		return failed(corianderwing.NoQuorum, ctx.Err().Error())
+	}
+}
+
+func (g *Group) take() inbox {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	in := g.inbox
+	g.inbox = inbox{}
+	return in
+}
+
+// answer ends a call. It does nothing if the call has ended.
+func (g *Group) answer(id uint64, r reply) {
+	if c, ok := g.calls[id]; ok {
+		delete(g.calls, id)
+		c.reply <- r
+	}
+}
+
+// register gives each call that still waits an id.
+func (g *Group) register(c *call) (uint64, bool) {
+	if c.ctx.Err() != nil {
+		return 0, false
+	}
+	g.lastID++
+	g.calls[g.lastID] = c
+	return g.lastID, true
+}
+
+// endCalls ends every call that is under way, after the loop has stopped.
+func (g *Group) endCalls() {
+	g.mu.Lock()
+	g.closed = true
+	queued := g.inbox.calls
+	g.inbox = inbox{}
+	g.mu.Unlock()
+	for _, c := range queued {
+		c.reply <- failed(corianderwing.NoLeader, "this replica has stopped")
+	}
+	for id := range g.calls {
+		g.answer(id, failed(corianderwing.NoQuorum, "this replica stopped before the outcome was known"))
+	}
+}
--- /dev/null
+++ b/io/group/group.go
@@ -0,0 +1,216 @@
+// Package group runs one replica of a group: a raft node with its store, its
+// transport and the machine that it replicates.
+package group
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"corianderwing"
+	"corianderwing/core/raft"
+)
+
+const (
+	defaultSnapshotEvery = 4096
+
+	// Messages that wait for the loop beyond this number are dropped. The
+	// protocol repeats what matters, and a loop that is this far behind must
+	// not grow without bound.
+	maxInbox = 4096
+)
+
+// Config describes a replica.
+type Config struct {
+	Group  corianderwing.GroupID
+	Self   corianderwing.InstanceID
+	Voters corianderwing.Voters // membership of an empty log
+	Seed   uint64               // of the random election timeouts
+
+	Logger *log.Logger  // default: no log
+	Broken func(string) // told about a broken invariant; default: only logged
+}
+
+// Sender carries messages to other replicas. Send must not block and may lose
+// messages.
+type Sender interface {
+	Send(to corianderwing.InstanceID, m raft.Message)
+}
+
+// Option changes a default of a Group.
+type Option func(*Group)
+
+// WithSnapshotEvery sets after how many applied entries the machine is saved
+// and the log dropped. The default is 4096.
+func WithSnapshotEvery(n int) Option {
+	return func(g *Group) { g.every = corianderwing.Index(n) }
+}
+
+// WithTiming sets the shortest election timeout and the heartbeat interval.
+// The defaults are those of package raft.
+func WithTiming(election, heartbeat time.Duration) Option {
+	return func(g *Group) { g.election, g.beat = election, heartbeat }
+}
+
+// Group is one replica. One goroutine owns the node and the machine; callers
+// reach it through a queue. It owns the store and closes it.
+type Group struct {
+	cfg      Config
+	node     *raft.Node
+	store    corianderwing.Store
+	machine  corianderwing.Machine
+	sender   Sender
+	every    corianderwing.Index
+	election time.Duration
+	beat     time.Duration
+
+	mu     sync.Mutex
+	inbox  inbox
+	closed bool
+
+	work chan struct{} // has room for one: the inbox is not empty
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
+
+	status atomic.Pointer[Status]
+
+	// Owned by the loop.
+	pend    pending
+	calls   map[uint64]*call
+	placed  map[corianderwing.Index]placed
+	lastID  uint64
+	applied corianderwing.Index
+	saved   corianderwing.Index // applied index of the last snapshot
+	failed  error
+}
+
+// Open loads the store, restores the machine and starts the replica.
+func Open(cfg Config, s corianderwing.Store, m corianderwing.Machine, out Sender, opts ...Option) (*Group, error) {
+	g := &Group{
+		cfg: cfg, store: s, machine: m, sender: out,
+		every:  defaultSnapshotEvery,
+		work:   make(chan struct{}, 1),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+		calls:  make(map[uint64]*call),
+		placed: make(map[corianderwing.Index]placed),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	if g.cfg.Logger == nil {
+		g.cfg.Logger = &log.Logger{Writer: log.WriterFunc(func(*log.Entry) (int, error) { return 0, nil })}
+	}
+	stored, err := s.Load()
+	if err != nil {
+		return nil, eris.Wrapf(err, "loading group %s", cfg.Group)
+	}
+	if stored.Cut {
+		g.cfg.Logger.Warn().Str("group", string(cfg.Group)).Msg("an unsynced tail of the log was cut")
+	}
+	if stored.Snapshot.Index > 0 {
+		if err := m.Restore(stored.Snapshot.Data); err != nil {
+			return nil, eris.Wrapf(err, "restoring group %s", cfg.Group)
+		}
+	}
+	g.applied, g.saved = stored.Snapshot.Index, stored.Snapshot.Index
+	g.node, err = raft.New(g.raftConfig(), stored, time.Now())
+	if err != nil {
+		return nil, eris.Wrapf(err, "starting group %s", cfg.Group)
+	}
+	g.publish()
+	go g.loop()
+	return g, nil
+}
+
+func (g *Group) raftConfig() raft.Config {
+	return raft.Config{
+		Group: g.cfg.Group, Self: g.cfg.Self, Voters: g.cfg.Voters, Seed: g.cfg.Seed,
+		Election: g.election, Heartbeat: g.beat,
+		Broken: func(what string) {
+			g.cfg.Logger.Error().Str("group", string(g.cfg.Group)).Str("invariant", what).Msg("a broken invariant was prevented")
+			if g.cfg.Broken != nil {
+				g.cfg.Broken(what)
+			}
+		},
+	}
+}
+
+// Propose commits a command and returns what the machine's Apply returned.
+//
+// It fails with NoLeader if the command is not in the log and never will be,
+// and with NoQuorum if it may still be committed.
+func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	r := g.ask(ctx, &call{kind: callPropose, data: data})
+	return r.data, r.failure()
+}
+
+// Confirm returns an index that the machine has applied and that covers every
+// command committed before Confirm was called, anywhere in the group. It fails
+// with NoLeader if this replica does not lead, and with NoQuorum if no majority
+// answers before ctx ends.
+func (g *Group) Confirm(ctx context.Context) (corianderwing.Index, error) {
+	r := g.ask(ctx, &call{kind: callRead})
+	return r.index, r.failure()
+}
+
+// ChangeVoters adds a learner, promotes one to voter, or removes a replica. It
+// returns once the new membership is committed. Besides NoLeader and NoQuorum
+// it fails with Conflict while another change is under way, and with BadChange
+// if the change does not fit the membership or the learner lags too far.
+func (g *Group) ChangeVoters(ctx context.Context, c raft.Change) error {
+	return g.ask(ctx, &call{kind: callChange, change: c}).failure()
+}
+
+// Transfer hands leadership to the voter with the longest log, before a
+// planned stop. It returns once this replica no longer leads.
+func (g *Group) Transfer(ctx context.Context) error {
+	return g.ask(ctx, &call{kind: callTransfer}).failure()
+}
+
+// Receive takes a message from another replica. It does not block.
+func (g *Group) Receive(m raft.Message) {
+	g.mu.Lock()
+	if len(g.inbox.messages) < maxInbox {
+		g.inbox.messages = append(g.inbox.messages, m)
+	}
+	g.mu.Unlock()
+	g.poke()
+}
+
+// Leader returns the leader, or "" if it is not known, and the term.
+func (g *Group) Leader() (corianderwing.InstanceID, corianderwing.Term) {
+	s := g.status.Load()
+	return s.Leader, s.Term
+}
+
+// Status returns the state of this replica.
+func (g *Group) Status() Status { return *g.status.Load() }
+
+// Done is closed when the replica has stopped, by Close or because of a
+// failure of its disk or machine, which Status shows.
+func (g *Group) Done() <-chan struct{} { return g.done }
+
+// Close stops the replica and closes the store. It cuts off the calls that are
+// under way; call Transfer first for a planned stop.
+func (g *Group) Close() error {
+	var err error
+	g.once.Do(func() {
+		close(g.stop)
+		<-g.done
+		err = g.store.Close()
+	})
+	return eris.Wrapf(err, "closing group %s", g.cfg.Group)
+}
+
+func (g *Group) poke() {
+	select {
+	case g.work <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/group/status.go
@@ -0,0 +1,47 @@
+package group
+
+import (
+	"corianderwing"
+	"corianderwing/core/raft"
+)
+
+// Status is the state of one replica at one moment.
+type Status struct {
+	Group    corianderwing.GroupID    `json:"group"`
+	Self     corianderwing.InstanceID `json:"self"`
+	Role     raft.Role                `json:"role"`
+	Leader   corianderwing.InstanceID `json:"leader,omitempty"`
+	Term     corianderwing.Term       `json:"term"`
+	Commit   corianderwing.Index      `json:"commit"`
+	Applied  corianderwing.Index      `json:"applied"`
+	Last     corianderwing.Index      `json:"last"`
+	Snapshot corianderwing.Index      `json:"snapshot"`
+	Voters   corianderwing.Voters     `json:"voters"`
+
+	// Matches tells how far the log of each member is known to match. Only
+	// the leader knows it for others.
+	Matches map[corianderwing.InstanceID]corianderwing.Index `json:"matches,omitempty"`
+
+	// Err is why the replica stopped by itself, or nil.
+	Err error `json:"-"`
+}
+
+// publish makes the state of the loop visible to callers.
+func (g *Group) publish() {
+	c := g.node.Role()
+	s := &Status{
+		Group: g.cfg.Group, Self: g.cfg.Self,
+		Role: c.Role, Leader: c.Leader, Term: c.Term,
+		Commit: g.node.Commit(), Applied: g.applied, Last: g.node.Last(),
+		Snapshot: g.node.Snapshot().Index, Voters: g.node.Voters(), Err: g.failed,
+	}
+	if c.Role == raft.Leader {
+		s.Matches = make(map[corianderwing.InstanceID]corianderwing.Index)
+		for _, list := range [][]corianderwing.InstanceID{s.Voters.Voters, s.Voters.Learners} {
+			for _, id := range list {
+				s.Matches[id] = g.node.Match(id)
+			}
+		}
+	}
+	g.status.Store(s)
+}
--- /dev/null
+++ b/io/store/frame.go
@@ -0,0 +1,162 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"corianderwing"
+)
+
+// A segment is a sequence of frames, and a frame is what one Append wrote:
+//
+//	magic    4 bytes
+//	size     4 bytes, of the payload
+//	seq      8 bytes, grows by one with each frame of a store
+//	checksum 4 bytes, CRC-32C of seq and payload
+//	payload  entries, or the head of a segment
+//
+// One checksum covers a whole batch, because the disk may write the blocks of
+// an unsynced batch in any order. A bad frame that no good frame follows is
+// therefore an unsynced tail; a bad frame before a good one is damage, since a
+// frame is only written after the one before it is synced.
+const (
+	frameMagic = 0x6b3fc21d
+	frameHead  = 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func checksum(seq uint64, payload []byte) uint32 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], seq)
+	return crc32.Update(crc32.Checksum(b[:], castagnoli), castagnoli, payload)
+}
+
+func frame(seq uint64, payload []byte) []byte {
+	b := make([]byte, 0, frameHead+len(payload))
+	b = binary.LittleEndian.AppendUint32(b, frameMagic)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint64(b, seq)
+	b = binary.LittleEndian.AppendUint32(b, checksum(seq, payload))
+	return append(b, payload...)
+}
+
+// parseFrame returns the frame at the start of b, and the bytes after it.
+func parseFrame(b []byte) (seq uint64, payload, rest []byte, ok bool) {
+	if len(b) < frameHead || binary.LittleEndian.Uint32(b) != frameMagic {
+		return 0, nil, nil, false
+	}
+	size := uint64(binary.LittleEndian.Uint32(b[4:]))
+	if size > uint64(len(b)-frameHead) {
+		return 0, nil, nil, false
+	}
+	seq = binary.LittleEndian.Uint64(b[8:])
+	payload = b[frameHead : frameHead+size]
+	if checksum(seq, payload) != binary.LittleEndian.Uint32(b[16:]) {
+		return 0, nil, nil, false
+	}
+	return seq, payload, b[frameHead+size:], true
+}
+
+// frameFollows reports whether b holds a good frame with a number from seq on,
+// at any offset.
+func frameFollows(b []byte, seq uint64) bool {
+	for i := range b {
+		if s, _, _, ok := parseFrame(b[i:]); ok && s >= seq {
+			return true
+		}
+	}
+	return false
+}
+
+func appendEntries(b []byte, entries []corianderwing.Entry) []byte {
+	for _, e := range entries {
+		b = binary.AppendUvarint(b, uint64(e.Index))
+		b = binary.AppendUvarint(b, uint64(e.Term))
+		b = append(b, byte(e.Kind))
+		b = binary.AppendUvarint(b, uint64(len(e.Data)))
+		b = append(b, e.Data...)
+	}
+	return b
+}
+
+// decoder reads numbers and bytes, and remembers the first failure.
+type decoder struct {
+	b   []byte
+	bad bool
+}
+
+func (d *decoder) uint() uint64 {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 {
+		d.bad, d.b = true, nil
+		return 0
+	}
+	d.b = d.b[n:]
+	return v
+}
+
+func (d *decoder) bytes(n uint64) []byte {
+	if n > uint64(len(d.b)) {
+		d.bad, d.b = true, nil
+		return nil
+	}
+	v := d.b[:n:n]
+	d.b = d.b[n:]
+	return v
+}
+
+func parseEntries(b []byte) ([]corianderwing.Entry, bool) {
+	d := decoder{b: b}
+	var list []corianderwing.Entry
+	for len(d.b) > 0 {
+		var e corianderwing.Entry
+		e.Index = corianderwing.Index(d.uint())
+		e.Term = corianderwing.Term(d.uint())
+		if k := d.bytes(1); len(k) == 1 {
+			e.Kind = corianderwing.EntryKind(k[0])
+		}
+		if n := d.uint(); n > 0 {
+			e.Data = d.bytes(n)
+		}
+		if d.bad {
+			return nil, false
+		}
+		list = append(list, e)
+	}
+	return list, true
+}
+
+// head is the payload of a segment's first frame. The log starts after
+// (index, term) if full is set; otherwise the segment continues the one
+// before it. Entries follow in the same frame.
+type head struct {
+	full    bool
+	index   corianderwing.Index
+	term    corianderwing.Term
+	entries []corianderwing.Entry
+}
+
+func (h head) encode() []byte {
+	b := []byte{0}
+	if h.full {
+		b[0] = 1
+	}
+	b = binary.AppendUvarint(b, uint64(h.index))
+	b = binary.AppendUvarint(b, uint64(h.term))
+	return appendEntries(b, h.entries)
+}
+
+func parseHead(b []byte) (head, bool) {
+	d := decoder{b: b}
+	first := d.bytes(1)
+	h := head{full: len(first) == 1 && first[0] == 1}
+	h.index = corianderwing.Index(d.uint())
+	h.term = corianderwing.Term(d.uint())
+	if d.bad {
+		return h, false
+	}
+	var ok bool
+	h.entries, ok = parseEntries(d.b)
+	return h, ok
+}
--- /dev/null
+++ b/io/store/load.go
@@ -0,0 +1,197 @@
+package store
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"corianderwing"
+)
+
+// Load reads the directory. It cuts an unsynced tail and returns a
+// *DamageError, possibly wrapped, for damage to anything that was synced.
+//
+// Damage to the very last frame cannot be told from an unsynced tail.
+func (s *Store) Load() (corianderwing.Stored, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var st corianderwing.Stored
+	if s.seg != nil || s.failed != nil {
+		return st, eris.New("the store is loaded already, or closed")
+	}
+	voted, err := s.read(voteName, &st.Vote)
+	if err != nil {
+		return st, eris.Wrap(err, "reading the vote")
+	}
+	saved, err := s.read(snapshotName, &st.Snapshot)
+	if err != nil {
+		return st, eris.Wrap(err, "reading the snapshot")
+	}
+	s.segNo, s.segSize, s.seq, s.mirror = 0, 0, 0, mirror{}
+	if st.Cut, err = s.loadLog(); err != nil {
+		return st, eris.Wrap(err, "reading the log")
+	}
+	switch {
+	case s.segNo == 0 && (voted || saved):
+		// The first segment is synced before the first vote.
+		err = &DamageError{File: segName(1), Detail: "the log is missing"}
+	case s.mirror.index > st.Snapshot.Index:
+		err = &DamageError{File: snapshotName, Detail: "the log starts after a snapshot that is missing"}
+	}
+	if err != nil {
+		return st, eris.Wrap(err, "reading the log")
+	}
+	if err := s.begin(st.Snapshot); err != nil {
+		return st, s.fail(err, "opening the last segment")
+	}
+	st.Entries = slices.Clone(s.mirror.entries)
+	return st, nil
+}
+
+// begin opens the log for appending. A log that does not start at the snapshot
+// is left by a crash during SaveSnapshot, which begin completes.
+func (s *Store) begin(snap corianderwing.Snapshot) error {
+	switch {
+	case s.segNo == 0:
+		return s.roll(head{})
+	case s.mirror.index != snap.Index:
+		s.mirror.rebase(snap.Index, snap.Term)
+		err := s.roll(head{full: true, index: snap.Index, term: snap.Term, entries: s.mirror.entries})
+		if err != nil {
+			return err
+		}
+		return s.removeOld()
+	}
+	f, err := s.fs.Extend(segName(s.segNo))
+	s.seg = f
+	return err
+}
+
+// loadLog reads the segments into the mirror and reports whether it cut a
+// tail.
+func (s *Store) loadLog() (cut bool, err error) {
+	names, err := s.segments()
+	if err != nil {
+		return false, err
+	}
+	data := make([][]byte, len(names))
+	start := 0
+	for k, name := range names {
+		if data[k], err = s.fs.ReadFile(name); err != nil {
+			return false, err
+		}
+		if startsLog(data[k]) {
+			start = k
+		}
+	}
+	// Segments before a full one are left by a crash while they were removed.
+	for _, name := range names[:start] {
+		if err := s.fs.Remove(name); err != nil {
+			return false, err
+		}
+	}
+	for k := start; k < len(names); k++ {
+		short, err := s.loadSegment(names[k], data[k], k == start, k == len(names)-1)
+		if err != nil {
+			return false, err
+		}
+		cut = cut || short
+	}
+	return cut, nil
+}
+
+func startsLog(b []byte) bool {
+	_, payload, _, ok := parseFrame(b)
+	if !ok {
+		return false
+	}
+	h, ok := parseHead(payload)
+	return ok && h.full
+}
+
+// loadSegment replays one segment and cuts the unsynced tail of the last one.
+func (s *Store) loadSegment(name string, b []byte, first, last bool) (cut bool, err error) {
+	n, err := strconv.ParseUint(strings.TrimPrefix(name, segPrefix), 10, 64)
+	if err != nil {
+		return false, &DamageError{name, 0, "this is not a name of a segment"}
+	}
+	good, err := s.replay(name, b, first, last)
+	if err != nil {
+		return false, err
+	}
+	if good == 0 {
+		// The segments before a new one are removed only after its head is
+		// synced, so an unsynced head has one before it, or is the first.
+		if first && n != 1 {
+			return false, &DamageError{name, 0, "the head is unreadable"}
+		}
+		return true, s.fs.Remove(name)
+	}
+	s.segNo, s.segSize = n, good
+	if good == len(b) {
+		return false, nil
+	}
+	return true, s.fs.Truncate(name, int64(good))
+}
+
+// replay applies the frames of a segment and returns the size of its good
+// part. Only the last segment may end in a bad part.
+func (s *Store) replay(name string, b []byte, first, last bool) (int, error) {
+	good := 0
+	for rest := b; len(rest) > 0; {
+		seq, payload, after, ok := parseFrame(rest)
+		if !ok && (!last || frameFollows(rest, s.seq+1)) {
+			return 0, &DamageError{name, int64(good), "a synced frame is unreadable"}
+		}
+		if !ok {
+			break
+		}
+		var detail string
+		if good == 0 {
+			detail = s.replayHead(seq, payload, first)
+		} else {
+			detail = s.replayEntries(seq, payload)
+		}
+		if detail != "" {
+			return 0, &DamageError{name, int64(good), detail}
+		}
+		s.seq = seq
+		good = len(b) - len(after)
+		rest = after
+	}
+	if good == 0 && !last {
+		return 0, &DamageError{name, 0, "the segment is empty"}
+	}
+	return good, nil
+}
+
+func (s *Store) replayHead(seq uint64, payload []byte, first bool) string {
+	h, ok := parseHead(payload)
+	switch {
+	case !ok:
+		return "the head is unreadable"
+	case h.full:
+		s.mirror = mirror{index: h.index, term: h.term}
+		if !s.mirror.add(h.entries) {
+			return "the entries after the snapshot have a gap"
+		}
+	case first && seq != 1 || !first && seq != s.seq+1:
+		return "a segment before it is missing"
+	}
+	return ""
+}
+
+func (s *Store) replayEntries(seq uint64, payload []byte) string {
+	entries, ok := parseEntries(payload)
+	switch {
+	case seq != s.seq+1:
+		return "a frame before it is missing"
+	case !ok:
+		return "the entries are unreadable"
+	case !s.mirror.add(entries):
+		return "the entries leave a gap"
+	}
+	return ""
+}
--- /dev/null
+++ b/io/store/value.go
@@ -0,0 +1,149 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"corianderwing"
+)
+
+// replace writes a value to a file of one frame, so that a crash leaves either
+// the old or the new one.
+func (s *Store) replace(name string, value any) error {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return err
+	}
+	f, err := s.fs.Create(name + tempSuffix)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(frame(0, data)); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(name+tempSuffix, name); err != nil {
+		return err
+	}
+	return s.fs.SyncDir()
+}
+
+// read fills value from a file that replace wrote. It reports whether there
+// is one.
+func (s *Store) read(name string, value any) (bool, error) {
+	b, err := s.fs.ReadFile(name)
+	if missing(err) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	_, data, rest, ok := parseFrame(b)
+	if !ok || len(rest) > 0 {
+		return false, &DamageError{File: name, Detail: "the checksum does not match"}
+	}
+	if err := cbor.Unmarshal(data, value); err != nil {
+		return false, &DamageError{File: name, Offset: frameHead, Detail: err.Error()}
+	}
+	return true, nil
+}
+
+type identity struct {
+	ID corianderwing.InstanceID `json:"id"`
+}
+
+// Identity returns the id under which this directory takes part in its group.
+// There is none in a new directory, nor after its disk was replaced or wiped.
+//
+// A replica that lost its disk may have voted or acknowledged entries that it
+// no longer knows of, so it must not return under its old id. A directory
+// without an identity may take the id from the settings only while the group
+// is being formed, that is, if no other configured voter has a term above
+// zero. Otherwise it takes a NewIdentity and joins as a learner.
+func (s *Store) Identity() (corianderwing.InstanceID, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v identity
+	ok, err := s.read(identityName, &v)
+	return v.ID, ok, eris.Wrap(err, "reading the identity")
+}
+
+// SetIdentity stores the id. It fails if the directory has another one.
+func (s *Store) SetIdentity(id corianderwing.InstanceID) error {
+	old, ok, err := s.Identity()
+	if err != nil {
+		return err
+	}
+	if ok && old != id {
+		return eris.Errorf("the directory belongs to %q, not to %q", old, id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return eris.Wrap(s.replace(identityName, identity{id}), "saving the identity")
+}
+
+// NewIdentity returns a fresh id for a replica with the given name.
+func NewIdentity(name corianderwing.InstanceID) corianderwing.InstanceID {
+	var b [4]byte
+	rand.Read(b[:])
+	suffix := "." + hex.EncodeToString(b[:])
+	if most := corianderwing.MaxIDLen - len(suffix); len(name) > most {
+		name = name[:most]
+	}
+	return name + corianderwing.InstanceID(suffix)
+}
+
+// Wipe removes everything from the directory, the identity first, so that an
+// interrupted Wipe cannot leave an old identity without its data. It is the
+// way back from a DamageError. Load starts over.
+func (s *Store) Wipe() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seg != nil {
+		s.seg.Close()
+		s.seg = nil
+	}
+	names, err := s.fs.List()
+	if err != nil {
+		return eris.Wrap(err, "listing the data directory")
+	}
+	if err := s.removeAll(identityName, names); err != nil {
+		return eris.Wrap(err, "wiping the data directory")
+	}
+	s.failed = nil
+	s.segNo, s.seq, s.mirror = 0, 0, mirror{}
+	return nil
+}
+
+func (s *Store) removeAll(first string, names []string) error {
+	for _, name := range names {
+		if name != first {
+			continue
+		}
+		if err := s.fs.Remove(name); err != nil {
+			return err
+		}
+		if err := s.fs.SyncDir(); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		if name == first || name == lockName {
+			continue
+		}
+		if err := s.fs.Remove(name); err != nil {
+			return err
+		}
+	}
+	return s.fs.SyncDir()
+}
