Add shares of fleet-wide bounds

Cause: rate and burst of a workspace must hold across all instances. Ruled out: a central bucket for every request, which costs a round trip. Conclusion: the API is ready for the processes to be assembled.

--- /dev/null
+++ b/core/share/bound.go
@@ -0,0 +1,137 @@
+package share
+
+import (
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	lotBits  = 28 // 268 million tokens in a lot, and lot ends up to two years after the start of the process
+	lotMax   = 1<<lotBits - 1
+	granted  = 4 // lots of granted tokens; a renewal a second with tokens valid for 3 s needs no more
+	borrowed = 2
+)
+
+// lot is a number of tokens with a common deadline, in one word: the upper
+// bits hold the deadline in milliseconds after the holder's start.
+type lot struct{ v atomic.Uint64 }
+
+// valid returns the tokens of the lot that outlive ms.
+func (l *lot) valid(ms uint64) corianderwing.Tokens {
+	v := l.v.Load()
+	if v>>lotBits <= ms {
+		return 0
+	}
+	return corianderwing.Tokens(v & lotMax)
+}
+
+// take takes n tokens that outlive ms, or none.
+func (l *lot) take(ms uint64, n corianderwing.Tokens) bool {
+	for {
+		v := l.v.Load()
+		if v>>lotBits <= ms || corianderwing.Tokens(v&lotMax) < n {
+			return false
+		}
+		if l.v.CompareAndSwap(v, v-uint64(n)) {
+			return true
+		}
+	}
+}
+
+// put replaces an empty or lapsed lot.
+func (l *lot) put(end uint64, n corianderwing.Tokens) {
+	l.v.Store(end<<lotBits | uint64(min(n, lotMax)))
+}
+
+// Bound is a holder's share of one bound. Take, Poll and Wait are safe for
+// concurrent use and do not allocate; the other fields belong to the Holder.
+type Bound struct {
+	id     corianderwing.BoundID
+	origin time.Time
+	fixed  atomic.Pointer[Bucket]
+	lots   [granted]lot
+	lent   [borrowed]lot // tokens borrowed from neighbours
+	tries  atomic.Int64
+	waits  atomic.Int64
+
+	// The following are guarded by the mutex of the Holder.
+	limit  Limit
+	next   change
+	full   int64                // fill time of the whole burst
+	book   corianderwing.Tokens // granted tokens held at the last report, and accepted since
+	open   bool                 // the pool can use tokens
+	back   bool                 // the latest report returns tokens
+	demand float64              // tokens per second
+	debts  []debt
+}
+
+// debt is a number of tokens that left the holder and still count: against the
+// depth of the fixed bucket, or as held granted tokens.
+type debt struct {
+	fixed corianderwing.Tokens // of the fixed bucket
+	lots  corianderwing.Tokens // of the granted tokens
+	until time.Time            // end of a loan to a neighbour
+	seq   uint64               // report that carries a give; zero for a loan
+}
+
+// Take takes one token and counts the request as demand.
+func (b *Bound) Take(now time.Time) bool {
+	b.tries.Add(1)
+	return b.TakeN(now, 1)
+}
+
+// Poll takes one token for a request that Take has already counted.
+func (b *Bound) Poll(now time.Time) bool { return b.TakeN(now, 1) }
+
+// TakeN takes n tokens, or none: from the fixed part first, because its
+// tokens are lost when it is full, whereas unspent grants return to the pool.
+func (b *Bound) TakeN(now time.Time, n corianderwing.Tokens) bool {
+	for {
+		f := b.fixed.Load()
+		if f.Take(now, n) {
+			return true
+		}
+		if b.fixed.Load() == f {
+			break
+		}
+	}
+	ms := b.ms(now)
+	for i := range b.lent {
+		if b.lent[i].take(ms, n) {
+			return true
+		}
+	}
+	for i := range b.lots {
+		if b.lots[i].take(ms, n) {
+			return true
+		}
+	}
+	return false
+}
+
+// Wait changes the number of requests that wait for a token by n. The next
+// report asks for as many tokens in addition.
+func (b *Bound) Wait(n int64) { b.waits.Add(n) }
+
+// Waiting returns the number of requests that wait for a token.
+func (b *Bound) Waiting() int64 { return b.waits.Load() }
+
+// Stock returns the tokens that Take could take now.
+func (b *Bound) Stock(now time.Time) corianderwing.Tokens {
+	n := b.fixed.Load().Level(now)
+	ms := b.ms(now)
+	for i := range b.lent {
+		n += b.lent[i].valid(ms)
+	}
+	for i := range b.lots {
+		n += b.lots[i].valid(ms)
+	}
+	return n
+}
+
+// ms returns the time since the holder's start, rounded down.
+func (b *Bound) ms(t time.Time) uint64 {
+	return uint64(max(0, t.Sub(b.origin)) / time.Millisecond)
+}
--- /dev/null
+++ b/core/share/grantor.go
@@ -0,0 +1,129 @@
+package share
+
+import (
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	// wantLife is how long a want counts when a scarce pool is divided. It is
+	// a little more than the longest time between two renewals.
+	wantLife = 1500 * time.Millisecond
+	// peerLife is how long a silent holder is remembered.
+	peerLife = time.Minute
+)
+
+// Grantor owns the token pools of the bounds of one home group. Only the
+// leader of the group may use it, and only after a read-index round that began
+// when the renewal had arrived. Its methods must not run at the same time.
+type Grantor struct {
+	from   time.Time
+	pools  map[corianderwing.BoundID]*pool
+	peers  map[corianderwing.InstanceID]*peer
+	swept  time.Time
+	broken uint64
+}
+
+type peer struct {
+	life   corianderwing.Incarnation
+	seq    uint64
+	seen   time.Time
+	grants []corianderwing.Grant // the answer to seq
+}
+
+// WaitUntil returns when a leader that takes over at now may grant: when all
+// grants of its predecessors have lapsed.
+func WaitUntil(now time.Time) time.Time { return corianderwing.GrantorDeadline(now, Life) }
+
+// NewGrantor returns a grantor with empty pools that grants nothing before
+// from, which is WaitUntil of the time at which its leadership began.
+func NewGrantor(from time.Time) *Grantor {
+	return &Grantor{
+		from:  from,
+		pools: make(map[corianderwing.BoundID]*pool),
+		peers: make(map[corianderwing.InstanceID]*peer),
+	}
+}
+
+// Configure sets the limit of a bound's token pool, as Divide returns it. A
+// decrease takes effect at once; an increase takes effect after Life, when no
+// holder uses the earlier limits any more. The pool gains no tokens by it.
+func (g *Grantor) Configure(now time.Time, b corianderwing.BoundID, l Limit) {
+	p, ok := g.pools[b]
+	if !ok {
+		g.pools[b] = newPool(l, latest(now, g.from))
+		return
+	}
+	p.configure(now, l)
+}
+
+// Forget removes a bound. Grants of it lapse at their holders.
+func (g *Grantor) Forget(b corianderwing.BoundID) { delete(g.pools, b) }
+
+// Broken returns how often a pool and its grants exceeded the pool's burst.
+// Anything but zero is a fault of this package.
+func (g *Grantor) Broken() uint64 { return g.broken }
+
+// Outstanding returns the granted tokens of a bound that count against its
+// burst.
+func (g *Grantor) Outstanding(b corianderwing.BoundID) corianderwing.Tokens {
+	if p, ok := g.pools[b]; ok {
+		return p.outstanding()
+	}
+	return 0
+}
+
+// Update processes the spends of one report and returns the grants that
+// answer it. A repeated report gets the same answer again; an older one is
+// ignored. A grant of zero tokens tells the holder that the pool can use
+// tokens that the holder gives.
+func (g *Grantor) Update(now time.Time, holder corianderwing.InstanceID, life corianderwing.Incarnation, seq uint64, spends []corianderwing.Spend) []corianderwing.Grant {
+	if now.Before(g.from) {
+		return nil
+	}
+	g.sweep(now)
+	p, ok := g.peers[holder]
+	if ok && (life < p.life || life == p.life && seq < p.seq) {
+		return nil
+	}
+	if ok && life == p.life && seq == p.seq {
+		return p.grants
+	}
+	follows := ok && life == p.life && seq == p.seq+1
+	p = &peer{life: life, seq: seq, seen: now}
+	g.peers[holder] = p
+	for _, s := range spends {
+		pool, ok := g.pools[s.Bound]
+		if !ok {
+			continue
+		}
+		if grant, ok := pool.update(now, owner{holder, life}, follows, s); ok {
+			p.grants = append(p.grants, grant)
+		}
+		if !pool.sound(now) {
+			g.broken++
+		}
+	}
+	return p.grants
+}
+
+// sweep forgets holders that have been silent for long.
+func (g *Grantor) sweep(now time.Time) {
+	if now.Sub(g.swept) < peerLife {
+		return
+	}
+	g.swept = now
+	for id, p := range g.peers {
+		if now.Sub(p.seen) > peerLife {
+			delete(g.peers, id)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,84 @@
+// Package share divides fleet-wide bounds into shares that expire.
+//
+// A bound of rate R and burst B consists of a fixed part, divided equally over
+// seats, and a token pool. Each seat has a Bucket of its own; the leader of
+// the bound's home group runs a Grantor, which owns the pool and lends tokens
+// of it to Holders for a limited time. The requests admitted in any window of
+// w seconds never exceed R·w + B, whatever the network does. The proof rests
+// on these rules:
+//
+//   - Every bucket fills at rate/(1+MaxDrift), so that the fastest allowed
+//     clock fills it at its rate.
+//   - The pool's level and the outstanding grants together never exceed the
+//     burst of the pool.
+//   - Tokens that a Holder gives or lends leave its bucket first, and they
+//     reduce the depth of that bucket until they are known to be elsewhere or
+//     have lapsed.
+//   - A Holder accepts the answer to its latest report only. A report
+//     therefore states all granted tokens that the Holder can ever spend, and
+//     the Grantor takes back the rest.
+//   - A Grantor credits gives and takes back tokens only for a report that
+//     directly follows one that it answered itself. An old report that
+//     reaches another leader creates nothing.
+//   - Each increase of a configured limit takes effect after one lifetime,
+//     when no process uses the earlier limits any more.
+package share
+
+import (
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	// Life is how long granted tokens are valid. It equals the freshness
+	// lease: an instance that cannot renew loses both together.
+	Life = 3 * time.Second
+	// LendLife is how long borrowed tokens are valid. A borrower has requests
+	// waiting and uses them at once.
+	LendLife = 500 * time.Millisecond
+)
+
+// Limit is a rate with the burst that may exceed it.
+type Limit struct {
+	Rate  corianderwing.TokensPerSecond
+	Burst float64 // tokens; a seat's part is rarely a whole number
+}
+
+// Divide splits a bound into the limit of one seat and the limit of the token
+// pool. With less than one token of burst for each seat no seat could ever
+// admit a request, so the pool gets everything.
+func Divide(rate corianderwing.TokensPerSecond, burst corianderwing.Tokens, fixed float64, seats int) (seat, pool Limit) {
+	whole := Limit{Rate: rate, Burst: float64(burst)}
+	if seats < 1 || fixed <= 0 || fixed*whole.Burst/float64(seats) < 1 {
+		return Limit{}, whole
+	}
+	fixed = min(fixed, 1)
+	n := float64(seats)
+	seat = Limit{Rate: rate * corianderwing.TokensPerSecond(fixed/n), Burst: whole.Burst * fixed / n}
+	pool = Limit{Rate: rate * corianderwing.TokensPerSecond(1-fixed), Burst: whole.Burst * (1 - fixed)}
+	return seat, pool
+}
+
+// lower returns the smaller rate with the smaller burst.
+func lower(a, b Limit) Limit {
+	return Limit{Rate: min(a.Rate, b.Rate), Burst: min(a.Burst, b.Burst)}
+}
+
+// change holds a configured limit until it may take effect.
+type change struct {
+	limit Limit
+	at    time.Time // zero: nothing is pending
+}
+
+// plan returns the limit to apply at once and the increase to apply later.
+func plan(old, next Limit, now time.Time) (Limit, change) {
+	low := lower(old, next)
+	if low == next {
+		return low, change{}
+	}
+	return low, change{limit: next, at: corianderwing.GrantorDeadline(now, Life)}
+}
+
+// due reports whether the change may take effect.
+func (c change) due(now time.Time) bool { return !c.at.IsZero() && !now.Before(c.at) }
