Add membership and gossip

Cause: entry instances must know the live instances, upstreams and pool owners. Ruled out: acting as owner on mere receipt of messages: an owner whose own messages are lost would act next to its successor. Change: core/member (merge, digest, ownership by echoed heartbeats) and io/fleet; no tests yet. Conclusion: the API is ready for the processes to be assembled.

--- /dev/null
+++ b/core/member/gossip.go
@@ -0,0 +1,238 @@
+package member
+
+import (
+	"time"
+
+	"corianderwing"
+)
+
+// Mark names the latest record of an instance that the sender has.
+type Mark struct {
+	ID          corianderwing.InstanceID  `json:"id"`
+	Incarnation corianderwing.Incarnation `json:"inc"`
+	Seq         uint64                    `json:"seq"`
+}
+
+// Seen names the latest announcement of an upstream that the sender has.
+type Seen struct {
+	ID          corianderwing.UpstreamID  `json:"id"`
+	Incarnation corianderwing.Incarnation `json:"inc"`
+	Seq         uint64                    `json:"seq"`
+}
+
+// Digest lists what the sender has, so that the receiver can tell what it
+// lacks.
+type Digest struct {
+	Instances []Mark `json:"instances,omitempty"`
+	Upstreams []Seen `json:"upstreams,omitempty"`
+}
+
+// News is the record of an instance.
+type News struct {
+	Instance corianderwing.Instance `json:"instance"`
+	Age      corianderwing.Millis   `json:"age"`             // since the heartbeat
+	Able     bool                   `json:"able,omitempty"`  // may own pools
+	Heard    []Mark                 `json:"heard,omitempty"` // what it has of the others of its domain
+}
+
+// Sighting is the record of an upstream.
+type Sighting struct {
+	Upstream corianderwing.Upstream `json:"upstream"`
+	Age      corianderwing.Millis   `json:"age"` // since the announcement
+}
+
+// Gossip is the message of both directions of an exchange.
+type Gossip struct {
+	From      corianderwing.InstanceID `json:"from"`
+	Digest    Digest                   `json:"digest"`
+	News      []News                   `json:"news,omitempty"`
+	Sightings []Sighting               `json:"sightings,omitempty"`
+}
+
+// Message counts a heartbeat and returns the message that begins an exchange:
+// the digest, and the records that are hot.
+func (s *State) Message(now time.Time) Gossip {
+	s.Beat(now)
+	m := Gossip{From: s.self.ID, Digest: s.Digest(), News: []News{s.own(now)}}
+	for _, p := range s.members {
+		if now.Sub(p.news) < hot {
+			m.News = append(m.News, p.record(now))
+		}
+	}
+	for _, u := range s.upstream {
+		if now.Sub(u.news) < hot {
+			m.Sightings = append(m.Sightings, u.record(now))
+		}
+	}
+	return m
+}
+
+// Handle merges the message that begins an exchange and returns the answer,
+// which has what the sender lacks.
+func (s *State) Handle(now time.Time, m Gossip) Gossip {
+	s.Merge(now, m)
+	return s.Delta(now, m.Digest)
+}
+
+// Digest lists what this instance has.
+func (s *State) Digest() Digest {
+	d := Digest{Instances: make([]Mark, 0, len(s.members)+1)}
+	d.Instances = append(d.Instances, mark(s.self))
+	for _, p := range s.members {
+		d.Instances = append(d.Instances, mark(p.Instance))
+	}
+	for _, u := range s.upstream {
+		d.Upstreams = append(d.Upstreams, Seen{u.ID, u.Incarnation, u.Seq})
+	}
+	return d
+}
+
+// Delta returns the records that the sender of d lacks.
+func (s *State) Delta(now time.Time, d Digest) Gossip {
+	has := make(map[corianderwing.InstanceID]Mark, len(d.Instances))
+	for _, k := range d.Instances {
+		has[k.ID] = k
+	}
+	seen := make(map[corianderwing.UpstreamID]Seen, len(d.Upstreams))
+	for _, k := range d.Upstreams {
+		seen[k.ID] = k
+	}
+	m := Gossip{From: s.self.ID, Digest: s.Digest(), News: []News{s.own(now)}}
+	for id, p := range s.members {
+		k, ok := has[id]
+		if (!ok || newer(p.Incarnation, p.Seq, k.Incarnation, k.Seq)) && (p.Phase == corianderwing.Left || !p.lapsed(now)) {
+			m.News = append(m.News, p.record(now))
+		}
+	}
+	for id, u := range s.upstream {
+		k, ok := seen[id]
+		if (!ok || newer(u.Incarnation, u.Seq, k.Incarnation, k.Seq)) && (u.Phase == corianderwing.Left || !u.lapsed(now)) {
+			m.Sightings = append(m.Sightings, u.record(now))
+		}
+	}
+	return m
+}
+
+// Merge takes the records and echoes of a message.
+func (s *State) Merge(now time.Time, m Gossip) {
+	for _, n := range m.News {
+		s.mergeNews(now, n)
+	}
+	for _, u := range m.Sightings {
+		s.mergeUpstream(now, u)
+	}
+	for _, k := range m.Digest.Instances {
+		if k.ID == s.self.ID {
+			s.echoed(now, m.From, k)
+		}
+	}
+	s.updateAble(now)
+}
+
+func (s *State) mergeNews(now time.Time, n News) {
+	id, age := n.Instance.ID, max(0, time.Duration(n.Age)*time.Millisecond)
+	if id == s.self.ID {
+		s.replaced = s.replaced || n.Instance.Incarnation > s.self.Incarnation
+		return
+	}
+	if age >= SilentFor && (n.Instance.Phase != corianderwing.Left || age >= Remember) {
+		return
+	}
+	p, ok := s.members[id]
+	if !ok {
+		p = &peer{}
+		s.members[id] = p
+	} else if !newer(n.Instance.Incarnation, n.Instance.Seq, p.Incarnation, p.Seq) {
+		return
+	}
+	p.Instance, p.able, p.heard, p.news = n.Instance, n.Able, n.Heard, now.Add(-age)
+	for _, k := range n.Heard {
+		if k.ID == s.self.ID {
+			s.echoed(now, id, k)
+		}
+	}
+}
+
+func (s *State) mergeUpstream(now time.Time, n Sighting) {
+	age := max(0, time.Duration(n.Age)*time.Millisecond)
+	if age >= SilentFor && (n.Upstream.Phase != corianderwing.Left || age >= Remember) {
+		return
+	}
+	u, ok := s.upstream[n.Upstream.ID]
+	if !ok {
+		u = &sighting{}
+		s.upstream[n.Upstream.ID] = u
+	} else if !newer(n.Upstream.Incarnation, n.Upstream.Seq, u.Incarnation, u.Seq) {
+		return
+	}
+	phase := n.Upstream.Phase
+	if ok && u.Incarnation == n.Upstream.Incarnation && rank(u.Phase) > rank(phase) {
+		phase = u.Phase // a drain does not end within one life
+	}
+	u.Upstream, u.news = n.Upstream, now.Add(-age)
+	u.Phase = phase
+}
+
+// echoed notes that another instance has the heartbeat that k names.
+func (s *State) echoed(now time.Time, from corianderwing.InstanceID, k Mark) {
+	if k.Incarnation != s.self.Incarnation || from == s.self.ID {
+		return
+	}
+	at, ok := s.beatTime(k.Seq)
+	if !ok {
+		return
+	}
+	if p, ok := s.members[from]; ok && at.After(p.echo) {
+		p.echo = at
+	}
+	if s.inContact(now) || !now.Before(corianderwing.HolderDeadline(at, ActFor)) {
+		s.contact = later(s.contact, at)
+		return
+	}
+	s.contact, s.since, s.able = at, now, time.Time{}
+}
+
+func (s *State) beatTime(seq uint64) (time.Time, bool) {
+	for i := len(s.beats) - 1; i >= 0; i-- {
+		if s.beats[i].seq == seq {
+			return s.beats[i].at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// own returns the record of this instance, of its latest heartbeat.
+func (s *State) own(now time.Time) News {
+	n := News{Instance: s.self, Able: !s.able.IsZero(), Age: millis(now.Sub(s.beats[len(s.beats)-1].at))}
+	for _, p := range s.members {
+		if p.Domain == s.self.Domain && !p.lapsed(now) {
+			n.Heard = append(n.Heard, mark(p.Instance))
+		}
+	}
+	return n
+}
+
+func (p *peer) record(now time.Time) News {
+	return News{Instance: p.Instance, Able: p.able, Heard: p.heard, Age: millis(now.Sub(p.news))}
+}
+
+func (u *sighting) record(now time.Time) Sighting {
+	return Sighting{Upstream: u.Upstream, Age: millis(now.Sub(u.news))}
+}
+
+func mark(i corianderwing.Instance) Mark { return Mark{i.ID, i.Incarnation, i.Seq} }
+
+func newer(inc corianderwing.Incarnation, seq uint64, thanInc corianderwing.Incarnation, thanSeq uint64) bool {
+	return inc > thanInc || inc == thanInc && seq > thanSeq
+}
+
+func millis(d time.Duration) corianderwing.Millis {
+	return corianderwing.Millis(max(0, d) / time.Millisecond)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,188 @@
+// Package member decides which instances and upstreams are live and which
+// instance owns a pool in a failure domain.
+//
+// A State holds what one entry instance knows. Instances count heartbeats and
+// exchange records by push-pull gossip; records carry ages, never times of
+// another clock. The package is pure: time is passed in, and io/fleet sends
+// the messages.
+//
+// # Ownership
+//
+// The owner of a pool in a domain is the able instance of that domain with the
+// highest rendezvous hash. It acts only while another instance has echoed one
+// of its heartbeats of the last 2 s; hearing from another instance is not
+// enough, because its own messages may be lost. Others take over after 3 s
+// without news of it. An instance is able once it has had unbroken contact for
+// the 3 s that another owner may need to be noticed. It acts after the other
+// instances of its domain have echoed a heartbeat that says so, by which time
+// those that it outranks have stopped.
+//
+// Two owners never act at the same time as long as instances of one domain
+// that are in contact with any others are, directly or through relays, in
+// contact with each other. A network that cuts a domain in two, each part with
+// contact of its own, breaks this condition.
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	// ActFor is how long an owner acts after the heartbeat that another
+	// instance echoed last.
+	ActFor = 2 * time.Second
+	// SilentFor is how long an instance or upstream may be silent before it
+	// counts as lapsed.
+	SilentFor = 3 * time.Second
+	// Remember is how long a lapsed or left instance or upstream is
+	// remembered, so that old news does not bring it back.
+	Remember = 60 * time.Second
+	// Every is the time between two rounds of gossip.
+	Every = 500 * time.Millisecond
+	// echoLag is how far the echo of an instance may be behind its news. It
+	// is less than SilentFor by more than two rounds of gossip.
+	echoLag = 1500 * time.Millisecond
+	// hot is how recent a record must be to be pushed without being asked.
+	hot = 2 * Every
+)
+
+// Config describes the instance that a State belongs to.
+type Config struct {
+	Self    corianderwing.Instance
+	Alone   bool                                              // the only configured instance of its domain
+	Seeds   []string                                          // addresses of a few instances, host:port for gRPC
+	Regions map[corianderwing.DomainID]corianderwing.RegionID // of every domain
+	Delays  map[corianderwing.DomainID]time.Duration          // one way, from this domain
+	Random  uint64                                            // seed of the choice of partners
+}
+
+// State is what one instance knows of the fleet. Its methods must not run at
+// the same time.
+type State struct {
+	cfg      Config
+	self     corianderwing.Instance
+	beats    []beat    // own heartbeats of the last SilentFor, oldest first
+	contact  time.Time // latest own heartbeat that another instance has echoed
+	since    time.Time // begin of the unbroken contact
+	able     time.Time // when the instance became able; zero if it is not
+	replaced bool      // a later life of this instance is known
+	members  map[corianderwing.InstanceID]*peer
+	upstream map[corianderwing.UpstreamID]*sighting
+	rng      *rand.Rand
+}
+
+type beat struct {
+	seq uint64
+	at  time.Time
+}
+
+// peer is another instance.
+type peer struct {
+	corianderwing.Instance
+	able  bool
+	heard []Mark
+	news  time.Time // time of the heartbeat, as far as its age tells
+	echo  time.Time // latest own heartbeat that this instance has echoed
+}
+
+type sighting struct {
+	corianderwing.Upstream
+	news time.Time
+}
+
+// New returns the state of an instance that knows only itself.
+func New(cfg Config, now time.Time) *State {
+	s := &State{
+		cfg:      cfg,
+		self:     cfg.Self,
+		members:  make(map[corianderwing.InstanceID]*peer),
+		upstream: make(map[corianderwing.UpstreamID]*sighting),
+		rng:      rand.New(rand.NewPCG(cfg.Random, uint64(cfg.Self.Incarnation))),
+	}
+	if s.self.Phase == "" {
+		s.self.Phase = corianderwing.Ready
+	}
+	s.Beat(now)
+	return s
+}
+
+// Self returns this instance as its peers learn of it.
+func (s *State) Self() corianderwing.Instance { return s.self }
+
+// Beat counts a heartbeat.
+func (s *State) Beat(now time.Time) {
+	s.self.Seq++
+	s.beats = append(s.beats, beat{s.self.Seq, now})
+	for len(s.beats) > 1 && now.Sub(s.beats[0].at) > SilentFor {
+		s.beats = s.beats[1:]
+	}
+}
+
+// SetPhase changes the phase of this instance, which owns pools only while it
+// is ready. A phase never goes back.
+func (s *State) SetPhase(now time.Time, p corianderwing.Phase) {
+	if rank(p) > rank(s.self.Phase) {
+		s.self.Phase = p
+		s.Beat(now)
+	}
+}
+
+func rank(p corianderwing.Phase) int {
+	switch p {
+	case corianderwing.Ready:
+		return 0
+	case corianderwing.Draining:
+		return 1
+	}
+	return 2
+}
+
+// Report replaces the loads that this instance reports.
+func (s *State) Report(loads []corianderwing.PoolLoad) { s.self.Loads = loads }
+
+// Announce takes an announcement of an upstream of this domain. It fails with
+// BadInput for an upstream of another domain, for ids that are not valid, and
+// for an earlier life of a known upstream.
+func (s *State) Announce(now time.Time, u corianderwing.Upstream) error {
+	if !corianderwing.ValidID(string(u.ID)) || !corianderwing.ValidID(string(u.Pool)) || !corianderwing.ValidID(string(u.Version)) {
+		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q of pool %q, version %q: an id is not valid", u.ID, u.Pool, u.Version)
+	}
+	if u.Domain != s.self.Domain {
+		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q is in domain %q, not in %q", u.ID, u.Domain, s.self.Domain)
+	}
+	if known, ok := s.upstream[u.ID]; ok && u.Incarnation < known.Incarnation {
+		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q: incarnation %d is known, %d is older", u.ID, known.Incarnation, u.Incarnation)
+	}
+	s.mergeUpstream(now, Sighting{Upstream: u})
+	return nil
+}
+
+// Tick drops what has been silent for longer than Remember and updates whether
+// this instance is able to own pools.
+func (s *State) Tick(now time.Time) {
+	for id, p := range s.members {
+		if now.Sub(p.news) > Remember {
+			delete(s.members, id)
+		}
+	}
+	for id, u := range s.upstream {
+		if now.Sub(u.news) > Remember {
+			delete(s.upstream, id)
+		}
+	}
+	s.updateAble(now)
+}
+
+// lapsed reports whether an instance has been silent for too long. The margin
+// covers the drift of this clock and of those that added to the age.
+func (p *peer) lapsed(now time.Time) bool {
+	return !now.Before(corianderwing.GrantorDeadline(p.news, SilentFor))
+}
+
+// lapsed reports whether an upstream has been silent for too long.
+func (u *sighting) lapsed(now time.Time) bool {
+	return !now.Before(corianderwing.HolderDeadline(u.news, SilentFor))
+}
--- /dev/null
+++ b/core/member/partner.go
@@ -0,0 +1,66 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	// neighbours is how many instances of the own domain take part in each
+	// round. Ownership depends on their echoes.
+	neighbours = 2
+	// farther is how many instances of other domains take part in each round.
+	farther = 2
+	// seedOdds is the mean number of rounds between two with a seed address,
+	// which joins parts of the fleet that have forgotten each other.
+	seedOdds = 10
+)
+
+// Partners returns the addresses for the next round of gossip: some instances
+// of this domain, and some of others, and now and then a seed.
+func (s *State) Partners(now time.Time) []string {
+	var near, far []*peer
+	for _, p := range s.members {
+		switch {
+		case p.Phase == corianderwing.Left:
+		case p.Domain == s.self.Domain:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	var to []string
+	to = s.pick(to, near, neighbours, now)
+	to = s.pick(to, far, farther, now)
+	if len(s.cfg.Seeds) > 0 && (len(to) == 0 || s.rng.IntN(seedOdds) == 0) {
+		to = append(to, s.cfg.Seeds[s.rng.IntN(len(s.cfg.Seeds))])
+	}
+	slices.Sort(to)
+	to = slices.Compact(to)
+	return slices.DeleteFunc(to, func(a string) bool { return a == s.self.Peer })
+}
+
+// pick appends the addresses of n instances chosen at random, live ones
+// first. If there are fewer live ones, silent ones are tried: they may be at
+// the other side of a partition that has ended.
+func (s *State) pick(to []string, from []*peer, n int, now time.Time) []string {
+	slices.SortFunc(from, func(a, b *peer) int { return cmp.Compare(a.ID, b.ID) })
+	s.rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	slices.SortStableFunc(from, func(a, b *peer) int {
+		return cmp.Compare(b2i(a.lapsed(now)), b2i(b.lapsed(now)))
+	})
+	for _, p := range from[:min(n, len(from))] {
+		to = append(to, p.Peer)
+	}
+	return to
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,145 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderwing"
+)
+
+// View is an immutable snapshot of a State for the request path.
+type View struct {
+	Self      corianderwing.Instance
+	Until     time.Time // this instance acts as owner before Until, or not at all if it is zero
+	Instances []corianderwing.Instance
+
+	upstreams map[place][]corianderwing.Upstream
+	domains   map[corianderwing.PoolID][]corianderwing.DomainID
+	owners    map[corianderwing.DomainID][]candidate
+}
+
+type place struct {
+	pool   corianderwing.PoolID
+	domain corianderwing.DomainID
+}
+
+type candidate struct {
+	corianderwing.Instance
+	hash uint64
+}
+
+// View returns a snapshot of what is live now.
+func (s *State) View(now time.Time) *View {
+	v := &View{
+		Self:      s.self,
+		Until:     s.Until(now),
+		upstreams: make(map[place][]corianderwing.Upstream),
+		domains:   make(map[corianderwing.PoolID][]corianderwing.DomainID),
+		owners:    make(map[corianderwing.DomainID][]candidate),
+	}
+	s.viewInstances(v, now)
+	s.viewUpstreams(v, now)
+	return v
+}
+
+func (s *State) viewInstances(v *View, now time.Time) {
+	v.Instances = append(v.Instances, s.self)
+	if s.mayOwn() {
+		v.owners[s.self.Domain] = []candidate{{s.self, hash(string(s.self.ID))}}
+	}
+	for _, p := range s.members {
+		if p.Phase == corianderwing.Left || p.lapsed(now) {
+			continue
+		}
+		v.Instances = append(v.Instances, p.Instance)
+		if p.candidate(now) {
+			v.owners[p.Domain] = append(v.owners[p.Domain], candidate{p.Instance, hash(string(p.ID))})
+		}
+	}
+	slices.SortFunc(v.Instances, func(a, b corianderwing.Instance) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (s *State) viewUpstreams(v *View, now time.Time) {
+	for _, u := range s.upstream {
+		if u.Phase == corianderwing.Left || u.lapsed(now) {
+			continue
+		}
+		at := place{u.Pool, u.Domain}
+		v.upstreams[at] = append(v.upstreams[at], u.Upstream)
+	}
+	for at, all := range v.upstreams {
+		slices.SortFunc(all, func(a, b corianderwing.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		v.domains[at.pool] = append(v.domains[at.pool], at.domain)
+	}
+	for _, all := range v.domains {
+		slices.SortFunc(all, s.nearer)
+	}
+}
+
+// nearer orders domains: the own domain, those of the same region, and then by
+// delay. Domains without a configured delay come last.
+func (s *State) nearer(a, b corianderwing.DomainID) int {
+	return cmp.Or(
+		cmp.Compare(s.distance(a), s.distance(b)),
+		cmp.Compare(s.delay(a), s.delay(b)),
+		cmp.Compare(a, b),
+	)
+}
+
+func (s *State) distance(d corianderwing.DomainID) int {
+	switch {
+	case d == s.self.Domain:
+		return 0
+	case s.self.Region != "" && s.cfg.Regions[d] == s.self.Region:
+		return 1
+	}
+	return 2
+}
+
+func (s *State) delay(d corianderwing.DomainID) time.Duration {
+	if t, ok := s.cfg.Delays[d]; ok {
+		return t
+	}
+	return time.Hour
+}
+
+// Upstreams returns the live upstreams of a pool in a domain, ordered by id.
+// The caller must not change the result.
+func (v *View) Upstreams(p corianderwing.PoolID, d corianderwing.DomainID) []corianderwing.Upstream {
+	return v.upstreams[place{p, d}]
+}
+
+// Domains returns the domains with live upstreams of a pool, nearest first.
+// The caller must not change the result.
+func (v *View) Domains(p corianderwing.PoolID) []corianderwing.DomainID { return v.domains[p] }
+
+// Owner returns the able instance of a domain with the highest rendezvous hash
+// for a pool.
+func (v *View) Owner(p corianderwing.PoolID, d corianderwing.DomainID) (corianderwing.Instance, bool) {
+	all := v.owners[d]
+	if len(all) == 0 {
+		return corianderwing.Instance{}, false
+	}
+	return all[best(all, hash(string(p)))].Instance, true
+}
+
+// Owns reports whether this instance may act at now as the owner of a pool in
+// its domain.
+func (v *View) Owns(now time.Time, p corianderwing.PoolID) bool {
+	all := v.owners[v.Self.Domain]
+	return now.Before(v.Until) && len(all) > 0 && all[best(all, hash(string(p)))].ID == v.Self.ID
+}
+
+// best returns the index of the highest score. Equal scores go to the lower id,
+// so that all instances choose the same one.
+func best(all []candidate, pool uint64) int {
+	top, at := score(pool, all[0].hash), 0
+	for i := 1; i < len(all); i++ {
+		s := score(pool, all[i].hash)
+		if s > top || s == top && all[i].ID < all[at].ID {
+			top, at = s, i
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/io/fleet/fleet.go
@@ -0,0 +1,192 @@
+// Package fleet runs the gossip of one entry instance and answers from an
+// immutable snapshot of what it knows.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/member"
+)
+
+// tick is the time between two checks for lapsed instances and upstreams.
+const tick = 100 * time.Millisecond
+
+// Exchanger sends a gossip message and returns the answer.
+type Exchanger interface {
+	Exchange(ctx context.Context, addr string, msg member.Gossip) (member.Gossip, error)
+}
+
+// Config configures a Fleet.
+type Config struct {
+	member.Config
+	Exchanger Exchanger
+	Timeout   time.Duration // of one exchange; default member.Every
+}
+
+// Fleet implements corianderwing.Fleet. Readers load a snapshot and take no
+// lock.
+type Fleet struct {
+	cfg  Config
+	view atomic.Pointer[member.View]
+	kick chan struct{}
+
+	mu    sync.Mutex
+	state *member.State
+
+	failed atomic.Uint64
+}
+
+var _ corianderwing.Fleet = (*Fleet)(nil)
+
+// New returns the fleet as an instance knows it that has met no other. It
+// fails if an id or address is missing or not valid.
+func New(cfg Config) (*Fleet, error) {
+	i := cfg.Self
+	if !corianderwing.ValidID(string(i.ID)) || !corianderwing.ValidID(string(i.Domain)) {
+		return nil, fmt.Errorf("instance %q in domain %q: an id is not valid", i.ID, i.Domain)
+	}
+	if i.Incarnation == 0 {
+		return nil, fmt.Errorf("instance %q has no incarnation", i.ID)
+	}
+	if cfg.Exchanger == nil {
+		return nil, errors.New("fleet needs an exchanger")
+	}
+	for _, addr := range append([]string{i.Peer}, cfg.Seeds...) {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("peer address of instance %q: %w", i.ID, err)
+		}
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = member.Every
+	}
+	now := time.Now()
+	f := &Fleet{cfg: cfg, kick: make(chan struct{}, 1), state: member.New(cfg.Config, now)}
+	f.view.Store(f.state.View(now))
+	return f, nil
+}
+
+// Run gossips until ctx ends. It returns when the last exchange has ended.
+func (f *Fleet) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticks := time.NewTicker(tick)
+	defer ticks.Stop()
+	next := time.Now()
+	for {
+		now := time.Now()
+		if !now.Before(next) {
+			next = now.Add(member.Every)
+			f.round(ctx, &wg, now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			f.update(func(now time.Time) { f.state.Tick(now) })
+		case <-f.kick:
+			next = time.Now()
+		}
+	}
+}
+
+// round begins an exchange with each partner.
+func (f *Fleet) round(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
+	f.mu.Lock()
+	msg := f.state.Message(now)
+	partners := f.state.Partners(now)
+	f.mu.Unlock()
+	for _, addr := range partners {
+		wg.Go(func() { f.exchange(ctx, addr, msg) })
+	}
+}
+
+func (f *Fleet) exchange(ctx context.Context, addr string, msg member.Gossip) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	defer cancel()
+	answer, err := f.cfg.Exchanger.Exchange(ctx, addr, msg)
+	if err != nil {
+		f.failed.Add(1)
+		return
+	}
+	f.update(func(now time.Time) { f.state.Merge(now, answer) })
+}
+
+// update changes the state and publishes a new snapshot.
+func (f *Fleet) update(change func(now time.Time)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	change(now)
+	f.view.Store(f.state.View(now))
+}
+
+// push begins a round at once.
+func (f *Fleet) push() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Handle answers the message of another instance.
+func (f *Fleet) Handle(msg member.Gossip) member.Gossip {
+	var answer member.Gossip
+	f.update(func(now time.Time) { answer = f.state.Handle(now, msg) })
+	return answer
+}
+
+// SetPhase changes the phase of this instance and tells others at once. A
+// phase never goes back.
+func (f *Fleet) SetPhase(p corianderwing.Phase) {
+	f.update(func(now time.Time) { f.state.SetPhase(now, p) })
+	f.push()
+}
+
+// Failed returns the number of exchanges that failed.
+func (f *Fleet) Failed() uint64 { return f.failed.Load() }
+
+// Self implements corianderwing.Fleet.
+func (f *Fleet) Self() corianderwing.Instance { return f.view.Load().Self }
+
+// Instances implements corianderwing.Fleet.
+func (f *Fleet) Instances() []corianderwing.Instance { return f.view.Load().Instances }
+
+// Upstreams implements corianderwing.Fleet.
+func (f *Fleet) Upstreams(p corianderwing.PoolID, d corianderwing.DomainID) []corianderwing.Upstream {
+	return f.view.Load().Upstreams(p, d)
+}
+
+// Domains implements corianderwing.Fleet.
+func (f *Fleet) Domains(p corianderwing.PoolID) []corianderwing.DomainID {
+	return f.view.Load().Domains(p)
+}
+
+// Owner implements corianderwing.Fleet.
+func (f *Fleet) Owner(p corianderwing.PoolID, d corianderwing.DomainID) (corianderwing.Instance, bool) {
+	return f.view.Load().Owner(p, d)
+}
+
+// Owns implements corianderwing.Fleet.
+func (f *Fleet) Owns(p corianderwing.PoolID) bool { return f.view.Load().Owns(time.Now(), p) }
+
+// Announce implements corianderwing.Fleet. A drain is passed on at once.
+func (f *Fleet) Announce(u corianderwing.Upstream) error {
+	var err error
+	f.update(func(now time.Time) { err = f.state.Announce(now, u) })
+	if err == nil && u.Phase != corianderwing.Ready {
+		f.push()
+	}
+	return err
+}
+
+// Report implements corianderwing.Fleet.
+func (f *Fleet) Report(loads []corianderwing.PoolLoad) {
+	f.update(func(time.Time) { f.state.Report(loads) })
+}
