--- a/io/conf/conf.go
+++ b/io/conf/conf.go
@@ -95,6 +95,9 @@
 	Slots   corianderwing.Slots
 	Conns   corianderwing.Conns
 	Time    float64 // mean service time, ms
+	Connect float64 // cost of a new connection, ms
+	Probe   float64 // cost of a health probe, ms
+	Size    int     // size of an answer, bytes
 	Address string  // address of the first; the others take the next ports
 }
 
--- a/io/conf/sections.go
+++ b/io/conf/sections.go
@@ -199,6 +199,10 @@
 	if v, ok := o.number("time", 0, 60_000); ok {
 		s.Time = v
 	}
+	s.Connect, _ = o.number("connect", 0, 60_000)
+	s.Probe, _ = o.number("probe", 0, 60_000)
+	size, _ := o.whole("size", 0, 64<<20)
+	s.Size = int(size)
 	s.Address = p.stubAddress(o, s.Count)
 	p.cfg.Stubs = append(p.cfg.Stubs, s)
 }
