Add the control role and the entry instance's agent

Cause: groups, leases and shares need a host, and entry instances a follower. Conclusion: the roles can be assembled.

--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,153 @@
+// Package agent is an entry instance's side of the control plane: it follows
+// every group's settings, keeps its freshness leases and shares, and gives the
+// request path what it may act on. It implements corianderwing.Guide and
+// corianderwing.Limiter.
+package agent
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"corianderwing"
+	"corianderwing/core/state"
+)
+
+// Config describes an Agent.
+type Config struct {
+	Self        corianderwing.InstanceID
+	Incarnation corianderwing.Incarnation
+	Domain      corianderwing.DomainID
+	Groups      []corianderwing.GroupID
+	Control     corianderwing.Control
+	Log         *log.Logger // default: the package's default logger
+
+	// Neighbours returns those that may lend tokens, nearest first. Optional.
+	Neighbours func() []Lender
+}
+
+// Lender is a neighbour that may lend tokens of a bound.
+type Lender interface {
+	Borrow(ctx context.Context, b corianderwing.BoundID, n corianderwing.Tokens) (corianderwing.Tokens, corianderwing.Millis, error)
+}
+
+// Agent follows all groups.
+type Agent struct {
+	cfg       Config
+	log       *log.Logger
+	followers []*follower
+	homes     atomic.Pointer[map[corianderwing.WorkspaceID]*follower]
+
+	mu     sync.Mutex // guards change, and writes to homes
+	change []func()
+}
+
+var (
+	_ corianderwing.Guide   = (*Agent)(nil)
+	_ corianderwing.Limiter = (*Agent)(nil)
+)
+
+// New returns an agent that knows nothing before Run.
+func New(cfg Config) *Agent {
+	if cfg.Log == nil {
+		cfg.Log = &log.DefaultLogger
+	}
+	a := &Agent{cfg: cfg, log: cfg.Log}
+	a.homes.Store(&map[corianderwing.WorkspaceID]*follower{})
+	now := time.Now()
+	for _, g := range cfg.Groups {
+		a.followers = append(a.followers, newFollower(a, g, now))
+	}
+	return a
+}
+
+// Run follows all groups until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range a.followers {
+		wg.Go(func() { f.watch(ctx) })
+		wg.Go(func() { f.renew(ctx) })
+		wg.Go(func() { f.takeSeat(ctx) })
+		wg.Go(func() { f.notice(ctx) })
+	}
+	wg.Wait()
+}
+
+// View implements corianderwing.Guide.
+func (a *Agent) View(w corianderwing.WorkspaceID) (v corianderwing.View, fresh bool, ok bool) {
+	f := (*a.homes.Load())[w]
+	if f == nil {
+		return nil, false, false
+	}
+	view := f.view.Load()
+	return view, f.fresh(view, time.Now()), true
+}
+
+// Views implements corianderwing.Guide.
+func (a *Agent) Views() []corianderwing.View {
+	all := make([]corianderwing.View, len(a.followers))
+	for i, f := range a.followers {
+		all[i] = f.view.Load()
+	}
+	return all
+}
+
+// Home returns the home group of a workspace.
+func (a *Agent) Home(w corianderwing.WorkspaceID) (corianderwing.GroupID, bool) {
+	f := (*a.homes.Load())[w]
+	if f == nil {
+		return "", false
+	}
+	return f.group, true
+}
+
+// Fresh counts the groups for which this instance is fresh.
+func (a *Agent) Fresh() (fresh, all int) {
+	now := time.Now()
+	for _, f := range a.followers {
+		if f.fresh(f.view.Load(), now) {
+			fresh++
+		}
+	}
+	return fresh, len(a.followers)
+}
+
+// OnChange implements corianderwing.Guide.
+func (a *Agent) OnChange(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.change = append(a.change, f)
+}
+
+func (a *Agent) changed() {
+	a.mu.Lock()
+	all := a.change
+	a.mu.Unlock()
+	for _, f := range all {
+		f()
+	}
+}
+
+// setHomes brings the workspaces of one follower to those of its view. If two
+// groups list the same workspace, the group that is first in the settings
+// keeps it.
+func (a *Agent) setHomes(f *follower, view *state.View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next := maps.Clone(*a.homes.Load())
+	for w, other := range next {
+		if other == f && !view.Has(w) {
+			delete(next, w)
+		}
+	}
+	for _, w := range view.Workspaces() {
+		if other := next[w]; other == nil || other.rank >= f.rank {
+			next[w] = f
+		}
+	}
+	a.homes.Store(&next)
+}
--- /dev/null
+++ b/io/agent/follow.go
@@ -0,0 +1,284 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/share"
+	"corianderwing/core/state"
+)
+
+const (
+	// renewEvery is the time between two renewals without a shortage.
+	renewEvery = time.Second
+	// renewGap is the shortest time between two renewals.
+	renewGap = 10 * time.Millisecond
+	// renewTimeout bounds one renewal; it leaves time for two more before a
+	// lease of three seconds expires.
+	renewTimeout = 900 * time.Millisecond
+	// retryPause is the pause after a failed watch.
+	retryPause = 100 * time.Millisecond
+	// staleWatch is how long a watch may lag behind a confirmed revision
+	// before it is opened again at another replica. A stream whose path has
+	// gone silent never fails by itself.
+	staleWatch = 500 * time.Millisecond
+)
+
+// follower follows one group. It owns the instance's view, lease and share of
+// the group.
+type follower struct {
+	agent  *Agent
+	group  corianderwing.GroupID
+	rank   int
+	view   atomic.Pointer[state.View]
+	lease  atomic.Pointer[lease]
+	holder *share.Holder
+	kick   chan struct{} // a renewal is wanted now
+
+	mu       sync.Mutex
+	answered chan struct{} // closed and replaced after each renewal
+	started  uint64        // renewals started
+	finished uint64        // number of the last renewal that was answered
+	bounds   *state.View   // the view that the holder is configured from
+	stuck    time.Time     // since when the view is behind the lease
+	restart  context.CancelFunc
+}
+
+// lease is what a renewal confirmed.
+type lease struct {
+	revision corianderwing.Revision
+	until    time.Time
+}
+
+func newFollower(a *Agent, g corianderwing.GroupID, now time.Time) *follower {
+	f := &follower{
+		agent:    a,
+		group:    g,
+		rank:     len(a.followers),
+		holder:   share.NewHolder(now),
+		kick:     make(chan struct{}, 1),
+		answered: make(chan struct{}),
+	}
+	f.view.Store(state.NewView(g))
+	f.lease.Store(&lease{})
+	return f
+}
+
+// fresh reports whether keys and settings of the view are confirmed.
+func (f *follower) fresh(v *state.View, now time.Time) bool {
+	l := f.lease.Load()
+	return now.Before(l.until) && v.Revision() >= l.revision
+}
+
+// watch keeps the view up to date until ctx ends.
+func (f *follower) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		watchCtx, cancel := context.WithCancel(ctx)
+		f.mu.Lock()
+		f.restart = cancel
+		f.mu.Unlock()
+		err := f.agent.cfg.Control.Watch(watchCtx, f.group, f.view.Load().Revision(), f.update)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			f.agent.log.Debug().Str("group", string(f.group)).Err(err).Msg("watch ended")
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// update applies one update. An error ends the watch, and the next one starts
+// after the revision that the view has.
+func (f *follower) update(u corianderwing.Update) error {
+	next, err := f.view.Load().Update(u)
+	if errors.Is(err, state.ErrOld) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.view.Store(next)
+	f.agent.setHomes(f, next)
+	f.configure(next)
+	f.agent.changed()
+	return nil
+}
+
+// configure brings the holder's bounds to those of the view.
+func (f *follower) configure(v *state.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	_, seated := v.Seat(f.agent.cfg.Self)
+	for _, w := range v.Workspaces() {
+		e, ok := v.Tree().Effective(corianderwing.Path{Workspace: w})
+		if !ok {
+			continue
+		}
+		seat, _ := share.Divide(e.Rate, e.Burst, e.Fixed, v.SeatTotal())
+		if !seated {
+			seat = share.Limit{}
+		}
+		f.holder.Configure(now, corianderwing.RateBound(w), seat)
+	}
+	if f.bounds != nil {
+		for _, w := range f.bounds.Workspaces() {
+			if !v.Has(w) {
+				f.holder.Forget(corianderwing.RateBound(w))
+			}
+		}
+	}
+	f.bounds = v
+}
+
+// renew keeps the lease and the share until ctx ends.
+func (f *follower) renew(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.renewOnce(ctx)
+		f.waitRenew(ctx)
+	}
+}
+
+// waitRenew waits until the next renewal is due.
+func (f *follower) waitRenew(ctx context.Context) {
+	pause(ctx, renewGap)
+	due := time.NewTimer(renewEvery - renewGap)
+	defer due.Stop()
+	check := time.NewTicker(2 * renewGap)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-due.C:
+			return
+		case <-f.kick:
+			return
+		case now := <-check.C:
+			if f.holder.Low(now) {
+				return
+			}
+		}
+	}
+}
+
+func (f *follower) renewOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	f.mu.Lock()
+	f.started++
+	number := f.started
+	f.mu.Unlock()
+	sent := time.Now()
+	seq, spends := f.holder.Report(sent)
+	reply, err := f.agent.cfg.Control.Renew(ctx, corianderwing.Renew{
+		Group:       f.group,
+		Instance:    f.agent.cfg.Self,
+		Incarnation: f.agent.cfg.Incarnation,
+		Domain:      f.agent.cfg.Domain,
+		Seq:         seq,
+		Revision:    f.view.Load().Revision(),
+		Spends:      spends,
+	})
+	if err != nil {
+		f.agent.log.Debug().Str("group", string(f.group)).Err(err).Msg("renewal failed")
+		return
+	}
+	f.renewed(number, seq, sent, reply)
+}
+
+func (f *follower) renewed(number, seq uint64, sent time.Time, reply corianderwing.Renewed) {
+	now := time.Now()
+	length := time.Duration(reply.Left) * time.Millisecond
+	f.lease.Store(&lease{
+		revision: reply.Revision,
+		until:    corianderwing.HolderDeadline(sent, length),
+	})
+	f.holder.Granted(now, seq, reply.Grants)
+	f.mu.Lock()
+	f.finished = number
+	close(f.answered)
+	f.answered = make(chan struct{})
+	f.mu.Unlock()
+	f.checkWatch(now, reply.Revision)
+}
+
+// checkWatch restarts a watch that lags behind a confirmed revision.
+func (f *follower) checkWatch(now time.Time, confirmed corianderwing.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Load().Revision() >= confirmed {
+		f.stuck = time.Time{}
+		return
+	}
+	if f.stuck.IsZero() {
+		f.stuck = now
+		f.wake()
+		return
+	}
+	if now.Sub(f.stuck) >= staleWatch && f.restart != nil {
+		f.restart()
+		f.stuck = time.Time{}
+	}
+}
+
+// wake asks for a renewal now.
+func (f *follower) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// takeSeat asks for a seat until the view shows one, and again if it is lost.
+func (f *follower) takeSeat(ctx context.Context) {
+	cfg := &f.agent.cfg
+	for n := 1; ctx.Err() == nil; n++ {
+		if _, ok := f.view.Load().Seat(cfg.Self); ok {
+			pause(ctx, renewEvery)
+			continue
+		}
+		c := corianderwing.Command{
+			Request: corianderwing.RequestID(fmt.Sprintf("seat-%s-%d-%d", cfg.Self, cfg.Incarnation, n)),
+			Kind:    corianderwing.TakeSeat,
+			Seat:    &corianderwing.Seat{Domain: cfg.Domain, Instance: cfg.Self},
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, 2*renewEvery)
+		result, err := cfg.Control.Propose(tryCtx, f.group, c)
+		cancel()
+		if err == nil && result.Error != nil {
+			err = result.Error
+		}
+		if err != nil {
+			f.agent.log.Info().Str("group", string(f.group)).Err(err).Msg("no seat yet")
+		}
+		pause(ctx, renewEvery)
+	}
+}
+
+// notice reports changes of freshness, which pass without any event.
+func (f *follower) notice(ctx context.Context) {
+	was := false
+	for pause(ctx, retryPause) {
+		is := f.fresh(f.view.Load(), time.Now())
+		if is != was {
+			f.agent.changed()
+		}
+		was = is
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/agent/limit.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/share"
+)
+
+const (
+	// pollEvery is how often a waiting request looks for tokens that its own
+	// fixed part gained.
+	pollEvery = 5 * time.Millisecond
+	// borrowFor is the longest time to wait for a neighbour's answer. A
+	// neighbour is in the same failure domain, about 1 ms away.
+	borrowFor = 50 * time.Millisecond
+	// enough is how many renewals that began after a request came must be
+	// answered without a token for it before it is refused. The first may
+	// have been sized before the request counted as demand.
+	enough = 2
+)
+
+// Take implements corianderwing.Limiter.
+func (a *Agent) Take(ctx context.Context, e *corianderwing.Effective) error {
+	f := (*a.homes.Load())[e.Path.Workspace]
+	if f == nil {
+		return corianderwing.Errorf(corianderwing.NoRoute, "workspace %q does not exist", e.Path.Workspace)
+	}
+	id := corianderwing.RateBound(e.Path.Workspace)
+	b := f.holder.Bound(id)
+	if b == nil {
+		return corianderwing.Errorf(corianderwing.OverRate, "workspace %q has no rate yet", e.Path.Workspace)
+	}
+	if b.Take(time.Now()) {
+		return nil
+	}
+	return f.await(ctx, b, id, e)
+}
+
+// await waits for a token of the bound: from the grantor, from a neighbour, or
+// from the fixed part.
+func (f *follower) await(ctx context.Context, b *share.Bound, id corianderwing.BoundID, e *corianderwing.Effective) error {
+	b.Wait(1)
+	defer b.Wait(-1)
+	giveUp := e.Wait.After(time.Now())
+	answered, first := f.renewals()
+	f.wake()
+	f.borrow(ctx, id)
+	poll := time.NewTicker(pollEvery)
+	defer poll.Stop()
+	for {
+		now := time.Now()
+		if b.Poll(now) {
+			return nil
+		}
+		if now.After(giveUp) || f.answers(first) >= enough {
+			return corianderwing.Errorf(corianderwing.OverRate, "workspace %q is over %g requests/s with a burst of %d",
+				e.Path.Workspace, float64(e.Rate), e.Burst)
+		}
+		select {
+		case <-ctx.Done():
+			return corianderwing.Errorf(corianderwing.OverRate, "workspace %q: no token before the deadline", e.Path.Workspace)
+		case <-answered:
+			answered, _ = f.renewals()
+			f.wake()
+		case <-poll.C:
+		}
+	}
+}
+
+// renewals returns a channel that is closed at the next answer, and the number
+// of the first renewal that has not started yet.
+func (f *follower) renewals() (answered <-chan struct{}, next uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered, f.started + 1
+}
+
+// answers counts the answered renewals from the given number on.
+func (f *follower) answers(from uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.finished < from {
+		return 0
+	}
+	return f.finished - from + 1
+}
+
+// borrow asks the neighbours for tokens until one lends some.
+func (f *follower) borrow(ctx context.Context, id corianderwing.BoundID) {
+	if f.agent.cfg.Neighbours == nil {
+		return
+	}
+	b := f.holder.Bound(id)
+	for _, lender := range f.agent.cfg.Neighbours() {
+		if b == nil || b.Stock(time.Now()) > 0 {
+			return
+		}
+		askCtx, cancel := context.WithTimeout(ctx, borrowFor)
+		sent := time.Now()
+		n, left, err := lender.Borrow(askCtx, id, corianderwing.Tokens(b.Waiting()))
+		cancel()
+		if err == nil && n > 0 {
+			f.holder.Borrowed(time.Now(), sent, id, n, left)
+			return
+		}
+	}
+}
+
+// Lend gives tokens of a bound to a neighbour.
+func (a *Agent) Lend(b corianderwing.BoundID, n corianderwing.Tokens) (corianderwing.Tokens, corianderwing.Millis) {
+	now := time.Now()
+	for _, f := range a.followers {
+		if f.holder.Bound(b) != nil {
+			return f.holder.Lend(now, b, n)
+		}
+	}
+	return 0, 0
+}
--- /dev/null
+++ b/io/ctrl/client.go
@@ -0,0 +1,236 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/io/peer"
+)
+
+// Voter is a replica of a group and the address of its control instance.
+type Voter struct {
+	ID   corianderwing.InstanceID
+	Addr string
+}
+
+// Client implements corianderwing.Control over the replicas of every group.
+// It remembers the leader of each group and asks the others when that one
+// does not lead any more or does not answer.
+type Client struct {
+	peer   *peer.Client
+	voters map[corianderwing.GroupID][]Voter
+
+	mu     sync.Mutex
+	leader map[corianderwing.GroupID]int // index into voters
+}
+
+var _ corianderwing.Control = (*Client)(nil)
+
+const (
+	// tryTimeout bounds one call, so that a replica that is frozen or cut off
+	// does not use up the whole deadline. It is well above the longest round
+	// trip of the deployments, 70 ms.
+	tryTimeout = 500 * time.Millisecond
+	// roundPause is the pause after every replica refused or failed, which
+	// happens during an election.
+	roundPause = 50 * time.Millisecond
+)
+
+// NewClient returns a client for the given groups.
+func NewClient(pc *peer.Client, voters map[corianderwing.GroupID][]Voter) *Client {
+	return &Client{peer: pc, voters: voters, leader: map[corianderwing.GroupID]int{}}
+}
+
+// Propose implements corianderwing.Control.
+func (c *Client) Propose(ctx context.Context, g corianderwing.GroupID, cmd corianderwing.Command) (corianderwing.Result, error) {
+	req := &proposeRequest{Group: g, Command: cmd}
+	sent := false
+	result, err := onLeader(ctx, c, g, func(ctx context.Context, addr string) (*corianderwing.Result, error) {
+		r, err := peer.Call(ctx, c.peer, addr, proposeMethod, req)
+		if err != nil && corianderwing.CodeOf(err) != corianderwing.NoLeader {
+			sent = true
+		}
+		return r, err
+	})
+	if err != nil {
+		return corianderwing.Result{}, proposeError(err, sent)
+	}
+	return *result, nil
+}
+
+// proposeError keeps NoLeader only if no replica can have proposed the command.
+func proposeError(err error, sent bool) error {
+	code := corianderwing.CodeOf(err)
+	if code == corianderwing.NoLeader && !sent {
+		return err
+	}
+	if code != corianderwing.Internal && code != corianderwing.NoLeader {
+		return err
+	}
+	if !sent {
+		return corianderwing.Errorf(corianderwing.NoLeader, "no replica accepted the command: %v", err)
+	}
+	return corianderwing.Errorf(corianderwing.NoQuorum, "the outcome of the command is unknown: %v", err)
+}
+
+// Renew implements corianderwing.Control.
+func (c *Client) Renew(ctx context.Context, r corianderwing.Renew) (corianderwing.Renewed, error) {
+	reply, err := onLeader(ctx, c, r.Group, func(ctx context.Context, addr string) (*corianderwing.Renewed, error) {
+		return peer.Call(ctx, c.peer, addr, renewMethod, &r)
+	})
+	if err != nil {
+		return corianderwing.Renewed{}, err
+	}
+	return *reply, nil
+}
+
+// Force asks the leader whether a revision is in force everywhere.
+func (c *Client) Force(ctx context.Context, g corianderwing.GroupID, at corianderwing.Revision) (Force, error) {
+	reply, err := onLeader(ctx, c, g, func(ctx context.Context, addr string) (*Force, error) {
+		return peer.Call(ctx, c.peer, addr, forceMethod, &forceRequest{Group: g, Revision: at})
+	})
+	if err != nil {
+		return Force{}, err
+	}
+	return *reply, nil
+}
+
+// Watch implements corianderwing.Control. It follows one replica and returns
+// when that one fails; the caller starts again after the revision it has.
+func (c *Client) Watch(ctx context.Context, g corianderwing.GroupID, after corianderwing.Revision, f func(corianderwing.Update) error) error {
+	v, err := c.pick(g)
+	if err != nil {
+		return err
+	}
+	req := &watchRequest{Group: g, After: after}
+	err = peer.Follow(ctx, c.peer, v.Addr, watchMethod, req, func(u *corianderwing.Update) error {
+		return f(*u)
+	})
+	if err != nil && ctx.Err() == nil {
+		c.next(g, v)
+	}
+	return err
+}
+
+// Status asks one control instance for its status.
+func (c *Client) Status(ctx context.Context, addr string) (Status, error) {
+	reply, err := peer.Call(ctx, c.peer, addr, statusMethod, &empty{})
+	if err != nil {
+		return Status{}, err
+	}
+	return *reply, nil
+}
+
+// Ship stores records at one control instance.
+func (c *Client) Ship(ctx context.Context, addr string, batch []corianderwing.Record) error {
+	_, err := peer.Call(ctx, c.peer, addr, shipMethod, &shipRequest{Records: batch})
+	return err
+}
+
+// FindAt asks one control instance for the records that it holds.
+func (c *Client) FindAt(ctx context.Context, addr string, q corianderwing.Query) ([]corianderwing.Record, uint64, error) {
+	reply, err := peer.Call(ctx, c.peer, addr, findMethod, &q)
+	if err != nil {
+		return nil, 0, err
+	}
+	return reply.Records, reply.Lost, nil
+}
+
+// Groups returns the ids of all groups, sorted.
+func (c *Client) Groups() []corianderwing.GroupID {
+	ids := make([]corianderwing.GroupID, 0, len(c.voters))
+	for g := range c.voters {
+		ids = append(ids, g)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// onLeader calls f at the replica that is thought to lead, then at the others,
+// until one answers, f fails for good or ctx ends.
+func onLeader[T any](ctx context.Context, c *Client, g corianderwing.GroupID, f func(context.Context, string) (*T, error)) (*T, error) {
+	var last error
+	for tries := 1; ; tries++ {
+		v, err := c.pick(g)
+		if err != nil {
+			return nil, err
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+		reply, err := f(tryCtx, v.Addr)
+		cancel()
+		if err == nil {
+			return reply, nil
+		}
+		if final(err) {
+			return nil, err
+		}
+		last = err
+		c.redirect(g, v, err)
+		if ctx.Err() != nil {
+			return nil, last
+		}
+		if tries%len(c.voters[g]) == 0 && !pause(ctx, roundPause) {
+			return nil, last
+		}
+	}
+}
+
+// final reports whether another replica would give the same answer.
+func final(err error) bool {
+	var e *corianderwing.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Code != corianderwing.NoLeader && e.Code != corianderwing.NoQuorum
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (c *Client) pick(g corianderwing.GroupID) (Voter, error) {
+	voters := c.voters[g]
+	if len(voters) == 0 {
+		return Voter{}, corianderwing.Errorf(corianderwing.Unknown, "group %q is not in the settings", g)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return voters[c.leader[g]%len(voters)], nil
+}
+
+// redirect follows the leader that err names, or goes on to the next replica.
+func (c *Client) redirect(g corianderwing.GroupID, from Voter, err error) {
+	var e *corianderwing.Error
+	if !errors.As(err, &e) || e.Leader == "" || e.Leader == from.ID {
+		c.next(g, from)
+		return
+	}
+	i := slices.IndexFunc(c.voters[g], func(v Voter) bool { return v.ID == e.Leader })
+	if i < 0 {
+		c.next(g, from)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader[g] = i
+}
+
+func (c *Client) next(g corianderwing.GroupID, from Voter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	voters := c.voters[g]
+	if voters[c.leader[g]%len(voters)] == from {
+		c.leader[g] = (c.leader[g] + 1) % len(voters)
+	}
+}
--- /dev/null
+++ b/io/ctrl/host.go
@@ -0,0 +1,175 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/share"
+	"corianderwing/core/state"
+	"corianderwing/io/group"
+)
+
+// host is one group as this control instance serves it.
+type host struct {
+	id      corianderwing.GroupID
+	self    corianderwing.InstanceID // this replica; see processOf
+	group   *group.Group
+	machine *state.Machine
+	leases  leases
+
+	mu      sync.Mutex
+	term    corianderwing.Term // of grantor
+	grantor *share.Grantor     // owned by the leader of term
+	bounds  *state.View        // the view that the grantor is configured from
+}
+
+// lead returns the term in which this instance leads the group, or NoLeader
+// with the leader that it knows of.
+func (h *host) lead() (corianderwing.Term, error) {
+	leader, term := h.group.Leader()
+	if leader == h.self {
+		return term, nil
+	}
+	err := corianderwing.Errorf(corianderwing.NoLeader, "%s does not lead group %s", h.self, h.id)
+	err.Leader = processOf(leader)
+	return 0, err
+}
+
+// propose commits a command, stamped with this instance's time.
+func (h *host) propose(ctx context.Context, c corianderwing.Command) (*corianderwing.Result, error) {
+	if _, err := h.lead(); err != nil {
+		return nil, err
+	}
+	c.Now = time.Now()
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "encode command: %v", err)
+	}
+	reply, err := h.group.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	result, err := state.DecodeResult(reply)
+	if err != nil {
+		return nil, corianderwing.Errorf(corianderwing.Internal, "decode result: %v", err)
+	}
+	return &result, nil
+}
+
+// renew grants a freshness lease and tokens. The lease is noted before the
+// view is read: a revision that is reported in force meanwhile is then either
+// held back by this lease or part of the reply.
+func (h *host) renew(ctx context.Context, r *corianderwing.Renew) (*corianderwing.Renewed, error) {
+	if _, err := h.group.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	term, err := h.lead()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.leases.lead(term, now)
+	h.leases.grant(r.Instance, r.Revision, now)
+	view := h.machine.View()
+	return &corianderwing.Renewed{
+		Revision: view.Revision(),
+		Left:     corianderwing.Millis(FreshFor.Milliseconds()),
+		Grants:   h.grant(term, view, r),
+	}, nil
+}
+
+// grant moves tokens to the holder that asks for them.
+func (h *host) grant(term corianderwing.Term, view *state.View, r *corianderwing.Renew) []corianderwing.Grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if h.grantor == nil || h.term != term {
+		h.grantor = share.NewGrantor(share.WaitUntil(now))
+		h.term = term
+		h.bounds = nil
+	}
+	if h.bounds != view {
+		h.configure(now, view)
+	}
+	return h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
+}
+
+// configure brings the grantor's bounds to those of the view.
+func (h *host) configure(now time.Time, view *state.View) {
+	for _, w := range view.Workspaces() {
+		e, ok := view.Tree().Effective(corianderwing.Path{Workspace: w})
+		if !ok {
+			continue
+		}
+		_, pool := share.Divide(e.Rate, e.Burst, e.Fixed, view.SeatTotal())
+		h.grantor.Configure(now, corianderwing.RateBound(w), pool)
+	}
+	h.forget(view)
+	h.bounds = view
+}
+
+// forget removes the bounds of workspaces that the view no longer has.
+func (h *host) forget(view *state.View) {
+	if h.bounds == nil {
+		return
+	}
+	for _, w := range h.bounds.Workspaces() {
+		if !view.Has(w) {
+			h.grantor.Forget(corianderwing.RateBound(w))
+		}
+	}
+}
+
+// force reports whether every entry instance acts on the revision.
+func (h *host) force(ctx context.Context, at corianderwing.Revision) (*Force, error) {
+	if _, err := h.group.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	term, err := h.lead()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.leases.lead(term, now)
+	f := h.leases.force(at, now)
+	f.Force = f.Force && h.machine.View().Revision() >= at
+	return &f, nil
+}
+
+// watch sends updates after a revision until ctx ends.
+func (h *host) watch(ctx context.Context, after corianderwing.Revision, send func(*corianderwing.Update) error) error {
+	for {
+		changed := h.machine.Changed()
+		updates, err := h.updates(after)
+		if err != nil {
+			return err
+		}
+		for i := range updates {
+			if err := send(&updates[i]); err != nil {
+				return err
+			}
+			after = updates[i].Revision
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// updates returns what leads from a revision to the current one: the deltas,
+// or a snapshot if they are gone.
+func (h *host) updates(after corianderwing.Revision) ([]corianderwing.Update, error) {
+	updates, ok := h.machine.Updates(after)
+	if ok {
+		return updates, nil
+	}
+	snapshot, err := h.machine.View().Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return []corianderwing.Update{snapshot}, nil
+}
--- /dev/null
+++ b/io/ctrl/lease.go
@@ -0,0 +1,80 @@
+package ctrl
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"corianderwing"
+)
+
+// FreshFor is the length of a freshness lease.
+const FreshFor = 3 * time.Second
+
+// leases are the freshness leases that the leader of a group has given. The
+// leader owns them; they are not replicated, so a new leader waits until
+// those of its predecessor have expired.
+type leases struct {
+	mu    sync.Mutex
+	term  corianderwing.Term
+	quiet time.Time // leases of an earlier leader may be in use until then
+	given map[corianderwing.InstanceID]lease
+}
+
+type lease struct {
+	confirmed corianderwing.Revision
+	until     time.Time
+}
+
+// lead prepares for the given term, if it is a new one.
+func (l *leases) lead(term corianderwing.Term, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == term && l.given != nil {
+		return
+	}
+	l.term = term
+	l.quiet = corianderwing.GrantorDeadline(now, FreshFor)
+	l.given = map[corianderwing.InstanceID]lease{}
+}
+
+// grant renews the lease of an instance whose snapshot has the revision at.
+// An instance without that revision acts on older settings until it gets it,
+// so the lease counts as behind until a renewal confirms the revision.
+func (l *leases) grant(i corianderwing.InstanceID, at corianderwing.Revision, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.given[i] = lease{confirmed: at, until: corianderwing.GrantorDeadline(now, FreshFor)}
+}
+
+// force reports whether every unexpired lease has confirmed the revision.
+func (l *leases) force(at corianderwing.Revision, now time.Time) Force {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := Force{Revision: at}
+	for id, given := range l.given {
+		if now.After(given.until) {
+			delete(l.given, id)
+			continue
+		}
+		if given.confirmed < at {
+			f.Behind = append(f.Behind, id)
+		}
+	}
+	slices.Sort(f.Behind)
+	f.Force = len(f.Behind) == 0 && now.After(l.quiet)
+	return f
+}
+
+// holders counts the unexpired leases.
+func (l *leases) holders(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, given := range l.given {
+		if !now.After(given.until) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/ctrl/sender.go
@@ -0,0 +1,94 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/raft"
+	"corianderwing/io/peer"
+)
+
+// sendTimeout bounds one batch of consensus messages. A batch that takes
+// longer is as good as lost; consensus sends again.
+const sendTimeout = time.Second
+
+// maxBatch is the largest number of consensus messages in one call.
+const maxBatch = 64
+
+// maxFlight is how many batches may be on their way to one replica.
+const maxFlight = 16
+
+// sender carries the consensus messages of one group. It never blocks: when a
+// replica does not keep up, messages to it are lost.
+type sender struct {
+	ctx    context.Context
+	group  corianderwing.GroupID
+	peer   *peer.Client
+	queues map[corianderwing.InstanceID]chan raft.Message // by process
+}
+
+func newSender(ctx context.Context, g corianderwing.GroupID, pc *peer.Client, others []Voter) *sender {
+	s := &sender{
+		ctx:    ctx,
+		group:  g,
+		peer:   pc,
+		queues: map[corianderwing.InstanceID]chan raft.Message{},
+	}
+	for _, v := range others {
+		q := make(chan raft.Message, 1024)
+		s.queues[v.ID] = q
+		go s.run(v.Addr, q)
+	}
+	return s
+}
+
+// Send implements group.Sender.
+func (s *sender) Send(to corianderwing.InstanceID, m raft.Message) {
+	select {
+	case s.queues[processOf(to)] <- m:
+	default:
+	}
+}
+
+func (s *sender) run(addr string, q <-chan raft.Message) {
+	flight := make(chan struct{}, maxFlight)
+	for {
+		batch, ok := s.collect(q)
+		if !ok {
+			return
+		}
+		select {
+		case flight <- struct{}{}:
+		case <-s.ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-flight }()
+			ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+			defer cancel()
+			// A lost batch needs no handling: consensus repeats what matters.
+			_, _ = peer.Call(ctx, s.peer, addr, stepMethod, &stepRequest{Group: s.group, Messages: batch})
+		}()
+	}
+}
+
+// collect waits for a message and takes those that are already queued.
+func (s *sender) collect(q <-chan raft.Message) ([]raft.Message, bool) {
+	var batch []raft.Message
+	select {
+	case m := <-q:
+		batch = append(batch, m)
+	case <-s.ctx.Done():
+		return nil, false
+	}
+	for len(batch) < maxBatch {
+		select {
+		case m := <-q:
+			batch = append(batch, m)
+		default:
+			return batch, true
+		}
+	}
+	return batch, true
+}
