--- /dev/null
+++ b/core/route/upstream.go
@@ -0,0 +1,209 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"corianderwing"
+)
+
+// up is what the owner knows about one upstream.
+type up struct {
+	corianderwing.Upstream
+
+	open    bool // announced, ready and not drained
+	busy    corianderwing.Slots
+	held    []time.Time // ends of slots kept after a cut-off request
+	conns   corianderwing.Conns
+	since   time.Time // start of the slow start
+	seen    time.Time // last observation
+	latency float64   // smoothed, in seconds
+	errors  float64   // smoothed part of failed requests
+	fails   int       // consecutive failures
+	ejected int       // ejections in a row
+	until   time.Time // end of the ejection
+	trial   bool      // the next request decides about a recovered upstream
+	spared  bool      // ejected, but let in by the floor
+}
+
+// restart forgets the observations about an earlier incarnation. An upstream
+// announces itself once a second, so Seq tells for how long it has been
+// running: a new pool owner does not slow-start upstreams that are warm.
+func (u *up) restart(a corianderwing.Upstream, now time.Time) {
+	u.since = now.Add(-time.Duration(min(a.Seq, 3600)) * time.Second)
+	u.seen = time.Time{}
+	u.latency, u.errors = 0, 0
+	u.fails, u.ejected = 0, 0
+	u.until = time.Time{}
+	u.trial = false
+}
+
+func (u *up) usable(now time.Time) bool {
+	return u.open && (u.spared || !now.Before(u.until))
+}
+
+// taken returns the slots in use, with those held after cut-off requests.
+func (u *up) taken(now time.Time) corianderwing.Slots {
+	kept := u.held[:0]
+	for _, t := range u.held {
+		if now.Before(t) {
+			kept = append(kept, t)
+		}
+	}
+	u.busy -= corianderwing.Slots(len(u.held) - len(kept))
+	u.held = kept
+	return u.busy
+}
+
+// room returns the slots that may be used: all of them, or a part that grows
+// during the slow start. A recovered upstream gets one request until that has
+// succeeded.
+func (u *up) room(warm time.Duration, now time.Time) corianderwing.Slots {
+	if u.trial {
+		return 1
+	}
+	age := now.Sub(u.since)
+	if age >= warm {
+		return u.Slots
+	}
+	part := float64(u.Slots) * float64(age) / float64(warm)
+	return min(u.Slots, max(1, corianderwing.Slots(math.Ceil(part))))
+}
+
+// score estimates how long a request would take, relative to the pool's mean.
+// The reported load only decides between upstreams that look alike to us.
+func (u *up) score(mean float64, decay time.Duration, now time.Time) float64 {
+	trust := 1 - float64(now.Sub(u.seen))/float64(decay)
+	trust = max(0, min(1, trust))
+	slow := 1.0
+	if mean > 0 && u.latency > 0 {
+		slow = max(0.25, min(8, u.latency/mean))
+	}
+	slow = 1 + (slow-1)*trust
+	bad := 1 + 4*u.errors*trust
+	full := float64(u.busy+1) / float64(u.Slots)
+	return full*slow*bad + 0.05*max(0, min(1, u.Load))
+}
+
+// Result is what became of a request at an upstream.
+type Result uint8
+
+// The results of a request.
+const (
+	Good   Result = iota // a complete answer to the request came
+	Bad                  // the upstream or the connection failed
+	Busy                 // the upstream refused the request for lack of room
+	Cut                  // we ended the request early; it says nothing about the upstream
+	Mute                 // no first byte came in time; the request may still run
+	Unused               // the slot was not used
+)
+
+// Done returns a slot that Pick took. Took is the time to the first byte of
+// the answer.
+func (p *Pool) Done(id corianderwing.UpstreamID, r Result, took time.Duration, now time.Time) {
+	u, ok := p.byID[id]
+	if !ok {
+		p.cfg.Broken("slot returned for unknown upstream " + string(id))
+		return
+	}
+	if r == Cut || r == Mute {
+		u.held = append(u.held, now.Add(p.cfg.Linger))
+	} else {
+		u.busy--
+	}
+	if u.busy < 0 || int(u.busy) < len(u.held) {
+		p.cfg.Broken("upstream " + string(id) + " has fewer requests in flight than none")
+	}
+	switch r {
+	case Good:
+		u.good(took, p.cfg.Decay, now)
+	case Bad, Mute:
+		p.bad(u, now)
+	case Busy:
+		// The upstream has less room than announced: keep off for a moment.
+		u.until = later(u.until, now.Add(p.cfg.Linger))
+	}
+}
+
+func (u *up) good(took time.Duration, decay time.Duration, now time.Time) {
+	s := took.Seconds()
+	if u.latency == 0 || now.Sub(u.seen) > decay {
+		u.latency = s
+	} else {
+		u.latency += (s - u.latency) / 8
+	}
+	u.errors -= u.errors / 8
+	u.seen = now
+	u.fails = 0
+	if u.trial {
+		u.trial = false
+		u.since = now // recovered: slow start
+	}
+	if u.ejected > 0 && now.Sub(u.since) > decay {
+		u.ejected = 0
+	}
+}
+
+func (p *Pool) bad(u *up, now time.Time) {
+	u.errors += (1 - u.errors) / 8
+	u.seen = now
+	u.fails++
+	if now.Before(u.until) || u.fails < p.cfg.Fails && !u.trial {
+		return
+	}
+	d := p.cfg.Eject << min(u.ejected, 16)
+	u.until = now.Add(min(d, p.cfg.Longer))
+	u.ejected++
+	u.trial = true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Known reports whether the pool still keeps state about an upstream.
+func (p *Pool) Known(id corianderwing.UpstreamID) bool {
+	_, ok := p.byID[id]
+	return ok
+}
+
+// Dial counts a new connection to an upstream. It returns false if the
+// upstream's connection budget is used up.
+func (p *Pool) Dial(id corianderwing.UpstreamID) bool {
+	u, ok := p.byID[id]
+	if !ok {
+		return false
+	}
+	if u.Conns > 0 && float64(u.conns+1) > max(1, float64(u.Conns)*p.cfg.Conns) {
+		return false
+	}
+	u.conns++
+	return true
+}
+
+// Hangup counts the end of a connection.
+func (p *Pool) Hangup(id corianderwing.UpstreamID) {
+	u, ok := p.byID[id]
+	if !ok {
+		return
+	}
+	u.conns--
+	if u.conns < 0 {
+		p.cfg.Broken("upstream " + string(id) + " has fewer connections than none")
+	}
+}
+
+// Load sums up the pool for other instances. Ejected upstreams do not count.
+func (p *Pool) Load(now time.Time) (slots, busy corianderwing.Slots) {
+	p.floor(now)
+	for _, u := range p.ups {
+		busy += u.taken(now)
+		if u.usable(now) {
+			slots += max(u.room(p.cfg.Warm, now), min(u.busy, u.Slots))
+		}
+	}
+	return slots, busy
+}
--- /dev/null
+++ b/io/entry/answer.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"corianderwing"
+)
+
+// buffers holds copy buffers. 32 KiB is what io.Copy uses.
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, 32<<10)
+	return &b
+}}
+
+// refuse answers with a result code of the system.
+func (s *Server) refuse(v *visit, e *corianderwing.Error) {
+	v.code, v.run, v.reason = e.Code, e.Run, e.Detail
+	v.status = e.Code.Status()
+	if v.begun {
+		return
+	}
+	v.begun = true
+	v.w.Header().Set(hRequest, string(v.id))
+	writeError(v.w, e)
+}
+
+// writeError writes a refusal with its headers and JSON body.
+func writeError(w http.ResponseWriter, e *corianderwing.Error) {
+	h := w.Header()
+	h.Set(hCode, strconv.Itoa(int(e.Code)))
+	h.Set(hRun, string(e.Run))
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	if e.Code == corianderwing.OverRate || e.Code == corianderwing.QueueFull || e.Code == corianderwing.NoCapacity {
+		h.Set("Retry-After", "1")
+	}
+	raw, err := json.Marshal(e)
+	if err != nil {
+		raw = []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(raw)+1))
+	w.WriteHeader(e.Code.Status())
+	w.Write(append(raw, '\n'))
+}
+
+// pass sends an upstream's answer to the caller. An answer that ends early
+// ends the caller's connection, so that it cannot be taken for complete.
+func (s *Server) pass(v *visit, rep *reply, rc *http.ResponseController) {
+	defer rep.close()
+	v.code, v.run, v.status = corianderwing.OK, corianderwing.RanYes, rep.StatusCode
+	answerHeader(v.w.Header(), rep, v.id)
+	v.begun = true
+	v.w.WriteHeader(rep.StatusCode)
+	err := stream(v.w, rep, rc)
+	release(v.body, rc)
+	if err == nil {
+		return
+	}
+	e := s.cutAnswer(v, err)
+	v.code, v.run, v.reason = e.Code, corianderwing.RanYes, e.Detail
+	panic(http.ErrAbortHandler)
+}
+
+// cutAnswer tells why an answer did not reach the caller as a whole.
+func (s *Server) cutAnswer(v *visit, err error) *corianderwing.Error {
+	if v.ctx.Err() != nil || !time.Now().Before(v.deadline) {
+		if v.ctx.Err() == nil {
+			return corianderwing.Errorf(corianderwing.Deadline, "while the answer was sent")
+		}
+		return ended(v.ctx, corianderwing.RanYes)
+	}
+	return corianderwing.Errorf(corianderwing.ShortBody, "%v", err)
+}
+
+// answerHeader sets the header of an answer that comes from an upstream.
+func answerHeader(out http.Header, rep *reply, id corianderwing.RequestID) {
+	endToEnd(out, rep.Header)
+	if n := rep.Header["Content-Length"]; len(n) == 1 {
+		out["Content-Length"] = n
+	}
+	out[hCode] = headerOK
+	out[hRun] = headerYes
+	out[hRequest] = []string{string(id)}
+}
+
+var (
+	headerOK  = []string{strconv.Itoa(int(corianderwing.OK))}
+	headerYes = []string{string(corianderwing.RanYes)}
+)
+
+// stream copies an answer's body. Answers of unknown length may be streams of
+// events, so each part is sent on at once.
+func stream(w io.Writer, rep *reply, rc *http.ResponseController) error {
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		n, err := rep.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				return werr
+			}
+		}
+		if isEOF(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if rep.ContentLength < 0 {
+			if err := rc.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// record returns the evidence of a refused or slow answer.
+func record(self corianderwing.InstanceID, v *visit, total time.Duration) corianderwing.Record {
+	r := corianderwing.Record{
+		Request:   v.id,
+		At:        v.start,
+		Instance:  self,
+		Workspace: v.workspace,
+		Service:   v.service,
+		Route:     v.route,
+		Class:     v.class,
+		Key:       v.key.ID,
+		Code:      v.code,
+		Run:       v.run,
+		Status:    v.status,
+		Reason:    strings.TrimSpace(v.reason),
+		Total:     corianderwing.Millis(total.Milliseconds()),
+		Attempts:  v.attempts,
+	}
+	if v.view != nil {
+		r.Revision = v.view.Revision()
+	}
+	for i := range v.attempts {
+		r.Wait += v.attempts[i].Wait
+	}
+	if n := len(v.attempts); n > 0 {
+		a := &v.attempts[n-1]
+		a.Body = max(0, r.Total-r.Wait-a.First)
+	}
+	if r.Reason == "" {
+		r.Reason = "slow answer"
+	}
+	return r
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,291 @@
+// Package entry is the entry role of an instance: it takes requests from
+// callers, checks and limits them, and brings each one to an upstream, through
+// the pool owner of the failure domain that it chooses.
+package entry
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"corianderwing"
+	"corianderwing/core/queue"
+	"corianderwing/core/retry"
+	"corianderwing/core/route"
+)
+
+// Config holds what an entry instance needs from the rest of the process.
+type Config struct {
+	Guide    corianderwing.Guide
+	Limiter  corianderwing.Limiter
+	Control  corianderwing.Control
+	Fleet    corianderwing.Fleet
+	Recorder corianderwing.Recorder
+
+	// Secret is the fleet's secret: it keys the hashes of callers' keys and
+	// the token of hand-overs.
+	Secret []byte
+	// Home returns the home group of a workspace.
+	Home func(corianderwing.WorkspaceID) corianderwing.GroupID
+	// SetPhase changes the phase under which this instance is announced.
+	SetPhase func(corianderwing.Phase)
+	// Shift returns the share of the new version while a move is under way.
+	// Without it a new version gets 1%.
+	Shift func(m corianderwing.Move, now time.Time) float64
+	// Observe is called with each attempt at an upstream, as evidence for
+	// moves. It must return quickly. Optional.
+	Observe func(Sample)
+	// Metrics receives the metrics. Default: a new registry.
+	Metrics metrics.Registry
+}
+
+// Sample is the outcome of one attempt at an upstream.
+type Sample struct {
+	At        time.Time
+	Pool      corianderwing.PoolID
+	Upstream  corianderwing.UpstreamID
+	Version   corianderwing.VersionID
+	Workspace corianderwing.WorkspaceID
+	Service   corianderwing.ServiceID
+	Route     corianderwing.RouteID
+	Code      corianderwing.Code
+	Status    int           // of the upstream's answer, 0 if there is none
+	First     time.Duration // to the first byte of the answer
+}
+
+// Server is the entry role of one instance. It owns the queues, slots and
+// health of the pools that this instance owns.
+type Server struct {
+	cfg     Config
+	opt     options
+	self    corianderwing.Instance
+	hasher  *hasher
+	token   string
+	prefix  string
+	counter atomic.Uint64
+	meter   *meter
+	running *running
+	hosts   sync.Map // inner address → *peer
+	suspect sync.Map // corianderwing.InstanceID → time.Time until which others are preferred
+	views   atomic.Pointer[map[corianderwing.PoolID]*plan]
+	planMu  sync.Mutex // serialises writers of views
+
+	poolMu sync.Mutex
+	pools  atomic.Pointer[map[corianderwing.PoolID]*pool]
+
+	budgetMu sync.Mutex
+	budget   *retry.Budget
+
+	active   atomic.Int64 // requests in progress, hand-overs included
+	settling sync.WaitGroup
+	draining atomic.Bool // leaves the lookup answers
+	closing  atomic.Bool // answers with Connection: close
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// Option changes a default of a Server.
+type Option func(*options)
+
+type options struct {
+	lookup time.Duration
+	spread time.Duration
+	header int
+	answer int
+	dial   Dial
+	seed   uint64
+	tick   time.Duration
+	queue  queue.Config
+	route  route.Config
+	retry  retry.Config
+	reuse  bool
+	token  string
+}
+
+// WithLookup sets for how long callers may cache a lookup answer. Default 5 s.
+func WithLookup(d time.Duration) Option { return func(o *options) { o.lookup = d } }
+
+// WithSpread sets for how long other instances may still name this one in
+// their lookup answers after it has begun to drain. Default 1 s.
+func WithSpread(d time.Duration) Option { return func(o *options) { o.spread = d } }
+
+// WithHeaderLimit sets the largest request header, in bytes. Default 16 KiB.
+func WithHeaderLimit(n int) Option { return func(o *options) { o.header = n } }
+
+// WithDial replaces the way connections are opened.
+func WithDial(d Dial) Option { return func(o *options) { o.dial = d } }
+
+// WithSeed makes random choices repeatable.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithQueue bounds the waiting queue of each pool.
+func WithQueue(c queue.Config) Option { return func(o *options) { o.queue = c } }
+
+// WithRoute sets the constants of the choice of upstreams.
+func WithRoute(c route.Config) Option { return func(o *options) { o.route = c } }
+
+// WithRetry sets the size of the retry budget.
+func WithRetry(c retry.Config) Option { return func(o *options) { o.retry = c } }
+
+// WithAnnounceToken makes announcements need this value in the header
+// Cw-Token.
+func WithAnnounceToken(t string) Option { return func(o *options) { o.token = t } }
+
+// New starts an entry role. Close stops it.
+func New(cfg Config, opts ...Option) (*Server, error) {
+	if cfg.Guide == nil || cfg.Limiter == nil || cfg.Control == nil || cfg.Fleet == nil || cfg.Recorder == nil {
+		return nil, errors.New("entry: Config lacks a port")
+	}
+	if len(cfg.Secret) == 0 || cfg.Home == nil {
+		return nil, errors.New("entry: Config lacks Secret or Home")
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	opt := options{
+		lookup: 5 * time.Second,
+		spread: time.Second,
+		header: 16 << 10,
+		answer: 1 << 20,
+		dial:   tcpDial(),
+		seed:   rand.Uint64(),
+		tick:   20 * time.Millisecond,
+	}
+	for _, o := range opts {
+		o(&opt)
+	}
+	s := &Server{
+		cfg:     cfg,
+		opt:     opt,
+		self:    cfg.Fleet.Self(),
+		hasher:  newHasher(cfg.Secret),
+		token:   fleetToken(cfg.Secret),
+		prefix:  strconv.FormatUint(rand.Uint64(), 36) + "-",
+		meter:   newMeter(cfg.Metrics),
+		running: newRunning(),
+		budget:  retry.NewBudget(opt.retry),
+		done:    make(chan struct{}),
+	}
+	s.pools.Store(&map[corianderwing.PoolID]*pool{})
+	s.views.Store(&map[corianderwing.PoolID]*plan{})
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	changed := make(chan struct{}, 1)
+	cfg.Guide.OnChange(func() {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	})
+	go s.loop(changed)
+	return s, nil
+}
+
+// fleetToken derives the token that instances show each other.
+func fleetToken(secret []byte) string {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte("corianderwing hand-over"))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// loop keeps the snapshots of the request path current, wakes queues, and ends
+// requests under revoked keys.
+func (s *Server) loop(changed <-chan struct{}) {
+	defer close(s.done)
+	tick := time.NewTicker(s.opt.tick)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-changed:
+			s.running.check(s.cfg.Guide)
+			s.sync()
+		case <-tick.C:
+			if n%5 == 0 {
+				s.sync()
+			}
+			for _, p := range *s.pools.Load() {
+				p.tick(time.Now())
+			}
+		}
+	}
+}
+
+// Public returns the handler for callers.
+func (s *Server) Public() http.Handler { return http.HandlerFunc(s.public) }
+
+// Inner returns the handler for hand-over from other entry instances.
+func (s *Server) Inner() http.Handler { return http.HandlerFunc(s.inner) }
+
+// Close stops the instance without cutting off a request: it leaves the lookup
+// answers, serves until the cached ones have expired, answers with
+// Connection: close, and returns once no request is in progress and no outcome
+// of an order is unsettled. If ctx ends first, the remaining requests are cut
+// off and the cause is returned.
+func (s *Server) Close(ctx context.Context) error {
+	s.draining.Store(true)
+	if s.cfg.SetPhase != nil {
+		s.cfg.SetPhase(corianderwing.Draining)
+	}
+	err := pause(ctx, s.opt.lookup+s.opt.spread)
+	s.closing.Store(true)
+	for err == nil && s.active.Load() > 0 {
+		err = pause(ctx, s.opt.tick)
+	}
+	settled := make(chan struct{})
+	go func() {
+		s.settling.Wait()
+		close(settled)
+	}()
+	if err == nil {
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		}
+	}
+	if err != nil {
+		s.running.stop(corianderwing.Errorf(corianderwing.Stopping, "the instance stopped"))
+	}
+	s.cancel()
+	<-s.done
+	<-settled
+	for _, p := range *s.pools.Load() {
+		p.reset()
+	}
+	s.hosts.Range(func(_, h any) bool {
+		h.(*peer).reset()
+		return true
+	})
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// nextID returns a request id that no other request of the fleet has.
+func (s *Server) nextID() corianderwing.RequestID {
+	b := make([]byte, 0, 32)
+	b = append(b, s.prefix...)
+	b = strconv.AppendUint(b, s.counter.Add(1), 36)
+	return corianderwing.RequestID(b)
+}
--- /dev/null
+++ b/io/entry/fake_test.go
@@ -0,0 +1,377 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"corianderwing"
+)
+
+const secret = "fleet secret"
+
+// world holds fakes of every port, and a network of pipes, so that whole
+// requests run in virtual time.
+type world struct {
+	t  *testing.T
+	mu sync.Mutex
+
+	fresh    bool
+	routes   map[string]*corianderwing.Effective // by workspace/service
+	keys     map[corianderwing.KeyHash]corianderwing.Key
+	moves    map[corianderwing.PoolID]corianderwing.Move
+	onChange []func()
+
+	ups    map[corianderwing.DomainID][]corianderwing.Upstream
+	owners map[corianderwing.DomainID]corianderwing.Instance
+	insts  []corianderwing.Instance
+
+	listeners map[string]*listener
+	servers   []*http.Server
+	over      int // requests that the limiter refuses from now on
+	orders    map[string]*corianderwing.Order
+	applied   map[corianderwing.RequestID]corianderwing.Result
+	failing   int // proposals that fail from now on
+	records   []corianderwing.Record
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t:         t,
+		fresh:     true,
+		routes:    make(map[string]*corianderwing.Effective),
+		keys:      make(map[corianderwing.KeyHash]corianderwing.Key),
+		moves:     make(map[corianderwing.PoolID]corianderwing.Move),
+		ups:       make(map[corianderwing.DomainID][]corianderwing.Upstream),
+		owners:    make(map[corianderwing.DomainID]corianderwing.Instance),
+		listeners: make(map[string]*listener),
+		orders:    make(map[string]*corianderwing.Order),
+		applied:   make(map[corianderwing.RequestID]corianderwing.Result),
+	}
+	w.route("ws", "svc", func(*corianderwing.Effective) {})
+	w.key("ws", "good-key")
+	w.key("other", "other-key")
+	return w
+}
+
+func (w *world) route(ws, svc string, change func(*corianderwing.Effective)) {
+	e := corianderwing.Defaults
+	e.Path = corianderwing.Path{Workspace: corianderwing.WorkspaceID(ws), Service: corianderwing.ServiceID(svc), Route: "r"}
+	e.Pool = "pool"
+	change(&e)
+	w.routes[ws+"/"+svc] = &e
+}
+
+func (w *world) key(ws, key string) {
+	h := corianderwing.HashKey([]byte(secret), key)
+	w.keys[h] = corianderwing.Key{ID: "k-" + corianderwing.KeyID(ws), Workspace: corianderwing.WorkspaceID(ws), Hash: h}
+}
+
+func (w *world) revoke(key string) {
+	h := corianderwing.HashKey([]byte(secret), key)
+	w.mu.Lock()
+	k := w.keys[h]
+	k.Revoked = true
+	w.keys[h] = k
+	w.mu.Unlock()
+	for _, f := range w.onChange {
+		f()
+	}
+}
+
+// instance starts an entry instance in a failure domain and makes it owner
+// there.
+func (w *world) instance(id, domain string, opts ...Option) *Server {
+	self := corianderwing.Instance{
+		ID:     corianderwing.InstanceID(id),
+		Domain: corianderwing.DomainID(domain),
+		Public: id + ":public",
+		Inner:  id + ":inner",
+		Phase:  corianderwing.Ready,
+	}
+	w.mu.Lock()
+	w.insts = append(w.insts, self)
+	w.owners[self.Domain] = self
+	w.mu.Unlock()
+	opts = append([]Option{WithDial(w.dial), WithSeed(1)}, opts...)
+	s, err := New(Config{
+		Guide:    w,
+		Limiter:  w,
+		Control:  w,
+		Fleet:    &fleet{world: w, self: self},
+		Recorder: w,
+		Secret:   []byte(secret),
+		Home:     func(corianderwing.WorkspaceID) corianderwing.GroupID { return "g" },
+	}, opts...)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.serve(self.Public, s.Public())
+	w.serve(self.Inner, s.Inner())
+	return s
+}
+
+// upstream starts a stand-in upstream that echoes request ids.
+func (w *world) upstream(id, domain string, slots int, h http.HandlerFunc) *corianderwing.Upstream {
+	w.serve(id, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(hRequest, r.Header.Get(hRequest))
+		h(rw, r)
+	}))
+	return w.announce(id, domain, slots)
+}
+
+func (w *world) announce(id, domain string, slots int) *corianderwing.Upstream {
+	d := corianderwing.DomainID(domain)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ups[d] = append(w.ups[d], corianderwing.Upstream{
+		ID: corianderwing.UpstreamID(id), Seq: 100, Pool: "pool", Version: "v1", Domain: d,
+		Addr: id, Slots: corianderwing.Slots(slots), Conns: 100, Phase: corianderwing.Ready,
+	})
+	return &w.ups[d][len(w.ups[d])-1]
+}
+
+func (w *world) serve(addr string, h http.Handler) {
+	srv := &http.Server{Handler: h, ErrorLog: nil}
+	l := w.listen(addr)
+	w.servers = append(w.servers, srv)
+	go srv.Serve(l)
+}
+
+func (w *world) listen(addr string) *listener {
+	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listeners[addr] = l
+	return l
+}
+
+func (w *world) dial(ctx context.Context, addr string) (net.Conn, error) {
+	w.mu.Lock()
+	l, ok := w.listeners[addr]
+	w.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("dial %s: connection refused", addr)
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-l.done:
+		return nil, fmt.Errorf("dial %s: connection refused", addr)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// close ends all servers, so that the bubble can end.
+func (w *world) close(list ...*Server) {
+	for _, s := range list {
+		if err := s.Close(w.t.Context()); err != nil {
+			w.t.Error(err)
+		}
+		if n := s.meter.invariants.Count(); n > 0 {
+			w.t.Errorf("%d invariants broken", n)
+		}
+	}
+	for _, srv := range w.servers {
+		srv.Close()
+	}
+	synctest.Wait()
+}
+
+type listener struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// got is what a caller got.
+type got struct {
+	status int
+	code   string
+	run    string
+	body   string
+	header http.Header
+	err    error // the answer was not complete
+}
+
+// ask sends a raw request, with \n for line ends, over a connection of its
+// own.
+func (w *world) ask(addr, raw string) got {
+	c, err := w.dial(w.t.Context(), addr)
+	if err != nil {
+		return got{err: err}
+	}
+	defer c.Close()
+	head, body, _ := strings.Cut(raw, "\n\n")
+	go io.WriteString(c, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+body)
+	return read(c)
+}
+
+func read(c io.Reader) got {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return got{err: err}
+	}
+	b, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header.Get(hCode), resp.Header.Get(hRun), string(b), resp.Header, err}
+}
+
+// get asks with a valid key.
+func (w *world) get(path string) got {
+	return w.ask("a:public", "GET "+path+" HTTP/1.1\nHost: h\nX-Api-Key: good-key\n\n")
+}
+
+// Ports.
+
+func (w *world) View(ws corianderwing.WorkspaceID) (corianderwing.View, bool, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w, w.fresh, ws == "ws" || ws == "other"
+}
+func (w *world) Views() []corianderwing.View { return []corianderwing.View{w} }
+func (w *world) OnChange(f func())           { w.onChange = append(w.onChange, f) }
+
+func (w *world) Revision() corianderwing.Revision { return 7 }
+func (w *world) Route(ws corianderwing.WorkspaceID, s corianderwing.ServiceID, _ string) (*corianderwing.Effective, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e, ok := w.routes[string(ws)+"/"+string(s)]
+	return e, ok
+}
+func (w *world) Key(h corianderwing.KeyHash) (corianderwing.Key, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k, ok := w.keys[h]
+	return k, ok
+}
+func (w *world) Drained(corianderwing.UpstreamID) bool { return false }
+func (w *world) Move(p corianderwing.PoolID) (corianderwing.Move, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m, ok := w.moves[p]
+	return m, ok
+}
+func (w *world) Workspaces() []corianderwing.WorkspaceID {
+	return []corianderwing.WorkspaceID{"ws", "other"}
+}
+func (w *world) Seat(corianderwing.InstanceID) (corianderwing.Seat, bool) {
+	return corianderwing.Seat{}, false
+}
+
+func (w *world) Take(context.Context, *corianderwing.Effective) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over > 0 {
+		w.over--
+		return corianderwing.Errorf(corianderwing.OverRate, "test")
+	}
+	return nil
+}
+
+func (w *world) Record(r corianderwing.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.records = append(w.records, r)
+}
+
+// Propose keeps claims as a control group does.
+func (w *world) Propose(_ context.Context, _ corianderwing.GroupID, c corianderwing.Command) (corianderwing.Result, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failing > 0 {
+		w.failing--
+		return corianderwing.Result{}, corianderwing.Errorf(corianderwing.NoQuorum, "test")
+	}
+	if res, ok := w.applied[c.Request]; ok {
+		return res, nil
+	}
+	id := string(c.Order.Workspace) + "/" + c.Order.Key
+	old, ok := w.orders[id]
+	if c.Kind == corianderwing.Settle || !ok || old.State == corianderwing.OrderFree {
+		o := *c.Order
+		w.orders[id], old = &o, &o
+	}
+	o := *old
+	res := corianderwing.Result{Order: &o}
+	w.applied[c.Request] = res
+	return res, nil
+}
+func (w *world) Renew(context.Context, corianderwing.Renew) (corianderwing.Renewed, error) {
+	return corianderwing.Renewed{}, nil
+}
+func (w *world) Watch(context.Context, corianderwing.GroupID, corianderwing.Revision, func(corianderwing.Update) error) error {
+	return nil
+}
+
+// fleet is the membership as one instance sees it.
+type fleet struct {
+	*world
+	self corianderwing.Instance
+}
+
+func (f *fleet) Self() corianderwing.Instance { return f.self }
+func (f *fleet) Instances() []corianderwing.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]corianderwing.Instance(nil), f.insts...)
+}
+func (f *fleet) Upstreams(_ corianderwing.PoolID, d corianderwing.DomainID) []corianderwing.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]corianderwing.Upstream(nil), f.ups[d]...)
+}
+func (f *fleet) Domains(corianderwing.PoolID) []corianderwing.DomainID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []corianderwing.DomainID{f.self.Domain}
+	for _, i := range f.insts {
+		if _, ok := f.ups[i.Domain]; ok && i.Domain != f.self.Domain && i.ID == f.owners[i.Domain].ID {
+			list = append(list, i.Domain)
+		}
+	}
+	return list
+}
+func (f *fleet) Owner(_ corianderwing.PoolID, d corianderwing.DomainID) (corianderwing.Instance, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, ok := f.owners[d]
+	return i, ok
+}
+func (f *fleet) Owns(corianderwing.PoolID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owners[f.self.Domain].ID == f.self.ID
+}
+func (f *fleet) Announce(u corianderwing.Upstream) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ups[u.Domain] = append(f.ups[u.Domain], u)
+	return nil
+}
+func (f *fleet) Report([]corianderwing.PoolLoad) {}
+
+// bubble runs f in virtual time.
+func bubble(t *testing.T, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) { f(newWorld(t)) })
+}
--- /dev/null
+++ b/io/entry/header.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"corianderwing"
+)
+
+// Headers of the system. Those that a caller or an upstream sets are removed,
+// but for Cw-Left of a caller and Cw-Request and Cw-Run of an upstream.
+const (
+	hCode      = "Cw-Code"      // number of the result code
+	hRun       = "Cw-Run"       // no, yes or unknown
+	hRequest   = "Cw-Request"   // request id; echoed by upstreams
+	hLeft      = "Cw-Left"      // remaining time, ms
+	hWorkspace = "Cw-Workspace" // to upstreams and between instances
+	hService   = "Cw-Service"
+	hRoute     = "Cw-Route"
+	hClass     = "Cw-Class"
+	hPool      = "Cw-Pool"  // between instances, from here on
+	hOnce      = "Cw-Once"  // 1 for a route that is not idempotent
+	hTries     = "Cw-Tries" // attempts left
+	hWait      = "Cw-Wait"  // longest wait for a slot, ms
+	hHops      = "Cw-Hops"  // hand-overs so far
+	hToken     = "Cw-Token" // proves that the sender belongs to the fleet
+	hTook      = "Cw-Took"  // time at the pool owner until the answer's header, µs
+	hTried     = "Cw-Tried" // attempts at upstreams
+)
+
+// hopByHop holds the headers that concern one connection only, and those that
+// the forwarder sets itself.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// ours reports whether a header name belongs to the system.
+func ours(name string) bool {
+	return len(name) > 3 && name[0] == 'C' && name[1] == 'w' && name[2] == '-'
+}
+
+// endToEnd adds to out the headers of in that are meant for the other end.
+func endToEnd(out, in http.Header) {
+	named := in["Connection"]
+	for name, values := range in {
+		if hopByHop[name] || ours(name) || inList(named, name) {
+			continue
+		}
+		out[name] = values
+	}
+}
+
+// inList reports whether a comma-separated header value names a header.
+func inList(lines []string, name string) bool {
+	for _, line := range lines {
+		for part := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forwarded returns the header that goes to an upstream: that of the caller
+// without keys.
+func forwarded(in http.Header, cookies []string, key string) http.Header {
+	out := make(http.Header, len(in)+8)
+	endToEnd(out, in)
+	delete(out, "X-Api-Key")
+	delete(out, "Authorization")
+	for _, v := range in["Authorization"] {
+		if _, ok := bearer(v); !ok {
+			out["Authorization"] = append(out["Authorization"], v)
+		}
+	}
+	delete(out, "Cookie")
+	if len(cookies) > 0 {
+		out["Cookie"] = cookies
+	}
+	// A page address that was fetched with the key in its query.
+	if key != "" && strings.Contains(in.Get("Referer"), key) {
+		delete(out, "Referer")
+	}
+	return out
+}
+
+// headerSize returns the size of a request's line and header, in bytes.
+func headerSize(r *http.Request) int {
+	n := len(r.RequestURI) + len(r.Method) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// leftHeader converts a deadline to the remaining time in ms, at least 1.
+func leftHeader(deadline, now time.Time) string {
+	return strconv.FormatInt(max(1, deadline.Sub(now).Milliseconds()), 10)
+}
+
+// parseLeft converts a remaining time in ms to a deadline. Values over an hour
+// count as an hour.
+func parseLeft(s string, now time.Time) (time.Time, bool) {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n <= 0 {
+		return time.Time{}, false
+	}
+	return corianderwing.Millis(min(n, 3600_000)).After(now), true
+}
+
+// formatTried writes attempts as upstream;version;owner;code;wait;first,...
+func formatTried(list []corianderwing.Attempt) string {
+	b := make([]byte, 0, 64*len(list))
+	for i, a := range list {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, a.Upstream...)
+		b = append(b, ';')
+		b = append(b, a.Version...)
+		b = append(b, ';')
+		b = append(b, a.Owner...)
+		for _, n := range []int64{int64(a.Code), int64(a.Wait), int64(a.First)} {
+			b = append(b, ';')
+			b = strconv.AppendInt(b, n, 10)
+		}
+	}
+	return string(b)
+}
+
+// parseTried reads what formatTried wrote. It skips what it cannot read.
+func parseTried(s string) []corianderwing.Attempt {
+	if s == "" {
+		return nil
+	}
+	var list []corianderwing.Attempt
+	for part := range strings.SplitSeq(s, ",") {
+		f := strings.Split(part, ";")
+		if len(f) != 6 {
+			continue
+		}
+		code, err := strconv.ParseUint(f[3], 10, 16)
+		if err != nil {
+			continue
+		}
+		wait, _ := strconv.ParseInt(f[4], 10, 64)
+		first, _ := strconv.ParseInt(f[5], 10, 64)
+		list = append(list, corianderwing.Attempt{
+			Upstream: corianderwing.UpstreamID(f[0]),
+			Version:  corianderwing.VersionID(f[1]),
+			Owner:    corianderwing.InstanceID(f[2]),
+			Code:     corianderwing.Code(code),
+			Wait:     corianderwing.Millis(wait),
+			First:    corianderwing.Millis(first),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/io/entry/job.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"corianderwing"
+)
+
+// job is a request on its way to an upstream.
+type job struct {
+	id        corianderwing.RequestID
+	workspace corianderwing.WorkspaceID
+	service   corianderwing.ServiceID
+	route     corianderwing.RouteID
+	pool      corianderwing.PoolID
+	class     corianderwing.Class
+	once      bool
+	tries     int // attempts left
+	hops      int
+	deadline  time.Time
+	wait      corianderwing.Millis
+
+	method string
+	uri    string
+	host   string
+	header http.Header
+	body   *body
+
+	attempts []corianderwing.Attempt
+	tried    []corianderwing.UpstreamID
+}
+
+func (j *job) triedIDs() []corianderwing.UpstreamID { return j.tried }
+
+// reply is an upstream's answer on its way to the caller. Its reader must be
+// read to the end or closed.
+type reply struct {
+	*answer
+	onEnd func(complete bool) // called once
+}
+
+// Read implements io.Reader.
+func (r *reply) Read(b []byte) (int, error) {
+	n, err := r.answer.Read(b)
+	if err != nil {
+		r.end(isEOF(err))
+	}
+	return n, err
+}
+
+// close ends a reply that is not read to its end.
+func (r *reply) close() {
+	r.discard()
+	r.end(false)
+}
+
+func (r *reply) end(complete bool) {
+	if f := r.onEnd; f != nil {
+		r.onEnd = nil
+		f(complete)
+	}
+}
--- /dev/null
+++ b/io/entry/key.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"hash"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+
+	"corianderwing"
+)
+
+// keyName is the name of the query parameter and cookie that carry a key.
+const keyName = "api_key"
+
+// found collects the keys of a request.
+type found struct {
+	key   string
+	count int
+}
+
+func (f *found) add(key string) {
+	f.key = key
+	f.count++
+}
+
+// takeKey returns the key in a request, and its header and query without keys
+// in any of the four places. The request itself is not changed.
+func takeKey(r *http.Request) (f found, cookies []string, query string, e *corianderwing.Error) {
+	for _, v := range r.Header["Authorization"] {
+		if key, ok := bearer(v); ok {
+			f.add(key)
+		}
+	}
+	for _, v := range r.Header["X-Api-Key"] {
+		f.add(strings.TrimSpace(v))
+	}
+	cookies = f.cookies(r.Header["Cookie"])
+	query, ok := f.query(r.URL.RawQuery)
+	switch {
+	case !ok:
+		e = corianderwing.Errorf(corianderwing.BadInput, "query has an invalid escape")
+	case f.count > 1:
+		e = corianderwing.Errorf(corianderwing.KeyTwice, "%d keys came with the request", f.count)
+	}
+	return f, cookies, query, e
+}
+
+// bearer returns the key of an Authorization header of the Bearer scheme.
+func bearer(v string) (string, bool) {
+	const scheme = "bearer"
+	v = strings.TrimLeft(v, " \t")
+	if len(v) < len(scheme) || !strings.EqualFold(v[:len(scheme)], scheme) {
+		return "", false
+	}
+	rest := v[len(scheme):]
+	if rest != "" && rest[0] != ' ' && rest[0] != '\t' {
+		return "", false
+	}
+	return strings.TrimSpace(rest), true
+}
+
+// cookies returns the Cookie headers without the key.
+func (f *found) cookies(lines []string) []string {
+	for _, line := range lines {
+		if strings.Contains(line, keyName) {
+			return f.filterCookies(lines)
+		}
+	}
+	return lines
+}
+
+func (f *found) filterCookies(lines []string) []string {
+	var kept []string
+	for _, line := range lines {
+		var parts []string
+		for part := range strings.SplitSeq(line, ";") {
+			name, value, _ := strings.Cut(part, "=")
+			if strings.TrimSpace(name) == keyName {
+				f.add(strings.Trim(strings.TrimSpace(value), `"`))
+				continue
+			}
+			parts = append(parts, part)
+		}
+		if rest := strings.TrimSpace(strings.Join(parts, ";")); rest != "" {
+			kept = append(kept, rest)
+		}
+	}
+	return kept
+}
+
+// query returns the raw query without the key. Semicolons count as separators
+// too, because some upstreams take them for such.
+func (f *found) query(raw string) (string, bool) {
+	if !strings.Contains(raw, "key") && !strings.Contains(raw, "%") {
+		return raw, true
+	}
+	var b strings.Builder
+	sep := ""
+	for raw != "" {
+		part, next := raw, ""
+		if i := strings.IndexAny(raw, "&;"); i >= 0 {
+			part, next = raw[:i], raw[i:i+1]
+		}
+		raw = raw[len(part)+len(next):]
+		name, value, _ := strings.Cut(part, "=")
+		name, err := url.QueryUnescape(name)
+		if err != nil {
+			return "", false
+		}
+		if name == keyName {
+			key, err := url.QueryUnescape(value)
+			if err != nil {
+				return "", false
+			}
+			f.add(key)
+			continue
+		}
+		b.WriteString(sep)
+		b.WriteString(part)
+		sep = next
+	}
+	return b.String(), true
+}
+
+// hasher computes keyed hashes without allocating.
+type hasher struct {
+	pool sync.Pool
+}
+
+type keyed struct {
+	mac hash.Hash
+	in  []byte
+	out corianderwing.KeyHash
+}
+
+func newHasher(secret []byte) *hasher {
+	secret = append([]byte(nil), secret...)
+	h := &hasher{}
+	h.pool.New = func() any { return &keyed{mac: hmac.New(sha256.New, secret)} }
+	return h
+}
+
+// hash returns the same as corianderwing.HashKey.
+func (h *hasher) hash(key string) corianderwing.KeyHash {
+	k := h.pool.Get().(*keyed)
+	k.mac.Reset()
+	k.in = append(k.in[:0], key...)
+	k.mac.Write(k.in)
+	k.mac.Sum(k.out[:0])
+	out := k.out
+	clear(k.in)
+	h.pool.Put(k)
+	return out
+}
--- /dev/null
+++ b/io/entry/local.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/retry"
+	"corianderwing/core/route"
+)
+
+func isEOF(err error) bool { return errors.Is(err, io.EOF) }
+
+// local runs a request at an upstream of a pool that this instance owns, with
+// retries at other upstreams.
+func (s *Server) local(ctx context.Context, j *job) (*reply, *corianderwing.Error) {
+	p := s.pool(j.pool)
+	s.earn(j)
+	for {
+		start := time.Now()
+		up, e := p.acquire(ctx, j)
+		if e != nil {
+			return nil, e
+		}
+		rep, e := s.attempt(ctx, p, up, j, time.Since(start))
+		if e == nil {
+			return rep, nil
+		}
+		if s.again(j, e) != retry.Upstream || !s.spend(j) {
+			return nil, e
+		}
+	}
+}
+
+// again classifies a failure of j.
+func (s *Server) again(j *job, e *corianderwing.Error) retry.Scope {
+	return retry.Classify(retry.Try{
+		Code:   e.Code,
+		Run:    e.Run,
+		Once:   j.once,
+		Left:   j.tries,
+		Until:  j.deadline,
+		Replay: j.body.replay(),
+	}, time.Now())
+}
+
+func (s *Server) earn(j *job) {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	s.budget.Earn(j.pool, j.workspace, time.Now())
+}
+
+func (s *Server) spend(j *job) bool {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	return s.budget.Spend(j.pool, j.workspace, time.Now())
+}
+
+// attempt makes one try at an upstream whose slot the request holds.
+func (s *Server) attempt(ctx context.Context, p *pool, up corianderwing.Upstream, j *job, wait time.Duration) (*reply, *corianderwing.Error) {
+	start := time.Now()
+	j.tries--
+	j.tried = append(j.tried, up.ID)
+	h := p.host(up)
+	a, e := send(ctx, call{
+		host:   h,
+		method: j.method,
+		uri:    j.uri,
+		name:   j.host,
+		header: s.upstreamHeader(j, start),
+		body:   j.body,
+		id:     j.id,
+		fresh:  j.once && !s.opt.reuse,
+		first:  firstByte(j, start),
+	})
+	first := time.Since(start)
+	if e == nil && a.StatusCode == http.StatusServiceUnavailable && a.Header.Get(hRun) == string(corianderwing.RanNo) {
+		a.discard()
+		e = corianderwing.Errorf(corianderwing.Shed, "upstream %s", up.ID)
+	}
+	s.note(j, up, e, a, wait, first)
+	if e != nil {
+		if e.Code == corianderwing.FirstByte {
+			h.reset()
+		}
+		p.release(up.ID, resultOf(e), first, first)
+		return nil, e
+	}
+	rep := &reply{answer: a}
+	rep.onEnd = func(complete bool) {
+		r := route.Good
+		switch {
+		case complete:
+		case ctx.Err() != nil:
+			r = route.Cut
+		default:
+			r = route.Bad
+		}
+		p.release(up.ID, r, first, time.Since(start))
+	}
+	return rep, nil
+}
+
+// note keeps the attempt for the record and for the comparison of versions.
+func (s *Server) note(j *job, up corianderwing.Upstream, e *corianderwing.Error, a *answer, wait, first time.Duration) {
+	code, status := corianderwing.OK, 0
+	if e != nil {
+		code = e.Code
+	} else {
+		status = a.StatusCode
+	}
+	j.attempts = append(j.attempts, corianderwing.Attempt{
+		Upstream: up.ID,
+		Version:  up.Version,
+		Owner:    s.self.ID,
+		Code:     code,
+		Wait:     corianderwing.Millis(wait.Milliseconds()),
+		First:    corianderwing.Millis(first.Milliseconds()),
+	})
+	if s.cfg.Observe == nil {
+		return
+	}
+	s.cfg.Observe(Sample{
+		At:        time.Now(),
+		Pool:      j.pool,
+		Upstream:  up.ID,
+		Version:   up.Version,
+		Workspace: j.workspace,
+		Service:   j.service,
+		Route:     j.route,
+		Code:      code,
+		Status:    status,
+		First:     first,
+	})
+}
+
+// resultOf returns what a failed attempt says about the upstream.
+func resultOf(e *corianderwing.Error) route.Result {
+	switch e.Code {
+	case corianderwing.Shed:
+		return route.Busy
+	case corianderwing.NoCapacity:
+		return route.Unused // no connection was left in the budget
+	case corianderwing.FirstByte, corianderwing.Deadline:
+		return route.Mute
+	case corianderwing.CallerGone, corianderwing.KeyRevoked, corianderwing.Stopping,
+		corianderwing.CutBody, corianderwing.BigBody:
+		return route.Cut
+	}
+	return route.Bad
+}
+
+// firstByte returns the deadline of the first byte of an attempt. While the
+// request may be tried again, an attempt gets an equal part of the time left.
+func firstByte(j *job, now time.Time) time.Time {
+	if j.once || j.tries <= 0 || !j.body.replay() || j.body.rest != nil {
+		return j.deadline
+	}
+	return now.Add(j.deadline.Sub(now) / time.Duration(j.tries+1))
+}
+
+// upstreamHeader returns the header that an upstream sees.
+func (s *Server) upstreamHeader(j *job, now time.Time) http.Header {
+	out := make(http.Header, len(j.header)+6)
+	for name, values := range j.header {
+		out[name] = values
+	}
+	out[hLeft] = []string{leftHeader(j.deadline, now)}
+	out[hRequest] = []string{string(j.id)}
+	out[hWorkspace] = []string{string(j.workspace)}
+	out[hService] = []string{string(j.service)}
+	out[hRoute] = []string{string(j.route)}
+	out[hClass] = []string{string(j.class)}
+	return out
+}
--- /dev/null
+++ b/io/entry/lookup.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"corianderwing"
+)
+
+// system serves the paths under /-/.
+func (s *Server) system(w http.ResponseWriter, r *http.Request) {
+	method := http.MethodGet
+	var f func(http.ResponseWriter, *http.Request)
+	switch r.URL.Path {
+	case "/-/lookup":
+		f = s.lookup
+	case "/-/announce":
+		f, method = s.announce, http.MethodPost
+	case "/-/health":
+		f = s.health
+	case "/-/status":
+		f = s.status
+	case "/-/metrics":
+		f = s.metrics
+	default:
+		writeError(w, corianderwing.Errorf(corianderwing.NoRoute, "%s", r.URL.Path))
+		return
+	}
+	if r.Method != method && (method != http.MethodGet || r.Method != http.MethodHead) {
+		w.Header().Set("Allow", method)
+		writeError(w, corianderwing.Errorf(corianderwing.BadMethod, "%s", r.Method))
+		return
+	}
+	f(w, r)
+}
+
+// Advice answers a lookup.
+type Advice struct {
+	Use   []Address `json:"use"`   // preferred, in this order
+	Other []Address `json:"other"` // alternates in other failure domains, in this order
+	Until string    `json:"until"` // RFC 3339; not valid from then on
+}
+
+// Address is an entry instance for callers.
+type Address struct {
+	ID     corianderwing.InstanceID `json:"id"`
+	Addr   string                   `json:"addr"`
+	Domain corianderwing.DomainID   `json:"domain"`
+}
+
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	ws := r.URL.Query().Get("workspace")
+	if ws != "" {
+		if _, _, ok := s.cfg.Guide.View(corianderwing.WorkspaceID(ws)); !ok {
+			writeError(w, corianderwing.Errorf(corianderwing.NoRoute, "workspace %q", ws))
+			return
+		}
+	}
+	a := s.advise(ws)
+	now := time.Now()
+	// Whole seconds, rounded down: the answer must not outlive what Close
+	// waits for.
+	until := now.Add(s.opt.lookup).Truncate(time.Second)
+	a.Until = until.UTC().Format(time.RFC3339)
+	age := max(0, int(until.Sub(now).Seconds()))
+	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", age))
+	writeJSON(w, a)
+}
+
+// advise lists the instances that take work. Those of the own failure domain
+// come first, ordered by a hash over workspace and instance, so that callers
+// of one workspace agree and different workspaces spread.
+func (s *Server) advise(workspace string) Advice {
+	a := Advice{Use: []Address{}, Other: []Address{}}
+	rank := make(map[corianderwing.InstanceID]uint64)
+	region := make(map[corianderwing.InstanceID]bool)
+	for _, i := range s.cfg.Fleet.Instances() {
+		if i.Phase != corianderwing.Ready || i.ID == s.self.ID && s.draining.Load() {
+			continue
+		}
+		rank[i.ID] = xxhash.Sum64String(workspace + "/" + string(i.ID))
+		region[i.ID] = i.Region == s.self.Region
+		ad := Address{ID: i.ID, Addr: i.Public, Domain: i.Domain}
+		if i.Domain == s.self.Domain {
+			a.Use = append(a.Use, ad)
+		} else {
+			a.Other = append(a.Other, ad)
+		}
+	}
+	order := func(x, y Address) int {
+		if region[x.ID] != region[y.ID] {
+			if region[x.ID] {
+				return -1
+			}
+			return 1
+		}
+		if rank[x.ID] < rank[y.ID] {
+			return -1
+		}
+		return 1
+	}
+	slices.SortFunc(a.Use, order)
+	slices.SortFunc(a.Other, order)
+	return a
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	if s.opt.token != "" && r.Header.Get(hToken) != s.opt.token {
+		writeError(w, corianderwing.Errorf(corianderwing.BadKey, "announcement without token"))
+		return
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, 4<<10))
+	if err != nil {
+		writeError(w, cutBody(err, corianderwing.RanNo))
+		return
+	}
+	var u corianderwing.Upstream
+	if err := json.Unmarshal(raw, &u); err != nil {
+		writeError(w, corianderwing.Errorf(corianderwing.BadInput, "%v", err))
+		return
+	}
+	if u.Domain == "" {
+		u.Domain = s.self.Domain
+	}
+	if e := s.checkUpstream(u); e != nil {
+		writeError(w, e)
+		return
+	}
+	if err := s.cfg.Fleet.Announce(u); err != nil {
+		writeError(w, asError(err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) checkUpstream(u corianderwing.Upstream) *corianderwing.Error {
+	bad := func(field string, v any) *corianderwing.Error {
+		return corianderwing.Errorf(corianderwing.BadInput, "field %s: %v", field, v)
+	}
+	for field, id := range map[string]string{"id": string(u.ID), "pool": string(u.Pool), "version": string(u.Version)} {
+		if !corianderwing.ValidID(id) {
+			return bad(field, id)
+		}
+	}
+	if u.Domain != s.self.Domain {
+		return bad("domain", u.Domain)
+	}
+	if _, err := netip.ParseAddrPort(u.Addr); err != nil {
+		return bad("addr", err)
+	}
+	if u.Slots <= 0 || u.Conns < 0 {
+		return bad("slots", u.Slots)
+	}
+	if u.Phase != corianderwing.Ready && u.Phase != corianderwing.Draining && u.Phase != corianderwing.Left {
+		return bad("phase", u.Phase)
+	}
+	return nil
+}
+
+// Health answers /-/health.
+type Health struct {
+	Phase corianderwing.Phase `json:"phase"`
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Health{Phase: s.phase()})
+}
+
+func (s *Server) phase() corianderwing.Phase {
+	if s.draining.Load() {
+		return corianderwing.Draining
+	}
+	return corianderwing.Ready
+}
+
+// Status answers /-/status.
+type Status struct {
+	Instance  corianderwing.InstanceID `json:"instance"`
+	Domain    corianderwing.DomainID   `json:"domain"`
+	Phase     corianderwing.Phase      `json:"phase"`
+	Active    int64                    `json:"active"`
+	Revisions []corianderwing.Revision `json:"revisions"`
+	Loads     []corianderwing.PoolLoad `json:"loads"` // of the pools that this instance owns
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	st := Status{
+		Instance: s.self.ID,
+		Domain:   s.self.Domain,
+		Phase:    s.phase(),
+		Active:   s.active.Load() - 1, // without this one
+	}
+	for _, v := range s.cfg.Guide.Views() {
+		st.Revisions = append(st.Revisions, v.Revision())
+	}
+	for id, p := range *s.pools.Load() {
+		if s.cfg.Fleet.Owns(id) {
+			st.Loads = append(st.Loads, p.load(time.Now()))
+		}
+	}
+	slices.SortFunc(st.Loads, func(a, b corianderwing.PoolLoad) int {
+		return strings.Compare(string(a.Pool), string(b.Pool))
+	})
+	writeJSON(w, st)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(s.meter.registry, w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler) // the caller must not take a part for the whole
+	}
+}
--- /dev/null
+++ b/io/entry/path.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"net/url"
+	"strings"
+	"unicode/utf8"
+
+	"corianderwing"
+)
+
+// target is a request path, taken apart.
+type target struct {
+	workspace corianderwing.WorkspaceID
+	service   corianderwing.ServiceID
+	path      string // decoded, below the service; starts with "/"
+	raw       string // as sent, below the service
+}
+
+// splitPath takes /{workspace}/{service}/{path...} apart. It accepts only
+// paths that every upstream reads alike: no empty or dot segments, and no
+// encoded slash, backslash, dot or control character, once or twice encoded.
+func splitPath(u *url.URL) (target, *corianderwing.Error) {
+	raw := u.EscapedPath()
+	if !strings.HasPrefix(raw, "/") {
+		return target{}, corianderwing.Errorf(corianderwing.BadPath, "request target must be a path")
+	}
+	if why := unclean(raw, u.Path); why != "" {
+		return target{}, corianderwing.Errorf(corianderwing.BadPath, "%s", why)
+	}
+	w, rest, _ := strings.Cut(raw[1:], "/")
+	s, _, more := strings.Cut(rest, "/")
+	if !corianderwing.ValidID(w) || !corianderwing.ValidID(s) {
+		return target{}, corianderwing.Errorf(corianderwing.BadPath, "path must start with /workspace/service")
+	}
+	t := target{workspace: corianderwing.WorkspaceID(w), service: corianderwing.ServiceID(s), path: "/", raw: "/"}
+	if more {
+		// Ids hold no escapes, so both forms have the same prefix.
+		n := 1 + len(w) + 1 + len(s)
+		t.path, t.raw = u.Path[n:], raw[n:]
+	}
+	return t, nil
+}
+
+// unclean returns what is wrong with a path, or "".
+func unclean(raw, path string) string {
+	for i := 0; i < len(path); i++ {
+		if c := path[i]; c < ' ' || c == 0x7f || c == '\\' {
+			return "path has a control character or backslash"
+		}
+	}
+	if strings.IndexByte(raw, '%') >= 0 {
+		if trick(raw, false) || trick(path, true) {
+			return "path has an encoded slash, backslash, dot or control character"
+		}
+		if !utf8.ValidString(path) {
+			return "path is not UTF-8" // such as an overlong form of a slash
+		}
+	}
+	for rest := path[1:]; rest != ""; {
+		var seg string
+		var more bool
+		seg, rest, more = strings.Cut(rest, "/")
+		if seg == "" && more {
+			return "path has an empty segment"
+		}
+		// Some servers cut path parameters off before they resolve dots.
+		seg, _, _ = strings.Cut(seg, ";")
+		if seg == "." || seg == ".." {
+			return "path has a dot segment"
+		}
+	}
+	return ""
+}
+
+// trick reports whether s has an escape that would turn into path syntax. In a
+// path that has been decoded once, an escaped percent sign is one as well.
+func trick(s string, decoded bool) bool {
+	for i := 0; i+2 < len(s); i++ {
+		if s[i] != '%' {
+			continue
+		}
+		switch strings.ToLower(s[i+1 : i+3]) {
+		case "2f", "5c", "2e", "00":
+			return true
+		case "25":
+			if decoded {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/entry/plan.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/route"
+)
+
+// plan is a snapshot of where a pool's requests can go.
+type plan struct {
+	list    []place
+	service *atomic.Int64 // smoothed time of an attempt, ns
+}
+
+// place is a failure domain with its owner of the pool.
+type place struct {
+	route.Candidate
+	owner corianderwing.Instance
+}
+
+// rankDelay is the assumed delay per rank of Fleet.Domains until a hand-over
+// has been measured.
+const rankDelay = 2 * time.Millisecond
+
+// plan returns the snapshot for a pool.
+func (s *Server) plan(id corianderwing.PoolID) *plan {
+	if p, ok := (*s.views.Load())[id]; ok {
+		return p
+	}
+	s.planMu.Lock()
+	defer s.planMu.Unlock()
+	old := *s.views.Load()
+	if p, ok := old[id]; ok {
+		return p
+	}
+	all := make(map[corianderwing.PoolID]*plan, len(old)+1)
+	for k, v := range old {
+		all[k] = v
+	}
+	all[id] = s.newPlan(id, new(atomic.Int64))
+	s.views.Store(&all)
+	return all[id]
+}
+
+func (s *Server) newPlan(id corianderwing.PoolID, service *atomic.Int64) *plan {
+	p := &plan{service: service}
+	for rank, d := range s.cfg.Fleet.Domains(id) {
+		owner, ok := s.cfg.Fleet.Owner(id, d)
+		if !ok {
+			continue
+		}
+		pl := place{owner: owner}
+		pl.Domain = d
+		pl.Own = d == s.self.Domain
+		pl.Delay = time.Duration(rank) * rankDelay
+		if h, ok := s.hosts.Load(owner.Inner); ok {
+			if ns := h.(*peer).delay.Load(); ns > 0 {
+				pl.Delay = time.Duration(ns)
+			}
+		}
+		for _, l := range owner.Loads {
+			if l.Pool == id {
+				pl.Known, pl.Slots, pl.Busy, pl.Waiting = true, l.Slots, l.Busy, l.Waiting
+			}
+		}
+		p.list = append(p.list, pl)
+	}
+	return p
+}
+
+// sync renews the snapshots of all pools, and reports the load of the own
+// ones.
+func (s *Server) sync() {
+	now := time.Now()
+	pools := *s.pools.Load()
+	loads := make([]corianderwing.PoolLoad, 0, len(pools))
+	for id, p := range pools {
+		p.sync(now)
+		p.trim()
+		if s.cfg.Fleet.Owns(id) {
+			loads = append(loads, p.load(now))
+		}
+	}
+	s.cfg.Fleet.Report(loads)
+	s.hosts.Range(func(_, h any) bool {
+		h.(*peer).trim(idleTimeout)
+		return true
+	})
+	s.planMu.Lock()
+	defer s.planMu.Unlock()
+	old := *s.views.Load()
+	all := make(map[corianderwing.PoolID]*plan, len(old))
+	for id, p := range old {
+		all[id] = s.newPlan(id, p.service)
+	}
+	s.views.Store(&all)
+}
+
+// places returns the failure domains for a request, the best one first. Those
+// whose owner just failed come last.
+func (s *Server) places(p *plan, id corianderwing.PoolID, now time.Time) []place {
+	list := make([]route.Candidate, 0, len(p.list))
+	for _, pl := range p.list {
+		c := pl.Candidate
+		if c.Own && s.cfg.Fleet.Owns(id) {
+			l := s.pool(id).load(now)
+			c.Known, c.Slots, c.Busy, c.Waiting = true, l.Slots, l.Busy, l.Waiting
+		}
+		list = append(list, c)
+	}
+	route.Order(list, time.Duration(p.service.Load()), globalRand)
+	good := make([]place, 0, len(list))
+	var bad []place
+	for _, c := range list {
+		for _, pl := range p.list {
+			if pl.Domain != c.Domain {
+				continue
+			}
+			if s.suspected(pl.owner.ID, now) {
+				bad = append(bad, pl)
+			} else {
+				good = append(good, pl)
+			}
+		}
+	}
+	return append(good, bad...)
+}
+
+// globalRand draws from the process-wide source, which is safe for concurrent
+// use.
+var globalRand = rand.New(globalSource{})
+
+type globalSource struct{}
+
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+// suspicion is the time for which other owners are preferred over one that
+// could not be reached. Membership notices a failure within 3 s.
+const suspicion = time.Second
+
+func (s *Server) suspected(id corianderwing.InstanceID, now time.Time) bool {
+	until, ok := s.suspect.Load(id)
+	return ok && now.Before(until.(time.Time))
+}
+
+// smooth moves an average towards v, by an eighth of the difference.
+func smooth(avg *atomic.Int64, v time.Duration) {
+	old := avg.Load()
+	if old == 0 {
+		avg.Store(int64(v))
+		return
+	}
+	avg.Store(old + (int64(v)-old)/8)
+}
--- /dev/null
+++ b/io/entry/pool.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/queue"
+	"corianderwing/core/route"
+)
+
+// pool is the owner's side of one pool in the own failure domain: the queue,
+// the choice of upstreams, and the connections to them.
+type pool struct {
+	s  *Server
+	id corianderwing.PoolID
+
+	mu      sync.Mutex
+	queue   *queue.Queue
+	route   *route.Pool
+	waiters map[uint64]chan grant
+	seq     uint64
+	hosts   map[corianderwing.UpstreamID]*host
+	move    corianderwing.Move
+	moving  bool
+}
+
+// grant ends the wait of a request.
+type grant struct {
+	up  corianderwing.Upstream
+	err *corianderwing.Error
+}
+
+// pool returns the state of a pool, which it creates on first use. Pools come
+// from the settings, so their number is bounded.
+func (s *Server) pool(id corianderwing.PoolID) *pool {
+	if p, ok := (*s.pools.Load())[id]; ok {
+		return p
+	}
+	s.poolMu.Lock()
+	defer s.poolMu.Unlock()
+	old := *s.pools.Load()
+	if p, ok := old[id]; ok {
+		return p
+	}
+	cfg := s.opt.route
+	cfg.Broken = s.meter.broken
+	p := &pool{
+		s:       s,
+		id:      id,
+		queue:   queue.New(s.opt.queue),
+		route:   route.New(cfg, rand.New(rand.NewPCG(s.opt.seed, uint64(len(old))))),
+		waiters: make(map[uint64]chan grant),
+		hosts:   make(map[corianderwing.UpstreamID]*host),
+	}
+	p.sync(time.Now())
+	all := make(map[corianderwing.PoolID]*pool, len(old)+1)
+	for k, v := range old {
+		all[k] = v
+	}
+	all[id] = p
+	s.pools.Store(&all)
+	return p
+}
+
+// sync takes over announcements, drains and the share of a new version.
+func (p *pool) sync(now time.Time) {
+	list := p.s.cfg.Fleet.Upstreams(p.id, p.s.self.Domain)
+	views := p.s.cfg.Guide.Views()
+	drained := func(u corianderwing.UpstreamID) bool {
+		for _, v := range views {
+			if v.Drained(u) {
+				return true
+			}
+		}
+		return false
+	}
+	shift, move, moving := p.s.shift(p.id, views, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.move, p.moving = move, moving
+	p.route.SetShift(shift)
+	p.route.Sync(list, drained, now)
+	for id := range p.hosts {
+		if !p.route.Known(id) {
+			delete(p.hosts, id)
+		}
+	}
+	p.pump(now)
+}
+
+// shift returns the share of the new version of a pool's latest move.
+func (s *Server) shift(id corianderwing.PoolID, views []corianderwing.View, now time.Time) (route.Shift, corianderwing.Move, bool) {
+	var last corianderwing.Move
+	for _, v := range views {
+		if m, ok := v.Move(id); ok && (last.ID == "" || m.Start.After(last.Start)) {
+			last = m
+		}
+	}
+	if last.ID == "" {
+		return route.Shift{}, last, false
+	}
+	sh := route.Shift{To: last.To}
+	switch {
+	case last.Outcome == corianderwing.Done:
+		sh.Share = 1
+	case last.Outcome == corianderwing.RolledBack:
+		sh.Share = 0
+	case s.cfg.Shift != nil:
+		sh.Share = s.cfg.Shift(last, now)
+	default:
+		sh.Share = 0.01
+	}
+	return sh, last, last.Outcome == corianderwing.Moving
+}
+
+// acquire waits for a slot of an upstream. Nothing has been sent when it
+// fails.
+func (p *pool) acquire(ctx context.Context, j *job) (corianderwing.Upstream, *corianderwing.Error) {
+	now := time.Now()
+	if !p.s.cfg.Fleet.Owns(p.id) {
+		return corianderwing.Upstream{}, corianderwing.Errorf(corianderwing.NotOwner, "pool %s", p.id)
+	}
+	p.mu.Lock()
+	if !p.route.Any(now) {
+		p.mu.Unlock()
+		p.sync(now)
+		p.mu.Lock()
+		if !p.route.Any(now) {
+			p.mu.Unlock()
+			return corianderwing.Upstream{}, corianderwing.Errorf(corianderwing.NoUpstream, "pool %s in %s", p.id, p.s.self.Domain)
+		}
+	}
+	if p.queue.Len() == 0 {
+		if up, ok := p.route.Pick(j.triedIDs(), now); ok {
+			p.mu.Unlock()
+			return up, nil
+		}
+	}
+	id, ch := p.enqueue(j, now)
+	p.mu.Unlock()
+	select {
+	case g := <-ch:
+		return g.up, g.err
+	case <-ctx.Done():
+		return p.leave(ctx, id, ch)
+	}
+}
+
+// enqueue adds a request to the queue. The lock is held.
+func (p *pool) enqueue(j *job, now time.Time) (uint64, chan grant) {
+	p.seq++
+	ch := make(chan grant, 1)
+	p.waiters[p.seq] = ch
+	slots, _ := p.route.Load(now)
+	p.apply(p.queue.Update(queue.Event{
+		Kind:  queue.Arrive,
+		Slots: int(slots),
+		Item: queue.Item{
+			ID:        p.seq,
+			Workspace: j.workspace,
+			Class:     j.class,
+			Deadline:  j.deadline,
+			Until:     j.wait.After(now),
+		},
+	}, now), now)
+	return p.seq, ch
+}
+
+// leave ends the wait of a request whose context ended.
+func (p *pool) leave(ctx context.Context, id uint64, ch chan grant) (corianderwing.Upstream, *corianderwing.Error) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.Update(queue.Event{Kind: queue.Leave, Item: queue.Item{ID: id}}, now)
+	delete(p.waiters, id)
+	select {
+	case g := <-ch:
+		if g.err == nil {
+			p.route.Done(g.up.ID, route.Unused, 0, now)
+			p.pump(now)
+		}
+	default:
+	}
+	return corianderwing.Upstream{}, ended(ctx, corianderwing.RanNo)
+}
+
+// apply carries out what the queue decided. The lock is held.
+func (p *pool) apply(list []queue.Effect, now time.Time) {
+	for _, e := range list {
+		ch, ok := p.waiters[e.ID]
+		if !ok {
+			continue
+		}
+		delete(p.waiters, e.ID)
+		if e.Code != corianderwing.OK {
+			ch <- grant{err: corianderwing.Errorf(e.Code, "pool %s has %d waiting", p.id, p.queue.Len())}
+			continue
+		}
+		up, ok := p.route.Pick(nil, now)
+		if !ok {
+			p.s.meter.broken("queue started a request without a free slot")
+			ch <- grant{err: corianderwing.Errorf(corianderwing.NoCapacity, "pool %s", p.id)}
+			continue
+		}
+		ch <- grant{up: up}
+	}
+}
+
+// pump starts waiting requests while slots are free. The lock is held.
+func (p *pool) pump(now time.Time) {
+	for p.queue.Len() > 0 && p.route.Free(now) {
+		p.apply(p.queue.Update(queue.Event{Kind: queue.Room, Free: 1}, now), now)
+	}
+}
+
+// tick refuses requests that waited too long. When this instance stops owning
+// the pool, it refuses all, and closes the idle connections for the new owner.
+func (p *pool) tick(now time.Time) {
+	owns := p.s.cfg.Fleet.Owns(p.id)
+	p.mu.Lock()
+	if owns {
+		p.apply(p.queue.Update(queue.Event{Kind: queue.Tick}, now), now)
+		p.pump(now)
+		p.mu.Unlock()
+		return
+	}
+	for id, ch := range p.waiters {
+		p.queue.Update(queue.Event{Kind: queue.Leave, Item: queue.Item{ID: id}}, now)
+		ch <- grant{err: corianderwing.Errorf(corianderwing.NotOwner, "pool %s has another owner", p.id)}
+		delete(p.waiters, id)
+	}
+	p.mu.Unlock()
+	p.reset()
+}
+
+// reset closes the idle connections to all upstreams.
+func (p *pool) reset() { p.each(func(h *host) { h.reset() }) }
+
+// trim closes connections that have been idle for long.
+func (p *pool) trim() { p.each(func(h *host) { h.trim(idleTimeout) }) }
+
+// each calls f without the lock, which f needs to count closed connections.
+func (p *pool) each(f func(*host)) {
+	p.mu.Lock()
+	hosts := make([]*host, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		hosts = append(hosts, h)
+	}
+	p.mu.Unlock()
+	for _, h := range hosts {
+		f(h)
+	}
+}
+
+// release returns a slot.
+func (p *pool) release(id corianderwing.UpstreamID, r route.Result, first, took time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.route.Done(id, r, first, now)
+	if r == route.Good {
+		p.queue.Update(queue.Event{Kind: queue.Finish, Took: took}, now)
+	}
+	p.pump(now)
+}
+
+// host returns the connections to an upstream. An upstream that came back at
+// another address gets new ones.
+func (p *pool) host(u corianderwing.Upstream) *host {
+	p.mu.Lock()
+	h, ok := p.hosts[u.ID]
+	if ok && h.addr == u.Addr {
+		p.mu.Unlock()
+		return h
+	}
+	old := h
+	h = &host{
+		addr: u.Addr,
+		dial: p.s.opt.dial,
+		most: int(u.Slots),
+		allow: func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.route.Dial(u.ID)
+		},
+		gone: func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.route.Hangup(u.ID)
+		},
+	}
+	p.hosts[u.ID] = h
+	p.mu.Unlock()
+	if old != nil {
+		old.reset()
+	}
+	return h
+}
+
+// load returns what this owner reports to other instances.
+func (p *pool) load(now time.Time) corianderwing.PoolLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slots, busy := p.route.Load(now)
+	return corianderwing.PoolLoad{Pool: p.id, Slots: slots, Busy: busy, Waiting: p.queue.Len()}
+}
+
+// spare reports whether a request would get a slot at once, and the state of
+// the pool otherwise.
+func (p *pool) spare(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Len() == 0 && p.route.Free(now)
+}
--- /dev/null
+++ b/io/entry/running.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"corianderwing"
+)
+
+// running holds the requests in progress, so that they can be cancelled when
+// their key is revoked or the instance must stop at once.
+type running struct {
+	shards [32]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	head runner // list anchor
+}
+
+// runner is one running request, an element of its shard's list.
+type runner struct {
+	next, prev *runner
+	keyed      bool
+	hash       corianderwing.KeyHash
+	workspace  corianderwing.WorkspaceID
+	cancel     context.CancelCauseFunc
+}
+
+func newRunning() *running {
+	r := &running{}
+	for i := range r.shards {
+		h := &r.shards[i].head
+		h.next, h.prev = h, h
+	}
+	return r
+}
+
+func (r *running) shard(h corianderwing.KeyHash) *shard {
+	return &r.shards[int(h[0])%len(r.shards)]
+}
+
+func (r *running) add(keyed bool, h corianderwing.KeyHash, w corianderwing.WorkspaceID, cancel context.CancelCauseFunc) *runner {
+	e := &runner{keyed: keyed, hash: h, workspace: w, cancel: cancel}
+	s := r.shard(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.next, e.prev = s.head.next, &s.head
+	e.next.prev, s.head.next = e, e
+	return e
+}
+
+func (r *running) remove(e *runner) {
+	if e == nil {
+		return
+	}
+	s := r.shard(e.hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.next.prev, e.prev.next = e.prev, e.next
+}
+
+// check cancels the requests whose key is no longer valid. A workspace without
+// a view is left alone: that is a loss of settings, not a revocation.
+func (r *running) check(g corianderwing.Guide) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for e := s.head.next; e != &s.head; e = e.next {
+			if !e.keyed {
+				continue
+			}
+			view, _, ok := g.View(e.workspace)
+			if !ok {
+				continue
+			}
+			k, ok := view.Key(e.hash)
+			if !ok || k.Revoked || k.Workspace != e.workspace {
+				e.cancel(corianderwing.Errorf(corianderwing.KeyRevoked, "workspace %s", e.workspace))
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// stop cancels every running request.
+func (r *running) stop(cause error) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for e := s.head.next; e != &s.head; e = e.next {
+			e.cancel(cause)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/io/entry/steer.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/retry"
+)
+
+// maxHops bounds hand-overs of one request: the first entry instance hands it
+// to an owner, which never hands it on.
+const maxHops = 1
+
+// peer is another entry instance's inner listener.
+type peer struct {
+	host
+	delay atomic.Int64 // smoothed time there and back without its work, ns
+}
+
+// steer brings a request to an upstream: through the pool owner of the best
+// failure domain, and through others if it did not run there.
+func (s *Server) steer(ctx context.Context, j *job) (*reply, *corianderwing.Error) {
+	now := time.Now()
+	if s.cfg.Fleet.Owns(j.pool) && s.pool(j.pool).spare(now) {
+		rep, e := s.local(ctx, j)
+		if e == nil || s.again(j, e) == retry.Never {
+			return rep, e
+		}
+		return s.elsewhere(ctx, j, e)
+	}
+	return s.elsewhere(ctx, j, nil)
+}
+
+// elsewhere tries the failure domains in turn. If last is set, the own one has
+// been tried already and failed with it.
+func (s *Server) elsewhere(ctx context.Context, j *job, last *corianderwing.Error) (*reply, *corianderwing.Error) {
+	p := s.plan(j.pool)
+	home := last != nil
+	for _, pl := range s.places(p, j.pool, time.Now()) {
+		if last != nil {
+			if home && pl.owner.ID == s.self.ID {
+				continue
+			}
+			if !s.mayMove(j, last) {
+				return nil, last
+			}
+		}
+		start := time.Now()
+		rep, e := s.at(ctx, j, pl)
+		if e == nil {
+			smooth(p.service, time.Since(start))
+			return rep, nil
+		}
+		last = e
+		if s.again(j, e) == retry.Never {
+			return nil, e
+		}
+	}
+	if last == nil {
+		last = corianderwing.Errorf(corianderwing.NoUpstream, "pool %s has no owner in any failure domain", j.pool)
+	}
+	return nil, last
+}
+
+// mayMove takes a retry token where another try would add load: an owner that
+// is gone or has no upstreams was not loaded by the request.
+func (s *Server) mayMove(j *job, e *corianderwing.Error) bool {
+	switch e.Code {
+	case corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping:
+		return true
+	case corianderwing.ConnFail:
+		if len(j.attempts) == 0 {
+			return true
+		}
+	}
+	return s.spend(j)
+}
+
+// at runs a request in one failure domain.
+func (s *Server) at(ctx context.Context, j *job, pl place) (*reply, *corianderwing.Error) {
+	if pl.owner.ID == s.self.ID {
+		return s.local(ctx, j)
+	}
+	if j.hops >= maxHops {
+		return nil, corianderwing.Errorf(corianderwing.NotOwner, "request was handed over %d times", j.hops)
+	}
+	return s.hop(ctx, j, pl.owner)
+}
+
+// hop hands a request over to the owner of a pool.
+func (s *Server) hop(ctx context.Context, j *job, owner corianderwing.Instance) (*reply, *corianderwing.Error) {
+	start := time.Now()
+	pr := s.peer(owner.Inner)
+	first := s.hopDeadline(j, start)
+	back := time.Duration(pr.delay.Load()) + time.Millisecond
+	h := s.upstreamHeader(j, start)
+	h[hLeft] = []string{leftHeader(first.Add(-back), start)}
+	h[hPool] = []string{string(j.pool)}
+	h[hTries] = []string{strconv.Itoa(j.tries)}
+	h[hWait] = []string{strconv.FormatInt(int64(j.wait), 10)}
+	h[hHops] = []string{strconv.Itoa(j.hops + 1)}
+	h[hToken] = []string{s.token}
+	if j.once {
+		h[hOnce] = []string{"1"}
+	}
+	a, e := send(ctx, call{
+		host:   &pr.host,
+		method: j.method,
+		uri:    j.uri,
+		name:   j.host,
+		header: h,
+		body:   j.body,
+		id:     j.id,
+		fresh:  j.once && !s.opt.reuse,
+		first:  first,
+	})
+	if e != nil {
+		s.lost(pr, owner, e)
+		return nil, e
+	}
+	tried := parseTried(a.Header.Get(hTried))
+	j.attempts = append(j.attempts, tried...)
+	j.tries -= len(tried)
+	if us, err := strconv.ParseInt(a.Header.Get(hTook), 10, 64); err == nil {
+		if d := time.Since(start) - time.Duration(us)*time.Microsecond; d > 0 {
+			smooth(&pr.delay, d)
+		}
+	}
+	switch a.Header.Get(hCode) {
+	case "100":
+		return &reply{answer: a}, nil
+	case "":
+		a.discard()
+		return nil, corianderwing.Errorf(corianderwing.Crossed, "owner %s sent no result code", owner.ID)
+	}
+	return nil, refusalOf(a)
+}
+
+// hopDeadline returns when the owner must have answered. While the request may
+// go elsewhere, a quarter of the time is kept for that.
+func (s *Server) hopDeadline(j *job, now time.Time) time.Time {
+	if j.once || j.tries <= 1 || j.body.rest != nil {
+		return j.deadline
+	}
+	return now.Add(j.deadline.Sub(now) * 3 / 4)
+}
+
+// lost reacts to an owner that could not be reached or did not answer.
+func (s *Server) lost(pr *peer, owner corianderwing.Instance, e *corianderwing.Error) {
+	switch e.Code {
+	case corianderwing.FirstByte:
+		pr.reset()
+	case corianderwing.ConnFail, corianderwing.SendFail:
+	default:
+		return
+	}
+	s.suspect.Store(owner.ID, time.Now().Add(suspicion))
+}
+
+// refusalOf reads the owner's refusal.
+func refusalOf(a *answer) *corianderwing.Error {
+	defer a.discard()
+	var e corianderwing.Error
+	raw, err := io.ReadAll(io.LimitReader(a, 64<<10))
+	if err == nil {
+		err = json.Unmarshal(raw, &e)
+	}
+	if err != nil || e.Code < 200 || e.Code.Text() == "" {
+		return corianderwing.Errorf(corianderwing.ShortBody, "owner's refusal cannot be read: %v", err)
+	}
+	return &e
+}
+
+func (s *Server) peer(addr string) *peer {
+	if h, ok := s.hosts.Load(addr); ok {
+		return h.(*peer)
+	}
+	h, _ := s.hosts.LoadOrStore(addr, &peer{host: host{addr: addr, dial: s.opt.dial, most: 256}})
+	return h.(*peer)
+}
