Assemble roles into processes

Cause: the thin path needs separate processes started from one settings file. Ruled out: loading a store twice (the store refuses it); taking the number of seats from live instances (it would re-divide bounds). Before: no process.

--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -164,7 +164,7 @@
 // open starts the replica of one group. A replica whose disk holds damage is
 // wiped first: it must not vote under an identity whose history it lost.
 func (s *Server) open(ctx context.Context, id corianderwing.GroupID, voters []Voter) error {
-	st, err := s.openStore(id)
+	st, stored, err := s.openStore(id)
 	if err != nil {
 		return err
 	}
@@ -188,7 +188,7 @@
 		Logger: s.log,
 		Broken: func(detail string) { s.cfg.Broken("raft", detail) },
 	}
-	h.group, err = group.Open(cfg, st, h.machine, newSender(ctx, id, s.peer, others))
+	h.group, err = group.Open(cfg, loadedStore{st, stored}, h.machine, newSender(ctx, id, s.peer, others))
 	if err != nil {
 		return errors.Join(eris.Wrapf(err, "open group %s", id), st.Close())
 	}
@@ -199,24 +199,37 @@
 	return nil
 }
 
-func (s *Server) openStore(id corianderwing.GroupID) (*store.Store, error) {
-	dir := filepath.Join(s.cfg.Data, string(id))
-	st, err := store.OpenDir(dir)
+// openStore opens and loads the store of a group.
+func (s *Server) openStore(id corianderwing.GroupID) (*store.Store, corianderwing.Stored, error) {
+	st, err := store.OpenDir(filepath.Join(s.cfg.Data, string(id)))
 	if err != nil {
-		return nil, eris.Wrapf(err, "open store of group %s", id)
+		return nil, corianderwing.Stored{}, eris.Wrapf(err, "open store of group %s", id)
 	}
-	_, err = st.Load()
+	stored, err := st.Load()
 	var damage *store.DamageError
 	if errors.As(err, &damage) {
 		s.log.Error().Str("group", string(id)).Err(err).Msg("the log is damaged; rebuilding this replica under a new identity")
 		err = st.Wipe()
+		if err == nil {
+			stored, err = st.Load()
+		}
 	}
 	if err != nil {
-		return nil, errors.Join(eris.Wrapf(err, "load store of group %s", id), st.Close())
+		return nil, stored, errors.Join(eris.Wrapf(err, "load store of group %s", id), st.Close())
 	}
-	return st, nil
+	return st, stored, nil
+}
+
+// loadedStore is a store that has been loaded, so that its identity could be
+// read before the replica starts.
+type loadedStore struct {
+	*store.Store
+	stored corianderwing.Stored
 }
 
+// Load implements corianderwing.Store.
+func (l loadedStore) Load() (corianderwing.Stored, error) { return l.stored, nil }
+
 func idsOf(voters []Voter) []corianderwing.InstanceID {
 	ids := make([]corianderwing.InstanceID, len(voters))
 	for i, v := range voters {
@@ -305,3 +318,13 @@
 	}
 	return errors.Join(all...)
 }
+
+// Kill stops every replica without handing over anything, as a crash would.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, h := range *s.hosts.Load() {
+		h.group.Close()
+	}
+}
--- /dev/null
+++ b/io/daemon/control.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"corianderwing"
+	"corianderwing/io/ctrl"
+	"corianderwing/io/peer"
+)
+
+// control is the control role of a process.
+type control struct {
+	server *ctrl.Server
+	peers  *peer.Server
+	admin  *http.Server
+}
+
+// seedPause is the time between two looks at whether a group needs its seed.
+const seedPause = 200 * time.Millisecond
+
+func (d *Daemon) startControl() error {
+	p := d.process
+	srv, err := ctrl.NewServer(ctrl.Config{
+		Self:   p.ID,
+		Data:   p.Control.Data,
+		Groups: d.voters(),
+		Log:    d.log,
+		Broken: d.opts.broken,
+	}, d.peer)
+	if err != nil {
+		return err
+	}
+	c := &control{server: srv, peers: peer.NewServer(d.cfg.Secret)}
+	d.control = c
+	srv.Register(c.peers)
+	if err := d.servePeers(p.Control.Peer, c.peers); err != nil {
+		return err
+	}
+	d.wg.Go(func() {
+		if err := srv.Run(d.ctx); err != nil && d.ctx.Err() == nil {
+			d.fail(err)
+		}
+	})
+	if d.opts.seed {
+		for _, g := range d.cfg.Hosted(p.ID) {
+			d.wg.Go(func() { d.seedGroup(g.Name) })
+		}
+	}
+	return nil
+}
+
+// seedGroup applies the settings file's tree to a group that has none. Every
+// voter tries; the request ids are fixed, so each command applies once.
+func (d *Daemon) seedGroup(g corianderwing.GroupID) {
+	client := ctrl.NewClient(d.peer, d.voters())
+	for d.ctx.Err() == nil {
+		view, ok := d.control.server.View(g)
+		if ok && len(view.Workspaces()) > 0 {
+			return
+		}
+		if ok {
+			err := d.applySeed(client, g, view.Revision())
+			if err == nil {
+				return
+			}
+			d.log.Debug().Str("group", string(g)).Err(err).Msg("seed not applied yet")
+		}
+		pause(d.ctx, seedPause)
+	}
+}
+
+func (d *Daemon) applySeed(client *ctrl.Client, g corianderwing.GroupID, base corianderwing.Revision) error {
+	ctx, cancel := context.WithTimeout(d.ctx, 10*time.Second)
+	defer cancel()
+	for _, c := range append(d.seats(g), d.cfg.Seed(g)...) {
+		c.Base = base
+		result, err := client.Propose(ctx, g, c)
+		if err != nil {
+			return err
+		}
+		if result.Error != nil {
+			return result.Error
+		}
+		base = max(base, result.Revision)
+	}
+	return nil
+}
+
+// seats returns the command that sets the number of seats of every failure
+// domain, over which the fixed parts of bounds are divided.
+func (d *Daemon) seats(g corianderwing.GroupID) []corianderwing.Command {
+	seats := map[corianderwing.DomainID]int{}
+	for _, domain := range d.cfg.Domains {
+		seats[domain.Name] = domain.Seats
+	}
+	return []corianderwing.Command{{
+		Request:  corianderwing.RequestID("seed-" + string(g) + "-seats"),
+		Operator: "seed",
+		Kind:     corianderwing.SetNode,
+		Settings: &corianderwing.Settings{Seats: seats},
+	}}
+}
+
+func (c *control) close(ctx context.Context) error {
+	err := c.server.Close(ctx)
+	if c.admin != nil {
+		err = errors.Join(err, c.admin.Shutdown(ctx))
+	}
+	c.peers.Stop()
+	return err
+}
+
+func (c *control) kill() {
+	c.peers.Stop()
+	if c.admin != nil {
+		c.admin.Close()
+	}
+	c.server.Kill()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/daemon/entry.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"net/http"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/member"
+	"corianderwing/io/agent"
+	"corianderwing/io/ctrl"
+	"corianderwing/io/entry"
+	"corianderwing/io/fleet"
+	"corianderwing/io/peer"
+)
+
+// entryRole is the entry role of a process.
+type entryRole struct {
+	server *entry.Server
+	fleet  *fleet.Fleet
+	agent  *agent.Agent
+	peers  *peer.Server
+	public *http.Server
+	inner  *http.Server
+}
+
+// maxHeader is the largest request header that net/http reads, in bytes. It
+// is above the entry role's own limit, which answers with a result code.
+const maxHeader = 64 << 10
+
+func (d *Daemon) startEntry() error {
+	e := &entryRole{peers: peer.NewServer(d.cfg.Secret)}
+	d.entry = e
+	client := ctrl.NewClient(d.peer, d.voters())
+	incarnation := corianderwing.Incarnation(time.Now().UnixNano())
+	if err := d.startFleet(e, incarnation); err != nil {
+		return err
+	}
+	e.agent = agent.New(agent.Config{
+		Self:        d.process.ID,
+		Incarnation: incarnation,
+		Domain:      d.process.Domain,
+		Groups:      client.Groups(),
+		Control:     client,
+		Log:         d.log,
+		Neighbours:  func() []agent.Lender { return lenders(e.fleet, d.peer) },
+	})
+	peer.Handle(e.peers, borrowMethod, func(_ context.Context, r *borrowRequest) (*borrowReply, error) {
+		n, left := e.agent.Lend(r.Bound, r.Want)
+		return &borrowReply{Tokens: n, Left: left}, nil
+	})
+	d.wg.Go(func() { e.agent.Run(d.ctx) })
+	return d.startServing(e, client)
+}
+
+func (d *Daemon) startFleet(e *entryRole, incarnation corianderwing.Incarnation) error {
+	p := d.process
+	cfg := fleet.Config{Exchanger: exchanger{d.peer}}
+	cfg.Self = corianderwing.Instance{
+		ID:          p.ID,
+		Incarnation: incarnation,
+		Domain:      p.Domain,
+		Region:      d.cfg.Region(p.Domain),
+		Public:      p.Entry.Public,
+		Inner:       p.Entry.Inner,
+		Peer:        p.Entry.Peer,
+		Phase:       corianderwing.Ready,
+	}
+	cfg.Alone = d.alone()
+	cfg.Seeds = d.seeds()
+	cfg.Random = maphash.String(maphash.MakeSeed(), string(p.ID))
+	cfg.Regions = map[corianderwing.DomainID]corianderwing.RegionID{}
+	cfg.Delays = map[corianderwing.DomainID]time.Duration{}
+	for _, other := range d.cfg.Domains {
+		cfg.Regions[other.Name] = other.Region
+		if ms, ok := d.cfg.Delay(p.Domain, other.Name); ok {
+			cfg.Delays[other.Name] = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	f, err := fleet.New(cfg)
+	if err != nil {
+		return err
+	}
+	e.fleet = f
+	peer.Handle(e.peers, gossipMethod, func(_ context.Context, m *member.Gossip) (*member.Gossip, error) {
+		reply := f.Handle(*m)
+		return &reply, nil
+	})
+	if err := d.servePeers(p.Entry.Peer, e.peers); err != nil {
+		return err
+	}
+	d.wg.Go(func() { f.Run(d.ctx) })
+	return nil
+}
+
+// alone reports whether this is the only entry instance of its failure domain.
+func (d *Daemon) alone() bool {
+	n := 0
+	for _, p := range d.cfg.Processes {
+		if p.Entry != nil && p.Domain == d.process.Domain {
+			n++
+		}
+	}
+	return n == 1
+}
+
+// seeds returns the gossip addresses of the other entry instances.
+func (d *Daemon) seeds() []string {
+	var all []string
+	for _, p := range d.cfg.Processes {
+		if p.Entry != nil && p.ID != d.process.ID {
+			all = append(all, p.Entry.Peer)
+		}
+	}
+	return all
+}
+
+func (d *Daemon) startServing(e *entryRole, client *ctrl.Client) error {
+	srv, err := entry.New(entry.Config{
+		Guide:    e.agent,
+		Limiter:  e.agent,
+		Control:  client,
+		Fleet:    e.fleet,
+		Recorder: noRecorder{},
+		Secret:   d.cfg.Secret,
+		Home: func(w corianderwing.WorkspaceID) corianderwing.GroupID {
+			g, _ := e.agent.Home(w)
+			return g
+		},
+		SetPhase: e.fleet.SetPhase,
+		Metrics:  d.opts.metrics,
+	}, entry.WithLookup(d.opts.lookup))
+	if err != nil {
+		return err
+	}
+	e.server = srv
+	if e.inner, err = d.serveHTTP(d.process.Entry.Inner, srv.Inner(), maxHeader); err != nil {
+		return err
+	}
+	e.public, err = d.serveHTTP(d.process.Entry.Public, srv.Public(), maxHeader)
+	return err
+}
+
+// close leaves the lookups, finishes the running requests and only then closes
+// the listeners.
+func (e *entryRole) close(ctx context.Context) error {
+	var all []error
+	if e.server != nil {
+		all = append(all, e.server.Close(ctx))
+	}
+	for _, s := range []*http.Server{e.public, e.inner} {
+		if s != nil {
+			all = append(all, s.Shutdown(ctx))
+		}
+	}
+	e.peers.Stop()
+	return errors.Join(all...)
+}
+
+func (e *entryRole) kill() {
+	for _, s := range []*http.Server{e.public, e.inner} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	e.peers.Stop()
+	if e.server != nil {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = e.server.Close(ended) // a crash reports nothing
+	}
+}
+
+type noRecorder struct{}
+
+// Record implements corianderwing.Recorder.
+func (noRecorder) Record(corianderwing.Record) {}
