Test the tree and the state machine

Cause: replicas, followers and resent changes must agree in every order of events. Change: golden tests for inheritance and messages, rapid tests for tree and machine (seed 1), bounds tests, FuzzApply.

--- /dev/null
+++ b/core/state/bounds_test.go
@@ -0,0 +1,244 @@
+package state_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/state"
+)
+
+// one is a single replica under a clock that the test moves.
+type one struct {
+	t     *testing.T
+	m     *state.Machine
+	index corianderwing.Index
+	now   time.Time
+}
+
+func newOne(t *testing.T, options ...state.Option) *one {
+	options = append(options, state.WithReport(func(invariant, detail string) {
+		t.Errorf("invariant %q is broken: %s", invariant, detail)
+	}))
+	o := &one{t: t, m: state.New("north", options...), now: start}
+	o.ok("w", corianderwing.Command{Kind: corianderwing.SetNode, Path: corianderwing.Path{Workspace: "reef"}, Settings: &corianderwing.Settings{}})
+	return o
+}
+
+func (o *one) do(request string, c corianderwing.Command) corianderwing.Result {
+	o.t.Helper()
+	o.index++
+	c.Request, c.Now = corianderwing.RequestID(request), o.now
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	r, err := state.DecodeResult(o.m.Apply(o.index, data))
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return r
+}
+
+func (o *one) ok(request string, c corianderwing.Command) corianderwing.Result {
+	o.t.Helper()
+	r := o.do(request, c)
+	if r.Error != nil {
+		o.t.Fatalf("%s: %v", request, r.Error)
+	}
+	return r
+}
+
+func drain(u string) corianderwing.Command {
+	return corianderwing.Command{Kind: corianderwing.SetDrain, Drain: &corianderwing.Drain{Upstream: corianderwing.UpstreamID(u)}}
+}
+
+func order(kind corianderwing.Kind, key string, s corianderwing.OrderState, a *corianderwing.Answer) corianderwing.Command {
+	return corianderwing.Command{Kind: kind, Order: &corianderwing.Order{Workspace: "reef", Key: key, Holder: "h", State: s, Answer: a}}
+}
+
+// Guards against a table of applied requests that grows without bound, drops
+// young entries first, or lets orders push out operators' results.
+func TestAppliedIsBounded(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t, state.WithApplied(3))
+	for i := range 3 {
+		o.ok(fmt.Sprint("d", i), drain(fmt.Sprint("u", i)))
+	}
+	for i := range 9 {
+		o.ok(fmt.Sprint("c", i), order(corianderwing.Claim, fmt.Sprint("k", i), "", nil))
+	}
+	is.True(o.do("d0", drain("u0")).Again)
+	o.ok("d3", drain("u3"))
+	is.True(o.do("d1", drain("u1")).Again)
+	is.True(!o.do("d0", drain("u0")).Again)
+	o.now = o.now.Add(24 * time.Hour)
+	is.True(!o.do("d3", drain("u3")).Again)
+}
+
+// Guards against a reused request id that silently drops another change.
+func TestRequestOfAnotherCommand(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	o.ok("r", drain("u1"))
+	is.Equal(o.do("r", drain("u2")).Error.Code, corianderwing.BadInput)
+	is.True(!o.m.View().Drained("u2"))
+}
+
+// Guards against a claim that is given up while its order could come again,
+// and against a table that free orders fill up.
+func TestOrdersAreBounded(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t, state.WithOrders(2))
+	done := &corianderwing.Answer{Status: 201}
+	o.ok("1", order(corianderwing.Claim, "a", "", nil))
+	o.ok("2", order(corianderwing.Settle, "a", corianderwing.OrderDone, done))
+	o.ok("3", order(corianderwing.Claim, "b", "", nil))
+	is.Equal(o.do("4", order(corianderwing.Claim, "c", "", nil)).Error.Code, corianderwing.NoClaim)
+	o.ok("5", order(corianderwing.Settle, "b", corianderwing.OrderFree, nil))
+	o.ok("6", order(corianderwing.Claim, "c", "", nil))
+	o.now = o.now.Add(24*time.Hour - 1)
+	is.Equal(o.ok("7", order(corianderwing.Claim, "a", "", nil)).Order.Answer, done)
+	o.now = o.now.Add(1)
+	is.Equal(o.ok("8", order(corianderwing.Claim, "a", "", nil)).Order.State, corianderwing.OrderOpen)
+}
+
+// Guards against answers that fill the memory of every replica.
+func TestLargeAnswerIsNotStored(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	for i, extra := range []int{0, 1} {
+		key := fmt.Sprint("k", i)
+		a := &corianderwing.Answer{Status: 200, Header: map[string][]string{"X": {"y"}}, Body: make([]byte, int(corianderwing.MaxAnswer)-2+extra)}
+		o.ok(key+"c", order(corianderwing.Claim, key, "", nil))
+		r := o.ok(key+"s", order(corianderwing.Settle, key, corianderwing.OrderDone, a))
+		is.Equal(r.Order.Answer.Cut, extra > 0)
+		is.Equal(len(r.Order.Answer.Body) == 0, extra > 0)
+		is.Equal(r.Order.Answer.Status, 200)
+	}
+}
+
+// Guards against a delayed second copy of a claim that opens an order again
+// which nobody then settles.
+func TestLateClaimStaysAsAnswered(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	o.ok("r", order(corianderwing.Claim, "k", "", nil))
+	o.ok("r", order(corianderwing.Settle, "k", corianderwing.OrderFree, nil))
+	is.True(o.ok("r", order(corianderwing.Claim, "k", "", nil)).Again)
+	is.True(!o.ok("r2", order(corianderwing.Claim, "k", "", nil)).Again)
+}
+
+// Guards against a watcher that misses a change: the window must be exact at
+// its edge, and the channel must close with every change and no other time.
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t, state.WithWindow(2))
+	changed := o.m.Changed()
+	o.ok("d1", drain("u1"))
+	<-changed
+	changed = o.m.Changed()
+	o.ok("d1", drain("u1"))
+	o.ok("c", order(corianderwing.Claim, "k", "", nil))
+	select {
+	case <-changed:
+		t.Fatal("woken without a change")
+	default:
+	}
+	o.ok("d2", drain("u2"))
+	updates, ok := o.m.Updates(1)
+	is.True(ok)
+	is.Equal(len(updates), 2)
+	is.Equal(updates[0].Revision, corianderwing.Revision(2))
+	_, ok = o.m.Updates(0)
+	is.True(!ok)
+	updates, ok = o.m.Updates(9)
+	is.True(ok && len(updates) == 0)
+}
+
+// Guards against a follower that goes back, or skips a change.
+func TestUpdateOrder(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	o.ok("d1", drain("u1"))
+	updates, _ := o.m.Updates(0)
+	snapshot, err := o.m.View().Snapshot()
+	is.NoErr(err)
+	_, err = state.NewView("north").Update(updates[1])
+	is.True(errors.Is(err, state.ErrGap))
+	v, err := state.NewView("north").Update(updates[0])
+	is.NoErr(err)
+	_, err = v.Update(updates[0])
+	is.True(errors.Is(err, state.ErrOld))
+	v, err = v.Update(snapshot)
+	is.NoErr(err)
+	old, err := state.NewView("north").Snapshot()
+	is.NoErr(err)
+	_, err = v.Update(old)
+	is.True(errors.Is(err, state.ErrOld))
+	_, err = state.NewView("south").Update(snapshot)
+	is.True(err != nil)
+}
+
+// Guards against a workspace that is created again and accepts the keys of the
+// one that had its name before.
+func TestKeysGoWithTheirWorkspace(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	key := corianderwing.Key{ID: "k", Workspace: "reef", Hash: corianderwing.KeyHash{1}}
+	o.ok("a", corianderwing.Command{Kind: corianderwing.AddKey, Key: &key})
+	_, ok := o.m.View().Key(key.Hash)
+	is.True(ok)
+	path := corianderwing.Path{Workspace: "reef"}
+	o.ok("b", corianderwing.Command{Kind: corianderwing.DropNode, Base: 2, Path: path})
+	o.ok("c", corianderwing.Command{Kind: corianderwing.SetNode, Base: 3, Path: path, Settings: &corianderwing.Settings{}})
+	_, ok = o.m.View().Key(key.Hash)
+	is.True(!ok)
+}
+
+// Guards against a panic on damaged entries and snapshots, against an entry
+// that changes state without being a command, and against a result that a peer
+// cannot decode.
+func FuzzApply(f *testing.F) {
+	for _, c := range []corianderwing.Command{
+		drain("u1"),
+		order(corianderwing.Claim, "k", "", nil),
+		order(corianderwing.Settle, "k", corianderwing.OrderDone, &corianderwing.Answer{Status: 200}),
+		{Kind: corianderwing.SetNode, Settings: &corianderwing.Settings{Seats: map[corianderwing.DomainID]int{"d": 1}}},
+		{Kind: corianderwing.StartMove, Move: &corianderwing.Move{Pool: "p", From: "a", To: "b", By: start.Add(time.Hour)}},
+	} {
+		c.Request, c.Now = "r", start
+		data, err := state.EncodeCommand(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := state.New("north", state.WithReport(func(invariant, detail string) { t.Fatalf("%s: %s", invariant, detail) }))
+		r, err := state.DecodeResult(m.Apply(1, data))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := state.DecodeCommand(data); err != nil && r.Error.Code != corianderwing.BadInput {
+			t.Fatalf("no command, yet %+v", r)
+		}
+		saved, err := m.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := state.New("north")
+		if err := other.Restore(saved); err != nil {
+			t.Fatal(err)
+		}
+		if again, err := other.Save(); err != nil || !bytes.Equal(again, saved) {
+			t.Fatalf("restored state differs (%v)", err)
+		}
+		_ = state.New("north").Restore(data)
+	})
+}
--- /dev/null
+++ b/core/state/machine_test.go
@@ -0,0 +1,329 @@
+package state_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"corianderwing"
+	"corianderwing/core/state"
+)
+
+// The randomised tests give the same verdict on every run: without a seed on
+// the command line they use seed 1.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// sent is a command with the first result that it got.
+type sent struct {
+	command corianderwing.Command
+	first   corianderwing.Result
+}
+
+// rig drives two replicas and a follower with random commands. The second
+// replica is restored from snapshots of the first at random moments.
+type rig struct {
+	a, b   *state.Machine
+	follow *state.View
+	index  corianderwing.Index
+	now    time.Time
+	next   int
+	sent   []sent
+	runs   map[string]int                  // how often the model ran each order
+	doers  map[string]corianderwing.Result // result of each settlement as done
+	open   []corianderwing.Order           // claims that the model holds
+}
+
+func newMachine(t *rapid.T) *state.Machine {
+	return state.New("north", state.WithWindow(6), state.WithReport(func(invariant, detail string) {
+		t.Fatalf("invariant %q is broken: %s", invariant, detail)
+	}))
+}
+
+func newRig(t *rapid.T) *rig {
+	return &rig{
+		a:      newMachine(t),
+		b:      newMachine(t),
+		follow: state.NewView("north"),
+		now:    start,
+		runs:   map[string]int{},
+		doers:  map[string]corianderwing.Result{},
+	}
+}
+
+// do applies a new command to both replicas.
+func (g *rig) do(t *rapid.T, c corianderwing.Command) corianderwing.Result {
+	g.next++
+	c.Request = corianderwing.RequestID(fmt.Sprintf("r%d", g.next))
+	r := g.apply(t, c)
+	if r.Again {
+		t.Fatalf("new request %s is answered as if sent before", c.Request)
+	}
+	g.sent = append(g.sent, sent{c, r})
+	return r
+}
+
+func (g *rig) apply(t *rapid.T, c corianderwing.Command) corianderwing.Result {
+	g.index++
+	g.now = g.now.Add(time.Duration(rapid.IntRange(-1, 3).Draw(t, "pass")) * time.Second)
+	c.Now = g.now
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := g.a.View().Revision()
+	out := g.a.Apply(g.index, data)
+	if other := g.b.Apply(g.index, data); !bytes.Equal(out, other) {
+		t.Fatalf("replicas answer differently: %x and %x", out, other)
+	}
+	if after := g.a.View().Revision(); after < before || after > before+1 {
+		t.Fatalf("revision went from %d to %d", before, after)
+	}
+	r, err := state.DecodeResult(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// resend guards against a change that is applied twice after a lost answer.
+func (g *rig) resend(t *rapid.T) {
+	if len(g.sent) == 0 {
+		t.Skip("nothing sent yet")
+	}
+	s := rapid.SampledFrom(g.sent).Draw(t, "resend")
+	before := g.a.View().Revision()
+	r := g.apply(t, s.command)
+	if !r.Again || g.a.View().Revision() != before {
+		t.Fatalf("request %s was applied again at revision %d: %+v", s.command.Request, before, r)
+	}
+	r.Again = false
+	if !reflect.DeepEqual(r, s.first) {
+		t.Fatalf("request %s got %+v first and %+v when sent again", s.command.Request, s.first, r)
+	}
+}
+
+// sameBase guards against two operators who both succeed from one revision.
+func (g *rig) sameBase(t *rapid.T) {
+	base := g.a.View().Revision()
+	wins := 0
+	for range 2 {
+		c := treeChange(t)
+		c.Base = base
+		r := g.do(t, c)
+		if r.Error == nil {
+			wins++
+		} else if wins == 1 && (r.Error.Code != corianderwing.Conflict || r.Error.At != base+1) {
+			t.Fatalf("the second of two changes from revision %d got %v", base, r.Error)
+		}
+	}
+	if wins > 1 {
+		t.Fatalf("%d changes from revision %d succeeded", wins, base)
+	}
+}
+
+func (g *rig) change(t *rapid.T) {
+	c := treeChange(t)
+	if rapid.Bool().Draw(t, "other") {
+		c = otherChange(t)
+	}
+	c.Base = g.a.View().Revision()
+	g.do(t, c)
+}
+
+var (
+	workspaces = rapid.SampledFrom([]corianderwing.WorkspaceID{"reef", "lagoon"})
+	upstreams  = rapid.SampledFrom([]corianderwing.UpstreamID{"u1", "u2"})
+	instances  = rapid.SampledFrom([]corianderwing.InstanceID{"i1", "i2", "i3", "i4"})
+	domains    = rapid.SampledFrom([]corianderwing.DomainID{"d1", "d2"})
+	small      = rapid.IntRange(1, 3)
+)
+
+func treeChange(t *rapid.T) corianderwing.Command {
+	p := corianderwing.Path{Workspace: workspaces.Draw(t, "workspace")}
+	if rapid.Bool().Draw(t, "deep") {
+		p.Service = "order-desk"
+	}
+	switch rapid.IntRange(0, 6).Draw(t, "tree change") {
+	case 0:
+		return corianderwing.Command{Kind: corianderwing.DropNode, Path: p}
+	case 1:
+		by := start.Add(time.Hour)
+		m := corianderwing.Move{Pool: "order-desk", From: "v1", To: "v2", By: by}
+		return corianderwing.Command{Kind: corianderwing.StartMove, Move: &m}
+	case 2:
+		seats := map[corianderwing.DomainID]int{"d1": small.Draw(t, "seats"), "d2": 2}
+		return corianderwing.Command{Kind: corianderwing.SetNode, Settings: &corianderwing.Settings{Seats: seats}}
+	}
+	slow := corianderwing.Millis(small.Draw(t, "slow"))
+	return corianderwing.Command{Kind: corianderwing.SetNode, Path: p, Settings: &corianderwing.Settings{Slow: &slow}}
+}
+
+func otherChange(t *rapid.T) corianderwing.Command {
+	kinds := []corianderwing.Kind{corianderwing.AddKey, corianderwing.RevokeKey, corianderwing.SetDrain, corianderwing.EndDrain, corianderwing.EndMove}
+	c := corianderwing.Command{Kind: rapid.SampledFrom(kinds).Draw(t, "kind")}
+	switch c.Kind {
+	case corianderwing.AddKey, corianderwing.RevokeKey:
+		id := small.Draw(t, "key")
+		c.Key = &corianderwing.Key{ID: corianderwing.KeyID(fmt.Sprint("k", id)), Workspace: workspaces.Draw(t, "workspace")}
+		c.Key.Hash[0], c.Key.Hash[1] = byte(id), byte(len(c.Key.Workspace))
+	case corianderwing.SetDrain, corianderwing.EndDrain:
+		c.Drain = &corianderwing.Drain{Upstream: upstreams.Draw(t, "upstream")}
+	default:
+		c.Move = &corianderwing.Move{Pool: "order-desk", ID: corianderwing.RequestID(fmt.Sprint("r", small.Draw(t, "move"))), Outcome: corianderwing.Done}
+	}
+	return c
+}
+
+// seat guards against an instance that gets another seat than it has, or the
+// seat of another instance.
+func (g *rig) seat(t *rapid.T) {
+	s := corianderwing.Seat{Domain: domains.Draw(t, "domain"), Instance: instances.Draw(t, "instance")}
+	if rapid.IntRange(0, 3).Draw(t, "leave") == 0 {
+		g.do(t, corianderwing.Command{Kind: corianderwing.LeaveSeat, Seat: &s})
+		return
+	}
+	has, had := g.a.View().Seat(s.Instance)
+	r := g.do(t, corianderwing.Command{Kind: corianderwing.TakeSeat, Seat: &s})
+	if had && has.Domain == s.Domain && (r.Error != nil || *r.Seat != has) {
+		t.Fatalf("instance %s had seat %+v and got %+v", s.Instance, has, r)
+	}
+	for _, other := range g.a.View().Seats() {
+		if r.Seat != nil && other.Instance != s.Instance && other.Domain == r.Seat.Domain && other.Index == r.Seat.Index {
+			t.Fatalf("instances %s and %s have seat %+v", other.Instance, s.Instance, r.Seat)
+		}
+	}
+}
+
+// claim guards against an order that two requests run, and against a done
+// order that is not answered with its first answer.
+func (g *rig) claim(t *rapid.T) {
+	o := corianderwing.Order{
+		Workspace: workspaces.Draw(t, "workspace"),
+		Key:       fmt.Sprint("key", small.Draw(t, "order")),
+		Print:     uint64(rapid.IntRange(1, 8).Draw(t, "print")) / 8,
+		Holder:    corianderwing.RequestID(fmt.Sprint("h", g.next)),
+	}
+	r := g.do(t, corianderwing.Command{Kind: corianderwing.Claim, Order: &o})
+	id := fmt.Sprint(o.Workspace, "/", o.Key)
+	switch {
+	case r.Error != nil:
+	case r.Order.State == corianderwing.OrderDone:
+		if first := g.doers[id].Order; !reflect.DeepEqual(first, r.Order) {
+			t.Fatalf("order %s is done with %+v and answered with %+v", id, first, r.Order)
+		}
+	case r.Order.Holder == o.Holder:
+		g.open = append(g.open, *r.Order)
+	}
+}
+
+// settle ends one of the model's claims, as done or as not run. A claim that
+// is settled as done has run.
+func (g *rig) settle(t *rapid.T) {
+	if len(g.open) == 0 {
+		t.Skip("no claim is held")
+	}
+	i := rapid.IntRange(0, len(g.open)-1).Draw(t, "claim")
+	o := g.open[i]
+	g.open = append(g.open[:i:i], g.open[i+1:]...)
+	id := fmt.Sprint(o.Workspace, "/", o.Key)
+	o.State = corianderwing.OrderFree
+	if rapid.Bool().Draw(t, "done") {
+		o.State = corianderwing.OrderDone
+		o.Answer = &corianderwing.Answer{Status: 200, Body: []byte(o.Holder), Header: map[string][]string{"B": {"2"}, "A": {"1"}}}
+		g.runs[id]++
+	}
+	r := g.do(t, corianderwing.Command{Kind: corianderwing.Settle, Order: &o})
+	if r.Error != nil {
+		t.Fatalf("settling a held claim: %v", r.Error)
+	}
+	if o.State == corianderwing.OrderDone {
+		g.doers[id] = r
+	}
+	if g.runs[id] > 1 {
+		t.Fatalf("order %s ran %d times", id, g.runs[id])
+	}
+	stranger := o
+	stranger.Holder = "stranger"
+	if r := g.do(t, corianderwing.Command{Kind: corianderwing.Settle, Order: &stranger}); r.Error == nil {
+		t.Fatalf("a stranger settled order %s", id)
+	}
+}
+
+// catchUp guards against a follower that differs from the replica, whether it
+// came there by changes or by a snapshot.
+func (g *rig) catchUp(t *rapid.T) {
+	updates, ok := g.a.Updates(g.follow.Revision())
+	if !ok {
+		u, err := g.a.View().Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		updates = []corianderwing.Update{u}
+	}
+	for _, u := range updates {
+		next, err := g.follow.Update(u)
+		if err != nil {
+			t.Fatalf("update to revision %d: %v", u.Revision, err)
+		}
+		g.follow = next
+	}
+	want, err := g.a.View().Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := g.follow.Snapshot(); err != nil || !bytes.Equal(got.Snapshot, want.Snapshot) {
+		t.Fatalf("the follower at revision %d differs from the replica (%v)", g.follow.Revision(), err)
+	}
+}
+
+// restore guards against state that a snapshot loses.
+func (g *rig) restore(t *rapid.T) {
+	data, err := g.a.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.b = newMachine(t)
+	if err := g.b.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (g *rig) check(t *rapid.T) {
+	a, errA := g.a.Save()
+	b, errB := g.b.Save()
+	if errA != nil || errB != nil || !bytes.Equal(a, b) {
+		t.Fatalf("replicas differ after entry %d (%v, %v)", g.index, errA, errB)
+	}
+}
+
+// Each action says which failure it guards against.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRig(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":         g.check,
+			"change":   g.change,
+			"samebase": g.sameBase,
+			"resend":   g.resend,
+			"seat":     g.seat,
+			"claim":    g.claim,
+			"settle":   g.settle,
+			"catchup":  g.catchUp,
+			"restore":  g.restore,
+		})
+	})
+}
--- a/core/tree/check.go
+++ b/core/tree/check.go
@@ -68,10 +68,14 @@
 	c.problems = append(c.problems, Problem{Field: field, Got: text, Allowed: allowed})
 }
 
+func (c *checker) misplaced(field string, p corianderwing.Path, allowed string) {
+	c.problems = append(c.problems, Problem{Field: field, Got: "set on " + p.String(), Allowed: allowed})
+}
+
 func check(p corianderwing.Path, s *corianderwing.Settings) []Problem {
 	c := &checker{problems: checkPath(p)}
 	if s == nil {
-		c.add("settings", "missing", "an object")
+		c.problems = append(c.problems, Problem{Field: "settings", Got: "missing", Allowed: "an object"})
 		return c.problems
 	}
 	c.bounds(p, s)
@@ -100,13 +104,13 @@
 	above := level(p) <= workspaceLevel
 	const place = "only on the root or a workspace"
 	if !above && s.Rate != nil {
-		c.add("rate", "set on "+p.String(), place)
+		c.misplaced("rate", p, place)
 	}
 	if !above && s.Burst != nil {
-		c.add("burst", "set on "+p.String(), place)
+		c.misplaced("burst", p, place)
 	}
 	if !above && s.Fixed != nil {
-		c.add("fixed", "set on "+p.String(), place)
+		c.misplaced("fixed", p, place)
 	}
 	// Written so that NaN, which CBOR can carry, fails every test.
 	if r := s.Rate; r != nil && !(*r > 0 && *r <= maxRate) {
@@ -152,10 +156,10 @@
 	const place = "only on a route"
 	onRoute := level(p) == routeLevel
 	if !onRoute && s.Prefix != nil {
-		c.add("prefix", "set on "+p.String(), place)
+		c.misplaced("prefix", p, place)
 	}
 	if !onRoute && len(s.Methods) > 0 {
-		c.add("methods", "set on "+p.String(), place)
+		c.misplaced("methods", p, place)
 	}
 	if s.Prefix != nil && !cleanPrefix(*s.Prefix) {
 		c.add("prefix", *s.Prefix, fmt.Sprintf("a clean path of at most %d bytes that starts with / and does not end with one", maxPrefix))
@@ -185,7 +189,7 @@
 
 func (c *checker) seats(p corianderwing.Path, s *corianderwing.Settings) {
 	if level(p) != rootLevel && len(s.Seats) > 0 {
-		c.add("seats", "set on "+p.String(), "only on the root")
+		c.misplaced("seats", p, "only on the root")
 	}
 	if len(s.Seats) > maxDomains {
 		c.add("seats", len(s.Seats), fmt.Sprintf("at most %d failure domains", maxDomains))
--- /dev/null
+++ b/core/tree/tree_test.go
@@ -0,0 +1,265 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"corianderwing"
+)
+
+// The randomised tests give the same verdict on every run: without a seed on
+// the command line they use seed 1.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+func at(s string) corianderwing.Path {
+	p, err := ParsePath(s)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// settings decodes JSON, in which the tests write settings.
+func settings(t testing.TB, text string) *corianderwing.Settings {
+	t.Helper()
+	var s corianderwing.Settings
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		t.Fatal(err)
+	}
+	return &s
+}
+
+func grow(t testing.TB, steps [][2]string) *Tree {
+	t.Helper()
+	tr := New()
+	for _, step := range steps {
+		next, err := tr.Set(at(step[0]), settings(t, step[1]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr = next
+	}
+	return tr
+}
+
+var sample = [][2]string{
+	{"/", `{"slow": 300, "fixed": 0.25, "seats": {"th-north-1": 2, "th-north-2": 3}}`},
+	{"reef", `{"rate": 50, "burst": 80}`},
+	{"reef/order-desk", `{"wait": 100, "tries": 1}`},
+	{"reef/order-desk/place", `{"once": true, "prefix": "/orders", "methods": ["POST"]}`},
+	{"reef/order-desk/read", `{"slow": 900}`},
+	{"reef/loom-files", `{"pool": "looms", "class": "urgent"}`},
+	{"reef/loom-files/stitch", `{"prefix": "/stitch/urgent", "timeout": 150}`},
+	{"reef/loom-files/bulk", `{"class": "bulk", "open": true}`},
+	{"lagoon", `{"pool": "shared"}`},
+	{"lagoon/motif-catalogue", `{}`},
+}
+
+// Guards against a field that a child does not inherit, or that a sibling
+// leaks into.
+func TestInheritance(t *testing.T) {
+	tr := grow(t, sample)
+	var out bytes.Buffer
+	for _, n := range tr.Nodes() {
+		e, ok := tr.Effective(n.Path)
+		if !ok {
+			t.Fatalf("node %s has no effective settings", n.Path)
+		}
+		line, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%s\n\t%s\n", n.Path, line)
+	}
+	goldie.New(t).Assert(t, "inheritance", out.Bytes())
+}
+
+// Guards against a message that hides a second problem, or that does not name
+// the field and what is allowed.
+func TestMessages(t *testing.T) {
+	steps := [][2]string{
+		{"reef", `{"rate": 0, "burst": 0, "fixed": 1.5, "timeout": 0, "wait": 600001, "slow": -1}`},
+		{"reef", `{"class": "fast", "tries": 6, "body": -1, "pool": "A", "prefix": "/", "methods": ["GET"], "seats": {"a": 1}}`},
+		{"reef/order-desk", `{"rate": 1, "burst": 1, "fixed": 1}`},
+		{"reef/order-desk/x", `{"prefix": "orders", "methods": ["GET", "get", "GET"]}`},
+		{"reef/order-desk/x", `{"prefix": "/a/../b"}`},
+		{"reef/order-desk/x", `{"prefix": "/a/"}`},
+		{"reef/order-desk/x", `{"prefix": "/a%20b"}`},
+		{"reef/order-desk/x", `{"prefix": "/orders", "tries": 0}`},
+		{"reef/none/x", `{}`},
+		{"none/order-desk", `{}`},
+		{"/", `{"seats": {"A b": 300, "c": -1}}`},
+	}
+	tr := grow(t, sample)
+	var out bytes.Buffer
+	for _, step := range steps {
+		_, err := tr.Set(at(step[0]), settings(t, step[1]))
+		fmt.Fprintf(&out, "%s %s\n\t%v\n", step[0], step[1], err)
+	}
+	_, err := tr.Set(corianderwing.Path{Service: "s", Route: "R"}, nil)
+	fmt.Fprintf(&out, "gap in the path, no settings\n\t%v\n", err)
+	for _, p := range []string{"/", "none", "reef/none"} {
+		_, err := tr.Drop(at(p))
+		fmt.Fprintf(&out, "drop %s\n\t%v\n", p, err)
+	}
+	for _, p := range []string{"a/b/c/d", "a//b", "/a", "A"} {
+		_, err := ParsePath(p)
+		fmt.Fprintf(&out, "parse %s\n\t%v\n", p, err)
+	}
+	goldie.New(t).Assert(t, "messages", out.Bytes())
+}
+
+// Guards against numbers that CBOR can carry and JSON cannot.
+func TestNotANumber(t *testing.T) {
+	is := is.New(t)
+	for _, f := range []float64{math.NaN(), math.Inf(1), math.Inf(-1)} {
+		rate := corianderwing.TokensPerSecond(f)
+		is.True(Check(at("reef"), &corianderwing.Settings{Rate: &rate}) != nil)
+		is.True(Check(at("reef"), &corianderwing.Settings{Fixed: &f}) != nil)
+	}
+}
+
+// Guards against a caller that changes settings after it handed them over.
+func TestSettingsAreCopied(t *testing.T) {
+	is := is.New(t)
+	s := settings(t, `{"rate": 5, "methods": ["GET"], "seats": {"a": 1}}`)
+	root, err := New().Set(at("/"), settings(t, `{"seats": {"a": 1}}`))
+	is.NoErr(err)
+	s.Methods, s.Seats = nil, nil
+	tr, err := root.Set(at("reef"), s)
+	is.NoErr(err)
+	*s.Rate = 9
+	got, _ := tr.Node(at("/"))
+	got.Seats["a"] = 7
+	e, _ := tr.Effective(at("reef"))
+	is.Equal(e.Rate, corianderwing.TokensPerSecond(5))
+	is.Equal(tr.Seats("a"), 1)
+}
+
+// longest is the plain statement of Route: of all routes whose prefix matches
+// whole segments of the path, the one with the longest prefix.
+func longest(tr *Tree, w, s, path string) *corianderwing.Effective {
+	var best *corianderwing.Effective
+	service := corianderwing.Path{Workspace: corianderwing.WorkspaceID(w), Service: corianderwing.ServiceID(s)}
+	for _, r := range tr.Below(service) {
+		e, _ := tr.Effective(child(service, r))
+		hit := e.Prefix == "/" || path == e.Prefix || strings.HasPrefix(path, e.Prefix+"/")
+		if hit && (best == nil || len(e.Prefix) > len(best.Prefix)) {
+			best = e
+		}
+	}
+	return best
+}
+
+var (
+	segment = rapid.StringMatching(`[ab]{1,2}`)
+	prefix  = rapid.Custom(func(t *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(segment, 0, 3).Draw(t, "segments"), "/")
+	})
+	anyPath = rapid.Custom(func(t *rapid.T) corianderwing.Path {
+		all := []string{"/", "a", "b", "a/s", "a/u", "b/s", "a/s/1", "a/s/2", "a/s/3", "a/u/1", "b/s/1"}
+		return at(rapid.SampledFrom(all).Draw(t, "path"))
+	})
+)
+
+func draw(t *rapid.T, p corianderwing.Path) *corianderwing.Settings {
+	s := &corianderwing.Settings{}
+	if rapid.Bool().Draw(t, "slow?") {
+		m := corianderwing.Millis(rapid.IntRange(1, 9).Draw(t, "slow"))
+		s.Slow = &m
+	}
+	if level(p) == routeLevel {
+		pre := prefix.Draw(t, "prefix")
+		s.Prefix = &pre
+	}
+	return s
+}
+
+// Guards against a changed old tree (copy on write), an effective value that
+// differs from one computed from nothing (Load), and a route lookup that
+// differs from its plain statement.
+func TestTreeIsPersistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := New()
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			before := dump(t, tr)
+			p := anyPath.Draw(t, "at")
+			var next *Tree
+			var err error
+			if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
+				next, err = tr.Drop(p)
+			} else {
+				next, err = tr.Set(p, draw(t, p))
+			}
+			if after := dump(t, tr); after != before {
+				t.Fatalf("the old tree changed:\n%s\n%s", before, after)
+			}
+			if err == nil {
+				tr = next
+			}
+			fresh, err := Load(tr.Nodes())
+			if err != nil {
+				t.Fatalf("loading %s: %v", dump(t, tr), err)
+			}
+			if dump(t, fresh) != dump(t, tr) {
+				t.Fatalf("loaded and changed trees differ:\n%s\n%s", dump(t, fresh), dump(t, tr))
+			}
+			path := prefix.Draw(t, "lookup")
+			got, _ := tr.Route("a", "s", path)
+			if want := longest(tr, "a", "s", path); got != want {
+				t.Fatalf("route of %s: got %+v, want %+v", path, got, want)
+			}
+		}
+	})
+}
+
+func dump(t *rapid.T, tr *Tree) string {
+	var out strings.Builder
+	for _, n := range tr.Nodes() {
+		e, _ := tr.Effective(n.Path)
+		line, err := json.Marshal([]any{n, e})
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.Write(line)
+		out.WriteByte('\n')
+	}
+	return out.String()
+}
+
+// Guards against garbage on the request path.
+func TestRouteDoesNotAllocate(t *testing.T) {
+	tr := grow(t, sample)
+	n := testing.AllocsPerRun(100, func() {
+		if _, ok := tr.Route("reef", "loom-files", "/stitch/urgent/17/a"); !ok {
+			t.Fatal("no route")
+		}
+	})
+	if n != 0 {
+		t.Fatalf("Route allocates %v times", n)
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	tr := grow(b, sample)
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Route("reef", "loom-files", "/stitch/urgent/17/a")
+	}
+}
