Test the forwarder against faulty upstreams

Cause: silent, crossed, short and closed connections must not lose, repeat or mix up requests. Ruled out: a first-byte timeout alone, because the other idle connections may be silent as well. Change: a small answer is read as a whole before its header is passed on, so that a short one can be refused or tried again; a deadline that passes before the header counts as a first-byte timeout; silences shorter than a pool's patience do not eject. Before: a short answer over a hand-over came back as sendfail.

--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -99,7 +99,7 @@
 )
 
 // Done returns a slot that Pick took. Took is the time to the first byte of
-// the answer.
+// the answer, or the time for which it was awaited.
 func (p *Pool) Done(id corianderwing.UpstreamID, r Result, took time.Duration, now time.Time) {
 	u, ok := p.byID[id]
 	if !ok {
@@ -117,14 +117,25 @@
 	switch r {
 	case Good:
 		u.good(took, p.cfg.Decay, now)
-	case Bad, Mute:
+	case Bad:
 		p.bad(u, now)
+	case Mute:
+		if took >= p.patience(now) {
+			p.bad(u, now)
+		}
 	case Busy:
 		// The upstream has less room than announced: keep off for a moment.
 		u.until = later(u.until, now.Add(p.cfg.Linger))
 	}
 }
 
+// patience is the shortest silence that counts as a failure: a caller may set
+// a deadline that no upstream can meet.
+func (p *Pool) patience(now time.Time) time.Duration {
+	mean := time.Duration(p.mean(now) * float64(time.Second))
+	return max(4*mean, 100*time.Millisecond)
+}
+
 func (u *up) good(took time.Duration, decay time.Duration, now time.Time) {
 	s := took.Seconds()
 	if u.latency == 0 || now.Sub(u.seen) > decay {
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -35,6 +35,7 @@
 
 	listeners map[string]*listener
 	servers   []*http.Server
+	stops     []func()
 	over      int // requests that the limiter refuses from now on
 	orders    map[string]*corianderwing.Order
 	applied   map[corianderwing.RequestID]corianderwing.Result
@@ -171,6 +172,25 @@
 	}
 }
 
+// raw starts an upstream that handles connections itself.
+func (w *world) raw(id, domain string, slots int, f func(c net.Conn, br *bufio.Reader)) {
+	l := w.listen(id)
+	w.stops = append(w.stops, func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	w.announce(id, domain, slots)
+}
+
 // close ends all servers, so that the bubble can end.
 func (w *world) close(list ...*Server) {
 	for _, s := range list {
@@ -184,6 +204,9 @@
 	for _, srv := range w.servers {
 		srv.Close()
 	}
+	for _, f := range w.stops {
+		f()
+	}
 	synctest.Wait()
 }
 
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -144,9 +144,9 @@
 		return route.Busy
 	case corianderwing.NoCapacity:
 		return route.Unused // no connection was left in the budget
-	case corianderwing.FirstByte, corianderwing.Deadline:
+	case corianderwing.FirstByte:
 		return route.Mute
-	case corianderwing.CallerGone, corianderwing.KeyRevoked, corianderwing.Stopping,
+	case corianderwing.Deadline, corianderwing.CallerGone, corianderwing.KeyRevoked, corianderwing.Stopping,
 		corianderwing.CutBody, corianderwing.BigBody:
 		return route.Cut
 	}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -53,9 +53,9 @@
 	// and tells the peer to stop.
 	a := &answer{ctx: ctx, conn: cn}
 	a.stop = context.AfterFunc(ctx, func() { cn.Close() })
-	if err := cn.SetDeadline(c.first); err != nil {
-		return nil, a.fail(err)
-	}
+	// Setting a deadline fails only on a closed connection, which the next
+	// read or write reports; what was received before can still be read.
+	cn.SetDeadline(c.first)
 	if err := a.write(c); err != nil && !answered(cn) {
 		return nil, a.fail(err)
 	}
@@ -66,12 +66,31 @@
 		a.discard()
 		return nil, e
 	}
-	if err := cn.SetDeadline(time.Time{}); err != nil {
-		return nil, a.fail(err)
+	cn.SetDeadline(time.Time{})
+	if e := a.small(); e != nil {
+		return nil, e
 	}
 	return a, nil
 }
 
+// small waits for the whole body of a small answer. If it ends early, nothing
+// has been passed on yet, and the request may be tried again.
+func (a *answer) small() *corianderwing.Error {
+	n := a.ContentLength
+	if n <= 0 || n > int64(a.conn.br.Size()) || a.Body == http.NoBody {
+		return nil
+	}
+	_, err := a.conn.br.Peek(int(n))
+	if err == nil {
+		return nil
+	}
+	a.discard()
+	if a.ctx.Err() != nil {
+		return ended(a.ctx, corianderwing.RanUnknown)
+	}
+	return corianderwing.Errorf(corianderwing.ShortBody, "answer of %d bytes from %s: %v", n, a.conn.host.addr, err)
+}
+
 // answered reports whether the peer sent an answer although it did not read
 // the whole request.
 func answered(cn *conn) bool {
@@ -187,10 +206,15 @@
 	if !sent {
 		return unsent(a.ctx, err)
 	}
+	late := errors.Is(err, os.ErrDeadlineExceeded)
 	if a.ctx.Err() != nil {
-		return ended(a.ctx, corianderwing.RanUnknown)
+		e := ended(a.ctx, corianderwing.RanUnknown)
+		late = e.Code == corianderwing.Deadline
+		if !late {
+			return e
+		}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if late {
 		return corianderwing.Errorf(corianderwing.FirstByte, "no answer from %s", a.conn.host.addr)
 	}
 	return corianderwing.Errorf(corianderwing.SendFail, "connection to %s: %v", a.conn.host.addr, err)
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -97,7 +97,9 @@
 	start := time.Now()
 	pr := s.peer(owner.Inner)
 	first := s.hopDeadline(j, start)
-	back := time.Duration(pr.delay.Load()) + time.Millisecond
+	// The owner's refusal should arrive before we give up on the owner.
+	back := time.Duration(pr.delay.Load()) + 5*time.Millisecond
+	back += min(first.Sub(start)/50, 50*time.Millisecond)
 	h := s.upstreamHeader(j, start)
 	h[hLeft] = []string{leftHeader(first.Add(-back), start)}
 	h[hPool] = []string{string(j.pool)}
@@ -120,7 +122,7 @@
 		first:  first,
 	})
 	if e != nil {
-		s.lost(pr, owner, e)
+		s.lost(pr, owner, e, time.Since(start))
 		return nil, e
 	}
 	tried := parseTried(a.Header.Get(hTried))
@@ -150,11 +152,18 @@
 	return now.Add(j.deadline.Sub(now) * 3 / 4)
 }
 
+// patience is the shortest silence that says something about an owner: a
+// caller may set a deadline that nobody can meet.
+const patience = 250 * time.Millisecond
+
 // lost reacts to an owner that could not be reached or did not answer.
-func (s *Server) lost(pr *peer, owner corianderwing.Instance, e *corianderwing.Error) {
+func (s *Server) lost(pr *peer, owner corianderwing.Instance, e *corianderwing.Error, waited time.Duration) {
 	switch e.Code {
 	case corianderwing.FirstByte:
 		pr.reset()
+		if waited < patience {
+			return
+		}
 	case corianderwing.ConnFail, corianderwing.SendFail:
 	default:
 		return
