Ship records, and tell missing shares from exceeded rates

Cause: a request that came while a group had a new leader was refused as over its rate although the workspace was inside it; an instance that had just started answered 404 for existing workspaces. Ruled out: granting at once after a leader change (grants of the earlier leader may be in use). Change: code 305 noshare; Renewed.Quiet; an unknown workspace is 404 only if every group is confirmed, else 400 notfresh; records are shipped to control instances and found through them.

--- a/code.go
+++ b/code.go
@@ -45,6 +45,7 @@
 	TooLate    Code = 302
 	NoCapacity Code = 303
 	LinkFull   Code = 304
+	NoShare    Code = 305
 
 	NotFresh   Code = 400
 	Stopping   Code = 401
@@ -99,6 +100,7 @@
 	TooLate:    {http.StatusServiceUnavailable, RanNo, "toolate", "the request cannot meet its deadline"},
 	NoCapacity: {http.StatusServiceUnavailable, RanNo, "nocapacity", "no upstream has spare capacity"},
 	LinkFull:   {http.StatusServiceUnavailable, RanNo, "linkfull", "the link to every upstream is at its cap"},
+	NoShare:    {http.StatusServiceUnavailable, RanNo, "noshare", "no share of the workspace's rate could be had in time; the workspace may be inside its rate"},
 
 	NotFresh:   {http.StatusServiceUnavailable, RanNo, "notfresh", "this instance cannot confirm keys and settings"},
 	Stopping:   {http.StatusServiceUnavailable, RanNo, "stopping", "this instance is stopping"},
--- a/code_page_test.go
+++ b/code_page_test.go
@@ -34,6 +34,7 @@
 	TooLate:    "send again later, or with a longer deadline; operators: add upstreams to the pool",
 	NoCapacity: "send again later; operators: add upstreams to the pool",
 	LinkFull:   "send again later; operators: add upstreams in the caller's region",
+	NoShare:    "try an alternate of the lookup; operators: check that the home group has a leader",
 
 	NotFresh:   "try an alternate of the lookup; operators: check that the home group has a majority and can be reached",
 	Stopping:   "try an alternate of the lookup, and look up again",
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -81,7 +81,8 @@
 func (a *Agent) View(w corianderwing.WorkspaceID) (v corianderwing.View, fresh bool, ok bool) {
 	f := (*a.homes.Load())[w]
 	if f == nil {
-		return nil, false, false
+		confirmed, all := a.Fresh()
+		return nil, confirmed == all, false
 	}
 	view := f.view.Load()
 	return view, f.fresh(view, time.Now()), true
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -39,6 +39,7 @@
 	lease  atomic.Pointer[lease]
 	holder *share.Holder
 	kick   chan struct{} // a renewal is wanted now
+	quiet  atomic.Bool   // the leader grants nothing yet
 
 	mu       sync.Mutex
 	answered chan struct{} // closed and replaced after each renewal
@@ -199,6 +200,7 @@
 		until:    corianderwing.HolderDeadline(sent, length),
 	})
 	f.holder.Granted(now, seq, reply.Grants)
+	f.quiet.Store(reply.Quiet)
 	f.mu.Lock()
 	f.finished = number
 	close(f.answered)
--- a/io/agent/limit.go
+++ b/io/agent/limit.go
@@ -55,12 +55,11 @@
 			return nil
 		}
 		if now.After(giveUp) || f.answers(first) >= enough {
-			return corianderwing.Errorf(corianderwing.OverRate, "workspace %q is over %g requests/s with a burst of %d",
-				e.Path.Workspace, float64(e.Rate), e.Burst)
+			return f.refusal(first, e)
 		}
 		select {
 		case <-ctx.Done():
-			return corianderwing.Errorf(corianderwing.OverRate, "workspace %q: no token before the deadline", e.Path.Workspace)
+			return f.refusal(first, e)
 		case <-answered:
 			answered, _ = f.renewals()
 			f.wake()
@@ -69,6 +68,19 @@
 	}
 }
 
+// refusal tells a workspace that is over its rate from one whose share could
+// not be had. First is the first renewal that began after the request came.
+func (f *follower) refusal(first uint64, e *corianderwing.Effective) error {
+	if f.answers(first) == 0 {
+		return corianderwing.Errorf(corianderwing.NoShare, "workspace %q: group %s did not answer in time", e.Path.Workspace, f.group)
+	}
+	if f.quiet.Load() {
+		return corianderwing.Errorf(corianderwing.NoShare, "workspace %q: the leader of group %s is new", e.Path.Workspace, f.group)
+	}
+	return corianderwing.Errorf(corianderwing.OverRate, "workspace %q is over %g requests/s with a burst of %d",
+		e.Path.Workspace, float64(e.Rate), e.Burst)
+}
+
 // renewals returns a channel that is closed at the next answer, and the number
 // of the first renewal that has not started yet.
 func (f *follower) renewals() (answered <-chan struct{}, next uint64) {
--- a/io/ctrl/client.go
+++ b/io/ctrl/client.go
@@ -125,21 +125,6 @@
 	return *reply, nil
 }
 
-// Ship stores records at one control instance.
-func (c *Client) Ship(ctx context.Context, addr string, batch []corianderwing.Record) error {
-	_, err := peer.Call(ctx, c.peer, addr, shipMethod, &shipRequest{Records: batch})
-	return err
-}
-
-// FindAt asks one control instance for the records that it holds.
-func (c *Client) FindAt(ctx context.Context, addr string, q corianderwing.Query) ([]corianderwing.Record, uint64, error) {
-	reply, err := peer.Call(ctx, c.peer, addr, findMethod, &q)
-	if err != nil {
-		return nil, 0, err
-	}
-	return reply.Records, reply.Lost, nil
-}
-
 // Groups returns the ids of all groups, sorted.
 func (c *Client) Groups() []corianderwing.GroupID {
 	ids := make([]corianderwing.GroupID, 0, len(c.voters))
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	term    corianderwing.Term // of grantor
 	grantor *share.Grantor     // owned by the leader of term
+	quiet   time.Time          // the grantor grants nothing before
 	bounds  *state.View        // the view that the grantor is configured from
 }
 
@@ -73,27 +74,31 @@
 	h.leases.lead(term, now)
 	h.leases.grant(r.Instance, r.Revision, now)
 	view := h.machine.View()
+	grants, quiet := h.grant(term, view, r)
 	return &corianderwing.Renewed{
 		Revision: view.Revision(),
 		Left:     corianderwing.Millis(FreshFor.Milliseconds()),
-		Grants:   h.grant(term, view, r),
+		Grants:   grants,
+		Quiet:    quiet,
 	}, nil
 }
 
-// grant moves tokens to the holder that asks for them.
-func (h *host) grant(term corianderwing.Term, view *state.View, r *corianderwing.Renew) []corianderwing.Grant {
+// grant moves tokens to the holder that asks for them. Quiet is true while
+// grants of an earlier leader may be in use.
+func (h *host) grant(term corianderwing.Term, view *state.View, r *corianderwing.Renew) (grants []corianderwing.Grant, quiet bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	if h.grantor == nil || h.term != term {
-		h.grantor = share.NewGrantor(share.WaitUntil(now))
+		h.quiet = share.WaitUntil(now)
+		h.grantor = share.NewGrantor(h.quiet)
 		h.term = term
 		h.bounds = nil
 	}
 	if h.bounds != view {
 		h.configure(now, view)
 	}
-	return h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
+	return h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends), now.Before(h.quiet)
 }
 
 // configure brings the grantor's bounds to those of the view.
--- a/io/ctrl/method.go
+++ b/io/ctrl/method.go
@@ -7,6 +7,7 @@
 	"corianderwing"
 	"corianderwing/core/raft"
 	"corianderwing/io/peer"
+	"corianderwing/io/record"
 )
 
 // The calls that a control instance serves.
@@ -17,8 +18,8 @@
 	watchMethod   = peer.Stream[watchRequest, corianderwing.Update]{Name: "Watch"}
 	statusMethod  = peer.Method[empty, Status]{Name: "Status"}
 	forceMethod   = peer.Method[forceRequest, Force]{Name: "Force"}
-	shipMethod    = peer.Method[shipRequest, empty]{Name: "Ship"}
-	findMethod    = peer.Method[corianderwing.Query, findReply]{Name: "Find"}
+	shipMethod    = peer.Method[record.Batch, empty]{Name: "Ship"}
+	findMethod    = peer.Method[corianderwing.Query, record.Found]{Name: "Find"}
 )
 
 type empty struct{}
@@ -49,12 +50,3 @@
 	Force    bool                       `json:"force"`            // every unexpired lease has confirmed it
 	Behind   []corianderwing.InstanceID `json:"behind,omitempty"` // instances that have not
 }
-
-type shipRequest struct {
-	Records []corianderwing.Record `json:"records"`
-}
-
-type findReply struct {
-	Records []corianderwing.Record `json:"records"`
-	Lost    uint64                 `json:"lost"`
-}
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -17,18 +17,18 @@
 	"corianderwing/core/state"
 	"corianderwing/io/group"
 	"corianderwing/io/peer"
+	"corianderwing/io/record"
 	"corianderwing/io/store"
 )
 
 // Config describes a control instance.
 type Config struct {
-	Self   corianderwing.InstanceID
-	Data   string                             // data directory
-	Groups map[corianderwing.GroupID][]Voter  // every group of the deployment
-	Log    *log.Logger                        // default: the package's default logger
-	Broken func(invariant, detail string)     // told about a broken invariant
-	Keep   func(batch []corianderwing.Record) // takes shipped records; nil refuses them
-	Find   func(q corianderwing.Query) ([]corianderwing.Record, uint64)
+	Self    corianderwing.InstanceID
+	Data    string                            // data directory
+	Groups  map[corianderwing.GroupID][]Voter // every group of the deployment
+	Log     *log.Logger                       // default: the package's default logger
+	Broken  func(invariant, detail string)    // told about a broken invariant
+	Records *record.Holder                    // holds shipped records; nil refuses them
 }
 
 // Server is a control instance. It hosts a replica of each group that lists
@@ -115,19 +115,18 @@
 }
 
 func (s *Server) registerRecords(ps *peer.Server) {
-	peer.Handle(ps, shipMethod, func(_ context.Context, r *shipRequest) (*empty, error) {
-		if s.cfg.Keep == nil {
+	peer.Handle(ps, shipMethod, func(_ context.Context, b *record.Batch) (*empty, error) {
+		if s.cfg.Records == nil {
 			return nil, corianderwing.Errorf(corianderwing.Unknown, "%s holds no records", s.cfg.Self)
 		}
-		s.cfg.Keep(r.Records)
-		return &empty{}, nil
+		return &empty{}, s.cfg.Records.Take(*b)
 	})
-	peer.Handle(ps, findMethod, func(_ context.Context, q *corianderwing.Query) (*findReply, error) {
-		if s.cfg.Find == nil {
-			return &findReply{}, nil
+	peer.Handle(ps, findMethod, func(_ context.Context, q *corianderwing.Query) (*record.Found, error) {
+		if s.cfg.Records == nil {
+			return &record.Found{}, nil
 		}
-		found, lost := s.cfg.Find(*q)
-		return &findReply{Records: found, Lost: lost}, nil
+		found := s.cfg.Records.Find(*q)
+		return &found, nil
 	})
 }
 
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -4,18 +4,21 @@
 	"context"
 	"errors"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"corianderwing"
 	"corianderwing/io/ctrl"
 	"corianderwing/io/peer"
+	"corianderwing/io/record"
 )
 
 // control is the control role of a process.
 type control struct {
-	server *ctrl.Server
-	peers  *peer.Server
-	admin  *http.Server
+	server  *ctrl.Server
+	records *record.Holder
+	peers   *peer.Server
+	admin   *http.Server
 }
 
 // seedPause is the time between two looks at whether a group needs its seed.
@@ -23,17 +26,22 @@
 
 func (d *Daemon) startControl() error {
 	p := d.process
+	holder, err := record.NewHolder(record.HolderConfig{Dir: filepath.Join(p.Control.Data, "records"), Log: d.log})
+	if err != nil {
+		return err
+	}
 	srv, err := ctrl.NewServer(ctrl.Config{
-		Self:   p.ID,
-		Data:   p.Control.Data,
-		Groups: d.voters(),
-		Log:    d.log,
-		Broken: d.opts.broken,
+		Self:    p.ID,
+		Data:    p.Control.Data,
+		Groups:  d.voters(),
+		Log:     d.log,
+		Broken:  d.opts.broken,
+		Records: holder,
 	}, d.peer)
 	if err != nil {
-		return err
+		return errors.Join(err, holder.Close())
 	}
-	c := &control{server: srv, peers: peer.NewServer(d.cfg.Secret)}
+	c := &control{server: srv, records: holder, peers: peer.NewServer(d.cfg.Secret)}
 	d.control = c
 	srv.Register(c.peers)
 	if err := d.servePeers(p.Control.Peer, c.peers); err != nil {
@@ -110,7 +118,7 @@
 		err = errors.Join(err, c.admin.Shutdown(ctx))
 	}
 	c.peers.Stop()
-	return err
+	return errors.Join(err, c.records.Close())
 }
 
 func (c *control) kill() {
@@ -119,6 +127,7 @@
 		c.admin.Close()
 	}
 	c.server.Kill()
+	c.records.Close()
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/io/daemon/entry.go
+++ b/io/daemon/entry.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/maphash"
 	"net/http"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -14,16 +16,18 @@
 	"corianderwing/io/entry"
 	"corianderwing/io/fleet"
 	"corianderwing/io/peer"
+	"corianderwing/io/record"
 )
 
 // entryRole is the entry role of a process.
 type entryRole struct {
-	server *entry.Server
-	fleet  *fleet.Fleet
-	agent  *agent.Agent
-	peers  *peer.Server
-	public *http.Server
-	inner  *http.Server
+	server  *entry.Server
+	fleet   *fleet.Fleet
+	records *record.Buffer
+	agent   *agent.Agent
+	peers   *peer.Server
+	public  *http.Server
+	inner   *http.Server
 }
 
 // maxHeader is the largest request header that net/http reads, in bytes. It
@@ -52,6 +56,13 @@
 		return &borrowReply{Tokens: n, Left: left}, nil
 	})
 	d.wg.Go(func() { e.agent.Run(d.ctx) })
+	e.records = record.NewBuffer(record.BufferConfig{
+		Instance:    d.process.ID,
+		Incarnation: incarnation,
+		Holders:     d.holders,
+		Shipper:     ctrl.NewHolders(d.peer, d.controls()),
+		Log:         d.log,
+	})
 	return d.startServing(e, client)
 }
 
@@ -95,6 +106,35 @@
 	return nil
 }
 
+// controls returns the peer address of every control instance.
+func (d *Daemon) controls() map[corianderwing.InstanceID]string {
+	all := map[corianderwing.InstanceID]string{}
+	for _, p := range d.cfg.Processes {
+		if p.Control != nil {
+			all[p.ID] = p.Control.Peer
+		}
+	}
+	return all
+}
+
+// holders returns the control instances that hold this instance's records,
+// preferred first: the nearest, then those of other failure domains.
+func (d *Daemon) holders() []corianderwing.InstanceID {
+	var ids []corianderwing.InstanceID
+	delay := map[corianderwing.InstanceID]float64{}
+	for _, p := range d.cfg.Processes {
+		if p.Control == nil {
+			continue
+		}
+		ids = append(ids, p.ID)
+		delay[p.ID], _ = d.cfg.Delay(d.process.Domain, p.Domain)
+	}
+	slices.SortStableFunc(ids, func(a, b corianderwing.InstanceID) int {
+		return cmp.Compare(delay[a], delay[b])
+	})
+	return ids
+}
+
 // alone reports whether this is the only entry instance of its failure domain.
 func (d *Daemon) alone() bool {
 	n := 0
@@ -123,7 +163,7 @@
 		Limiter:  e.agent,
 		Control:  client,
 		Fleet:    e.fleet,
-		Recorder: noRecorder{},
+		Recorder: e.records,
 		Secret:   d.cfg.Secret,
 		Home: func(w corianderwing.WorkspaceID) corianderwing.GroupID {
 			g, _ := e.agent.Home(w)
@@ -148,7 +188,7 @@
 func (e *entryRole) close(ctx context.Context) error {
 	var all []error
 	if e.server != nil {
-		all = append(all, e.server.Close(ctx))
+		all = append(all, e.server.Close(ctx), e.records.Close(ctx))
 	}
 	for _, s := range []*http.Server{e.public, e.inner} {
 		if s != nil {
@@ -170,10 +210,6 @@
 		ended, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = e.server.Close(ended) // a crash reports nothing
+		_ = e.records.Close(ended)
 	}
 }
-
-type noRecorder struct{}
-
-// Record implements corianderwing.Recorder.
-func (noRecorder) Record(corianderwing.Record) {}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -120,11 +120,17 @@
 	}
 	v.workspace, v.service = v.target.workspace, v.target.service
 	view, fresh, ok := s.cfg.Guide.View(v.workspace)
+	if !ok && !fresh {
+		return corianderwing.Errorf(corianderwing.NotFresh, "workspace %s", v.workspace)
+	}
 	if !ok {
 		return corianderwing.Errorf(corianderwing.NoRoute, "workspace %s", v.workspace)
 	}
 	v.view = view
 	v.eff, ok = view.Route(v.workspace, v.service, v.target.path)
+	if !ok && !fresh {
+		return corianderwing.Errorf(corianderwing.NotFresh, "service %s", v.service)
+	}
 	if !ok {
 		return corianderwing.Errorf(corianderwing.NoRoute, "service %s", v.service)
 	}
--- a/port.go
+++ b/port.go
@@ -104,7 +104,9 @@
 // Guide gives the request path the settings that it may act on.
 type Guide interface {
 	// View returns the view that holds a workspace. Fresh tells whether keys
-	// and settings are confirmed; if not, keyed routes must be refused.
+	// and settings are confirmed; if not, keyed routes must be refused. If no
+	// view holds the workspace, ok is false, and fresh tells whether every
+	// group is confirmed, so that the workspace cannot exist.
 	View(w WorkspaceID) (v View, fresh bool, ok bool)
 	// Views returns the current view of every group.
 	Views() []View
--- a/share.go
+++ b/share.go
@@ -39,4 +39,5 @@
 	Revision Revision `json:"revision"` // the holder is fresh once its snapshot has this revision
 	Left     Millis   `json:"left"`     // length of the lease, counted from when the holder asked
 	Grants   []Grant  `json:"grants,omitempty"`
+	Quiet    bool     `json:"quiet,omitempty"` // the leader is new and grants nothing until earlier grants have expired
 }
