--- /dev/null
+++ b/io/admin/handle.go
@@ -0,0 +1,216 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"corianderwing"
+)
+
+// Change is what every change carries: in the body of PUT and POST, in the
+// query of DELETE.
+type Change struct {
+	Group    corianderwing.GroupID   `json:"group,omitempty"` // default: the home of the workspace, or the only group
+	Base     *corianderwing.Revision `json:"base,omitempty"`  // of tree changes and moves: the revision they were made from
+	Request  corianderwing.RequestID `json:"request"`         // the same id always gets the first answer
+	Operator string                  `json:"operator,omitempty"`
+}
+
+// Accepted answers a change: a majority of the group has synced it to disk.
+type Accepted struct {
+	Group    corianderwing.GroupID  `json:"group"`
+	Revision corianderwing.Revision `json:"revision"`
+	Again    bool                   `json:"again,omitempty"` // this answers a change that was sent before
+}
+
+// maxOperator bounds the name of an operator, in bytes.
+const maxOperator = 64
+
+func (c *Change) check(in *input) {
+	if !corianderwing.ValidID(string(c.Request)) {
+		in.bad("request", string(c.Request), "an id")
+	}
+	if len(c.Operator) > maxOperator {
+		in.bad("operator", c.Operator, "at most 64 bytes")
+	}
+}
+
+func (c *Change) needBase(in *input) {
+	if c.Base == nil {
+		in.problems = append(in.problems, "base is missing, allowed: the revision that the change was made from")
+	}
+}
+
+// fromQuery reads the change of a DELETE.
+func (c *Change) fromQuery(in *input) {
+	c.Group = corianderwing.GroupID(in.query("group"))
+	c.Request = corianderwing.RequestID(in.query("request"))
+	c.Operator = in.query("operator")
+	if text := in.query("base"); text != "" {
+		base := corianderwing.Revision(in.number("base", text))
+		c.Base = &base
+	}
+	c.check(in)
+}
+
+// command returns the command for a change, without its object.
+func (c *Change) command(k corianderwing.Kind) corianderwing.Command {
+	cmd := corianderwing.Command{Request: c.Request, Operator: c.Operator, Kind: k}
+	if c.Base != nil {
+		cmd.Base = *c.Base
+	}
+	return cmd
+}
+
+// reader is a request type that reads itself from an HTTP request.
+type reader[T any] interface {
+	*T
+	read(in *input)
+}
+
+// handle returns a handler that reads a request, calls f and writes its answer
+// as JSON, or its error as a corianderwing.Error with the code's HTTP status.
+func handle[Req, Res any, P reader[Req]](f func(context.Context, *Req) (Res, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		in := newInput(w, r)
+		req := new(Req)
+		P(req).read(in)
+		if err := in.err(); err != nil {
+			fail(w, err)
+			return
+		}
+		res, err := f(r.Context(), req)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		reply(w, http.StatusOK, res)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"code":406,"run":"unknown","detail":"the answer could not be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// fail writes an error. Errors without a code are shown as Internal without
+// their text, which may name files or addresses.
+func fail(w http.ResponseWriter, err error) {
+	var e *corianderwing.Error
+	switch {
+	case errors.As(err, &e):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		e = corianderwing.Errorf(corianderwing.NoQuorum, "no answer in time; send the change again with the same request id")
+	default:
+		e = corianderwing.Errorf(corianderwing.Internal, "")
+	}
+	status := e.Code.Status()
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Cw-Code", strconv.Itoa(int(e.Code)))
+	reply(w, status, e)
+}
+
+// input reads the parts of an HTTP request and collects every problem.
+type input struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	values   url.Values
+	used     map[string]bool
+	problems []string
+	first    error // of the body; it may have a code of its own
+}
+
+func newInput(w http.ResponseWriter, r *http.Request) *input {
+	in := &input{w: w, r: r, used: map[string]bool{}}
+	values, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		in.problems = append(in.problems, "the query cannot be parsed")
+	}
+	in.values = values
+	return in
+}
+
+func (in *input) bad(field, got, allowed string) {
+	in.problems = append(in.problems, field+" is "+strconv.Quote(got)+", allowed: "+allowed)
+}
+
+// query returns a query parameter, or "" if it is absent.
+func (in *input) query(name string) string {
+	in.used[name] = true
+	if len(in.values[name]) > 1 {
+		in.problems = append(in.problems, name+" is given more than once, allowed: once")
+	}
+	return in.values.Get(name)
+}
+
+// id returns a part of the path, which must be an id.
+func (in *input) id(name string) string {
+	id := in.r.PathValue(name)
+	if !corianderwing.ValidID(id) {
+		in.bad(name, id, "an id")
+	}
+	return id
+}
+
+func (in *input) number(name, text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		in.bad(name, text, "a whole number from 0")
+	}
+	return n
+}
+
+func (in *input) time(name string) time.Time {
+	text := in.query(name)
+	if text == "" {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		in.bad(name, text, "a time as 2006-01-02T15:04:05Z")
+	}
+	return t
+}
+
+// body decodes the JSON body into v.
+func (in *input) body(v any) {
+	if err := decodeBody(in.w, in.r, v); err != nil {
+		in.first = err
+	}
+}
+
+// err returns one BadInput error for every problem, or nil. Query parameters
+// that no one asked for are problems too.
+func (in *input) err() error {
+	for _, name := range slices.Sorted(maps.Keys(in.values)) {
+		if !in.used[name] {
+			allowed := strings.Join(slices.Sorted(maps.Keys(in.used)), ", ")
+			in.problems = append(in.problems, fmt.Sprintf("query parameter %q is unknown, allowed: %s", name, cmp.Or(allowed, "none")))
+		}
+	}
+	if in.first != nil {
+		return in.first
+	}
+	if len(in.problems) == 0 {
+		return nil
+	}
+	return corianderwing.Errorf(corianderwing.BadInput, "%s", strings.Join(in.problems, "; "))
+}
--- /dev/null
+++ b/io/admin/port.go
@@ -0,0 +1,131 @@
+// Package admin is the operators' HTTP/JSON API and its client.
+//
+// A change carries a request id, and the same id always gets the first result,
+// so a client whose answer was lost sends the change again, to any control
+// instance. A change of the tree and the start of a move also carry the
+// revision that they were made from, and conflict if the tree has changed
+// since.
+package admin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"corianderwing"
+	"corianderwing/core/state"
+)
+
+// Groups is what the API needs of the control groups. Its methods are safe for
+// concurrent use.
+type Groups interface {
+	// Groups returns every group of the fleet.
+	Groups() []corianderwing.GroupID
+	// Home returns the home group of a workspace, if it exists anywhere.
+	Home(w corianderwing.WorkspaceID) (corianderwing.GroupID, bool)
+	// View returns the latest known view of a group. It fails with NoLeader or
+	// NotFresh if there is none.
+	View(g corianderwing.GroupID) (*state.View, error)
+	// State returns what is known of a group's leader and leases.
+	State(g corianderwing.GroupID) GroupState
+	// Propose commits a command, whose Now the leader stamps. It fails with
+	// NoLeader or NoQuorum, after which the command may still be committed.
+	Propose(ctx context.Context, g corianderwing.GroupID, c corianderwing.Command) (corianderwing.Result, error)
+	// Watch calls f with the updates after a revision, as Control.Watch does.
+	Watch(ctx context.Context, g corianderwing.GroupID, after corianderwing.Revision, f func(corianderwing.Update) error) error
+}
+
+// GroupState is the state of one group as a control instance sees it.
+type GroupState struct {
+	Group    corianderwing.GroupID    `json:"group"`
+	Leader   corianderwing.InstanceID `json:"leader,omitempty"` // empty: none known
+	Term     corianderwing.Term       `json:"term"`
+	Revision corianderwing.Revision   `json:"revision"` // accepted
+	Force    corianderwing.Revision   `json:"force"`    // confirmed by every instance with an unexpired lease
+	Leases   int                      `json:"leases"`   // unexpired
+}
+
+// API serves the operators' API. It owns no state.
+type API struct {
+	groups  Groups
+	records corianderwing.Finder
+	secret  []byte
+	mux     *http.ServeMux
+}
+
+// New returns the API of a fleet. The secret is the fleet's, with which keys
+// are derived and hashed.
+func New(g Groups, records corianderwing.Finder, secret []byte) *API {
+	a := &API{groups: g, records: records, secret: slices.Clone(secret), mux: http.NewServeMux()}
+	a.mux.HandleFunc("GET /v1/tree/{path...}", handle(a.getNode))
+	a.mux.HandleFunc("PUT /v1/tree/{path...}", handle(a.setNode))
+	a.mux.HandleFunc("DELETE /v1/tree/{path...}", handle(a.dropNode))
+	a.mux.HandleFunc("GET /v1/watch", a.watch)
+	a.mux.HandleFunc("GET /v1/keys/{workspace}", handle(a.listKeys))
+	a.mux.HandleFunc("POST /v1/keys/{workspace}", handle(a.addKey))
+	a.mux.HandleFunc("DELETE /v1/keys/{workspace}/{id}", handle(a.revokeKey))
+	a.mux.HandleFunc("GET /v1/drains", handle(a.listDrains))
+	a.mux.HandleFunc("GET /v1/drains/{upstream}", handle(a.getDrain))
+	a.mux.HandleFunc("PUT /v1/drains/{upstream}", handle(a.setDrain))
+	a.mux.HandleFunc("DELETE /v1/drains/{upstream}", handle(a.endDrain))
+	a.mux.HandleFunc("GET /v1/moves", handle(a.listMoves))
+	a.mux.HandleFunc("POST /v1/moves", handle(a.startMove))
+	a.mux.HandleFunc("GET /v1/records", handle(a.findRecords))
+	a.mux.HandleFunc("GET /v1/status", handle(a.status))
+	a.mux.HandleFunc("GET /v1/change/{revision}", handle(a.change))
+	a.mux.HandleFunc("/", a.noRoute)
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// noRoute answers requests that match no pattern, with the allowed methods if
+// only the method is wrong.
+func (a *API) noRoute(w http.ResponseWriter, r *http.Request) {
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost, http.MethodDelete} {
+		other := r.Clone(r.Context())
+		other.Method = method
+		if _, pattern := a.mux.Handler(other); pattern != "/" && pattern != "" {
+			w.Header().Add("Allow", method)
+		}
+	}
+	if allowed := w.Header().Values("Allow"); len(allowed) > 0 {
+		fail(w, corianderwing.Errorf(corianderwing.BadMethod, "method is %s, allowed: %v", r.Method, allowed))
+		return
+	}
+	fail(w, corianderwing.Errorf(corianderwing.NoRoute, "the operators' API has no path %q", r.URL.Path))
+}
+
+// groupOf returns the group that a request is for: the one it names, else the
+// home of the workspace, else the only group there is.
+func (a *API) groupOf(named corianderwing.GroupID, w corianderwing.WorkspaceID) (corianderwing.GroupID, error) {
+	all := a.groups.Groups()
+	if named != "" && !slices.Contains(all, named) {
+		return "", corianderwing.Errorf(corianderwing.BadInput, "group is %q, allowed: %v", named, all)
+	}
+	home, ok := a.groups.Home(w)
+	switch {
+	case ok && named != "" && named != home:
+		return "", corianderwing.Errorf(corianderwing.BadInput, "group is %q, allowed: %s, the home of workspace %s", named, home, w)
+	case ok:
+		return home, nil
+	case named != "":
+		return named, nil
+	case len(all) == 1:
+		return all[0], nil
+	}
+	return "", corianderwing.Errorf(corianderwing.BadInput, "group is missing, allowed: %v", all)
+}
+
+// propose commits a change and returns its answer.
+func (a *API) propose(ctx context.Context, g corianderwing.GroupID, c corianderwing.Command) (Accepted, error) {
+	r, err := a.groups.Propose(ctx, g, c)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if r.Error != nil {
+		return Accepted{}, r.Error
+	}
+	return Accepted{Group: g, Revision: r.Revision, Again: r.Again}, nil
+}
--- /dev/null
+++ b/io/admin/reads.go
@@ -0,0 +1,106 @@
+package admin
+
+import (
+	"context"
+	"slices"
+
+	"corianderwing"
+)
+
+// RecordQuery asks for records.
+type RecordQuery struct {
+	corianderwing.Query
+}
+
+// maxRecords bounds one answer.
+const maxRecords = 10_000
+
+func (q *RecordQuery) read(in *input) {
+	q.Workspace = corianderwing.WorkspaceID(in.query("workspace"))
+	q.Route = corianderwing.RouteID(in.query("route"))
+	q.Request = corianderwing.RequestID(in.query("request"))
+	q.From, q.To = in.time("from"), in.time("to")
+	if text := in.query("code"); text != "" {
+		n := in.number("code", text)
+		q.Code = corianderwing.Code(n)
+		if uint64(q.Code) != n || !slices.Contains(corianderwing.Codes(), q.Code) {
+			in.bad("code", text, "a result code")
+		}
+	}
+	if text := in.query("most"); text != "" {
+		n := in.number("most", text)
+		if n < 1 || n > maxRecords {
+			in.bad("most", text, "1 to 10000")
+		}
+		q.Most = int(min(n, maxRecords))
+	}
+}
+
+// RecordList is the records that a query found. Lost counts records that
+// overflowed a buffer before they could be shipped.
+type RecordList struct {
+	Records []corianderwing.Record `json:"records"`
+	Lost    uint64                 `json:"lost"`
+}
+
+func (a *API) findRecords(ctx context.Context, q *RecordQuery) (RecordList, error) {
+	found, lost, err := a.records.Find(ctx, q.Query)
+	if err != nil {
+		return RecordList{}, err
+	}
+	if found == nil {
+		found = []corianderwing.Record{}
+	}
+	return RecordList{Records: found, Lost: lost}, nil
+}
+
+// StatusQuery asks for the state of every group.
+type StatusQuery struct{}
+
+func (*StatusQuery) read(*input) {}
+
+// Status is the state of every group as the asked instance sees it.
+type Status struct {
+	Groups []GroupState `json:"groups"`
+}
+
+func (a *API) status(context.Context, *StatusQuery) (Status, error) {
+	var s Status
+	for _, g := range slices.Sorted(slices.Values(a.groups.Groups())) {
+		s.Groups = append(s.Groups, a.groups.State(g))
+	}
+	return s, nil
+}
+
+// ChangeQuery asks how far a change is.
+type ChangeQuery struct {
+	Group    corianderwing.GroupID
+	Revision corianderwing.Revision
+}
+
+func (q *ChangeQuery) read(in *input) {
+	q.Group = corianderwing.GroupID(in.query("group"))
+	q.Revision = corianderwing.Revision(in.number("revision", in.r.PathValue("revision")))
+}
+
+// ChangeState tells how far the change to a revision is.
+type ChangeState struct {
+	Group    corianderwing.GroupID  `json:"group"`
+	Revision corianderwing.Revision `json:"revision"`
+	Accepted bool                   `json:"accepted"` // a majority has synced it to disk
+	Force    bool                   `json:"force"`    // every instance with an unexpired lease has confirmed it
+}
+
+func (a *API) change(_ context.Context, q *ChangeQuery) (ChangeState, error) {
+	g, err := a.groupOf(q.Group, "")
+	if err != nil {
+		return ChangeState{}, err
+	}
+	s := a.groups.State(g)
+	return ChangeState{
+		Group:    g,
+		Revision: q.Revision,
+		Accepted: q.Revision <= max(s.Revision, s.Force),
+		Force:    q.Revision <= s.Force,
+	}, nil
+}
--- /dev/null
+++ b/io/admin/tree.go
@@ -0,0 +1,106 @@
+package admin
+
+import (
+	"context"
+
+	"corianderwing"
+	"corianderwing/core/tree"
+)
+
+// NodeQuery asks for one node of the tree.
+type NodeQuery struct {
+	Group corianderwing.GroupID
+	Path  corianderwing.Path
+}
+
+func (q *NodeQuery) read(in *input) {
+	q.Group = corianderwing.GroupID(in.query("group"))
+	q.Path = in.treePath()
+}
+
+// treePath returns the node that the URL names.
+func (in *input) treePath() corianderwing.Path {
+	p, err := tree.ParsePath(in.r.PathValue("path"))
+	if err != nil && in.first == nil {
+		in.first = err
+	}
+	return p
+}
+
+// Node is one node of the tree with what it inherits.
+type Node struct {
+	Group     corianderwing.GroupID    `json:"group"`
+	Revision  corianderwing.Revision   `json:"revision"` // base for a change
+	Path      corianderwing.Path       `json:"path,omitzero"`
+	Settings  corianderwing.Settings   `json:"settings"`
+	Effective *corianderwing.Effective `json:"effective"`
+	Below     []string                 `json:"below,omitempty"` // ids of the children
+}
+
+func (a *API) getNode(_ context.Context, q *NodeQuery) (Node, error) {
+	g, err := a.groupOf(q.Group, q.Path.Workspace)
+	if err != nil {
+		return Node{}, err
+	}
+	v, err := a.groups.View(g)
+	if err != nil {
+		return Node{}, err
+	}
+	own, ok := v.Tree().Node(q.Path)
+	if !ok {
+		return Node{}, corianderwing.Errorf(corianderwing.Unknown, "group %s has no node %s", g, q.Path)
+	}
+	e, _ := v.Tree().Effective(q.Path)
+	return Node{Group: g, Revision: v.Revision(), Path: q.Path, Settings: own, Effective: e, Below: v.Tree().Below(q.Path)}, nil
+}
+
+// SetNode creates a node or replaces its settings.
+type SetNode struct {
+	Change
+	Path     corianderwing.Path      `json:"-"`
+	Settings *corianderwing.Settings `json:"settings"`
+}
+
+func (s *SetNode) read(in *input) {
+	in.body(s)
+	s.Path = in.treePath()
+	s.check(in)
+	s.needBase(in)
+}
+
+func (a *API) setNode(ctx context.Context, s *SetNode) (Accepted, error) {
+	// The state machine checks again; this keeps settings that can never be
+	// accepted out of the group's log.
+	if err := tree.Check(s.Path, s.Settings); err != nil {
+		return Accepted{}, err
+	}
+	g, err := a.groupOf(s.Group, s.Path.Workspace)
+	if err != nil {
+		return Accepted{}, err
+	}
+	c := s.command(corianderwing.SetNode)
+	c.Path, c.Settings = s.Path, s.Settings
+	return a.propose(ctx, g, c)
+}
+
+// DropNode removes a node and everything below it.
+type DropNode struct {
+	Change
+	Path corianderwing.Path `json:"-"`
+}
+
+func (d *DropNode) read(in *input) {
+	d.fromQuery(in)
+	d.Path = in.treePath()
+	d.needBase(in)
+}
+
+func (a *API) dropNode(ctx context.Context, d *DropNode) (Accepted, error) {
+	g, err := a.groupOf(d.Group, d.Path.Workspace)
+	if err != nil {
+		return Accepted{}, err
+	}
+	c := d.command(corianderwing.DropNode)
+	c.Path = d.Path
+	return a.propose(ctx, g, c)
+}
--- /dev/null
+++ b/io/admin/watch.go
@@ -0,0 +1,145 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"corianderwing"
+)
+
+// quiet is how long a watch stays silent before it sends an empty line, by
+// which the reader knows that the connection still works.
+const quiet = 5 * time.Second
+
+// Event is one accepted change, as one line of JSON. Kind is "snapshot" if it
+// stands for all changes up to Revision, because they are no longer kept or
+// the reader named no revision to start after; the reader then reads what it
+// needs.
+type Event struct {
+	Group    corianderwing.GroupID   `json:"group"`
+	Revision corianderwing.Revision  `json:"revision"`
+	Kind     corianderwing.Kind      `json:"kind"`
+	Request  corianderwing.RequestID `json:"request,omitempty"`
+	Operator string                  `json:"operator,omitempty"`
+	At       time.Time               `json:"at,omitzero"`
+	Path     *corianderwing.Path     `json:"path,omitempty"`
+	Settings *corianderwing.Settings `json:"settings,omitempty"`
+	Key      *KeyInfo                `json:"key,omitempty"`
+	Drain    *corianderwing.Drain    `json:"drain,omitempty"`
+	Move     *corianderwing.Move     `json:"move,omitempty"`
+	Seat     *corianderwing.Seat     `json:"seat,omitempty"`
+}
+
+// Snapshot is the kind of an event that stands for all changes so far.
+const Snapshot corianderwing.Kind = "snapshot"
+
+func eventOf(u corianderwing.Update) Event {
+	e := Event{Group: u.Group, Revision: u.Revision, Kind: Snapshot}
+	c := u.Command
+	if c == nil {
+		return e
+	}
+	e.Kind, e.Request, e.Operator, e.At = c.Kind, c.Request, c.Operator, c.Now
+	e.Settings, e.Drain, e.Move, e.Seat = c.Settings, c.Drain, c.Move, c.Seat
+	if c.Kind == corianderwing.SetNode || c.Kind == corianderwing.DropNode {
+		e.Path = &c.Path
+	}
+	if c.Key != nil {
+		info := infoOf(*c.Key)
+		e.Key = &info
+	}
+	return e
+}
+
+// watchQuery asks for the changes of one group after a revision. Without a
+// revision, the first event is a snapshot of the current one, so that a reader
+// who loses the connection at once still knows where to go on.
+type watchQuery struct {
+	group corianderwing.GroupID
+	after *corianderwing.Revision
+}
+
+func (q *watchQuery) read(in *input) {
+	q.group = corianderwing.GroupID(in.query("group"))
+	if text := in.query("after"); text != "" {
+		after := corianderwing.Revision(in.number("after", text))
+		q.after = &after
+	}
+}
+
+func (a *API) watch(w http.ResponseWriter, r *http.Request) {
+	in := newInput(w, r)
+	var q watchQuery
+	q.read(in)
+	if err := in.err(); err != nil {
+		fail(w, err)
+		return
+	}
+	g, err := a.groupOf(q.group, "")
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	v, err := a.groups.View(g)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	if q.after == nil {
+		now := v.Revision()
+		q.after = &now
+		if json.NewEncoder(w).Encode(Event{Group: g, Revision: now, Kind: Snapshot}) != nil {
+			return
+		}
+	}
+	a.stream(w, r, g, *q.after)
+}
+
+// stream writes events until the reader is gone or the watch ends. The reader
+// then asks again, after the last revision that it saw.
+func (a *API) stream(w http.ResponseWriter, r *http.Request, g corianderwing.GroupID, after corianderwing.Revision) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	events := make(chan Event)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = a.groups.Watch(ctx, g, after, func(u corianderwing.Update) error {
+			select {
+			case events <- eventOf(u):
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	out := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	tick := time.NewTicker(quiet)
+	defer tick.Stop()
+	for {
+		// A reader that takes nothing must not hold the watch for ever. Not
+		// every writer has a deadline, so its error is not one of the watch.
+		_ = out.SetWriteDeadline(time.Now().Add(2 * quiet))
+		if out.Flush() != nil {
+			break
+		}
+		var err error
+		select {
+		case e := <-events:
+			err = encoder.Encode(e)
+		case <-tick.C:
+			_, err = w.Write([]byte("\n"))
+		case <-ended:
+			return
+		}
+		if err != nil {
+			break
+		}
+	}
+	cancel()
+	<-ended
+}
