--- a/io/admin/calls.go
+++ b/io/admin/calls.go
@@ -55,6 +55,15 @@
 // Drop removes a node and everything below it.
 func (c *Client) Drop(ctx context.Context, d DropNode) (Accepted, error) {
 	c.fill(&d.Change)
+	// Once a workspace is removed, its group cannot be looked up by it, and a
+	// second try would not reach the first answer.
+	if d.Group == "" {
+		n, err := c.Node(ctx, "", d.Path)
+		if err != nil {
+			return Accepted{}, err
+		}
+		d.Group = n.Group
+	}
 	return do[Accepted](ctx, c, call{method: http.MethodDelete, path: treeURL(d.Path), query: d.values()})
 }
 
@@ -90,6 +99,13 @@
 // Undrain allows new work on an upstream again.
 func (c *Client) Undrain(ctx context.Context, d EndDrain) (Accepted, error) {
 	c.fill(&d.Change)
+	if d.Group == "" { // for the same reason as in Drop
+		info, err := do[DrainInfo](ctx, c, call{method: http.MethodGet, path: "/v1/drains/" + string(d.Upstream)})
+		if err != nil {
+			return Accepted{}, err
+		}
+		d.Group = info.Group
+	}
 	return do[Accepted](ctx, c, call{method: http.MethodDelete, path: "/v1/drains/" + string(d.Upstream), query: d.values()})
 }
 
