--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -67,11 +67,11 @@
 	out     []Effect
 }
 
-// lane holds the requests of one class: a ring of workspaces with a backlog.
+// lane holds the requests of one class. The workspaces with a backlog are in
+// turn order: one that was served or is new goes to the end.
 type lane struct {
 	flows map[corianderwing.WorkspaceID]*flow
-	ring  []*flow
-	next  int
+	turn  []*flow
 	size  int
 }
 
@@ -171,7 +171,7 @@
 	if f, ok := q.lanes[l].flows[it.Workspace]; ok {
 		own = len(f.items)
 	}
-	for _, f := range q.lanes[l].ring {
+	for _, f := range q.lanes[l].turn {
 		n += min(len(f.items), own+1)
 	}
 	return n
@@ -225,14 +225,12 @@
 func (q *Queue) first() *node {
 	for i := range q.lanes {
 		l := &q.lanes[i]
-		if len(l.ring) == 0 {
+		if len(l.turn) == 0 {
 			continue
 		}
-		if l.next >= len(l.ring) {
-			l.next = 0
-		}
-		f := l.ring[l.next]
-		l.next++
+		f := l.turn[0]
+		copy(l.turn, l.turn[1:])
+		l.turn[len(l.turn)-1] = f
 		return f.items[0]
 	}
 	return nil
@@ -251,7 +249,7 @@
 
 func (q *Queue) expire(now time.Time) {
 	for i := range q.lanes {
-		for _, f := range q.lanes[i].ring {
+		for _, f := range q.lanes[i].turn {
 			for _, n := range f.items {
 				if code := lapsed(n.Item, now); code != corianderwing.OK {
 					q.refuse(n.ID, code)
@@ -286,7 +284,7 @@
 	if !ok {
 		f = &flow{workspace: it.Workspace}
 		l.flows[it.Workspace] = f
-		l.ring = append(l.ring, f)
+		l.turn = append(l.turn, f)
 	}
 	n := &node{Item: it, lane: i}
 	f.items = append(f.items, n)
@@ -315,19 +313,14 @@
 	}
 }
 
-// drop takes a workspace without backlog out of the ring and keeps the turn
-// where it was.
+// drop takes out a workspace without a backlog.
 func (l *lane) drop(f *flow) {
 	delete(l.flows, f.workspace)
-	for i, x := range l.ring {
-		if x != f {
-			continue
-		}
-		l.ring = append(l.ring[:i], l.ring[i+1:]...)
-		if i < l.next {
-			l.next--
+	for i, x := range l.turn {
+		if x == f {
+			l.turn = append(l.turn[:i], l.turn[i+1:]...)
+			return
 		}
-		return
 	}
 }
 
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,250 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"corianderwing"
+)
+
+// A fixed seed gives the same verdict on every run.
+func init() { flag.Set("rapid.seed", "1") }
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func none(corianderwing.UpstreamID) bool { return false }
+
+func announce(n int, version string) []corianderwing.Upstream {
+	var list []corianderwing.Upstream
+	for i := range n {
+		list = append(list, corianderwing.Upstream{
+			ID:      corianderwing.UpstreamID(fmt.Sprint(version, "-", i)),
+			Version: corianderwing.VersionID(version),
+			Seq:     100, Slots: 3, Conns: 10, Phase: corianderwing.Ready,
+		})
+	}
+	return list
+}
+
+func newPool(t interface{ Fatalf(string, ...any) }, list []corianderwing.Upstream) *Pool {
+	p := New(Config{Broken: func(what string) { t.Fatalf("invariant: %s", what) }}, rand.New(rand.NewPCG(1, 1)))
+	p.Sync(list, none, epoch)
+	return p
+}
+
+// use makes n requests one after the other and counts them by upstream.
+func use(p *Pool, n int, now time.Time, r func(corianderwing.Upstream) Result) map[corianderwing.UpstreamID]int {
+	got := make(map[corianderwing.UpstreamID]int)
+	for range n {
+		u, ok := p.Pick(nil, now)
+		if !ok {
+			continue
+		}
+		got[u.ID]++
+		p.Done(u.ID, r(u), 10*time.Millisecond, now)
+	}
+	return got
+}
+
+func good(corianderwing.Upstream) Result { return Good }
+
+// Guards, in random runs, against more requests in flight than slots, work for
+// an upstream that drains or is not announced, a pool that bad measurements
+// empty, and connections over the budget. The pool's own assertions stop the
+// run.
+func TestRandomRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := announce(rapid.IntRange(1, 6).Draw(t, "upstreams"), "v1")
+		p := newPool(t, list)
+		now := epoch
+		var flying []corianderwing.UpstreamID
+		conns := make(map[corianderwing.UpstreamID]int)
+		busy := make(map[corianderwing.UpstreamID]int)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(list)-1).Draw(t, "upstream")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				u, ok := p.Pick(nil, now)
+				if !ok {
+					continue
+				}
+				flying = append(flying, u.ID)
+				if busy[u.ID]++; busy[u.ID] > int(u.Slots) {
+					t.Fatalf("%s has %d requests for %d slots", u.ID, busy[u.ID], u.Slots)
+				}
+				for _, a := range list {
+					if a.ID == u.ID && a.Phase != corianderwing.Ready {
+						t.Fatalf("%s got work while it drains", u.ID)
+					}
+				}
+			case 3:
+				if len(flying) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(flying)-1).Draw(t, "request")
+				r := Result(rapid.IntRange(0, int(Unused)).Draw(t, "result"))
+				busy[flying[k]]--
+				p.Done(flying[k], r, time.Second, now)
+				flying = append(flying[:k], flying[k+1:]...)
+			case 4:
+				list[i].Phase = rapid.SampledFrom([]corianderwing.Phase{corianderwing.Ready, corianderwing.Draining}).Draw(t, "phase")
+				list[i].Slots = corianderwing.Slots(rapid.IntRange(1, 4).Draw(t, "slots"))
+				list[i].Incarnation += corianderwing.Incarnation(rapid.IntRange(0, 1).Draw(t, "restart"))
+				p.Sync(list, none, now)
+			case 5:
+				if p.Dial(list[i].ID) {
+					conns[list[i].ID]++
+				}
+				if conns[list[i].ID] > 8 {
+					t.Fatalf("%d connections, budget 8", conns[list[i].ID])
+				}
+			}
+			usable, open := 0, 0
+			p.Any(now)
+			for _, u := range p.ups {
+				if u.open {
+					open++
+				}
+				if u.usable(now) {
+					usable++
+				}
+			}
+			if 2*usable < open {
+				t.Fatalf("%d of %d upstreams usable", usable, open)
+			}
+		}
+	})
+}
+
+// Guards against an upstream that keeps getting requests while it fails, that
+// is forgotten after it recovered, or that is overrun while it starts.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, announce(4, "v1"))
+	now := epoch
+	got := use(p, 100, now, func(u corianderwing.Upstream) Result {
+		if u.ID == "v1-0" {
+			return Bad
+		}
+		return Good
+	})
+	is.True(got["v1-0"] <= 3)
+	for i, wait := range []time.Duration{500, 1000, 2000, 4000} {
+		u := p.byID["v1-0"]
+		for u.fails < 3 {
+			u.busy++
+			p.Done("v1-0", Bad, 0, now)
+		}
+		is.Equal(u.until.Sub(now), wait*time.Millisecond) // doubled each time
+		is.Equal(u.ejected, i+1)
+		now = u.until
+		is.Equal(u.room(p.cfg.Warm, now), corianderwing.Slots(1)) // a single trial
+		u.fails = 2
+	}
+	now = now.Add(time.Minute)
+	got = use(p, 400, now, good)
+	is.True(got["v1-0"] > 50)
+	is.True(p.byID["v1-0"].room(p.cfg.Warm, now.Add(time.Second)) < 3) // slow start
+	is.Equal(p.byID["v1-0"].room(p.cfg.Warm, now.Add(time.Minute)), corianderwing.Slots(3))
+}
+
+// Guards against new upstreams that get their full load while they are cold,
+// and against a new owner that treats warm upstreams as cold.
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	list := announce(2, "v1")
+	list[0].Seq = 0
+	p := newPool(t, list)
+	is.Equal(p.byID["v1-0"].room(p.cfg.Warm, epoch), corianderwing.Slots(1))
+	is.Equal(p.byID["v1-0"].room(p.cfg.Warm, epoch.Add(3*time.Second)), corianderwing.Slots(2))
+	is.Equal(p.byID["v1-1"].room(p.cfg.Warm, epoch), corianderwing.Slots(3))
+}
+
+// Guards against upstreams that look good in their reports but are slow, and
+// against old observations that keep an upstream out for good.
+func TestOwnObservationsFirst(t *testing.T) {
+	is := is.New(t)
+	list := announce(2, "v1")
+	list[1].Load = 1
+	p := newPool(t, list)
+	got := make(map[corianderwing.UpstreamID]int)
+	for range 200 {
+		u, _ := p.Pick(nil, epoch)
+		got[u.ID]++
+		took := 10 * time.Millisecond
+		if u.ID == "v1-0" {
+			took = time.Second // reports no load, but is slow
+		}
+		p.Done(u.ID, Good, took, epoch)
+	}
+	is.True(got["v1-1"] > 190)
+	late := epoch.Add(20 * time.Second)
+	u, _ := p.Pick(nil, late)
+	is.Equal(u.ID, corianderwing.UpstreamID("v1-0")) // neutral again, and reports less load
+}
+
+// Guards against a new version that gets more than its share, also when the
+// old one is full, and against any request to a version that was rolled back.
+func TestShift(t *testing.T) {
+	is := is.New(t)
+	both := append(announce(2, "v1"), announce(8, "v2")...)
+	for _, share := range []float64{0, 0.01, 0.25, 1} {
+		p := newPool(t, both)
+		p.SetShift(Shift{To: "v2", Share: share})
+		to := 0
+		for range 1000 {
+			u, ok := p.Pick(nil, epoch)
+			is.True(ok)
+			if u.Version == "v2" {
+				to++
+			}
+			p.Done(u.ID, Good, time.Millisecond, epoch)
+		}
+		is.True(to >= int(share*1000)-1 && to <= int(share*1000)+1)
+	}
+	p := newPool(t, both)
+	p.SetShift(Shift{To: "v2", Share: 0.01})
+	n := 0
+	for p.Free(epoch) {
+		p.Pick(nil, epoch)
+		n++
+	}
+	is.True(n <= 7) // the old version's 6 slots, and one of the share
+	p = newPool(t, announce(2, "v2"))
+	p.SetShift(Shift{To: "v2"})
+	is.True(!p.Any(epoch))
+}
+
+// Guards against a domain that is left although it has room, a near domain
+// that is passed over, and a herd: all instances moving to the same domain.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	first := func(list ...Candidate) corianderwing.DomainID {
+		Order(list, 50*time.Millisecond, rng)
+		return list[0].Domain
+	}
+	home := Candidate{Domain: "home", Own: true, Known: true, Slots: 10, Busy: 9}
+	full := Candidate{Domain: "home", Own: true, Known: true, Slots: 10, Busy: 10, Waiting: 30}
+	near := Candidate{Domain: "near", Known: true, Slots: 10, Busy: 1, Delay: time.Millisecond}
+	peer := Candidate{Domain: "peer", Known: true, Slots: 10, Busy: 6, Delay: 2 * time.Millisecond}
+	far := Candidate{Domain: "far", Known: true, Slots: 10, Delay: 70 * time.Millisecond}
+	is.Equal(first(far, near, home), corianderwing.DomainID("home"))
+	is.Equal(first(far, full, near), corianderwing.DomainID("near"))
+	brief := full
+	brief.Waiting = 1
+	is.Equal(first(far, brief), corianderwing.DomainID("home")) // a short wait beats a long way
+	is.Equal(first(far, full), corianderwing.DomainID("far"))
+	got := make(map[corianderwing.DomainID]int)
+	for range 1000 {
+		got[first(near, full, peer, far)]++
+	}
+	is.True(got["near"] > 550 && got["peer"] > 250 && got["far"] == 0) // 10 and 5 of 15
+}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -73,18 +73,28 @@
 // score estimates how long a request would take, relative to the pool's mean.
 // The reported load only decides between upstreams that look alike to us.
 func (u *up) score(mean float64, decay time.Duration, now time.Time) float64 {
-	trust := 1 - float64(now.Sub(u.seen))/float64(decay)
-	trust = max(0, min(1, trust))
+	trust := u.trust(decay, now)
 	slow := 1.0
+	if u.seen.IsZero() {
+		slow = 0.7 // find out about it before comparing it with the others
+	}
 	if mean > 0 && u.latency > 0 {
 		slow = max(0.25, min(8, u.latency/mean))
 	}
-	slow = 1 + (slow-1)*trust
-	bad := 1 + 4*u.errors*trust
+	if !u.seen.IsZero() {
+		slow = 1 + (slow-1)*trust
+	}
+	bad := 1 + 4*(u.errors+float64(u.fails))*trust
 	full := float64(u.busy+1) / float64(u.Slots)
 	return full*slow*bad + 0.05*max(0, min(1, u.Load))
 }
 
+// trust tells how much the observations still count: all when new, nothing
+// after the decay time.
+func (u *up) trust(decay time.Duration, now time.Time) float64 {
+	return max(0, min(1, 1-float64(now.Sub(u.seen))/float64(decay)))
+}
+
 // Result is what became of a request at an upstream.
 type Result uint8
 
@@ -143,7 +153,7 @@
 	} else {
 		u.latency += (s - u.latency) / 8
 	}
-	u.errors -= u.errors / 8
+	u.errors *= u.trust(decay, now) * 7 / 8
 	u.seen = now
 	u.fails = 0
 	if u.trial {
@@ -156,6 +166,7 @@
 }
 
 func (p *Pool) bad(u *up, now time.Time) {
+	u.errors *= u.trust(p.cfg.Decay, now)
 	u.errors += (1 - u.errors) / 8
 	u.seen = now
 	u.fails++
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -77,6 +77,7 @@
 	running *running
 	hosts   sync.Map // inner address → *peer
 	suspect sync.Map // corianderwing.InstanceID → time.Time until which others are preferred
+	times   sync.Map // routeID → *atomic.Int64
 	views   atomic.Pointer[map[corianderwing.PoolID]*plan]
 	planMu  sync.Mutex // serialises writers of views
 
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"corianderwing"
@@ -74,7 +75,7 @@
 		body:   j.body,
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
-		first:  firstByte(j, start),
+		first:  s.firstByte(j, start),
 	})
 	first := time.Since(start)
 	if e == nil && a.StatusCode == http.StatusServiceUnavailable && a.Header.Get(hRun) == string(corianderwing.RanNo) {
@@ -89,6 +90,7 @@
 		p.release(up.ID, resultOf(e), first, first)
 		return nil, e
 	}
+	smooth(s.typical(j), first)
 	rep := &reply{answer: a}
 	rep.onEnd = func(complete bool) {
 		r := route.Good
@@ -155,11 +157,39 @@
 
 // firstByte returns the deadline of the first byte of an attempt. While the
 // request may be tried again, an attempt gets an equal part of the time left.
-func firstByte(j *job, now time.Time) time.Time {
+func (s *Server) firstByte(j *job, now time.Time) time.Time {
 	if j.once || j.tries <= 0 || !j.body.replay() || j.body.rest != nil {
 		return j.deadline
 	}
-	return now.Add(j.deadline.Sub(now) / time.Duration(j.tries+1))
+	return s.part(j, now, j.deadline.Sub(now)/time.Duration(j.tries+1))
+}
+
+// part cuts an attempt short after d, if the route is known to be much faster:
+// a route that needs most of its time would otherwise fail on every attempt.
+func (s *Server) part(j *job, now time.Time, d time.Duration) time.Time {
+	usual := time.Duration(s.typical(j).Load())
+	if usual == 0 || 4*usual > d {
+		return j.deadline
+	}
+	return now.Add(d)
+}
+
+// routeID identifies a route of the settings.
+type routeID struct {
+	workspace corianderwing.WorkspaceID
+	service   corianderwing.ServiceID
+	route     corianderwing.RouteID
+}
+
+// typical returns the smoothed time to the first byte of a route's answers, in
+// ns. It is 0 until the first answer.
+func (s *Server) typical(j *job) *atomic.Int64 {
+	id := routeID{j.workspace, j.service, j.route}
+	if t, ok := s.times.Load(id); ok {
+		return t.(*atomic.Int64)
+	}
+	t, _ := s.times.LoadOrStore(id, new(atomic.Int64))
+	return t.(*atomic.Int64)
 }
 
 // upstreamHeader returns the header that an upstream sees.
--- /dev/null
+++ b/io/entry/order_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+func order(key, body string) string {
+	return fmt.Sprintf("POST /ws/order/x HTTP/1.1\nHost: h\nX-Api-Key: good-key\nIdempotency-Key: %s\nContent-Length: %d\n\n%s", key, len(body), body)
+}
+
+// Guards against an order that runs twice, or whose resend gets another answer
+// than the first one, whether it was sent again during, after, or through
+// another instance.
+func TestOrderRunsOnce(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(t)
+		w.route("ws", "order", once)
+		a, b := w.instance("a", "d1"), w.instance("b", "d1")
+		var runs atomic.Int32
+		w.upstream("u1", "d1", 4, func(rw http.ResponseWriter, r *http.Request) {
+			n := runs.Add(1)
+			time.Sleep(time.Second)
+			rw.Header().Set("X-Order", fmt.Sprint(n))
+			rw.WriteHeader(http.StatusCreated)
+			fmt.Fprintf(rw, "order %d", n)
+		})
+		first := make(chan got)
+		go func() { first <- w.ask("a:public", order("k1", "robe")) }()
+		synctest.Wait()
+		is.Equal(w.ask("b:public", order("k1", "robe")).code, "404") // still running
+		g := <-first
+		is.Equal(g.code+g.run+g.body, "100yesorder 1")
+		for _, addr := range []string{"a:public", "b:public"} {
+			g = w.ask(addr, order("k1", "robe"))
+			is.Equal(g.code+g.run+g.body, "101yesorder 1")
+			is.Equal(g.status, http.StatusCreated)
+			is.Equal(g.header.Get("X-Order"), "1")
+			is.Equal(w.ask(addr, order("k1", "gown")).code, "212")
+		}
+		is.Equal(w.ask("a:public", order("k2", "robe")).body, "order 2")
+		is.Equal(w.ask("a:public", strings.Replace(order("k3", ""), "k3", strings.Repeat("k", 300), 1)).code, "209")
+		is.Equal(runs.Load(), int32(2))
+		w.close(a, b)
+	})
+}
+
+// Guards against an order that is lost or runs twice when its caller leaves,
+// its upstream fails, or the control group cannot be reached for a while.
+func TestOrderOutcomes(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(t)
+		w.route("ws", "order", once)
+		a := w.instance("a", "d1")
+		var mode atomic.Value
+		mode.Store("shed")
+		var runs atomic.Int32
+		w.upstream("u1", "d1", 4, func(rw http.ResponseWriter, _ *http.Request) {
+			if mode.Load() == "shed" {
+				rw.Header().Set(hRun, "no")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			runs.Add(1)
+			time.Sleep(100 * time.Millisecond)
+			if mode.Load() == "fail" {
+				panic(http.ErrAbortHandler)
+			}
+			io.WriteString(rw, "done")
+		})
+		is.Equal(w.ask("a:public", order("k1", "")).run, "no")
+		mode.Store("good")
+		is.Equal(w.ask("a:public", order("k1", "")).code, "100") // a shed order may be sent again
+
+		c, err := w.dial(context.Background(), "a:public")
+		is.NoErr(err)
+		io.WriteString(c, strings.ReplaceAll(order("k2", ""), "\n", "\r\n"))
+		synctest.Wait()
+		c.Close() // the caller leaves while the order runs
+		time.Sleep(time.Second)
+		is.Equal(w.ask("a:public", order("k2", "")).body, "done")
+
+		mode.Store("fail")
+		g := w.ask("a:public", order("k3", ""))
+		is.Equal(g.code+g.run, "501unknown")
+		mode.Store("good")
+		is.Equal(w.ask("a:public", order("k3", "")).code, "404") // may have run
+
+		w.fail(1<<30, "")
+		g = w.ask("a:public", order("k4", ""))
+		is.Equal(g.code+g.run, "403no")
+		w.fail(0, "")
+		time.Sleep(time.Second) // the claim is freed in the background
+		is.Equal(w.ask("a:public", order("k4", "")).code, "100")
+		is.Equal(runs.Load(), int32(4))
+		w.close(a)
+	})
+}
+
+// Guards against an order's answer that is lost because it could not be stored
+// at once: the caller gets it at the deadline, and a resend later on.
+func TestOrderSettlesLater(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(t)
+		w.route("ws", "order", once)
+		a := w.instance("a", "d1")
+		w.upstream("u1", "d1", 4, func(rw http.ResponseWriter, _ *http.Request) {
+			w.fail(20, corianderwing.Settle) // 4 s of attempts, longer than the deadline
+			io.WriteString(rw, "done")
+		})
+		start := time.Now()
+		g := w.ask("a:public", order("k1", ""))
+		is.Equal(g.code+g.body, "100done")
+		is.Equal(time.Since(start), 2*time.Second)
+		is.Equal(w.ask("a:public", order("k1", "")).code, "404")
+		time.Sleep(5 * time.Second)
+		is.Equal(w.ask("a:public", order("k1", "")).body, "done")
+		w.close(a)
+		is.Equal(w.orders["ws/k1"].State, corianderwing.OrderDone)
+	})
+}
--- a/io/entry/plan.go
+++ b/io/entry/plan.go
@@ -11,8 +11,7 @@
 
 // plan is a snapshot of where a pool's requests can go.
 type plan struct {
-	list    []place
-	service *atomic.Int64 // smoothed time of an attempt, ns
+	list []place
 }
 
 // place is a failure domain with its owner of the pool.
@@ -40,13 +39,13 @@
 	for k, v := range old {
 		all[k] = v
 	}
-	all[id] = s.newPlan(id, new(atomic.Int64))
+	all[id] = s.newPlan(id)
 	s.views.Store(&all)
 	return all[id]
 }
 
-func (s *Server) newPlan(id corianderwing.PoolID, service *atomic.Int64) *plan {
-	p := &plan{service: service}
+func (s *Server) newPlan(id corianderwing.PoolID) *plan {
+	p := &plan{}
 	for rank, d := range s.cfg.Fleet.Domains(id) {
 		owner, ok := s.cfg.Fleet.Owner(id, d)
 		if !ok {
@@ -93,25 +92,26 @@
 	defer s.planMu.Unlock()
 	old := *s.views.Load()
 	all := make(map[corianderwing.PoolID]*plan, len(old))
-	for id, p := range old {
-		all[id] = s.newPlan(id, p.service)
+	for id := range old {
+		all[id] = s.newPlan(id)
 	}
 	s.views.Store(&all)
 }
 
 // places returns the failure domains for a request, the best one first. Those
 // whose owner just failed come last.
-func (s *Server) places(p *plan, id corianderwing.PoolID, now time.Time) []place {
+func (s *Server) places(j *job, now time.Time) []place {
+	p := s.plan(j.pool)
 	list := make([]route.Candidate, 0, len(p.list))
 	for _, pl := range p.list {
 		c := pl.Candidate
-		if c.Own && s.cfg.Fleet.Owns(id) {
-			l := s.pool(id).load(now)
+		if c.Own && s.cfg.Fleet.Owns(j.pool) {
+			l := s.pool(j.pool).load(now)
 			c.Known, c.Slots, c.Busy, c.Waiting = true, l.Slots, l.Busy, l.Waiting
 		}
 		list = append(list, c)
 	}
-	route.Order(list, time.Duration(p.service.Load()), globalRand)
+	route.Order(list, time.Duration(s.typical(j).Load()), globalRand)
 	good := make([]place, 0, len(list))
 	var bad []place
 	for _, c := range list {
@@ -146,12 +146,14 @@
 	return ok && now.Before(until.(time.Time))
 }
 
-// smooth moves an average towards v, by an eighth of the difference.
+// smooth moves an average towards v, by an eighth of the difference. It never
+// becomes 0, which stands for no value.
 func smooth(avg *atomic.Int64, v time.Duration) {
+	v = max(v, 1)
 	old := avg.Load()
 	if old == 0 {
 		avg.Store(int64(v))
 		return
 	}
-	avg.Store(old + (int64(v)-old)/8)
+	avg.Store(max(1, old+(int64(v)-old)/8))
 }
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -39,9 +39,8 @@
 // elsewhere tries the failure domains in turn. If last is set, the own one has
 // been tried already and failed with it.
 func (s *Server) elsewhere(ctx context.Context, j *job, last *corianderwing.Error) (*reply, *corianderwing.Error) {
-	p := s.plan(j.pool)
 	home := last != nil
-	for _, pl := range s.places(p, j.pool, time.Now()) {
+	for _, pl := range s.places(j, time.Now()) {
 		if last != nil {
 			if home && pl.owner.ID == s.self.ID {
 				continue
@@ -50,10 +49,8 @@
 				return nil, last
 			}
 		}
-		start := time.Now()
 		rep, e := s.at(ctx, j, pl)
 		if e == nil {
-			smooth(p.service, time.Since(start))
 			return rep, nil
 		}
 		last = e
@@ -135,6 +132,7 @@
 	}
 	switch a.Header.Get(hCode) {
 	case "100":
+		smooth(s.typical(j), time.Since(start))
 		return &reply{answer: a}, nil
 	case "":
 		a.discard()
@@ -149,7 +147,7 @@
 	if j.once || j.tries <= 1 || j.body.rest != nil {
 		return j.deadline
 	}
-	return now.Add(j.deadline.Sub(now) * 3 / 4)
+	return s.part(j, now, j.deadline.Sub(now)*3/4)
 }
 
 // patience is the shortest silence that says something about an owner: a
