--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -11,6 +11,10 @@
 // closed is the value of Bucket.empty after Close. No time reaches it.
 const closed = math.MaxInt64
 
+// maxFill bounds fill times, 36 years, so that sums of them do not overflow
+// for limits of few tokens in a long time.
+const maxFill = 1 << 60
+
 // Bucket is a token bucket that many goroutines may take from without a lock.
 // It stores the time at which it was last empty, counted at its present rate,
 // so that level and fill time are one word. Costs in time are rounded up and
@@ -23,14 +27,13 @@
 	depth  atomic.Int64 // nanoseconds that fill the bucket
 }
 
-// NewBucket returns an empty bucket. A bucket with a rate of zero holds its
-// level in time as well, but never fills.
+// NewBucket returns an empty bucket. With a rate of zero it never fills.
 func NewBucket(l Limit, now time.Time) *Bucket {
 	b := &Bucket{origin: now, per: math.Inf(1)}
 	if l.Rate > 0 {
 		b.per = 1e9 * (1 + corianderwing.MaxDrift) / float64(l.Rate)
-		b.one = int64(math.Ceil(b.per))
-		b.depth.Store(int64(l.Burst * b.per))
+		b.one = b.cost(1)
+		b.depth.Store(int64(min(l.Burst*b.per, maxFill)))
 	}
 	return b
 }
@@ -39,10 +42,10 @@
 
 // cost returns the time that fills n tokens, rounded up.
 func (b *Bucket) cost(n corianderwing.Tokens) int64 {
-	if n == 1 {
+	if n == 1 && b.one > 0 {
 		return b.one
 	}
-	return int64(math.Ceil(float64(n) * b.per))
+	return int64(min(math.Ceil(float64(n)*b.per), 2*maxFill))
 }
 
 // Take takes n tokens, or none if there are fewer. It is safe for concurrent
@@ -96,7 +99,7 @@
 		return
 	}
 	t := b.at(now)
-	credit := int64(float64(n) * b.per)
+	credit := int64(min(float64(n)*b.per, maxFill))
 	for {
 		e := b.empty.Load()
 		if e == closed {
@@ -157,6 +160,6 @@
 		return next
 	}
 	had := max(0, min(b.at(now)-e, b.depth.Load()))
-	next.empty.Store(-min(int64(float64(had)/b.per*next.per), next.depth.Load()))
+	next.empty.Store(-int64(min(float64(had)/b.per*next.per, float64(next.depth.Load()))))
 	return next
 }
