Serve the operators' API from every control instance

Cause: operators need one address that answers for every group. Ruled out: answering from the local replica alone (a control instance hosts only some groups, and a follower may be behind). Before: no API.

--- a/io/ctrl/client.go
+++ b/io/ctrl/client.go
@@ -88,13 +88,13 @@
 	return *reply, nil
 }
 
-// Force asks the leader whether a revision is in force everywhere.
-func (c *Client) Force(ctx context.Context, g corianderwing.GroupID, at corianderwing.Revision) (Force, error) {
-	reply, err := onLeader(ctx, c, g, func(ctx context.Context, addr string) (*Force, error) {
-		return peer.Call(ctx, c.peer, addr, forceMethod, &forceRequest{Group: g, Revision: at})
+// Lead asks the leader of a group for what it knows.
+func (c *Client) Lead(ctx context.Context, g corianderwing.GroupID) (Lead, error) {
+	reply, err := onLeader(ctx, c, g, func(ctx context.Context, addr string) (*Lead, error) {
+		return peer.Call(ctx, c.peer, addr, leadMethod, &leadRequest{Group: g})
 	})
 	if err != nil {
-		return Force{}, err
+		return Lead{}, err
 	}
 	return *reply, nil
 }
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// force reports whether every entry instance acts on the revision.
-func (h *host) force(ctx context.Context, at corianderwing.Revision) (*Force, error) {
+// report returns what the leader knows.
+func (h *host) report(ctx context.Context) (*Lead, error) {
 	if _, err := h.group.Confirm(ctx); err != nil {
 		return nil, err
 	}
@@ -138,9 +138,9 @@
 	}
 	now := time.Now()
 	h.leases.lead(term, now)
-	f := h.leases.force(at, now)
-	f.Force = f.Force && h.machine.View().Revision() >= at
-	return &f, nil
+	l := &Lead{Leader: processOf(h.self), Term: term, Revision: h.machine.View().Revision()}
+	l.Force, l.Leases = h.leases.force(l.Revision, now)
+	return l, nil
 }
 
 // watch sends updates after a revision until ctx ends.
--- a/io/ctrl/lease.go
+++ b/io/ctrl/lease.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -47,34 +46,22 @@
 	l.given[i] = lease{confirmed: at, until: corianderwing.GrantorDeadline(now, FreshFor)}
 }
 
-// force reports whether every unexpired lease has confirmed the revision.
-func (l *leases) force(at corianderwing.Revision, now time.Time) Force {
+// force returns the highest revision, up to accepted, that every unexpired
+// lease has confirmed, and the number of these leases. It is 0 while leases of
+// an earlier leader may be in use.
+func (l *leases) force(accepted corianderwing.Revision, now time.Time) (corianderwing.Revision, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := Force{Revision: at}
+	lowest := accepted
 	for id, given := range l.given {
 		if now.After(given.until) {
 			delete(l.given, id)
 			continue
 		}
-		if given.confirmed < at {
-			f.Behind = append(f.Behind, id)
-		}
+		lowest = min(lowest, given.confirmed)
 	}
-	slices.Sort(f.Behind)
-	f.Force = len(f.Behind) == 0 && now.After(l.quiet)
-	return f
-}
-
-// holders counts the unexpired leases.
-func (l *leases) holders(now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for _, given := range l.given {
-		if !now.After(given.until) {
-			n++
-		}
+	if !now.After(l.quiet) {
+		lowest = 0
 	}
-	return n
+	return lowest, len(l.given)
 }
--- a/io/ctrl/method.go
+++ b/io/ctrl/method.go
@@ -17,7 +17,7 @@
 	renewMethod   = peer.Method[corianderwing.Renew, corianderwing.Renewed]{Name: "Renew"}
 	watchMethod   = peer.Stream[watchRequest, corianderwing.Update]{Name: "Watch"}
 	statusMethod  = peer.Method[empty, Status]{Name: "Status"}
-	forceMethod   = peer.Method[forceRequest, Force]{Name: "Force"}
+	leadMethod    = peer.Method[leadRequest, Lead]{Name: "Lead"}
 	shipMethod    = peer.Method[record.Batch, empty]{Name: "Ship"}
 	findMethod    = peer.Method[corianderwing.Query, record.Found]{Name: "Find"}
 )
@@ -39,14 +39,15 @@
 	After corianderwing.Revision `json:"after"`
 }
 
-type forceRequest struct {
-	Group    corianderwing.GroupID  `json:"group"`
-	Revision corianderwing.Revision `json:"revision"`
+type leadRequest struct {
+	Group corianderwing.GroupID `json:"group"`
 }
 
-// Force tells how far a revision is in force.
-type Force struct {
-	Revision corianderwing.Revision     `json:"revision"`
-	Force    bool                       `json:"force"`            // every unexpired lease has confirmed it
-	Behind   []corianderwing.InstanceID `json:"behind,omitempty"` // instances that have not
+// Lead is what the leader of a group knows, after a read-index round.
+type Lead struct {
+	Leader   corianderwing.InstanceID `json:"leader"` // process of the leader
+	Term     corianderwing.Term       `json:"term"`
+	Revision corianderwing.Revision   `json:"revision"` // accepted
+	Force    corianderwing.Revision   `json:"force"`    // confirmed by every unexpired lease
+	Leases   int                      `json:"leases"`   // unexpired
 }
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -97,8 +97,8 @@
 	peer.Handle(ps, renewMethod, func(ctx context.Context, r *corianderwing.Renew) (*corianderwing.Renewed, error) {
 		return onHost(s, r.Group, func(h *host) (*corianderwing.Renewed, error) { return h.renew(ctx, r) })
 	})
-	peer.Handle(ps, forceMethod, func(ctx context.Context, r *forceRequest) (*Force, error) {
-		return onHost(s, r.Group, func(h *host) (*Force, error) { return h.force(ctx, r.Revision) })
+	peer.Handle(ps, leadMethod, func(ctx context.Context, r *leadRequest) (*Lead, error) {
+		return onHost(s, r.Group, func(h *host) (*Lead, error) { return h.report(ctx) })
 	})
 	peer.Handle(ps, joinMethod, func(ctx context.Context, r *joinRequest) (*empty, error) {
 		return onHost(s, r.Group, func(h *host) (*empty, error) { return &empty{}, h.join(ctx, r.ID) })
@@ -289,7 +289,7 @@
 	for _, h := range *s.hosts.Load() {
 		gs := GroupStatus{Status: h.group.Status(), Revision: h.machine.View().Revision()}
 		if gs.Role == raft.Leader {
-			gs.Leases = h.leases.holders(now)
+			_, gs.Leases = h.leases.force(gs.Revision, now)
 		}
 		if gs.Err != nil {
 			gs.Error = gs.Err.Error()
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -52,6 +52,9 @@
 			d.fail(err)
 		}
 	})
+	if err := d.startAdmin(c); err != nil {
+		return err
+	}
 	if d.opts.seed {
 		for _, g := range d.cfg.Hosted(p.ID) {
 			d.wg.Go(func() { d.seedGroup(g.Name) })
