Add the load command's engine

Cause: the promises on rates, orders and response times must be judged from the callers' and the upstreams' side, on the same plan before and after a change.

Conclusion: ready to be wired; not yet run against real processes.

--- /dev/null
+++ b/io/load/run.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/io/conf"
+)
+
+// Option changes a run.
+type Option func(*engine)
+
+// WithTransport sends requests through t.
+func WithTransport(t http.RoundTripper) Option {
+	return func(e *engine) { e.client.Transport = t }
+}
+
+// WithProgress calls f about once a second with the number of requests sent.
+func WithProgress(f func(sent, planned int)) Option {
+	return func(e *engine) { e.progress = f }
+}
+
+// engine runs one plan. Each request writes its own element of seen.
+type engine struct {
+	scenario *Scenario
+	cfg      *conf.Config
+	client   *http.Client
+	progress func(sent, planned int)
+	run      string // distinguishes the orders of this run from those of others
+	start    time.Time
+	plan     []Event
+	seen     []seen
+	callers  map[route]*caller
+	flight   atomic.Int64
+	wg       sync.WaitGroup
+}
+
+// route is where a caller is.
+type route struct {
+	load   int
+	region corianderwing.RegionID
+}
+
+// seen is what became of one planned request.
+type seen struct {
+	sent   time.Duration // after the start of the run
+	took   time.Duration // from the planned time to the last byte
+	first  outcome
+	again  outcome // of the second copy of an order
+	twice  bool
+	resent time.Duration
+}
+
+// Run runs a scenario that passed Check. When ctx ends, it stops sending,
+// waits for the requests under way, and returns what it has.
+func Run(ctx context.Context, s *Scenario, cfg *conf.Config, opts ...Option) (*Result, error) {
+	e := &engine{scenario: s, cfg: cfg, callers: map[route]*caller{}, progress: func(int, int) {}}
+	e.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 512,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+	for _, o := range opts {
+		o(e)
+	}
+	plan, err := s.Plan(cfg)
+	if err != nil {
+		return nil, err
+	}
+	e.plan = plan
+	e.seen = make([]seen, len(plan))
+	for i := range s.Loads {
+		e.addCallers(i)
+	}
+	e.start = time.Now()
+	e.run = strconv.FormatInt(e.start.UnixNano(), 36)
+	sent := e.dispatch(ctx)
+	e.wg.Wait()
+	e.client.CloseIdleConnections()
+	return e.result(sent), nil
+}
+
+func (e *engine) addCallers(load int) {
+	w := e.scenario.Loads[load].Name
+	key, _ := e.cfg.Caller(w)
+	for _, r := range e.cfg.Regions {
+		e.callers[route{load, r.Name}] = &caller{
+			client:    e.client,
+			workspace: w,
+			key:       key,
+			first:     entries(e.cfg, r.Name),
+		}
+	}
+}
+
+// dispatch starts every request at its planned time and returns how many it
+// started.
+func (e *engine) dispatch(ctx context.Context) int {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	next := time.Second
+	for i := range e.plan {
+		at := e.plan[i].At
+		if at >= next {
+			e.progress(i, len(e.plan))
+			next += time.Second
+		}
+		if wait := at - time.Since(e.start); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return i
+			}
+		} else if ctx.Err() != nil {
+			return i
+		}
+		e.launch(i)
+	}
+	return len(e.plan)
+}
+
+func (e *engine) launch(i int) {
+	e.seen[i].sent = time.Since(e.start)
+	if e.flight.Load() >= int64(e.scenario.Flight) {
+		e.seen[i].first = outcome{failure: notSent, run: corianderwing.RanNo}
+		return
+	}
+	e.flight.Add(1)
+	e.wg.Go(func() {
+		defer e.flight.Add(-1)
+		e.request(i)
+	})
+}
+
+// request sends one planned request, and an order a second time if planned.
+// The context is not that of the run: a stopped run waits for its requests.
+func (e *engine) request(i int) {
+	event, s := e.plan[i], &e.seen[i]
+	c := e.callers[route{event.Load, event.Region}]
+	m := e.message(event)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.scenario.Timeout)*time.Millisecond)
+	defer cancel()
+	var second sync.WaitGroup
+	if event.Resend == resendNow {
+		s.twice = true
+		second.Go(func() {
+			time.Sleep(event.Gap)
+			s.resent = time.Since(e.start)
+			s.again = c.send(ctx, m, 1)
+		})
+	}
+	s.first = c.send(ctx, m, 0)
+	s.took = time.Since(e.start) - event.At
+	if event.Resend == resendAfter {
+		s.twice, s.resent = true, time.Since(e.start)
+		s.again = c.send(ctx, m, 1)
+	}
+	second.Wait()
+}
+
+// message returns the request of an event. Its number in the path makes the
+// answer to it unique.
+func (e *engine) message(event Event) message {
+	load := &e.scenario.Loads[event.Load]
+	kind := &load.Mix[event.Kind]
+	m := message{
+		kind: kind,
+		path: fmt.Sprintf("/%s/%s%s?n=%d", load.Name, kind.Service, kind.Path, event.Number),
+		body: strings.Repeat("x", kind.Body),
+	}
+	if kind.Order {
+		m.order = e.order(event.Number)
+	}
+	return m
+}
+
+func (e *engine) order(number int) string { return fmt.Sprintf("%s-%d", e.run, number) }
