--- a/io/conf/sections.go
+++ b/io/conf/sections.go
@@ -16,7 +16,7 @@
 const (
 	maxDelay = 10_000
 	maxCap   = 1_000_000
-	maxSeats = 1000
+	maxSeats = 256 // as in core/tree
 	maxCount = 1000
 	maxSlots = 10_000
 	maxConns = 100_000
--- a/io/conf/tree.go
+++ b/io/conf/tree.go
@@ -9,6 +9,7 @@
 	"github.com/goccy/go-yaml/ast"
 
 	"corianderwing"
+	"corianderwing/core/tree"
 )
 
 // Workspace is a workspace of the seed tree.
@@ -66,6 +67,7 @@
 	}
 	o.bounds(&w.Settings)
 	o.settings(&w.Settings)
+	p.node(o, corianderwing.Path{Workspace: w.Name}, &w.Settings)
 	o.objects("services", func(s *object) { w.Services = append(w.Services, p.service(s, w.Name)) })
 	o.objects("keys", func(k *object) { w.Keys = append(w.Keys, p.seedKey(k)) })
 	p.cfg.Tree = append(p.cfg.Tree, w)
@@ -74,6 +76,7 @@
 func (p *parse) service(o *object, w corianderwing.WorkspaceID) Service {
 	s := Service{Name: corianderwing.ServiceID(p.declare(o, fmt.Sprintf("service/%s", w), "name"))}
 	o.settings(&s.Settings)
+	p.node(o, corianderwing.Path{Workspace: w, Service: s.Name}, &s.Settings)
 	o.objects("routes", func(r *object) { s.Routes = append(s.Routes, p.route(r, w, s)) })
 	return s
 }
@@ -84,9 +87,21 @@
 	o.settings(&r.Settings)
 	p.prefix(o, &r.Settings, below)
 	o.methods(&r.Settings)
+	p.node(o, corianderwing.Path{Workspace: w, Service: s.Name, Route: r.Name}, &r.Settings)
 	return r
 }
 
+// node reports what the control groups would refuse and the checks of single
+// fields let pass.
+func (p *parse) node(o *object, path corianderwing.Path, s *corianderwing.Settings) {
+	if path.Workspace == "" || path.Service == "" && path.Route != "" {
+		return // reported as a missing id
+	}
+	if err := tree.Check(path, s); err != nil {
+		p.fail(o.spot, "", "%v", err)
+	}
+}
+
 func (p *parse) seedKey(o *object) SeedKey {
 	rule := fmt.Sprintf("text of %d bytes or more that no other key has", minKey)
 	k := SeedKey{Name: corianderwing.KeyID(p.declare(o, "key", "name"))}
@@ -111,14 +126,14 @@
 // prefix reads the path prefix of a route, which no other route of the
 // service may have.
 func (p *parse) prefix(o *object, s *corianderwing.Settings, below string) {
-	const rule = "a clean path that starts with /"
+	const rule = "a clean path that starts with / and does not end with one"
 	text := "/"
 	if o.has("prefix") {
 		var ok bool
 		if text, ok = o.text("prefix", rule); !ok {
 			return
 		}
-		if !strings.HasPrefix(text, "/") || path.Clean(text) != strings.TrimSuffix(text, "/") && text != "/" {
+		if !strings.HasPrefix(text, "/") || path.Clean(text) != text {
 			p.fail(o.at("prefix"), rule, "is %q", text)
 			return
 		}
@@ -152,10 +167,10 @@
 
 // bounds reads the fields that apply to a workspace as a whole.
 func (o *object) bounds(s *corianderwing.Settings) {
-	if v, ok := o.number("rate", 0, 10_000_000); ok {
+	if v, ok := o.number("rate", 0.001, 1e9); ok {
 		s.Rate = new(corianderwing.TokensPerSecond(v))
 	}
-	if v, ok := o.whole("burst", 1, 100_000_000); ok {
+	if v, ok := o.whole("burst", 1, 1e9); ok {
 		s.Burst = new(corianderwing.Tokens(v))
 	}
 	if v, ok := o.number("fixed", 0, 1); ok {
@@ -175,10 +190,10 @@
 	if v, ok := o.truth("once"); ok {
 		s.Once = &v
 	}
-	s.Timeout = o.millis("timeout", 1)
-	s.Wait = o.millis("wait", 0)
-	s.Slow = o.millis("slow", 1)
-	if v, ok := o.whole("tries", 1, 10); ok {
+	s.Timeout = o.millis("timeout")
+	s.Wait = o.millis("wait")
+	s.Slow = o.millis("slow")
+	if v, ok := o.whole("tries", 1, 5); ok {
 		s.Tries = new(int(v))
 	}
 	if v, ok := o.whole("body", 0, 1<<30); ok {
@@ -200,8 +215,8 @@
 	s.Class = &c
 }
 
-func (o *object) millis(name string, lo int64) *corianderwing.Millis {
-	v, ok := o.whole(name, lo, 600_000)
+func (o *object) millis(name string) *corianderwing.Millis {
+	v, ok := o.whole(name, 1, 600_000)
 	if !ok {
 		return nil
 	}
--- a/io/load/orders.go
+++ b/io/load/orders.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -104,30 +102,14 @@
 	Over    int    `json:"over"` // stand-ins that had more requests at a time than slots
 }
 
-// stubAddresses lists the stand-ins of a settings file.
-func stubAddresses(cfg *conf.Config) []string {
-	var all []string
-	for _, s := range cfg.Stubs {
-		first, err := netip.ParseAddrPort(s.Address)
-		if err != nil {
-			continue // the settings were checked
-		}
-		for i := range s.Count {
-			port := strconv.Itoa(int(first.Port()) + i)
-			all = append(all, net.JoinHostPort(first.Addr().String(), port))
-		}
-	}
-	return all
-}
-
 // Judge reads the logs of the stand-ins and judges the orders by them. Calls
 // should come after the run's requests have ended.
 func (r *Result) Judge(ctx context.Context, cfg *conf.Config, client *http.Client) {
 	runs := map[string]int{}
 	complete := true
-	for _, addr := range stubAddresses(cfg) {
+	for _, up := range stub.FromSettings(cfg, 0) {
 		r.Upstreams.Asked++
-		ran, err := readRan(ctx, client, addr)
+		ran, err := readRan(ctx, client, up.Addr)
 		if err != nil {
 			r.Upstreams.Silent++
 			complete = false
--- a/io/stub/fault.go
+++ b/io/stub/fault.go
@@ -9,9 +9,10 @@
 )
 
 // Fault is a fault that the upstream was told to show, on the requests whose
-// path starts with Prefix. Fractions are from 0 to 1.
+// path starts with Prefix and whose route is Route. Fractions are from 0 to 1.
 type Fault struct {
-	Prefix string   `json:"prefix,omitempty"` // default: every request
+	Prefix string   `json:"prefix,omitempty"` // of the path as sent, workspace and service included; default: all
+	Route  string   `json:"route,omitempty"`  // route id, in any workspace; default: all
 	Fail   float64  `json:"fail,omitempty"`   // fraction that runs and is answered with Status
 	Status int      `json:"status,omitempty"` // default 500
 	Slow   float64  `json:"slow,omitempty"`   // factor on the service time
@@ -37,7 +38,7 @@
 	draw   float64 // of the service time
 }
 
-// SetFault adds a fault, or replaces the one with the same prefix.
+// SetFault adds a fault, or replaces the one with the same prefix and route.
 func (s *Server) SetFault(f Fault) {
 	f.since = time.Now()
 	if f.Status == 0 {
@@ -45,7 +46,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = slices.DeleteFunc(s.faults, func(old Fault) bool { return old.Prefix == f.Prefix })
+	s.faults = slices.DeleteFunc(s.faults, func(old Fault) bool { return old.Prefix == f.Prefix && old.Route == f.Route })
 	s.faults = append(s.faults, f)
 }
 
@@ -79,7 +80,7 @@
 	defer s.mu.Unlock()
 	c := chance{slow: 1, draw: s.rand.ExpFloat64()}
 	for _, f := range s.faults {
-		if !strings.HasPrefix(r.URL.Path, f.Prefix) {
+		if !strings.HasPrefix(r.URL.Path, f.Prefix) || f.Route != "" && f.Route != r.Header.Get("Cw-Route") {
 			continue
 		}
 		if s.rand.Float64() < f.Fail {
--- /dev/null
+++ b/io/stub/settings.go
@@ -0,0 +1,59 @@
+package stub
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"corianderwing"
+	"corianderwing/io/conf"
+)
+
+// FromSettings returns the stand-ins that a settings file describes. Each has
+// a seed of its own, derived from the given one, and announces to the entry
+// instances of its failure domain.
+func FromSettings(cfg *conf.Config, seed uint64) []Config {
+	var all []Config
+	numbers := map[corianderwing.UpstreamID]int{}
+	for _, s := range cfg.Stubs {
+		first, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			continue // the settings were checked
+		}
+		for i := range s.Count {
+			set := corianderwing.UpstreamID(fmt.Sprintf("%s-%s", s.Pool, s.Domain))
+			numbers[set]++
+			all = append(all, Config{
+				ID:      corianderwing.UpstreamID(fmt.Sprintf("%s-%d", set, numbers[set])),
+				Pool:    s.Pool,
+				Domain:  s.Domain,
+				Version: s.Version,
+				Addr:    net.JoinHostPort(first.Addr().String(), strconv.Itoa(int(first.Port())+i)),
+				Entries: entries(cfg, s.Domain),
+				Slots:   s.Slots,
+				Conns:   s.Conns,
+				Time:    millis(s.Time),
+				Spread:  0.5,
+				Connect: millis(s.Connect),
+				Probe:   millis(s.Probe),
+				Size:    s.Size,
+				Seed:    seed + uint64(len(all)),
+			})
+		}
+	}
+	return all
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func entries(cfg *conf.Config, d corianderwing.DomainID) []string {
+	var all []string
+	for _, p := range cfg.Processes {
+		if p.Entry != nil && p.Domain == d {
+			all = append(all, p.Entry.Public)
+		}
+	}
+	return all
+}
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -162,6 +162,7 @@
 	_, _, err = get("/good", "d")
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
 	s.ClearFaults()
+	s.SetFault(Fault{Route: "other", Fail: 1})
 	_, _, err = get("/good", "e")
 	is.NoErr(err)
 	resp, _, _ = get("/ran", "f") // through the system this is ordinary work
