Add the operators' commands and keep nanoseconds on the wire

Ruled out: the record store (it keeps nanoseconds). Change: check, status, tree, key, drain, move, records, version; RFC 3339 with nanoseconds in the peer codec. Before: AT 2026-12-04T06:51:20Z for every record.

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,18 +12,47 @@
 	"github.com/urfave/cli/v3"
 
 	"corianderwing"
+	"corianderwing/io/conf"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	root := &cli.Command{
-		Name:     "corianderwing",
-		Usage:    "steer traffic between callers and upstreams",
-		Commands: []*cli.Command{serveCommand(), stubCommand()},
-	}
-	if err := root.Run(ctx, os.Args); err != nil {
+	if err := rootCommand().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(max(1, corianderwing.CodeOf(err).Exit()))
+		os.Exit(exitStatus(err))
+	}
+}
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "corianderwing",
+		Usage: "steer traffic between callers and upstreams",
+		Commands: []*cli.Command{
+			serveCommand(),
+			stubCommand(),
+			checkCommand(),
+			statusCommand(),
+			treeCommand(),
+			keyCommand(),
+			drainCommand(),
+			moveCommand(),
+			recordsCommand(),
+			versionCommand(),
+		},
+	}
+}
+
+// exitStatus returns the exit status of a failed command: that of its result
+// code, or 1 for an error without one.
+func exitStatus(err error) int {
+	var coded *corianderwing.Error
+	if errors.As(err, &coded) {
+		return coded.Code.Exit()
+	}
+	var problems conf.Problems
+	if errors.As(err, &problems) {
+		return corianderwing.BadInput.Exit()
 	}
+	return 1
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -17,8 +17,17 @@
 // Name implements encoding.Codec.
 func (codec) Name() string { return codecName }
 
+// encMode keeps times to the nanosecond; the library's default is whole seconds.
+var encMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Marshal implements encoding.Codec.
-func (codec) Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+func (codec) Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
 // Unmarshal implements encoding.Codec.
 func (codec) Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -81,3 +82,15 @@
 	_, err := Call(t.Context(), c, addr, double, &ask{N: 1})
 	is.True(err != nil)
 }
+
+// Guards against times that lose their fractions of a second on the way, which
+// made records of one second indistinguishable.
+func TestCodecKeepsNanoseconds(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 12, 4, 6, 51, 20, 123456789, time.UTC)
+	data, err := codec{}.Marshal(at)
+	is.NoErr(err)
+	var got time.Time
+	is.NoErr(codec{}.Unmarshal(data, &got))
+	is.True(got.Equal(at))
+}
