--- a/core/route/route.go
+++ b/core/route/route.go
@@ -66,6 +66,10 @@
 	byID   map[corianderwing.UpstreamID]*up
 	shift  Shift
 	credit float64 // requests that the new version may still get
+
+	mean    float64   // mean latency of the upstreams with recent observations
+	ejected time.Time // end of the last ejection
+	spared  bool      // the floor has let an ejected upstream in
 }
 
 // New returns a Pool without upstreams.
@@ -79,7 +83,8 @@
 
 // Sync replaces the announced upstreams. One that is no longer announced, is
 // draining, or is drained by an operator gets no new work; what it runs still
-// counts against its slots.
+// counts against its slots. Sync also lets old observations fade, so it is
+// called several times a second.
 func (p *Pool) Sync(list []corianderwing.Upstream, drained func(corianderwing.UpstreamID) bool, now time.Time) {
 	for _, u := range p.ups {
 		u.open = false
@@ -107,6 +112,10 @@
 	}
 	clear(p.ups[len(kept):])
 	p.ups = kept
+	p.mean = p.meanLatency(now)
+	for _, u := range p.ups {
+		u.weigh(p.mean, p.cfg.Decay, now)
+	}
 	p.floor(now)
 }
 
@@ -172,43 +181,52 @@
 func (p *Pool) choose(tried []corianderwing.UpstreamID, now time.Time) (u *up, fresh bool) {
 	p.floor(now)
 	if p.shift.To == "" {
-		return p.best(tried, now, func(*up) bool { return true }), false
+		return p.best(tried, now, anyVersion), false
 	}
-	to := func(u *up) bool { return u.Version == p.shift.To }
-	from := func(u *up) bool { return u.Version != p.shift.To }
 	if p.shift.Share >= 1 || p.credit+p.shift.Share >= 1 {
-		if u = p.best(tried, now, to); u != nil {
+		if u = p.best(tried, now, newVersion); u != nil {
 			return u, true
 		}
 	}
-	if u = p.best(tried, now, from); u != nil {
+	if u = p.best(tried, now, oldVersion); u != nil {
 		return u, false
 	}
-	if p.shift.Share > 0 && !p.has(from) {
-		return p.best(tried, now, to), true
+	if p.shift.Share > 0 && !p.hasOld() {
+		return p.best(tried, now, newVersion), true
 	}
 	return nil, false
 }
 
-func (p *Pool) has(ok func(*up) bool) bool {
+func (p *Pool) hasOld() bool {
 	for _, u := range p.ups {
-		if u.open && ok(u) {
+		if u.open && u.Version != p.shift.To {
 			return true
 		}
 	}
 	return false
 }
 
-func (p *Pool) best(tried []corianderwing.UpstreamID, now time.Time, ok func(*up) bool) *up {
-	mean := p.mean(now)
+// versions tells which versions are acceptable.
+type versions uint8
+
+const (
+	anyVersion versions = iota
+	newVersion
+	oldVersion
+)
+
+func (p *Pool) best(tried []corianderwing.UpstreamID, now time.Time, want versions) *up {
 	var best *up
 	var low float64
 	for _, u := range p.ups {
-		if !ok(u) || !u.usable(now) || u.taken(now) >= u.room(p.cfg.Warm, now) {
+		if want != anyVersion && (want == newVersion) != (u.Version == p.shift.To) {
+			continue
+		}
+		if !u.usable(now) || u.taken(now) >= u.room(p.cfg.Warm, now) {
 			continue
 		}
-		s := u.score(mean, p.cfg.Decay, now)
-		if contains(tried, u.ID) {
+		s := u.score()
+		if len(tried) > 0 && contains(tried, u.ID) {
 			s += 1000
 		}
 		// Up to 5% of noise spreads requests over equals.
@@ -229,8 +247,8 @@
 	return false
 }
 
-// mean returns the mean latency of the upstreams with recent observations.
-func (p *Pool) mean(now time.Time) float64 {
+// meanLatency returns the mean latency of the upstreams with recent observations.
+func (p *Pool) meanLatency(now time.Time) float64 {
 	var sum float64
 	n := 0
 	for _, u := range p.ups {
@@ -248,6 +266,10 @@
 // floor keeps at least half of the open upstreams usable: if more are ejected,
 // those with the fewest failures are let in again.
 func (p *Pool) floor(now time.Time) {
+	if !p.spared && !now.Before(p.ejected) {
+		return // none is ejected
+	}
+	p.spared = false
 	open, healthy := 0, 0
 	for _, u := range p.ups {
 		u.spared = false
@@ -269,6 +291,6 @@
 				best = u
 			}
 		}
-		best.spared = true
+		best.spared, p.spared = true, true
 	}
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -149,6 +149,7 @@
 		u.fails = 2
 	}
 	now = now.Add(time.Minute)
+	p.Sync(announce(4, "v1"), none, now)
 	got = use(p, 400, now, good)
 	is.True(got["v1-0"] > 50)
 	is.True(p.byID["v1-0"].room(p.cfg.Warm, now.Add(time.Second)) < 3) // slow start
@@ -186,6 +187,7 @@
 	}
 	is.True(got["v1-1"] > 190)
 	late := epoch.Add(20 * time.Second)
+	p.Sync(list, none, late)
 	u, _ := p.Pick(nil, late)
 	is.Equal(u.ID, corianderwing.UpstreamID("v1-0")) // neutral again, and reports less load
 }
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -24,6 +24,8 @@
 	until   time.Time // end of the ejection
 	trial   bool      // the next request decides about a recovered upstream
 	spared  bool      // ejected, but let in by the floor
+	weight  float64   // what latency and errors make of the score
+	warm    bool      // the slow start is over
 }
 
 // restart forgets the observations about an earlier incarnation. An upstream
@@ -35,7 +37,8 @@
 	u.latency, u.errors = 0, 0
 	u.fails, u.ejected = 0, 0
 	u.until = time.Time{}
-	u.trial = false
+	u.trial, u.warm = false, false
+	u.weight = 1
 }
 
 func (u *up) usable(now time.Time) bool {
@@ -44,6 +47,9 @@
 
 // taken returns the slots in use, with those held after cut-off requests.
 func (u *up) taken(now time.Time) corianderwing.Slots {
+	if len(u.held) == 0 {
+		return u.busy
+	}
 	kept := u.held[:0]
 	for _, t := range u.held {
 		if now.Before(t) {
@@ -62,8 +68,12 @@
 	if u.trial {
 		return 1
 	}
+	if u.warm {
+		return u.Slots
+	}
 	age := now.Sub(u.since)
 	if age >= warm {
+		u.warm = true
 		return u.Slots
 	}
 	part := float64(u.Slots) * float64(age) / float64(warm)
@@ -72,21 +82,24 @@
 
 // score estimates how long a request would take, relative to the pool's mean.
 // The reported load only decides between upstreams that look alike to us.
-func (u *up) score(mean float64, decay time.Duration, now time.Time) float64 {
-	trust := u.trust(decay, now)
-	slow := 1.0
+func (u *up) score() float64 {
+	return float64(u.busy+1)/float64(u.Slots)*u.weight + 0.05*max(0, min(1, u.Load))
+}
+
+// weigh renews the weight.
+func (u *up) weigh(mean float64, decay time.Duration, now time.Time) {
 	if u.seen.IsZero() {
-		slow = 0.7 // find out about it before comparing it with the others
+		u.weight = 0.7 // find out about it before comparing it with the others
+		return
 	}
+	trust := u.trust(decay, now)
+	slow := 1.0
 	if mean > 0 && u.latency > 0 {
 		slow = max(0.25, min(8, u.latency/mean))
 	}
-	if !u.seen.IsZero() {
-		slow = 1 + (slow-1)*trust
-	}
+	slow = 1 + (slow-1)*trust
 	bad := 1 + 4*(u.errors+float64(u.fails))*trust
-	full := float64(u.busy+1) / float64(u.Slots)
-	return full*slow*bad + 0.05*max(0, min(1, u.Load))
+	u.weight = slow * bad
 }
 
 // trust tells how much the observations still count: all when new, nothing
@@ -130,19 +143,27 @@
 	case Bad:
 		p.bad(u, now)
 	case Mute:
-		if took >= p.patience(now) {
+		if took >= p.patience() {
 			p.bad(u, now)
 		}
 	case Busy:
 		// The upstream has less room than announced: keep off for a moment.
 		u.until = later(u.until, now.Add(p.cfg.Linger))
+		p.ejected = later(p.ejected, u.until)
+		return
+	default:
+		return
+	}
+	if p.mean == 0 {
+		p.mean = u.latency
 	}
+	u.weigh(p.mean, p.cfg.Decay, now)
 }
 
 // patience is the shortest silence that counts as a failure: a caller may set
 // a deadline that no upstream can meet.
-func (p *Pool) patience(now time.Time) time.Duration {
-	mean := time.Duration(p.mean(now) * float64(time.Second))
+func (p *Pool) patience() time.Duration {
+	mean := time.Duration(p.mean * float64(time.Second))
 	return max(4*mean, 100*time.Millisecond)
 }
 
@@ -157,7 +178,7 @@
 	u.seen = now
 	u.fails = 0
 	if u.trial {
-		u.trial = false
+		u.trial, u.warm = false, false
 		u.since = now // recovered: slow start
 	}
 	if u.ejected > 0 && now.Sub(u.since) > decay {
@@ -175,6 +196,7 @@
 	}
 	d := p.cfg.Eject << min(u.ejected, 16)
 	u.until = now.Add(min(d, p.cfg.Longer))
+	p.ejected = later(p.ejected, u.until)
 	u.ejected++
 	u.trial = true
 }
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -51,14 +51,40 @@
 	return len(name) > 3 && name[0] == 'C' && name[1] == 'w' && name[2] == '-'
 }
 
+// field is one line of a header. Lists of fields are cheaper to build and to
+// write than maps.
+type field struct {
+	name, value string
+}
+
+// passes reports whether a header is meant for the other end.
+func passes(name string, connection []string) bool {
+	return !hopByHop[name] && !ours(name) && !inList(connection, name)
+}
+
+// fields returns the headers of in that are meant for the other end, but for
+// those that skip selects.
+func fields(in http.Header, skip func(name string) bool) []field {
+	out := make([]field, 0, len(in)+4)
+	connection := in["Connection"]
+	for name, values := range in {
+		if !passes(name, connection) || skip != nil && skip(name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, field{name, v})
+		}
+	}
+	return out
+}
+
 // endToEnd adds to out the headers of in that are meant for the other end.
 func endToEnd(out, in http.Header) {
-	named := in["Connection"]
+	connection := in["Connection"]
 	for name, values := range in {
-		if hopByHop[name] || ours(name) || inList(named, name) {
-			continue
+		if passes(name, connection) {
+			out[name] = values
 		}
-		out[name] = values
 	}
 }
 
@@ -76,23 +102,24 @@
 
 // forwarded returns the header that goes to an upstream: that of the caller
 // without keys.
-func forwarded(in http.Header, cookies []string, key string) http.Header {
-	out := make(http.Header, len(in)+8)
-	endToEnd(out, in)
-	delete(out, "X-Api-Key")
-	delete(out, "Authorization")
+func forwarded(in http.Header, cookies []string, key string) []field {
+	out := fields(in, func(name string) bool {
+		switch name {
+		case "X-Api-Key", "Authorization", "Cookie":
+			return true
+		case "Referer":
+			// It may be a page address that was fetched with the key.
+			return key != "" && strings.Contains(strings.Join(in[name], ""), key)
+		}
+		return false
+	})
 	for _, v := range in["Authorization"] {
 		if _, ok := bearer(v); !ok {
-			out["Authorization"] = append(out["Authorization"], v)
+			out = append(out, field{"Authorization", v})
 		}
 	}
-	delete(out, "Cookie")
-	if len(cookies) > 0 {
-		out["Cookie"] = cookies
-	}
-	// A page address that was fetched with the key in its query.
-	if key != "" && strings.Contains(in.Get("Referer"), key) {
-		delete(out, "Referer")
+	for _, v := range cookies {
+		out = append(out, field{"Cookie", v})
 	}
 	return out
 }
--- a/io/entry/inner.go
+++ b/io/entry/inner.go
@@ -33,8 +33,9 @@
 	defer cut(nil)
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
 	defer cancel()
-	run := s.running.add(false, corianderwing.KeyHash{byte(s.active.Load())}, j.workspace, cut)
-	defer s.running.remove(run)
+	var run runner
+	s.running.add(&run, false, corianderwing.KeyHash{byte(s.active.Load())}, j.workspace, cut)
+	defer s.running.remove(&run)
 	rc := http.NewResponseController(w)
 	if j.body, e = readBody(r, maxInner, false); e != nil {
 		writeError(w, e)
@@ -90,8 +91,7 @@
 		method:    r.Method,
 		uri:       r.RequestURI,
 		host:      r.Host,
-		header:    make(http.Header, len(h)),
+		header:    fields(h, nil),
 	}
-	endToEnd(j.header, h)
 	return j, nil
 }
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"time"
 
 	"corianderwing"
@@ -24,7 +23,7 @@
 	method string
 	uri    string
 	host   string
-	header http.Header
+	header []field
 	body   *body
 
 	attempts []corianderwing.Attempt
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -22,7 +22,7 @@
 	s.earn(j)
 	for {
 		start := time.Now()
-		up, e := p.acquire(ctx, j)
+		up, e := p.acquire(ctx, j, start)
 		if e != nil {
 			return nil, e
 		}
@@ -71,7 +71,8 @@
 		method: j.method,
 		uri:    j.uri,
 		name:   j.host,
-		header: s.upstreamHeader(j, start),
+		header: j.header,
+		extra:  attemptHeader(j, j.deadline, start, 0),
 		body:   j.body,
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
@@ -192,17 +193,14 @@
 	return t.(*atomic.Int64)
 }
 
-// upstreamHeader returns the header that an upstream sees.
-func (s *Server) upstreamHeader(j *job, now time.Time) http.Header {
-	out := make(http.Header, len(j.header)+6)
-	for name, values := range j.header {
-		out[name] = values
-	}
-	out[hLeft] = []string{leftHeader(j.deadline, now)}
-	out[hRequest] = []string{string(j.id)}
-	out[hWorkspace] = []string{string(j.workspace)}
-	out[hService] = []string{string(j.service)}
-	out[hRoute] = []string{string(j.route)}
-	out[hClass] = []string{string(j.class)}
-	return out
+// attemptHeader returns the headers of one attempt, with room for more.
+func attemptHeader(j *job, deadline, now time.Time, more int) []field {
+	return append(make([]field, 0, 6+more),
+		field{hLeft, leftHeader(deadline, now)},
+		field{hRequest, string(j.id)},
+		field{hWorkspace, string(j.workspace)},
+		field{hService, string(j.service)},
+		field{hRoute, string(j.route)},
+		field{hClass, string(j.class)},
+	)
 }
--- a/io/entry/path.go
+++ b/io/entry/path.go
@@ -43,35 +43,41 @@
 
 // unclean returns what is wrong with a path, or "".
 func unclean(raw, path string) string {
-	for i := 0; i < len(path); i++ {
-		if c := path[i]; c < ' ' || c == 0x7f || c == '\\' {
-			return "path has a control character or backslash"
-		}
-	}
-	if strings.IndexByte(raw, '%') >= 0 {
-		if trick(raw, false) || trick(path, true) {
-			return "path has an encoded slash, backslash, dot or control character"
-		}
-		if !utf8.ValidString(path) {
-			return "path is not UTF-8" // such as an overlong form of a slash
+	start, escaped := 1, len(raw) != len(path)
+	for i := 1; i <= len(path); i++ {
+		if i < len(path) && path[i] != '/' {
+			if c := path[i]; c < ' ' || c == 0x7f || c == '\\' {
+				return "path has a control character or backslash"
+			}
+			continue
 		}
-	}
-	for rest := path[1:]; rest != ""; {
-		var seg string
-		var more bool
-		seg, rest, more = strings.Cut(rest, "/")
-		if seg == "" && more {
+		if i == start && i < len(path) {
 			return "path has an empty segment"
 		}
-		// Some servers cut path parameters off before they resolve dots.
-		seg, _, _ = strings.Cut(seg, ";")
-		if seg == "." || seg == ".." {
+		if i > start && path[start] == '.' && dots(path[start:i]) {
 			return "path has a dot segment"
 		}
+		start = i + 1
+	}
+	if !escaped {
+		return "" // every escape makes the raw form longer
+	}
+	if trick(raw, false) || trick(path, true) {
+		return "path has an encoded slash, backslash, dot or control character"
+	}
+	if !utf8.ValidString(path) {
+		return "path is not UTF-8" // such as an overlong form of a slash
 	}
 	return ""
 }
 
+// dots reports whether a segment means this or the parent directory. Some
+// servers cut path parameters off before they look.
+func dots(seg string) bool {
+	seg, _, _ = strings.Cut(seg, ";")
+	return seg == "." || seg == ".."
+}
+
 // trick reports whether s has an escape that would turn into path syntax. In a
 // path that has been decoded once, an escaped percent sign is one as well.
 func trick(s string, decoded bool) bool {
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -118,12 +118,17 @@
 
 // acquire waits for a slot of an upstream. Nothing has been sent when it
 // fails.
-func (p *pool) acquire(ctx context.Context, j *job) (corianderwing.Upstream, *corianderwing.Error) {
-	now := time.Now()
+func (p *pool) acquire(ctx context.Context, j *job, now time.Time) (corianderwing.Upstream, *corianderwing.Error) {
 	if !p.s.cfg.Fleet.Owns(p.id) {
 		return corianderwing.Upstream{}, corianderwing.Errorf(corianderwing.NotOwner, "pool %s", p.id)
 	}
 	p.mu.Lock()
+	if p.queue.Len() == 0 {
+		if up, ok := p.route.Pick(j.triedIDs(), now); ok {
+			p.mu.Unlock()
+			return up, nil
+		}
+	}
 	if !p.route.Any(now) {
 		p.mu.Unlock()
 		p.sync(now)
@@ -133,12 +138,6 @@
 			return corianderwing.Upstream{}, corianderwing.Errorf(corianderwing.NoUpstream, "pool %s in %s", p.id, p.s.self.Domain)
 		}
 	}
-	if p.queue.Len() == 0 {
-		if up, ok := p.route.Pick(j.triedIDs(), now); ok {
-			p.mu.Unlock()
-			return up, nil
-		}
-	}
 	id, ch := p.enqueue(j, now)
 	p.mu.Unlock()
 	select {
--- a/io/entry/running.go
+++ b/io/entry/running.go
@@ -40,24 +40,26 @@
 	return &r.shards[int(h[0])%len(r.shards)]
 }
 
-func (r *running) add(keyed bool, h corianderwing.KeyHash, w corianderwing.WorkspaceID, cancel context.CancelCauseFunc) *runner {
-	e := &runner{keyed: keyed, hash: h, workspace: w, cancel: cancel}
+// add registers e, which is part of the request's own state so that it needs
+// no allocation.
+func (r *running) add(e *runner, keyed bool, h corianderwing.KeyHash, w corianderwing.WorkspaceID, cancel context.CancelCauseFunc) {
+	e.keyed, e.hash, e.workspace, e.cancel = keyed, h, w, cancel
 	s := r.shard(h)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.next, e.prev = s.head.next, &s.head
 	e.next.prev, s.head.next = e, e
-	return e
 }
 
 func (r *running) remove(e *runner) {
-	if e == nil {
-		return
+	if e.next == nil {
+		return // was never added
 	}
 	s := r.shard(e.hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.next.prev, e.prev.next = e.prev, e.next
+	e.next, e.prev = nil, nil
 }
 
 // check cancels the requests whose key is no longer valid. A workspace without
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -22,7 +22,8 @@
 	method string
 	uri    string
 	name   string // Host header
-	header http.Header
+	header []field
+	extra  []field // headers of this attempt
 	body   *body
 	id     corianderwing.RequestID
 	fresh  bool      // use a new connection
@@ -55,7 +56,7 @@
 	a.stop = context.AfterFunc(ctx, func() { cn.Close() })
 	// Setting a deadline fails only on a closed connection, which the next
 	// read or write reports; what was received before can still be read.
-	cn.SetDeadline(c.first)
+	cn.SetReadDeadline(c.first)
 	if err := a.write(c); err != nil && !answered(cn) {
 		return nil, a.fail(err)
 	}
@@ -66,7 +67,7 @@
 		a.discard()
 		return nil, e
 	}
-	cn.SetDeadline(time.Time{})
+	cn.SetReadDeadline(time.Time{})
 	if e := a.small(); e != nil {
 		return nil, e
 	}
@@ -113,8 +114,14 @@
 	bw.WriteString(" HTTP/1.1\r\nHost: ")
 	bw.WriteString(c.name)
 	bw.WriteString("\r\n")
-	if err := c.header.Write(bw); err != nil {
-		return err
+	// Names and values come from a parsed header, so they hold no line ends.
+	for _, list := range [2][]field{c.header, c.extra} {
+		for _, f := range list {
+			bw.WriteString(f.name)
+			bw.WriteString(": ")
+			bw.WriteString(f.value)
+			bw.WriteString("\r\n")
+		}
 	}
 	size := c.body.size()
 	switch {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -33,7 +33,7 @@
 	code     corianderwing.Code
 	run      corianderwing.Ran
 	reason   string
-	runner   *runner
+	runner   runner
 }
 
 func (s *Server) public(w http.ResponseWriter, r *http.Request) {
@@ -77,7 +77,7 @@
 	if v.stop != nil {
 		v.stop()
 	}
-	s.running.remove(v.runner)
+	s.running.remove(&v.runner)
 	total := time.Since(v.start)
 	s.meter.answer(v, total)
 	refused := v.code != corianderwing.OK && v.code != corianderwing.FirstReply
@@ -90,13 +90,17 @@
 	}
 }
 
-// admit decides whether a request may run: path, route, key, freshness,
-// method, header and rate, in this order. It sends nothing.
+// admit decides whether a request may run. It sends nothing.
 func (s *Server) admit(v *visit) *corianderwing.Error {
 	if e := s.find(v); e != nil {
 		return e
 	}
 	v.ctx, v.stop = context.WithDeadlineCause(v.ctx, v.deadline, errDeadline)
+	return s.allow(v)
+}
+
+// allow checks key, freshness, method, header, body and rate, in this order.
+func (s *Server) allow(v *visit) *corianderwing.Error {
 	if e := s.checkKey(v); e != nil {
 		return e
 	}
@@ -152,14 +156,14 @@
 		return e
 	}
 	if v.eff.Open {
-		v.runner = s.running.add(false, corianderwing.KeyHash{byte(s.counter.Load())}, v.workspace, v.cancel)
+		s.running.add(&v.runner, false, corianderwing.KeyHash{byte(s.counter.Load())}, v.workspace, v.cancel)
 		return nil
 	}
 	if v.found.count == 0 || v.found.key == "" {
 		return corianderwing.Errorf(corianderwing.NoKey, "workspace %s", v.workspace)
 	}
 	hash := s.hasher.hash(v.found.key)
-	v.runner = s.running.add(true, hash, v.workspace, v.cancel)
+	s.running.add(&v.runner, true, hash, v.workspace, v.cancel)
 	view, fresh, ok := s.cfg.Guide.View(v.workspace)
 	if !ok || !fresh {
 		return corianderwing.Errorf(corianderwing.NotFresh, "workspace %s", v.workspace)
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -97,22 +97,23 @@
 	// The owner's refusal should arrive before we give up on the owner.
 	back := time.Duration(pr.delay.Load()) + 5*time.Millisecond
 	back += min(first.Sub(start)/50, 50*time.Millisecond)
-	h := s.upstreamHeader(j, start)
-	h[hLeft] = []string{leftHeader(first.Add(-back), start)}
-	h[hPool] = []string{string(j.pool)}
-	h[hTries] = []string{strconv.Itoa(j.tries)}
-	h[hWait] = []string{strconv.FormatInt(int64(j.wait), 10)}
-	h[hHops] = []string{strconv.Itoa(j.hops + 1)}
-	h[hToken] = []string{s.token}
+	h := append(attemptHeader(j, first.Add(-back), start, 6),
+		field{hPool, string(j.pool)},
+		field{hTries, strconv.Itoa(j.tries)},
+		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
+		field{hHops, strconv.Itoa(j.hops + 1)},
+		field{hToken, s.token},
+	)
 	if j.once {
-		h[hOnce] = []string{"1"}
+		h = append(h, field{hOnce, "1"})
 	}
 	a, e := send(ctx, call{
 		host:   &pr.host,
 		method: j.method,
 		uri:    j.uri,
 		name:   j.host,
-		header: h,
+		header: j.header,
+		extra:  h,
 		body:   j.body,
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
