Judge rates and answers of real runs correctly

And a workspace seemed to exceed its rate by up to 9.9 requests, because the judge took the time of sending for that of admission.

Ruled out: giving each token as early or as late as possible to the requests under way.

Change: the echo is compared with the path below the service. The excess is the largest over all windows, counting only requests whose span from sending to answer lies within the window, so that it is never too high. Faults by prefix are documented with the path that upstreams see.

Conclusion: a reported excess is a real one.

--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -151,7 +151,8 @@
 // message is one request as it is sent.
 type message struct {
 	kind  *Kind
-	path  string
+	path  string // as sent
+	below string // path below the service, which the upstream sees and repeats
 	order string // Idempotency-Key
 	body  string
 }
@@ -256,7 +257,7 @@
 		Path  string `json:"path"`
 		Order string `json:"order"`
 	}
-	if json.Unmarshal(body, &echo) != nil || echo.Path != m.path || echo.Order != m.order {
+	if json.Unmarshal(body, &echo) != nil || echo.Path != m.below || echo.Order != m.order {
 		o.failure = foreign
 	}
 	return o
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -42,7 +42,7 @@
 	Failed   int     `json:"failed"`   // no answer, a wrong one, or one that may have run
 	Wrongful int     `json:"wrongful"` // refused for rate although inside it
 	Turned   int     `json:"turned"`   // refused for another reason although inside the rate
-	Over     float64 `json:"over"`     // requests admitted beyond rate and burst, at the worst moment
+	Over     float64 `json:"over"`     // least possible number of requests admitted beyond rate and burst
 	Served   float64 `json:"served"`   // good ones of those that should have been served
 	P50      int64   `json:"p50"`      // of the good ones, as are the next
 	P90      int64   `json:"p90"`
@@ -64,12 +64,12 @@
 	return &tally{row: Row{Name: name}, hist: hdrhistogram.New(1, maxTime, 3)}
 }
 
-func (t *tally) add(s seen, v verdict) {
+func (t *tally) add(event Event, s seen, v verdict) {
 	t.row.Sent++
 	switch {
 	case s.first.good():
 		t.row.Good++
-		_ = t.hist.RecordValue(min(max(s.took.Microseconds(), 1), maxTime)) // in range
+		_ = t.hist.RecordValue(min(max((s.done-event.At).Microseconds(), 1), maxTime)) // in range
 	case s.first.failure == answered && s.first.run == corianderwing.RanNo:
 		t.row.Refused++
 	default:
@@ -121,7 +121,7 @@
 				kinds[kind] = newTally(kind)
 			}
 			for _, t := range []*tally{w, total, kinds[kind]} {
-				t.add(one, v)
+				t.add(event, one, v)
 			}
 			r.Codes[one.first.String()]++
 		}, &w.row)
@@ -156,7 +156,7 @@
 
 // sending is one request or second copy, for the judge.
 type sending struct {
-	at    time.Duration
+	span
 	index int
 	o     outcome
 	copy  bool
@@ -171,19 +171,23 @@
 		if event.Load != load {
 			continue
 		}
-		all = append(all, sending{e.seen[i].sent, i, e.seen[i].first, false})
+		all = append(all, sending{e.seen[i].span, i, e.seen[i].first, false})
 		if e.seen[i].twice {
-			all = append(all, sending{e.seen[i].resent, i, e.seen[i].again, true})
+			all = append(all, sending{e.seen[i].second, i, e.seen[i].again, true})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b sending) int { return cmp.Compare(a.at, b.at) })
+	slices.SortStableFunc(all, func(a, b sending) int { return cmp.Compare(a.sent, b.sent) })
 	b := newBucket(row.Rate, row.Burst)
 	warm := seconds(e.scenario.Warm)
+	var admitted []span
 	for _, x := range all {
-		v := b.judge(x.at, x.o)
+		v := b.judge(x.sent, x.o)
+		if x.o.took() {
+			admitted = append(admitted, x.span)
+		}
 		if !x.copy && e.plan[x.index].At >= warm {
 			add(e.plan[x.index], e.seen[x.index], v)
 		}
 	}
-	row.Over = max(0, -b.lowest)
+	row.Over = excess(row.Rate, row.Burst, admitted)
 }
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -50,12 +50,11 @@
 
 // seen is what became of one planned request.
 type seen struct {
-	sent   time.Duration // after the start of the run
-	took   time.Duration // from the planned time to the last byte
+	span        // of the first copy
+	second span // of the second copy of an order
 	first  outcome
-	again  outcome // of the second copy of an order
+	again  outcome // of the second copy
 	twice  bool
-	resent time.Duration
 }
 
 // Run runs a scenario that passed Check. When ctx ends, it stops sending,
@@ -148,22 +147,25 @@
 	m := e.message(event)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.scenario.Timeout)*time.Millisecond)
 	defer cancel()
-	var second sync.WaitGroup
+	var copies sync.WaitGroup
 	if event.Resend == resendNow {
 		s.twice = true
-		second.Go(func() {
+		copies.Go(func() {
 			time.Sleep(event.Gap)
-			s.resent = time.Since(e.start)
+			s.second.sent = time.Since(e.start)
 			s.again = c.send(ctx, m, 1)
+			s.second.done = time.Since(e.start)
 		})
 	}
 	s.first = c.send(ctx, m, 0)
-	s.took = time.Since(e.start) - event.At
+	s.done = time.Since(e.start)
 	if event.Resend == resendAfter {
-		s.twice, s.resent = true, time.Since(e.start)
+		s.twice = true
+		s.second.sent = s.done
 		s.again = c.send(ctx, m, 1)
+		s.second.done = time.Since(e.start)
 	}
-	second.Wait()
+	copies.Wait()
 }
 
 // message returns the request of an event. Its number in the path makes the
@@ -171,10 +173,12 @@
 func (e *engine) message(event Event) message {
 	load := &e.scenario.Loads[event.Load]
 	kind := &load.Mix[event.Kind]
+	below := fmt.Sprintf("%s?n=%d", kind.Path, event.Number)
 	m := message{
-		kind: kind,
-		path: fmt.Sprintf("/%s/%s%s?n=%d", load.Name, kind.Service, kind.Path, event.Number),
-		body: strings.Repeat("x", kind.Body),
+		kind:  kind,
+		path:  fmt.Sprintf("/%s/%s%s", load.Name, kind.Service, below),
+		below: below,
+		body:  strings.Repeat("x", kind.Body),
 	}
 	if kind.Order {
 		m.order = e.order(event.Number)
--- a/io/load/text.go
+++ b/io/load/text.go
@@ -127,6 +127,9 @@
 		}
 	}
 	add(r.Upstreams.Keys > 0, fmt.Sprintf("I4: upstreams saw %d keys", r.Upstreams.Keys))
+	for _, w := range r.Workspaces {
+		add(w.Over >= 1, fmt.Sprintf("I6: %s exceeded its rate and burst by %.1f requests", w.Name, w.Over))
+	}
 	add(r.Codes[string(foreign)] > 0, fmt.Sprintf("I8: %d answers to other requests", r.Codes[string(foreign)]))
 	add(r.Orders.Untrue > 0, fmt.Sprintf("I9: %d orders ran although refused as not run", r.Orders.Untrue))
 	add(r.Orders.Doubled > 0, fmt.Sprintf("I10: %d orders ran more than once", r.Orders.Doubled))
--- a/io/stub/fault.go
+++ b/io/stub/fault.go
@@ -11,7 +11,7 @@
 // Fault is a fault that the upstream was told to show, on the requests whose
 // path starts with Prefix and whose route is Route. Fractions are from 0 to 1.
 type Fault struct {
-	Prefix string   `json:"prefix,omitempty"` // of the path as sent, workspace and service included; default: all
+	Prefix string   `json:"prefix,omitempty"` // of the path below the service, as upstreams see it; default: all
 	Route  string   `json:"route,omitempty"`  // route id, in any workspace; default: all
 	Fail   float64  `json:"fail,omitempty"`   // fraction that runs and is answered with Status
 	Status int      `json:"status,omitempty"` // default 500
