--- a/core/state/bounds_test.go
+++ b/core/state/bounds_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"corianderwing"
@@ -226,6 +227,7 @@
 		}
 		f.Add(data)
 	}
+	f.Add(damaged(f))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := state.New("north", state.WithReport(func(invariant, detail string) { t.Fatalf("%s: %s", invariant, detail) }))
 		r, err := state.DecodeResult(m.Apply(1, data))
@@ -249,3 +251,43 @@
 		_ = state.New("north").Restore(data)
 	})
 }
+
+// damaged returns a snapshot in which a request is replaced by nothing.
+func damaged(t testing.TB) []byte {
+	m := state.New("north")
+	c := drain("u1")
+	c.Request, c.Now = "r", start
+	data, err := state.EncodeCommand(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(1, data)
+	saved, err := m.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := cbor.Unmarshal(saved, &fields); err != nil {
+		t.Fatal(err)
+	}
+	fields["changes"] = []any{nil}
+	if saved, err = cbor.Marshal(fields); err != nil {
+		t.Fatal(err)
+	}
+	return saved
+}
+
+// Guards against a damaged snapshot that is taken, or that leaves a replica
+// with half of it.
+func TestDamagedSnapshot(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	before, err := o.m.Save()
+	is.NoErr(err)
+	is.True(o.m.Restore(damaged(t)) != nil)
+	is.True(o.m.Restore(before[:len(before)/2]) != nil)
+	is.True(state.New("south").Restore(before) != nil)
+	after, err := o.m.Save()
+	is.NoErr(err)
+	is.Equal(before, after)
+}
--- a/core/state/save.go
+++ b/core/state/save.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -87,30 +89,44 @@
 	if err != nil {
 		return err
 	}
+	changes, err := loadApplied(m.changes.most, s.Changes)
+	if err != nil {
+		return err
+	}
+	claims, err := loadApplied(m.claims.most, s.Claims)
+	if err != nil {
+		return err
+	}
+	orders, err := loadOrders(m.orders.most, s.Held, s.Free)
+	if err != nil {
+		return err
+	}
 	m.index, m.now = s.Index, s.Now.UTC()
-	m.changes = loadApplied(m.changes.most, s.Changes)
-	m.claims = loadApplied(m.claims.most, s.Claims)
-	m.orders = loadOrders(m.orders.most, s.Held, s.Free)
+	m.changes, m.claims, m.orders = changes, claims, orders
+	m.checkSeats(view)
 	m.public.Store(&public{view: view, changed: make(chan struct{})})
 	close(old.changed)
 	return nil
 }
 
-func loadApplied(most int, records []*record) *applied {
+func loadApplied(most int, records []*record) (*applied, error) {
 	a := newApplied(most)
 	for _, r := range records {
+		if r == nil || a.byKey[requestKey{r.Kind, r.Request}] != nil {
+			return nil, snapshotError(errors.New("a request is empty or listed twice"))
+		}
 		a.add(r)
 	}
-	return a
+	return a, nil
 }
 
-func loadOrders(most int, held, free []*corianderwing.Order) *orders {
+func loadOrders(most int, held, free []*corianderwing.Order) (*orders, error) {
 	o := newOrders(most)
-	for _, order := range held {
-		o.put(order)
-	}
-	for _, order := range free {
+	for _, order := range slices.Concat(held, free) {
+		if order == nil || o.find(order.Workspace, order.Key) != nil {
+			return nil, snapshotError(errors.New("an order is empty or listed twice"))
+		}
 		o.put(order)
 	}
-	return o
+	return o, nil
 }
--- a/core/tree/check.go
+++ b/core/tree/check.go
@@ -141,6 +141,8 @@
 	if s.Class != nil && !slices.Contains(classes, *s.Class) {
 		c.add("class", string(*s.Class), "urgent, normal or bulk")
 	}
+	// Once and several tries go together: a failure is tried again on such a
+	// route only if it is known that the request has not run.
 	if s.Tries != nil && (*s.Tries < 1 || *s.Tries > maxTries) {
 		c.add("tries", *s.Tries, fmt.Sprintf("1 to %d", maxTries))
 	}
