Test a watch that falls silent

Cause: open connections can go silent for ever, and a watcher must neither wait on one nor leave one that only has no news. Ruled out: real sockets; the test would need real time. Change: TestSilentWatch in virtual time over an in-memory connection. Before: untested.

--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -252,6 +252,33 @@
 	noHash(t, f, shown)
 }
 
+// Guards against a watcher that waits for ever on a connection that has gone
+// silent, and against one that leaves a working instance without changes.
+func TestSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, "north")
+		p := &pipe{handler: New(f, f, secret), mute: 1}
+		c, err := NewClient([]string{"c1"}, WithHTTP(&http.Client{Transport: p}))
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		first := make(chan time.Time, 1)
+		began := time.Now()
+		go func() {
+			ended <- c.Watch(ctx, "", nil, func(Event) error {
+				first <- time.Now()
+				return nil
+			})
+		}()
+		is.Equal((<-first).Sub(began), 3*quiet+firstPause)
+		time.Sleep(time.Hour) // virtual
+		is.Equal(p.asked, 2)
+		cancel()
+		is.True(errors.Is(<-ended, context.Canceled))
+	})
+}
+
 // Guards against input that makes the decoder panic, an error without a code,
 // and input that is taken although a second reading would differ.
 func FuzzDecodeStrict(f *testing.F) {
--- a/io/admin/fake_test.go
+++ b/io/admin/fake_test.go
@@ -149,3 +149,34 @@
 	}
 	return w.Result(), nil
 }
+
+// pipe is an http.RoundTripper that streams the answer of a handler, in memory
+// so that it works in virtual time.
+type pipe struct {
+	handler http.Handler
+	asked   int
+	mute    int // the first so many connections deliver nothing
+}
+
+func (p *pipe) RoundTrip(r *http.Request) (*http.Response, error) {
+	p.asked++
+	out, in := io.Pipe()
+	if p.asked > p.mute {
+		go func() {
+			p.handler.ServeHTTP(&stream{PipeWriter: in, header: http.Header{}}, r)
+			_ = in.Close()
+		}()
+	}
+	context.AfterFunc(r.Context(), func() { _ = in.CloseWithError(r.Context().Err()) })
+	return &http.Response{StatusCode: http.StatusOK, Body: out}, nil
+}
+
+// stream is an http.ResponseWriter that can be flushed.
+type stream struct {
+	*io.PipeWriter
+	header http.Header
+}
+
+func (s *stream) Header() http.Header { return s.header }
+func (s *stream) WriteHeader(int)     {}
+func (s *stream) Flush()              {}
