--- a/core/state/save.go
+++ b/core/state/save.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -26,23 +28,39 @@
 // Save returns the whole state, encoded. Two replicas with the same state
 // return the same bytes.
 func (m *Machine) Save() ([]byte, error) {
+	_, encode := m.Freeze()
+	return encode()
+}
+
+// Freeze returns the last applied index and a function that encodes the state
+// as it is now, whatever is applied meanwhile. With 100,000 orders, freezing
+// takes 13 ms and encoding 0.5 s (BenchmarkFreeze, BenchmarkSave), so a group
+// freezes where it applies and encodes elsewhere: a leader that is held up for
+// a second loses its place.
+func (m *Machine) Freeze() (corianderwing.Index, func() ([]byte, error)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// Views, records and orders are never written again, so the lists of
+	// pointers are enough.
+	view := m.View()
 	s := machineSnapshot{
 		Version: snapshotVersion,
 		Index:   m.index,
 		Now:     m.now,
-		View:    m.View().snapshot(),
 		Changes: m.changes.records(),
 		Claims:  m.claims.records(),
 		Held:    m.orders.list(m.orders.held),
 		Free:    m.orders.list(m.orders.free),
 	}
-	data, err := encoding.Marshal(s)
-	if err != nil {
-		return nil, fmt.Errorf("encoding a snapshot: %w", err)
+	return s.Index, func() ([]byte, error) {
+		s := s
+		s.View = view.snapshot()
+		data, err := encoding.Marshal(s)
+		if err != nil {
+			return nil, fmt.Errorf("encoding a snapshot: %w", err)
+		}
+		return data, nil
 	}
-	return data, nil
 }
 
 // Restore replaces the whole state by what Save returned. On an error the
@@ -71,30 +89,44 @@
 	if err != nil {
 		return err
 	}
+	changes, err := loadApplied(m.changes.most, s.Changes)
+	if err != nil {
+		return err
+	}
+	claims, err := loadApplied(m.claims.most, s.Claims)
+	if err != nil {
+		return err
+	}
+	orders, err := loadOrders(m.orders.most, s.Held, s.Free)
+	if err != nil {
+		return err
+	}
 	m.index, m.now = s.Index, s.Now.UTC()
-	m.changes = loadApplied(m.changes.most, s.Changes)
-	m.claims = loadApplied(m.claims.most, s.Claims)
-	m.orders = loadOrders(m.orders.most, s.Held, s.Free)
+	m.changes, m.claims, m.orders = changes, claims, orders
+	m.checkSeats(view)
 	m.public.Store(&public{view: view, changed: make(chan struct{})})
 	close(old.changed)
 	return nil
 }
 
-func loadApplied(most int, records []*record) *applied {
+func loadApplied(most int, records []*record) (*applied, error) {
 	a := newApplied(most)
 	for _, r := range records {
+		if r == nil || a.byKey[requestKey{r.Kind, r.Request}] != nil {
+			return nil, snapshotError(errors.New("a request is empty or listed twice"))
+		}
 		a.add(r)
 	}
-	return a
+	return a, nil
 }
 
-func loadOrders(most int, held, free []*corianderwing.Order) *orders {
+func loadOrders(most int, held, free []*corianderwing.Order) (*orders, error) {
 	o := newOrders(most)
-	for _, order := range held {
-		o.put(order)
-	}
-	for _, order := range free {
+	for _, order := range slices.Concat(held, free) {
+		if order == nil || o.find(order.Workspace, order.Key) != nil {
+			return nil, snapshotError(errors.New("an order is empty or listed twice"))
+		}
 		o.put(order)
 	}
-	return o
+	return o, nil
 }
