--- a/core/route/route.go
+++ b/core/route/route.go
@@ -13,6 +13,7 @@
 // Config sets the constants of a Pool. A zero field takes its default.
 type Config struct {
 	Fails  int           // consecutive failures before ejection; default 3
+	Faults int           // the same for answers with a status of 500 or more, which may be a caller's fault; default 6
 	Eject  time.Duration // first ejection, doubled each time; default 500 ms
 	Longer time.Duration // longest ejection; default 30 s
 	Warm   time.Duration // slow start of a new or recovered upstream; default 5 s
@@ -41,6 +42,9 @@
 	if c.Fails <= 0 {
 		c.Fails = 3
 	}
+	if c.Faults <= 0 {
+		c.Faults = 6
+	}
 	if c.Conns <= 0 {
 		c.Conns = 0.8
 	}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -115,6 +115,7 @@
 const (
 	Good   Result = iota // a complete answer to the request came
 	Bad                  // the upstream or the connection failed
+	Faulty               // a complete answer came, with a status of 500 or more
 	Busy                 // the upstream refused the request for lack of room
 	Cut                  // we ended the request early; it says nothing about the upstream
 	Mute                 // no first byte came in time; the request may still run
@@ -141,10 +142,12 @@
 	case Good:
 		u.good(took, p.cfg.Decay, now)
 	case Bad:
-		p.bad(u, now)
+		p.bad(u, now, p.cfg.Fails)
+	case Faulty:
+		p.bad(u, now, p.cfg.Faults)
 	case Mute:
 		if took >= p.patience() {
-			p.bad(u, now)
+			p.bad(u, now, p.cfg.Fails)
 		}
 	case Busy:
 		// The upstream has less room than announced: keep off for a moment.
@@ -186,12 +189,14 @@
 	}
 }
 
-func (p *Pool) bad(u *up, now time.Time) {
+// bad counts a failure, and ejects the upstream if that is the most-th in a
+// row.
+func (p *Pool) bad(u *up, now time.Time, most int) {
 	u.errors *= u.trust(p.cfg.Decay, now)
 	u.errors += (1 - u.errors) / 8
 	u.seen = now
 	u.fails++
-	if now.Before(u.until) || u.fails < p.cfg.Fails && !u.trial {
+	if now.Before(u.until) || u.fails < most && !u.trial {
 		return
 	}
 	d := p.cfg.Eject << min(u.ejected, 16)
--- a/io/entry/admit_test.go
+++ b/io/entry/admit_test.go
@@ -84,7 +84,7 @@
 // that depend on freshness or keys.
 func TestFreshness(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a := w.instance("a", "d1")
 		w.route("ws", "open", func(e *corianderwing.Effective) { e.Open = true })
 		w.upstream("u1", "d1", 2, func(http.ResponseWriter, *http.Request) {})
@@ -117,7 +117,7 @@
 		{"GET /ws/open/x HTTP/1.1\nConnection: Cw-Request, x-custom\nX-Custom: 1\nX-Api-Key: good-key", "/x", "", ""},
 	}
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1") // b owns the pool
 		w.route("ws", "open", func(e *corianderwing.Effective) { e.Open = true })
 		w.upstream("u1", "d1", 2, func(rw http.ResponseWriter, r *http.Request) {
@@ -142,7 +142,7 @@
 // Guards against a running request that goes on under a revoked key.
 func TestRevokedKeyEndsRequest(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1")
 		running, ended := make(chan bool), make(chan bool)
 		w.upstream("u1", "d1", 2, func(_ http.ResponseWriter, r *http.Request) {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -69,11 +70,12 @@
 
 // cutAnswer tells why an answer did not reach the caller as a whole.
 func (s *Server) cutAnswer(v *visit, err error) *corianderwing.Error {
-	if v.ctx.Err() != nil || !time.Now().Before(v.deadline) {
-		if v.ctx.Err() == nil {
-			return corianderwing.Errorf(corianderwing.Deadline, "while the answer was sent")
-		}
+	var e *corianderwing.Error
+	switch {
+	case v.ctx.Err() != nil:
 		return ended(v.ctx, corianderwing.RanYes)
+	case errors.As(err, &e):
+		return e
 	}
 	return corianderwing.Errorf(corianderwing.ShortBody, "%v", err)
 }
@@ -103,7 +105,7 @@
 		n, err := rep.Read(*buf)
 		if n > 0 {
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				return werr
+				return rep.unread(werr)
 			}
 		}
 		if isEOF(err) {
@@ -114,7 +116,7 @@
 		}
 		if rep.ContentLength < 0 {
 			if err := rc.Flush(); err != nil {
-				return err
+				return rep.unread(err)
 			}
 		}
 	}
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -60,6 +60,9 @@
 	case int64(len(b.head)) > limit:
 		return nil, corianderwing.Errorf(corianderwing.BigBody, "body is over its limit of %d bytes", limit)
 	}
+	if int64(len(b.head)) == b.total {
+		return b, nil
+	}
 	b.rest = r.Body
 	b.left = limit - int64(len(b.head))
 	return b, nil
@@ -104,6 +107,12 @@
 		if b.left -= int64(m); b.left < 0 {
 			return n, &corianderwing.Error{Code: corianderwing.BigBody, Run: corianderwing.RanUnknown, Detail: "body is over its limit"}
 		}
+		if err == io.EOF {
+			// Before the last part is sent: the answer may follow at once, and
+			// a body that has not ended then gets its reads cut off, which
+			// would end the caller's connection.
+			b.ended.Store(true)
+		}
 		if m > 0 {
 			k, werr := w.Write((*buf)[:m])
 			n += int64(k)
@@ -112,7 +121,6 @@
 			}
 		}
 		if err == io.EOF {
-			b.ended.Store(true)
 			return n, nil
 		}
 		if err != nil {
--- /dev/null
+++ b/io/entry/body_test.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// chunked returns n bytes as chunks, with or without the final one.
+func chunked(n int, whole bool) string {
+	s := fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n))
+	if whole {
+		s += "0\r\n\r\n"
+	}
+	return s
+}
+
+// Guards against bodies that change on the way, small ones and those that are
+// passed on while they are read.
+func TestBodies(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		a, b := w.instance("a", "d1"), w.instance("b", "d1")
+		w.upstream("u1", "d1", 2, func(rw http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			is.NoErr(err)
+			is.Equal(strings.Trim(string(body), "x"), "")
+			fmt.Fprint(rw, len(body))
+		})
+		for _, n := range []int{1, 1000, headSize, headSize + 1, 5 * headSize} {
+			for _, addr := range []string{"a:public", "b:public"} {
+				const head = "POST /ws/svc/x HTTP/1.1\nHost: h\nX-Api-Key: good-key\n"
+				g := w.ask(addr, head+fmt.Sprintf("Content-Length: %d\n\n", n)+strings.Repeat("x", n))
+				is.Equal(g.body, fmt.Sprint(n))
+				g = w.ask(addr, head+"Transfer-Encoding: chunked\n\n"+chunked(n, true))
+				is.Equal(g.body, fmt.Sprint(n))
+			}
+		}
+		w.close(a, b)
+	})
+}
+
+// Guards against an upstream that takes a truncated or oversize body for a
+// whole one, and against a wrong "not run" for a request that it has seen.
+func TestBrokenBodies(t *testing.T) {
+	const head = "POST /ws/svc/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: good-key\r\n"
+	big := headSize + 1000
+	cases := []struct {
+		name, raw string
+		code      corianderwing.Code
+		run       corianderwing.Ran
+	}{
+		{"short", head + "Content-Length: 10\r\n\r\nabc", corianderwing.CutBody, corianderwing.RanNo},
+		{"short chunk", head + "Transfer-Encoding: chunked\r\n\r\na\r\nabc", corianderwing.CutBody, corianderwing.RanNo},
+		{"no last chunk", head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(10, false), corianderwing.CutBody, corianderwing.RanNo},
+		{"big short", head + fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*big) + strings.Repeat("x", big), corianderwing.CutBody, corianderwing.RanUnknown},
+		{"big no last chunk", head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(big, false), corianderwing.CutBody, corianderwing.RanUnknown},
+		{"oversize", head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(4*headSize, true), corianderwing.BigBody, corianderwing.RanUnknown},
+	}
+	for _, c := range cases {
+		bubble(t, func(w *world) {
+			a := w.instance("a", "d1")
+			w.route("ws", "svc", func(e *corianderwing.Effective) { e.Body = 3 * headSize })
+			var whole, seen atomic.Int32
+			w.upstream("u1", "d1", 1, func(_ http.ResponseWriter, r *http.Request) {
+				seen.Add(1)
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					whole.Add(1)
+				}
+			})
+			conn, err := w.dial(context.Background(), "a:public")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go io.Copy(io.Discard, conn)
+			go func() {
+				io.WriteString(conn, c.raw)
+				conn.Close()
+			}()
+			time.Sleep(5 * time.Second)
+			if whole.Load() != 0 || (seen.Load() > 0) != (c.run == corianderwing.RanUnknown) {
+				t.Errorf("%s: upstream saw %d requests, %d of them whole", c.name, seen.Load(), whole.Load())
+			}
+			w.mu.Lock()
+			defer w.close(a)
+			defer w.mu.Unlock()
+			if len(w.records) != 1 || w.records[0].Run != c.run || w.records[0].Code != c.code && w.records[0].Code != corianderwing.CallerGone {
+				t.Errorf("%s: got records %+v, want code %d, run %s", c.name, w.records, c.code, c.run)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait for a body to be read by an upstream that
+// has answered already.
+func TestEarlyAnswer(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		a := w.instance("a", "d1")
+		stop := make(chan struct{})
+		w.raw("u1", "d1", 1, func(c net.Conn, br *bufio.Reader) {
+			if r, err := http.ReadRequest(br); err == nil {
+				respond(c, r, "Content-Length: 2\r\n\r\nno")
+				io.Copy(io.Discard, io.LimitReader(br, 10))
+				<-stop // reads no more
+			}
+		})
+		start := time.Now()
+		g := w.ask("a:public", fmt.Sprintf("POST /ws/svc/x HTTP/1.1\nHost: h\nX-Api-Key: good-key\nContent-Length: %d\n\n", 4*headSize)+strings.Repeat("x", 4*headSize))
+		is.Equal(g.body, "no")
+		is.Equal(time.Since(start), time.Duration(0))
+		close(stop)
+		w.close(a)
+	})
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,9 +88,9 @@
 	budget   *retry.Budget
 
 	active   atomic.Int64 // requests in progress, hand-overs included
-	settling sync.WaitGroup
-	draining atomic.Bool // leaves the lookup answers
-	closing  atomic.Bool // answers with Connection: close
+	settling atomic.Int64 // outcomes of orders that are not stored yet
+	draining atomic.Bool  // leaves the lookup answers
+	closing  atomic.Bool  // answers with Connection: close
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -241,27 +241,14 @@
 	}
 	err := pause(ctx, s.opt.lookup+s.opt.spread)
 	s.closing.Store(true)
-	for err == nil && s.active.Load() > 0 {
+	for err == nil && s.active.Load()+s.settling.Load() > 0 {
 		err = pause(ctx, s.opt.tick)
 	}
-	settled := make(chan struct{})
-	go func() {
-		s.settling.Wait()
-		close(settled)
-	}()
-	if err == nil {
-		select {
-		case <-settled:
-		case <-ctx.Done():
-			err = context.Cause(ctx)
-		}
-	}
 	if err != nil {
 		s.running.stop(corianderwing.Errorf(corianderwing.Stopping, "the instance stopped"))
 	}
 	s.cancel()
 	<-s.done
-	<-settled
 	for _, p := range *s.pools.Load() {
 		p.reset()
 	}
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -35,6 +35,15 @@
 type reply struct {
 	*answer
 	onEnd func(complete bool) // called once
+	left  bool                // the caller did not take the whole answer
+}
+
+// unread ends a reply that the caller no longer takes, which is not the
+// upstream's fault.
+func (r *reply) unread(err error) error {
+	r.left = true
+	r.close()
+	return corianderwing.Errorf(corianderwing.CallerGone, "%v", err)
 }
 
 // Read implements io.Reader.
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -78,7 +78,7 @@
 	})
 	first := time.Since(start)
 	if e == nil && a.StatusCode == http.StatusServiceUnavailable && a.Header.Get(hRun) == string(corianderwing.RanNo) {
-		a.discard()
+		a.drain()
 		e = corianderwing.Errorf(corianderwing.Shed, "upstream %s", up.ID)
 	}
 	s.note(j, up, e, a, wait, first)
@@ -92,13 +92,14 @@
 	smooth(s.typical(j), first)
 	rep := &reply{answer: a}
 	rep.onEnd = func(complete bool) {
-		r := route.Good
+		r := route.Bad
 		switch {
+		case complete && a.StatusCode >= http.StatusInternalServerError:
+			r = route.Faulty
 		case complete:
-		case ctx.Err() != nil:
+			r = route.Good
+		case ctx.Err() != nil || rep.left:
 			r = route.Cut
-		default:
-			r = route.Bad
 		}
 		p.release(up.ID, j.workspace, r, first, time.Since(start))
 	}
--- a/io/entry/order.go
+++ b/io/entry/order.go
@@ -204,7 +204,7 @@
 	done := make(chan struct{})
 	s.settling.Add(1)
 	go func() {
-		defer s.settling.Done()
+		defer s.settling.Add(-1)
 		defer close(done)
 		if claim.Kind != "" {
 			res, err := s.persist(o, claim)
--- a/io/entry/order_test.go
+++ b/io/entry/order_test.go
@@ -25,7 +25,7 @@
 // another instance.
 func TestOrderRunsOnce(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		w.route("ws", "order", once)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1")
 		var runs atomic.Int32
@@ -60,7 +60,7 @@
 // its upstream fails, or the control group cannot be reached for a while.
 func TestOrderOutcomes(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		w.route("ws", "order", once)
 		a := w.instance("a", "d1")
 		var mode atomic.Value
@@ -112,7 +112,7 @@
 // at once: the caller gets it at the deadline, and a resend later on.
 func TestOrderSettlesLater(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		w.route("ws", "order", once)
 		a := w.instance("a", "d1")
 		w.upstream("u1", "d1", 4, func(rw http.ResponseWriter, _ *http.Request) {
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -305,3 +305,12 @@
 	a.stop()
 	a.conn.Close()
 }
+
+// drain reads a small answer to its end, so that the connection can be used
+// again, and discards any other.
+func (a *answer) drain() {
+	if a.ContentLength >= 0 && a.ContentLength <= int64(a.conn.br.Size()) {
+		io.Copy(io.Discard, a)
+	}
+	a.discard()
+}
--- a/io/entry/send_test.go
+++ b/io/entry/send_test.go
@@ -35,7 +35,7 @@
 // against a "not run" for requests that the silent upstream may have run.
 func TestSilentUpstream(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a := w.instance("a", "d1")
 		w.route("ws", "order", once)
 		var runs atomic.Int32
@@ -66,7 +66,7 @@
 // after one first-byte timeout no other old connection may be used.
 func TestSilentConnections(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a := w.instance("a", "d1")
 		var mute sync.Map // connections that were open when the fault began
 		var open sync.Map
@@ -106,7 +106,7 @@
 // against further use of the connection that it came over.
 func TestCrossedAnswer(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1")
 		w.route("ws", "order", once)
 		var closed atomic.Int32
@@ -136,7 +136,7 @@
 		"neither": "\r\nhello",
 	} {
 		bubble(t, func(w *world) {
-			is := is.New(t)
+			is := is.New(w.t)
 			a, b := w.instance("a", "d1"), w.instance("b", "d1")
 			w.raw("u1", "d1", 1, func(c net.Conn, br *bufio.Reader) {
 				r, _ := http.ReadRequest(br)
@@ -179,7 +179,7 @@
 // each order.
 func TestOrderIsNotReplayed(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		w.route("ws", "order", once)
 		a := w.instance("a", "d1")
 		reusing := w.instance("b", "d2", func(o *options) { o.reuse = true })
@@ -237,7 +237,7 @@
 	}
 	for _, c := range cases {
 		bubble(t, func(w *world) {
-			is := is.New(t)
+			is := is.New(w.t)
 			w.route("ws", "order", once)
 			a := w.instance("a", "d1")
 			var runs atomic.Int32
--- a/io/entry/serve_test.go
+++ b/io/entry/serve_test.go
@@ -12,7 +12,7 @@
 // through, alone and over a hand-over.
 func TestServes(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1")
 		w.upstream("u1", "d1", 2, func(rw http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -20,7 +20,7 @@
 // callers still use cached lookup answers that name the instance.
 func TestStopCutsNothing(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d1")
 		w.upstream("u1", "d1", 4, func(rw http.ResponseWriter, _ *http.Request) {
 			time.Sleep(time.Second)
@@ -65,7 +65,7 @@
 // stopping instance serves, and that prefer a far or draining instance.
 func TestLookup(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		time.Sleep(300 * time.Millisecond) // an uneven time of day
 		a, b := w.instance("a", "d1"), w.instance("b", "d2")
 		w.insts = append(w.insts, corianderwing.Instance{ID: "z", Domain: "d1", Phase: corianderwing.Draining})
@@ -87,7 +87,7 @@
 // something that is no upstream of this failure domain.
 func TestAnnounce(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a := w.instance("a", "d1")
 		const good = `{"id":"u1","pool":"pool","version":"v1","addr":"10.0.0.1:80","slots":2,"phase":"ready"}`
 		for change, status := range map[string]int{
@@ -117,7 +117,7 @@
 // although another failure domain could serve them.
 func TestOwnerFails(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a, b := w.instance("a", "d1"), w.instance("b", "d2")
 		good := func(http.ResponseWriter, *http.Request) {}
 		w.route("ws", "order", once)
@@ -162,7 +162,7 @@
 // Guards against hand-overs from outside the fleet, and against loops.
 func TestInnerRefuses(t *testing.T) {
 	bubble(t, func(w *world) {
-		is := is.New(t)
+		is := is.New(w.t)
 		a := w.instance("a", "d1")
 		head := "GET /x HTTP/1.1\nHost: h\nCw-Left: 1000\nCw-Tries: 2\nCw-Wait: 100\nCw-Pool: pool\nCw-Request: r\nCw-Hops: %d\nCw-Token: %s\n\n"
 		is.Equal(w.ask("a:inner", fmt.Sprintf(head, 1, "wrong")).code, "209")
