Refresh places as often as gossip, and forget instances that are gone

Cause: the places of all pools were rebuilt ten times a second, and peers of replaced instances stayed in memory. Ruled out: rebuilding on each request. Before: rebuilds every 100 ms. Conclusion: background work no longer grows with failed instances.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -199,6 +199,11 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
+const (
+	syncTicks = 5  // between renewals of the own pools: 100 ms
+	lookTicks = 25 // between renewals of the places: 500 ms, as often as gossip
+)
+
 // loop keeps the snapshots of the request path current, wakes queues, and ends
 // requests under revoked keys.
 func (s *Server) loop(changed <-chan struct{}) {
@@ -213,11 +218,15 @@
 			s.running.check(s.cfg.Guide)
 			s.sync()
 		case <-tick.C:
-			if n%5 == 0 {
+			now := time.Now()
+			if n%syncTicks == 0 {
 				s.sync()
 			}
+			if n%lookTicks == 0 {
+				s.look(now)
+			}
 			for _, p := range *s.pools.Load() {
-				p.tick(time.Now())
+				p.tick(now)
 			}
 		}
 	}
--- a/io/entry/plan.go
+++ b/io/entry/plan.go
@@ -24,15 +24,16 @@
 // has been measured.
 const rankDelay = 2 * time.Millisecond
 
-// plan returns the snapshot for a pool.
+// plan returns the snapshot for a pool. One without any place is made anew, so
+// that the first upstream of a pool gets requests at once.
 func (s *Server) plan(id corianderwing.PoolID) *plan {
-	if p, ok := (*s.views.Load())[id]; ok {
+	if p, ok := (*s.views.Load())[id]; ok && len(p.list) > 0 {
 		return p
 	}
 	s.planMu.Lock()
 	defer s.planMu.Unlock()
 	old := *s.views.Load()
-	if p, ok := old[id]; ok {
+	if p, ok := old[id]; ok && len(p.list) > 0 {
 		return p
 	}
 	all := make(map[corianderwing.PoolID]*plan, len(old)+1)
@@ -70,8 +71,8 @@
 	return p
 }
 
-// sync renews the snapshots of all pools, and reports the load of the own
-// ones.
+// sync renews what this instance knows about its own pools, and reports their
+// load.
 func (s *Server) sync() {
 	now := time.Now()
 	pools := *s.pools.Load()
@@ -84,18 +85,37 @@
 		}
 	}
 	s.cfg.Fleet.Report(loads)
-	s.hosts.Range(func(_, h any) bool {
-		h.(*peer).trim(idleTimeout)
-		return true
-	})
+}
+
+// look renews the snapshots of where requests can go, and forgets instances
+// that are gone.
+func (s *Server) look(now time.Time) {
 	s.planMu.Lock()
-	defer s.planMu.Unlock()
-	old := *s.views.Load()
-	all := make(map[corianderwing.PoolID]*plan, len(old))
-	for id := range old {
+	all := make(map[corianderwing.PoolID]*plan)
+	for id := range *s.views.Load() {
 		all[id] = s.newPlan(id)
 	}
 	s.views.Store(&all)
+	s.planMu.Unlock()
+	live := make(map[string]bool)
+	for _, i := range s.cfg.Fleet.Instances() {
+		live[i.Inner] = true
+	}
+	s.hosts.Range(func(addr, h any) bool {
+		if live[addr.(string)] {
+			h.(*peer).trim(idleTimeout)
+			return true
+		}
+		s.hosts.Delete(addr)
+		h.(*peer).reset()
+		return true
+	})
+	s.suspect.Range(func(id, until any) bool {
+		if !now.Before(until.(time.Time)) {
+			s.suspect.Delete(id)
+		}
+		return true
+	})
 }
 
 // places returns the failure domains for a request, the best one first. Those
--- a/io/entry/serve_test.go
+++ b/io/entry/serve_test.go
@@ -3,9 +3,14 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"corianderwing"
 )
 
 // Guards against a request path that does not bring a request and its answer
@@ -25,6 +30,33 @@
 			is.Equal(g.code, "100")
 			is.Equal(g.run, "yes")
 		}
+		g := w.ask("a:public", "GET /-/metrics HTTP/1.1\nHost: h\n\n")
+		is.True(strings.Contains(g.body, "counter code.ok\n  count:               1\n"))
+		is.True(strings.Contains(g.body, "histogram latency.ws.normal\n"))
+		w.close(a, b)
+	})
+}
+
+// Guards against a slow answer without a record, or with one that does not
+// tell where the time went.
+func TestSlowAnswerLeavesRecord(t *testing.T) {
+	bubble(t, func(w *world) {
+		is := is.New(w.t)
+		a, b := w.instance("a", "d1"), w.instance("b", "d1")
+		w.upstream("u1", "d1", 1, func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) })
+		var wg sync.WaitGroup
+		for range 2 {
+			wg.Go(func() { is.Equal(w.get("/ws/svc/x").code, "100") })
+		}
+		wg.Wait()
 		w.close(a, b)
+		is.Equal(len(w.records), 1) // the one that waited for the other
+		r := w.records[0]
+		is.Equal(r.Instance, corianderwing.InstanceID("a"))
+		is.Equal(r.Total, corianderwing.Millis(800))
+		is.Equal(r.Revision, corianderwing.Revision(7))
+		is.Equal(r.Attempts, []corianderwing.Attempt{{
+			Upstream: "u1", Version: "v1", Owner: "b", Code: corianderwing.OK, Wait: 400, First: 400,
+		}})
 	})
 }
