--- a/io/load/result.go
+++ b/io/load/result.go
@@ -67,6 +67,8 @@
 func (t *tally) add(event Event, s seen, v verdict) {
 	t.row.Sent++
 	switch {
+	case s.first.code == corianderwing.ClaimOpen && s.twice && s.again.good():
+		t.row.Good++ // the overlapping second copy got the answer
 	case s.first.good():
 		t.row.Good++
 		_ = t.hist.RecordValue(min(max((s.done-event.At).Microseconds(), 1), maxTime)) // in range
