--- a/io/entry/inner.go
+++ b/io/entry/inner.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/subtle"
 	"net/http"
 	"strconv"
@@ -29,12 +28,11 @@
 		return
 	}
 	w.Header()[hRequest] = []string{string(j.id)}
-	ctx, cut := context.WithCancelCause(r.Context())
-	defer cut(nil)
-	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
-	defer cancel()
-	run := s.running.add(false, corianderwing.KeyHash{byte(s.active.Load())}, j.workspace, cut)
-	defer s.running.remove(run)
+	ctx, cut, done := bound(r.Context(), j.deadline)
+	defer done()
+	var run runner
+	s.running.add(&run, false, corianderwing.KeyHash{byte(s.active.Load())}, j.workspace, cut)
+	defer s.running.remove(&run)
 	rc := http.NewResponseController(w)
 	if j.body, e = readBody(r, maxInner, false); e != nil {
 		writeError(w, e)
@@ -90,8 +88,7 @@
 		method:    r.Method,
 		uri:       r.RequestURI,
 		host:      r.Host,
-		header:    make(http.Header, len(h)),
+		header:    fields(h, nil),
 	}
-	endToEnd(j.header, h)
 	return j, nil
 }
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"time"
 
 	"corianderwing"
@@ -24,15 +23,13 @@
 	method string
 	uri    string
 	host   string
-	header http.Header
+	header []field
 	body   *body
 
 	attempts []corianderwing.Attempt
 	tried    []corianderwing.UpstreamID
 }
 
-func (j *job) triedIDs() []corianderwing.UpstreamID { return j.tried }
-
 // reply is an upstream's answer on its way to the caller. Its reader must be
 // read to the end or closed.
 type reply struct {
