Add the demo

Cause: a new user must see the system work in under two minutes. Ruled out: traffic of its own (io/load plans, sends and judges it already); a probe with the key of a loaded workspace (its requests spoil the judgement of that workspace's refusals). Before: none.

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -29,6 +29,7 @@
 		Name:  "corianderwing",
 		Usage: "steer traffic between callers and upstreams",
 		Commands: []*cli.Command{
+			demoCommand(),
 			serveCommand(),
 			stubCommand(),
 			checkCommand(),
