Measure and reduce wrongful refusals

Cause: with a first estimate of demand (the peak of the last 2 s) a burst made one instance hold most of the pool, and idle seats lost tokens between renewals. Change: demand is an average over 1 s; a holder renews early when idle tokens would overflow and the pool has room; seats with a burst below 2 tokens leave it to the pool.

--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,12 +10,13 @@
 
 // Tuned with the runs of TestWrongfulRefusals.
 const (
-	ahead     = 500 * time.Millisecond // demand that a holder keeps tokens for
+	ahead     = 300 * time.Millisecond // demand that a holder keeps tokens for
 	lowStock  = 150 * time.Millisecond // demand below which it renews early
-	demandAge = 2 * time.Second        // decay of the estimated demand
+	demandAge = time.Second            // decay of the estimated demand
 	spare     = 2                      // tokens that an idle fixed bucket keeps
 	waitGap   = 5 * time.Millisecond   // shortest time between reports while requests wait
 	lowGap    = 50 * time.Millisecond  // the same, while tokens are low
+	giveGap   = 200 * time.Millisecond // the same, while the fixed part overflows
 	dryGap    = 100 * time.Millisecond // the same, while the pool is empty
 	lost      = 500 * time.Millisecond // time after which an answer is not expected any more
 )
@@ -171,8 +171,10 @@
 		if b.Waiting() > int64(stock) {
 			return true
 		}
-		need := math.Max(b.demand, b.rate(gap)) * lowStock.Seconds()
-		if gap >= lowGap && float64(stock) < need {
+		if gap >= lowGap && float64(stock) < b.need(gap)*lowStock.Seconds() {
+			return true
+		}
+		if gap >= giveGap && b.overflows(now) {
 			return true
 		}
 	}
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -72,21 +72,29 @@
 	b.limitDepth(now, b.fixed.Load())
 }
 
-// rate returns the demand since the last report.
-func (b *Bound) rate(passed time.Duration) float64 {
-	return float64(b.tries.Load()) / max(passed, lowGap).Seconds()
+// need returns the demand per second, the tries since the last report
+// included: an average in which a try decays with demandAge.
+func (b *Bound) need(passed time.Duration) float64 {
+	decay := math.Exp(-passed.Seconds() / demandAge.Seconds())
+	return b.demand*decay + float64(b.tries.Load())/demandAge.Seconds()
 }
 
-// estimate updates the demand: it follows a rise at once and decays slowly.
+// estimate updates the demand.
 func (b *Bound) estimate(passed time.Duration) {
-	decay := math.Exp(-passed.Seconds() / demandAge.Seconds())
-	b.demand = math.Max(b.rate(passed), b.demand*decay)
+	b.demand = b.need(passed)
 	if b.demand < 0.01 {
 		b.demand = 0
 	}
 	b.tries.Store(0)
 }
 
+// overflows reports whether idle tokens of the fixed part are about to be lost
+// while the pool can use them.
+func (b *Bound) overflows(now time.Time) bool {
+	f := b.fixed.Load()
+	return b.open && f.one > 0 && f.fill(now) > f.depth.Load()/4*3 && f.Level(now) > spare+b.target()
+}
+
 // target returns the tokens that the demand needs until the next renewals.
 func (b *Bound) target() corianderwing.Tokens {
 	return corianderwing.Tokens(math.Ceil(b.demand*ahead.Seconds())) + corianderwing.Tokens(b.Waiting())
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -45,12 +45,16 @@
 	Burst float64 // tokens; a seat's part is rarely a whole number
 }
 
+// minSeat is the smallest burst of a seat's part, in tokens. In a trial with
+// 1.25 tokens, 8 to 10% of the requests of a workspace at 0.7 of its rate were
+// refused, because most of its tokens were at other seats.
+const minSeat = 2
+
 // Divide splits a bound into the limit of one seat and the limit of the token
-// pool. With less than one token of burst for each seat no seat could ever
-// admit a request, so the pool gets everything.
+// pool. If a seat's part is too small to be useful, the pool gets everything.
 func Divide(rate corianderwing.TokensPerSecond, burst corianderwing.Tokens, fixed float64, seats int) (seat, pool Limit) {
 	whole := Limit{Rate: rate, Burst: float64(burst)}
-	if seats < 1 || fixed <= 0 || fixed*whole.Burst/float64(seats) < 1 {
+	if seats < 1 || fixed <= 0 || fixed*whole.Burst/float64(seats) < minSeat {
 		return Limit{}, whole
 	}
 	fixed = min(fixed, 1)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -35,12 +35,12 @@
 func TestBoundNeedsEachMechanism(t *testing.T) {
 	for off, first := range map[string]uint64{
 		"restart empty":      1,
-		"new leader waits":   1,
-		"recognise repeats":  580,
+		"new leader waits":   310,
+		"recognise repeats":  650,
 		"latest answer only": 1,
-		"debts":              440,
+		"debts":              380,
 		"delayed increase":   1,
-		"drift margin":       130,
+		"drift margin":       170,
 	} {
 		t.Run(off, func(t *testing.T) {
 			seed, err := runs.FirstFailure(first, 1000, func(seed uint64) error { return runFaults(seed, off) })
--- a/core/share/sim_test.go
+++ b/core/share/sim_test.go
@@ -288,9 +288,9 @@
 }
 
 func (f *fleet) toggle() {
-	odds := f.r.IntN(3)
-	for _, n := range f.nodes {
-		n.flood = f.r.IntN(2) < odds
+	odds, one := f.r.IntN(4), f.r.IntN(len(f.nodes))
+	for i, n := range f.nodes {
+		n.flood = f.r.IntN(2) < odds && odds < 3 || odds == 3 && i == one
 	}
 	longest := 2 * time.Second
 	if odds > 0 && f.r.IntN(2) == 0 {
