Let requests wait for tokens as long as the route allows

Cause: a request without a token was refused after two answered renewals, on loopback after about 20 ms, although the workspace was inside its rate. Change: a request waits for its route's longest wait (500 ms by default); it is refused at once only if more requests wait than the whole rate admits in that time.

--- a/io/agent/limit.go
+++ b/io/agent/limit.go
@@ -15,10 +15,6 @@
 	// borrowFor is the longest time to wait for a neighbour's answer. A
 	// neighbour is in the same failure domain, about 1 ms away.
 	borrowFor = 50 * time.Millisecond
-	// enough is how many renewals that began after a request came must be
-	// answered without a token for it before it is refused. The first may
-	// have been sized before the request counted as demand.
-	enough = 2
 )
 
 // Take implements corianderwing.Limiter.
@@ -39,8 +35,12 @@
 }
 
 // await waits for a token of the bound: from the grantor, from a neighbour, or
-// from the fixed part.
+// from the fixed part. A request is refused at once if more requests wait than
+// the whole rate admits within the longest wait.
 func (f *follower) await(ctx context.Context, b *share.Bound, id corianderwing.BoundID, e *corianderwing.Effective) error {
+	if queue := float64(e.Rate) * float64(e.Wait) / 1000; float64(b.Waiting()) > queue {
+		return f.refusal(0, e)
+	}
 	b.Wait(1)
 	defer b.Wait(-1)
 	giveUp := e.Wait.After(time.Now())
@@ -54,7 +54,7 @@
 		if b.Poll(now) {
 			return nil
 		}
-		if now.After(giveUp) || f.answers(first) >= enough {
+		if now.After(giveUp) {
 			return f.refusal(first, e)
 		}
 		select {
@@ -62,7 +62,6 @@
 			return f.refusal(first, e)
 		case <-answered:
 			answered, _ = f.renewals()
-			f.wake()
 		case <-poll.C:
 		}
 	}
