Show that the raft checks notice disabled mechanisms

Cause: a check that never failed proves nothing. A follower also checks entries before its commit index. Conclusion: each mechanism has a test that fails without it.

--- a/core/raft/follow.go
+++ b/core/raft/follow.go
@@ -28,6 +28,9 @@
 	reply := Message{Kind: AppendReply, To: m.From, Round: m.Round}
 	switch {
 	case m.Index < n.commit:
+		if !n.keepsCommitted(m.Entries) {
+			return
+		}
 		reply.Index = n.commit
 	case n.log.matches(m.Index, m.LogTerm):
 		if !n.take(m.Entries) {
@@ -43,6 +46,17 @@
 	n.send(reply)
 }
 
+// keepsCommitted checks that entries agree with those that are committed here.
+func (n *Node) keepsCommitted(entries []corianderwing.Entry) bool {
+	for _, e := range entries {
+		if own, ok := n.log.term(e.Index); ok && e.Index <= n.commit && own != e.Term {
+			n.broken("committed entry %d of term %d would be replaced by one of term %d", e.Index, own, e.Term)
+			return false
+		}
+	}
+	return true
+}
+
 // take appends the entries that the log lacks, and first drops its own
 // entries from the first conflict on.
 func (n *Node) take(entries []corianderwing.Entry) bool {
@@ -52,8 +66,7 @@
 			continue
 		}
 		if ok {
-			if e.Index <= n.commit {
-				n.broken("committed entry %d of term %d would be replaced by one of term %d", e.Index, own, e.Term)
+			if !n.keepsCommitted(entries[k:]) {
 				return false
 			}
 			n.log.truncate(e.Index)
--- /dev/null
+++ b/core/raft/off_test.go
@@ -0,0 +1,222 @@
+package raft
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// script passes messages between nodes by hand.
+type script struct {
+	t      *testing.T
+	now    time.Time
+	nodes  map[corianderwing.InstanceID]*Node
+	box    []Message
+	votes  map[corianderwing.InstanceID]corianderwing.Vote
+	cfg    Config
+	broken []string
+}
+
+// newScript starts one node for each letter of ids.
+func newScript(t *testing.T, ids string, off rules, disks map[corianderwing.InstanceID]corianderwing.Stored) *script {
+	s := &script{t: t, now: epoch, nodes: map[corianderwing.InstanceID]*Node{}, votes: map[corianderwing.InstanceID]corianderwing.Vote{}}
+	s.cfg = Config{Group: "g", Batch: 1, Broken: func(what string) { s.broken = append(s.broken, what) }}
+	for _, c := range ids {
+		s.cfg.Voters.Voters = append(s.cfg.Voters.Voters, corianderwing.InstanceID(c))
+	}
+	for _, id := range s.cfg.Voters.Voters {
+		s.start(id, off, disks[id])
+	}
+	return s
+}
+
+func (s *script) start(id corianderwing.InstanceID, off rules, disk corianderwing.Stored) {
+	cfg := s.cfg
+	cfg.Self = id
+	n, err := New(cfg, disk, s.now)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n.rules = off
+	s.nodes[id] = n
+}
+
+func (s *script) step(id corianderwing.InstanceID, ev Event) {
+	e := s.nodes[id].Step(s.now, ev)
+	if e.Vote != nil {
+		s.votes[id] = *e.Vote
+	}
+	s.box = append(append(s.box, e.Early...), e.Messages...)
+	if k := len(e.Entries); k > 0 {
+		s.step(id, Persisted{e.Entries[k-1].Index, e.Entries[k-1].Term})
+	}
+}
+
+// timeout lets a node's election timeout pass.
+func (s *script) timeout(id corianderwing.InstanceID) {
+	s.now = s.now.Add(3 * time.Second)
+	s.step(id, Tick{})
+}
+
+// deliver passes on the messages that may pass, and those that follow from
+// them, and loses the others.
+func (s *script) deliver(pass func(Message) bool) {
+	for len(s.box) > 0 {
+		m := s.box[0]
+		s.box = s.box[1:]
+		if pass(m) {
+			s.step(m.To, Received{m})
+		}
+	}
+}
+
+func log(terms ...corianderwing.Term) corianderwing.Stored {
+	st := corianderwing.Stored{Vote: corianderwing.Vote{Term: 3}}
+	for k, t := range terms {
+		st.Entries = append(st.Entries, corianderwing.Entry{Index: corianderwing.Index(k + 1), Term: t})
+	}
+	return st
+}
+
+// oldTerm replays figure 8 of the Raft paper: a leader of term 4 copies an
+// entry of term 2 to a majority, and a leader of term 5 replaces it.
+func oldTerm(t *testing.T, off rules) []string {
+	s := newScript(t, "abcde", off, map[corianderwing.InstanceID]corianderwing.Stored{
+		"a": log(1, 2), "b": log(1, 2), "c": log(1), "d": log(1), "e": log(1, 3),
+	})
+	s.timeout("a")
+	s.deliver(func(m Message) bool {
+		newest := len(m.Entries) > 0 && m.Entries[0].Term == 4
+		return m.To != "e" && !(m.Kind == Append && m.To == "d") && !(newest && m.To == "c" && m.Index == 2 && s.nodes["c"].log.last() == 2)
+	})
+	for range 2 { // the first attempt only learns of term 4
+		s.timeout("e")
+		s.deliver(func(m Message) bool { return true })
+	}
+	return s.broken
+}
+
+// Guards against committing an entry of an older term by counting copies.
+func TestCommitsOnlyOwnTerm(t *testing.T) {
+	is := is.New(t)
+	is.Equal(oldTerm(t, rules{}), nil)
+	without := oldTerm(t, rules{commitOldTerm: true})
+	is.True(len(without) > 0) // the check must notice that the rule is off
+	t.Log(without[0])
+}
+
+// doubleVote restarts b between two requests for its vote in one term, and
+// returns how many leaders the term has.
+func doubleVote(t *testing.T, forget bool) (leaders int, broken []string) {
+	s := newScript(t, "abc", rules{}, nil)
+	onlyB := func(m Message) bool { return m.To == "b" || m.From == "b" }
+	s.timeout("a")
+	s.step("c", Tick{})
+	var late []Message
+	s.deliver(func(m Message) bool {
+		if m.Kind == VoteAsk && m.From == "c" {
+			late = append(late, m)
+			return false
+		}
+		return onlyB(m) && m.Kind != Append
+	})
+	vote := s.votes["b"]
+	if forget {
+		vote.For = ""
+	}
+	s.start("b", rules{}, corianderwing.Stored{Vote: vote})
+	s.box = late
+	s.deliver(onlyB)
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.step("a", Tick{})
+	s.deliver(func(Message) bool { return true })
+	for _, n := range s.nodes {
+		if n.role == Leader && n.vote.Term == 1 {
+			leaders++
+		}
+	}
+	return leaders, s.broken
+}
+
+// Guards against a second vote in one term after a restart.
+func TestVoteSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	leaders, broken := doubleVote(t, false)
+	is.Equal(leaders, 1)
+	is.Equal(broken, nil)
+	leaders, broken = doubleVote(t, true)
+	is.Equal(leaders, 2) // the check must notice that the vote is forgotten
+	is.True(len(broken) > 0)
+	t.Log(broken[0])
+}
+
+// disturbed isolates a follower for a minute and returns the term before and
+// after its return.
+func disturbed(off rules) (before, after corianderwing.Term) {
+	s := newSim(1, 3, mechanisms{rules: off}, false)
+	s.run(5*time.Second, nil)
+	lead := s.leader()
+	before = lead.node.vote.Term
+	for _, r := range s.reps {
+		if r != lead {
+			s.partition(r, true)
+			break
+		}
+	}
+	s.run(time.Minute, nil)
+	clear(s.cut)
+	s.run(5*time.Second, nil)
+	return before, s.leader().node.vote.Term
+}
+
+// Guards against an isolated replica that raises the term and deposes a
+// working leader when it returns.
+func TestReturnDoesNotDisturb(t *testing.T) {
+	is := is.New(t)
+	before, after := disturbed(rules{})
+	is.Equal(before, after)
+	before, after = disturbed(rules{noPreVote: true})
+	is.True(after > before) // the check must notice that pre-vote is off
+	t.Logf("without pre-vote the term goes from %d to %d", before, after)
+}
+
+// Guards against a leader that keeps its role, and serves reads, without a
+// majority. The bound is the election timeout and 3% for the clock rate.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 3, mechanisms{}, false)
+	s.run(5*time.Second, nil)
+	lead := s.leader()
+	s.partition(lead, true)
+	read, confirmed := false, false
+	lead.deliver(ReadIndex{[]uint64{lead.call(func(_ string, ok, _ bool) { read, confirmed = true, ok })}})
+	s.run(1031*time.Millisecond, nil)
+	is.True(lead.node.role != Leader)
+	is.True(read)
+	is.True(!confirmed)
+}
+
+// Guards against checks of TestRandomFaults that notice nothing: each of these
+// seeds must fail with one mechanism off.
+func TestRandomChecksNotice(t *testing.T) {
+	for name, c := range map[string]struct {
+		off   mechanisms
+		fault string
+	}{
+		"reads without a round":        {mechanisms{rules: rules{readAtOnce: true}}, "not linearizable"},
+		"replies before the disk":      {mechanisms{sendFirst: true}, ""},
+		"elections without a pre-vote": {mechanisms{rules: rules{noPreVote: true}}, "does not work again"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seed, fault := hunt(1, 1000, c.off)
+			if fault == "" || !strings.Contains(fault, c.fault) {
+				t.Fatalf("seed %d: %q, want a fault with %q", seed, fault, c.fault)
+			}
+			t.Logf("seed %d: %s", seed, fault)
+		})
+	}
+}
