Adopt identities safely and keep followers' election timers

Cause: a directory whose log was removed but whose identity was left came back empty under its old id. A candidate with an old log reset the election timer of every follower each time it raised the term. TestReturnDoesNotDisturb remains the check for pre-vote (term 1 to 43 without it). Change: store.Adopt; the identity is written after the first segment, and Load reports an identity without a log as damage. A follower resets its timer only for a leader, a granted vote or a change of its role.

--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -25,8 +25,11 @@
 	if n.role == Leader {
 		n.stopLeading()
 	}
+	// A candidate with an old log must not keep a follower from campaigning.
+	if n.role != Follower || leader != "" {
+		n.resetElection()
+	}
 	n.role, n.leader, n.votes = Follower, leader, nil
-	n.resetElection()
 }
 
 // mayCampaign reports whether this replica is a voter, or had to refuse a vote
--- a/io/store/load.go
+++ b/io/store/load.go
@@ -29,13 +29,17 @@
 	if err != nil {
 		return st, eris.Wrap(err, "reading the snapshot")
 	}
+	named, err := s.read(identityName, &identity{})
+	if err != nil {
+		return st, eris.Wrap(err, "reading the identity")
+	}
 	s.segNo, s.segSize, s.seq, s.mirror = 0, 0, 0, mirror{}
 	if st.Cut, err = s.loadLog(); err != nil {
 		return st, eris.Wrap(err, "reading the log")
 	}
 	switch {
-	case s.segNo == 0 && (voted || saved):
-		// The first segment is synced before the first vote.
+	case s.segNo == 0 && (voted || saved || named):
+		// The first segment is synced before any of these.
 		err = &DamageError{File: segName(1), Detail: "the log is missing"}
 	case s.mirror.index > st.Snapshot.Index:
 		err = &DamageError{File: snapshotName, Detail: "the log starts after a snapshot that is missing"}
--- a/io/store/value.go
+++ b/io/store/value.go
@@ -64,12 +64,6 @@
 
 // Identity returns the id under which this directory takes part in its group.
 // There is none in a new directory, nor after its disk was replaced or wiped.
-//
-// A replica that lost its disk may have voted or acknowledged entries that it
-// no longer knows of, so it must not return under its old id. A directory
-// without an identity may take the id from the settings only while the group
-// is being formed, that is, if no other configured voter has a term above
-// zero. Otherwise it takes a NewIdentity and joins as a learner.
 func (s *Store) Identity() (corianderwing.InstanceID, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,6 +72,27 @@
 	return v.ID, ok, eris.Wrap(err, "reading the identity")
 }
 
+// Adopt returns the id of the directory. A directory without one gets name, or
+// a NewIdentity if the group was formed before.
+//
+// A replica that lost its disk may have voted or acknowledged entries that it
+// no longer knows of, so it must not return under its old id; it joins as a
+// learner instead. The caller may pass false for formed only if the configured
+// voters include name and every other one has answered that its term is zero:
+// a replica takes a term before it asks for a vote or sends an entry, so then
+// this one cannot have promised anything.
+func (s *Store) Adopt(name corianderwing.InstanceID, formed bool) (corianderwing.InstanceID, error) {
+	id, ok, err := s.Identity()
+	if ok || err != nil {
+		return id, err
+	}
+	id = name
+	if formed {
+		id = NewIdentity(name)
+	}
+	return id, s.SetIdentity(id)
+}
+
 // SetIdentity stores the id. It fails if the directory has another one.
 func (s *Store) SetIdentity(id corianderwing.InstanceID) error {
 	old, ok, err := s.Identity()
@@ -89,9 +104,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.firstSegment(); err != nil {
+		return eris.Wrap(err, "starting the log")
+	}
 	return eris.Wrap(s.replace(identityName, identity{id}), "saving the identity")
 }
 
+// firstSegment starts the log of an empty directory. The identity is written
+// after it, so that Load can tell a lost log from a new directory.
+func (s *Store) firstSegment() error {
+	names, err := s.segments()
+	if err != nil || len(names) > 0 || s.seg != nil {
+		return err
+	}
+	if err := s.roll(head{}); err != nil {
+		return err
+	}
+	err = s.seg.Close()
+	s.seg = nil
+	return err
+}
+
 // NewIdentity returns a fresh id for a replica with the given name.
 func NewIdentity(name corianderwing.InstanceID) corianderwing.InstanceID {
 	var b [4]byte
