--- a/core/state/bounds_test.go
+++ b/core/state/bounds_test.go
@@ -116,6 +116,18 @@
 	is.Equal(o.ok("8", order(corianderwing.Claim, "a", "", nil)).Order.State, corianderwing.OrderOpen)
 }
 
+// Guards against a new leader whose clock is behind: entries would no longer
+// be in the order of their age, and the oldest would hide others from expiry.
+func TestClockGoesBack(t *testing.T) {
+	is := is.New(t)
+	o := newOne(t)
+	o.ok("1", order(corianderwing.Claim, "a", "", nil))
+	o.now = o.now.Add(-time.Hour)
+	is.Equal(o.ok("2", order(corianderwing.Claim, "b", "", nil)).Order.Since, start)
+	o.ok("3", drain("u1"))
+	is.Equal(o.m.View().Drains()[0].Since, start)
+}
+
 // Guards against answers that fill the memory of every replica.
 func TestLargeAnswerIsNotStored(t *testing.T) {
 	is := is.New(t)
