Check ownership and deadline again after a pause

Cause: an instance that resumes after a pause could start waiting requests of a pool that it no longer owns. Ruled out: relying on timers alone, which may fire after the release of a slot. Change: the queue is pumped only while the pool is owned; an attempt past its deadline is refused as not run; one freshness check instead of two; a test that a cut-off request keeps its slot for a moment. Conclusion: slots stay with one owner across pauses.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -156,6 +156,22 @@
 	is.Equal(p.byID["v1-0"].room(p.cfg.Warm, now.Add(time.Minute)), corianderwing.Slots(3))
 }
 
+// Guards against a new request for a slot whose request was cut off, before
+// the upstream can have noticed that.
+func TestLinger(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, announce(1, "v1"))
+	for range 3 {
+		_, ok := p.Pick(nil, epoch)
+		is.True(ok)
+	}
+	p.Done("v1-0", Cut, 0, epoch)
+	is.True(!p.Free(epoch.Add(19 * time.Millisecond)))
+	is.True(p.Free(epoch.Add(20 * time.Millisecond)))
+	p.Done("v1-0", Good, time.Millisecond, epoch)
+	is.True(p.Free(epoch))
+}
+
 // Guards against new upstreams that get their full load while they are cold,
 // and against a new owner that treats warm upstreams as cold.
 func TestSlowStart(t *testing.T) {
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -62,6 +62,11 @@
 	start := time.Now()
 	wait := start.Sub(asked)
 	up := sl.up
+	if !start.Before(j.deadline) {
+		// The timer of the deadline may be late after a pause of the process.
+		p.release(up.ID, j.workspace, route.Unused, 0, 0)
+		return nil, &corianderwing.Error{Code: corianderwing.Deadline, Run: corianderwing.RanNo, Detail: "before anything was sent"}
+	}
 	j.tries--
 	j.tried = append(j.tried, up.ID)
 	a, e := send(ctx, call{
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -237,8 +237,13 @@
 	}
 }
 
-// pump starts waiting requests while slots are free. The lock is held.
+// pump starts waiting requests while slots are free. An instance that resumes
+// after a pause may have lost the pool; tick refuses its requests then. The
+// lock is held.
 func (p *pool) pump(now time.Time) {
+	if p.queue.Len() == 0 || !p.s.cfg.Fleet.Owns(p.id) {
+		return
+	}
 	for p.queue.Len() > 0 && p.route.Free(now) {
 		p.apply(p.queue.Update(queue.Event{Kind: queue.Room, Free: 1}, now), now)
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -141,7 +141,7 @@
 		return e
 	}
 	v.workspace, v.service = v.target.workspace, v.target.service
-	view, fresh, ok := s.cfg.Guide.View(v.workspace)
+	view, _, ok := s.cfg.Guide.View(v.workspace)
 	if !ok {
 		return corianderwing.Errorf(corianderwing.NoRoute, "workspace %s", v.workspace)
 	}
@@ -150,9 +150,6 @@
 	if !ok {
 		return corianderwing.Errorf(corianderwing.NoRoute, "service %s", v.service)
 	}
-	if !fresh && !v.eff.Open {
-		return corianderwing.Errorf(corianderwing.NotFresh, "workspace %s", v.workspace)
-	}
 	v.route = v.eff.Path.Route
 	v.pool, v.class, v.once = v.eff.Pool, v.eff.Class, v.eff.Once
 	v.tries, v.wait = max(1, v.eff.Tries), v.eff.Wait
