Bound dials by half of the time left, and try other domains when the wait is too long

Cause: a dial into a partition used up the time for another try; a request refused for its wait was not offered to domains with room. Ruled out: a fixed short dial timeout, which a lost SYN on the longest way would exceed. Conclusion: one dial cannot use up a request.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -45,9 +45,9 @@
 			return Never
 		}
 		return Upstream
-	case corianderwing.QueueFull, corianderwing.NoCapacity, corianderwing.NoUpstream,
-		corianderwing.NotOwner, corianderwing.Stopping:
-		return Domain
+	case corianderwing.QueueFull, corianderwing.TooLate, corianderwing.NoCapacity,
+		corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping:
+		return Domain // TooLate: the wait was too long here, not everywhere
 	}
 	return Never
 }
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -18,6 +18,9 @@
 	// dialTimeout bounds the opening of a connection. The longest delay
 	// between regions is 70 ms there and back; one lost SYN costs 1 s.
 	dialTimeout = 1200 * time.Millisecond
+	// minDial is the shortest time that a dial gets, if the deadline allows:
+	// four times the longest way there and back.
+	minDial = 300 * time.Millisecond
 	// idleTimeout ends unused connections, so that a former pool owner soon
 	// uses none of an upstream's connections.
 	idleTimeout = 15 * time.Second
@@ -107,8 +110,8 @@
 }
 
 // get returns an idle connection, or a new one if fresh is set or none is
-// idle. No byte has been sent when it fails.
-func (h *host) get(ctx context.Context, fresh bool) (*conn, error) {
+// idle. No byte has been sent when it fails. The answer is due at first.
+func (h *host) get(ctx context.Context, fresh bool, first time.Time) (*conn, error) {
 	if !fresh {
 		if c := h.pop(); c != nil {
 			return c, nil
@@ -123,7 +126,10 @@
 	h.mu.Lock()
 	epoch := h.epoch
 	h.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	// Half of the time is left for another try, but a lost packet and the
+	// longest way must fit.
+	left := time.Until(first)
+	ctx, cancel := context.WithTimeout(ctx, min(left, dialTimeout, max(left/2, minDial)))
 	defer cancel()
 	raw, err := h.dial(ctx, h.addr)
 	if err != nil {
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -97,20 +97,24 @@
 	smooth(s.typical(j), first)
 	rep := &reply{answer: a}
 	rep.onEnd = func(complete bool) {
-		r := route.Bad
-		switch {
-		case complete && a.StatusCode >= http.StatusInternalServerError:
-			r = route.Faulty
-		case complete:
-			r = route.Good
-		case ctx.Err() != nil || rep.left:
-			r = route.Cut
-		}
-		p.release(up.ID, j.workspace, r, first, time.Since(start))
+		p.release(up.ID, j.workspace, rep.result(ctx, complete), first, time.Since(start))
 	}
 	return rep, nil
 }
 
+// result returns what a reply says about the upstream.
+func (r *reply) result(ctx context.Context, complete bool) route.Result {
+	switch {
+	case complete && r.StatusCode >= http.StatusInternalServerError:
+		return route.Faulty
+	case complete:
+		return route.Good
+	case ctx.Err() != nil || r.left:
+		return route.Cut
+	}
+	return route.Bad
+}
+
 // note keeps the attempt for the record and for the comparison of versions.
 func (s *Server) note(j *job, up corianderwing.Upstream, e *corianderwing.Error, a *answer, wait, first time.Duration) {
 	code, status := corianderwing.OK, 0
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -46,7 +46,7 @@
 // answer is complete, and never repeats the request. The returned error tells
 // whether the request may have reached the peer.
 func send(ctx context.Context, c call) (*answer, *corianderwing.Error) {
-	cn, err := c.host.get(ctx, c.fresh)
+	cn, err := c.host.get(ctx, c.fresh, c.first)
 	if err != nil {
 		return nil, unsent(ctx, err)
 	}
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -114,23 +114,13 @@
 	// The owner's refusal should arrive before we give up on the owner.
 	back := time.Duration(pr.delay.Load()) + 5*time.Millisecond
 	back += min(first.Sub(start)/50, 50*time.Millisecond)
-	h := append(attemptHeader(j, first.Add(-back), start, 6),
-		field{hPool, string(j.pool)},
-		field{hTries, strconv.Itoa(j.tries)},
-		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
-		field{hHops, strconv.Itoa(j.hops + 1)},
-		field{hToken, s.token},
-	)
-	if j.once {
-		h = append(h, field{hOnce, "1"})
-	}
 	a, e := send(ctx, call{
 		host:   &pr.host,
 		method: j.method,
 		uri:    j.uri,
 		name:   j.host,
 		header: j.header,
-		extra:  h,
+		extra:  s.hopHeader(j, first.Add(-back), start),
 		body:   j.body,
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
@@ -159,6 +149,21 @@
 	return nil, refusalOf(a)
 }
 
+// hopHeader returns the headers of a hand-over.
+func (s *Server) hopHeader(j *job, deadline, now time.Time) []field {
+	h := append(attemptHeader(j, deadline, now, 6),
+		field{hPool, string(j.pool)},
+		field{hTries, strconv.Itoa(j.tries)},
+		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
+		field{hHops, strconv.Itoa(j.hops + 1)},
+		field{hToken, s.token},
+	)
+	if j.once {
+		h = append(h, field{hOnce, "1"})
+	}
+	return h
+}
+
 // hopDeadline returns when the owner must have answered. While the request may
 // go elsewhere, a quarter of the time is kept for that.
 func (s *Server) hopDeadline(j *job, now time.Time) time.Time {
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -132,6 +132,11 @@
 		is.Equal(g.code, "100")
 		frozen := w.listen("x:inner")
 		time.Sleep(2 * time.Second) // the suspicion ends
+		dialled := time.Now()
+		g = w.ask("a:public", post("/ws/order/x", "")) // no answer to the dial: not run
+		is.Equal(g.code, "100")
+		is.Equal(time.Since(dialled), time.Second)
+		time.Sleep(2 * time.Second)
 		conns := make(chan io.Closer, 9)
 		go func() {
 			for {
