--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -7,13 +7,19 @@
 	"corianderwing"
 )
 
-// up is what the owner knows about one upstream.
+// up is what the owner knows about one upstream. The fields that each choice
+// reads come first, so that they share a cache line.
 type up struct {
-	corianderwing.Upstream
+	open   bool // announced, ready and not drained
+	warm   bool // the slow start is over and no trial is due
+	spared bool // ejected, but let in by the floor
+	trial  bool // the next request decides about a recovered upstream
+	busy   corianderwing.Slots
+	weight float64     // part of the score for each request in flight
+	bias   float64     // fixed part of the score
+	held   []time.Time // ends of slots kept after a cut-off request
 
-	open    bool // announced, ready and not drained
-	busy    corianderwing.Slots
-	held    []time.Time // ends of slots kept after a cut-off request
+	corianderwing.Upstream
 	conns   corianderwing.Conns
 	since   time.Time // start of the slow start
 	seen    time.Time // last observation
@@ -22,10 +28,6 @@
 	fails   int       // consecutive failures
 	ejected int       // ejections in a row
 	until   time.Time // end of the ejection
-	trial   bool      // the next request decides about a recovered upstream
-	spared  bool      // ejected, but let in by the floor
-	weight  float64   // what latency and errors make of the score
-	warm    bool      // the slow start is over
 }
 
 // restart forgets the observations about an earlier incarnation. An upstream
@@ -38,18 +40,26 @@
 	u.fails, u.ejected = 0, 0
 	u.until = time.Time{}
 	u.trial, u.warm = false, false
-	u.weight = 1
 }
 
 func (u *up) usable(now time.Time) bool {
 	return u.open && (u.spared || !now.Before(u.until))
 }
 
+// full reports whether no slot may be taken.
+func (u *up) full(warm time.Duration, now time.Time) bool {
+	busy, slots := u.busy, u.Slots
+	if len(u.held) > 0 {
+		busy = u.taken(now)
+	}
+	if !u.warm {
+		slots = u.room(warm, now)
+	}
+	return busy >= slots
+}
+
 // taken returns the slots in use, with those held after cut-off requests.
 func (u *up) taken(now time.Time) corianderwing.Slots {
-	if len(u.held) == 0 {
-		return u.busy
-	}
 	kept := u.held[:0]
 	for _, t := range u.held {
 		if now.Before(t) {
@@ -68,9 +78,6 @@
 	if u.trial {
 		return 1
 	}
-	if u.warm {
-		return u.Slots
-	}
 	age := now.Sub(u.since)
 	if age >= warm {
 		u.warm = true
@@ -80,17 +87,19 @@
 	return min(u.Slots, max(1, corianderwing.Slots(math.Ceil(part))))
 }
 
-// score estimates how long a request would take, relative to the pool's mean.
-// The reported load only decides between upstreams that look alike to us.
-func (u *up) score() float64 {
-	return float64(u.busy+1)/float64(u.Slots)*u.weight + 0.05*max(0, min(1, u.Load))
+// weigh renews weight and bias. A request's score is the weight for each
+// request in flight, itself included, plus the bias: an estimate of how long
+// it would take. The reported load, which is the bias, only decides between
+// upstreams that look alike to us.
+func (u *up) weigh(mean float64, decay time.Duration, now time.Time) {
+	u.bias = 0.05 * max(0, min(1, u.Load))
+	u.weight = u.factor(mean, decay, now) / float64(max(1, u.Slots))
 }
 
-// weigh renews the weight.
-func (u *up) weigh(mean float64, decay time.Duration, now time.Time) {
+// factor compares the upstream with the pool's mean.
+func (u *up) factor(mean float64, decay time.Duration, now time.Time) float64 {
 	if u.seen.IsZero() {
-		u.weight = 0.7 // find out about it before comparing it with the others
-		return
+		return 0.7 // find out about it before comparing it with the others
 	}
 	trust := u.trust(decay, now)
 	slow := 1.0
@@ -99,7 +108,7 @@
 	}
 	slow = 1 + (slow-1)*trust
 	bad := 1 + 4*(u.errors+float64(u.fails))*trust
-	u.weight = slow * bad
+	return slow * bad
 }
 
 // trust tells how much the observations still count: all when new, nothing
@@ -203,7 +212,7 @@
 	u.until = now.Add(min(d, p.cfg.Longer))
 	p.ejected = later(p.ejected, u.until)
 	u.ejected++
-	u.trial = true
+	u.trial, u.warm = true, false
 }
 
 func later(a, b time.Time) time.Time {
