Add version rollouts

Cause: a bad version must get little traffic, and none soon after its fault shows; a good one must be done in time. Change: core/shift with a ramp planned backwards from the set time, a share of at most 5% until 100 requests are compared on each route, and e-processes (safe tests of two rates) for errors and for requests slower than the old median and 95th percentile, with a false alarm probability of 1e-4 for each test.

--- /dev/null
+++ b/core/shift/process.go
@@ -0,0 +1,90 @@
+package shift
+
+import "math"
+
+const (
+	// falseAlarm bounds the probability that one test ever shows a fault of a
+	// version that has none. A route has three tests, so a move over r routes
+	// is rolled back wrongly with a probability of at most 3·r·falseAlarm.
+	falseAlarm = 1e-4
+
+	// A version counts as worse if its rate exceeds that of the old version
+	// by more than the margin.
+	errorMargin  = 0.005
+	medianMargin = 0.15 // more slow requests than the old version's median
+	tailMargin   = 0.05 // the same, for its 95th percentile
+
+	// minPast is the number of requests to the old version from which its
+	// quantiles are taken.
+	minPast = 50
+)
+
+// effects are the alternatives that a process weighs: how far the rate of the
+// new version lies between the old rate plus the margin and 1.
+var effects = [...]float64{0.03, 0.1, 0.3, 0.9}
+
+// pair is a number of requests and of hits among them: errors, or slow ones.
+type pair struct{ n, hits float64 }
+
+// process is a sequential test of two Bernoulli rates that is valid at every
+// time, an e-process: under the null hypothesis (new rate ≤ old rate + margin)
+// its expected value never exceeds 1, so it ever reaches 1/falseAlarm with a
+// probability of at most falseAlarm (Ville's inequality). Each block is
+// multiplied by the likelihood ratio of an alternative to its projection on
+// the null hypothesis (Turner, Ly and Grünwald, "Generic E-variables for exact
+// sequential k-sample tests", 2024). The value is a mixture over alternatives
+// and over starting blocks; the k-th start has the weight 1/(k·(k+1)), so that
+// a fault that begins late is not outweighed by the good blocks before it.
+type process struct {
+	margin float64
+	starts float64
+	sums   [len(effects)]float64 // mixture over the starts, for each alternative
+	top    float64
+}
+
+func newProcess(margin float64) process { return process{margin: margin} }
+
+// update processes a block. Rate is the old version's rate as known before.
+func (p *process) update(rate float64, from, to pair) {
+	p.starts++
+	weight := 1 / (p.starts * (p.starts + 1))
+	rate = min(max(rate, 1e-3), 1-p.margin-1e-3)
+	value := 0.0
+	for i, effect := range effects {
+		base := rate + p.margin
+		alt := min(base+(1-base)*effect, 1-1e-4)
+		p.sums[i] = (p.sums[i] + weight) * math.Exp(p.ratio(rate, alt, from, to))
+		value += p.sums[i] / float64(len(effects))
+	}
+	p.top = max(p.top, value+1/(p.starts+1))
+}
+
+// shown reports whether the process has reached the level of a fault.
+func (p *process) shown() bool { return p.top >= 1/falseAlarm }
+
+// ratio returns the logarithm of the likelihood ratio of a block.
+func (p *process) ratio(a, b float64, from, to pair) float64 {
+	null := p.project(a, b, from.n, to.n)
+	return logRatio(from, a, null) + logRatio(to, b, null+p.margin)
+}
+
+func logRatio(x pair, alt, null float64) float64 {
+	return x.hits*math.Log(alt/null) + (x.n-x.hits)*math.Log((1-alt)/(1-null))
+}
+
+// project returns the old rate at which the null hypothesis is closest to the
+// alternative (a, b). The derivative of the distance grows with the rate, and
+// its zero lies between a and b-margin.
+func (p *process) project(a, b, na, nb float64) float64 {
+	lo, hi := a, b-p.margin
+	for range 40 {
+		x := (lo + hi) / 2
+		y := x + p.margin
+		if na*(x-a)/(x*(1-x))+nb*(y-b)/(y*(1-y)) > 0 {
+			hi = x
+		} else {
+			lo = x
+		}
+	}
+	return (lo + hi) / 2
+}
--- /dev/null
+++ b/core/shift/shift_test.go
@@ -0,0 +1,222 @@
+package shift
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"corianderwing"
+)
+
+var (
+	start = time.Unix(1e9, 0)
+	by    = start.Add(10 * time.Minute)
+	move  = corianderwing.Move{Pool: "p", From: "old", To: "new", Start: start, By: by}
+)
+
+// behaviour of a version at a time after the start and a share of the traffic.
+type behaviour struct {
+	name string
+	bad  bool
+	from time.Duration // when the fault begins
+	do   func(route int, share float64) (errors, slowness float64)
+}
+
+func always(errors, slowness float64) func(int, float64) (float64, float64) {
+	return func(int, float64) (float64, float64) { return errors, slowness }
+}
+
+var behaviours = []behaviour{
+	{"good", false, 0, always(0.005, 1)},
+	{"good, errors of 0.6%", false, 0, always(0.006, 1)},
+	{"good, 5% slower", false, 0, always(0.005, 1.05)},
+	{"all requests fail at once", true, 0, always(1, 1)},
+	{"10% fail at once", true, 0, always(0.1, 1)},
+	{"3% fail at once", true, 0, always(0.03, 1)},
+	{"30% fail after 5 minutes", true, 5 * time.Minute, always(0.3, 1)},
+	{"all fail after 8 minutes", true, 8 * time.Minute, always(1, 1)},
+	{"twice as slow", true, 0, always(0.005, 2)},
+	{"fails and slows under load", true, 0, func(_ int, share float64) (float64, float64) {
+		if share < 0.4 {
+			return 0.005, 1
+		}
+		return 0.1, 3
+	}},
+	{"30% fail on one route", true, 0, func(route int, _ float64) (float64, float64) {
+		if route == 3 {
+			return 0.3, 1
+		}
+		return 0.005, 1
+	}},
+}
+
+// rates are the requests per second on each route.
+var rates = [...]float64{50, 30, 15, 5}
+
+// result of one move.
+type result struct {
+	move  corianderwing.Move
+	onset time.Duration // of the fault
+	end   time.Duration
+	sent  int // requests to the new version since its fault began
+}
+
+// off switches a mechanism off before each step of a run.
+type off func(p *Plan)
+
+// run moves a pool to a version with samples twice a second. Load and latency
+// of both versions vary with time.
+func run(seed uint64, b behaviour, without off) result {
+	r := rand.New(rand.NewPCG(seed, 3))
+	p := New(move)
+	var res result
+	for t := time.Duration(0); t <= by.Sub(start)+time.Second; t += 500 * time.Millisecond {
+		now := start.Add(t)
+		if without != nil {
+			without(p)
+		}
+		share := p.Share(now)
+		if p.Move().Outcome != corianderwing.Moving {
+			res.move, res.end = p.Move(), t
+			return res
+		}
+		load := 1 + 0.5*math.Sin(t.Seconds()/60)
+		for i, rate := range rates {
+			errors, slowness := 0.005, 1.0
+			if t >= b.from {
+				errors, slowness = b.do(i, share)
+			}
+			from := draw(r, rate*load/2*(1-share), 0.005, load)
+			to := draw(r, rate*load/2*share, errors, load*slowness)
+			from.Route, from.Version = fmt.Sprint("r", i), "old"
+			to.Route, to.Version = from.Route, "new"
+			if errors > 0.006 || slowness > 1.05 {
+				if res.sent == 0 {
+					res.onset = t
+				}
+				res.sent += int(to.Count)
+			}
+			p.Observe(now, []Sample{from, to})
+		}
+	}
+	res.move, res.end = p.Move(), by.Sub(start)+time.Second
+	return res
+}
+
+// draw returns a sample with a Poisson number of requests and lognormal
+// latencies with a median of 20 ms.
+func draw(r *rand.Rand, mean, errors, slowness float64) (s Sample) {
+	for t := r.ExpFloat64(); t < mean; t += r.ExpFloat64() {
+		s.Count++
+		if r.Float64() < errors {
+			s.Errors++
+		}
+		ms := 20 * slowness * math.Exp(r.NormFloat64()*0.6)
+		s.Latency[Bucket(time.Duration(ms*1e6))]++
+	}
+	return s
+}
+
+// Guards against good versions that are rolled back or late, and against bad
+// versions that complete or get many requests.
+func TestMoves(t *testing.T) {
+	const seeds = 40
+	var out strings.Builder
+	for _, b := range behaviours {
+		right, worst, sent, last := 0, 0, 0, time.Duration(0)
+		for seed := range uint64(seeds) {
+			res := run(seed, b, nil)
+			want := corianderwing.Done
+			if b.bad {
+				want = corianderwing.RolledBack
+			}
+			if res.move.Outcome == want && (b.bad || res.end <= by.Sub(start)) {
+				right++
+			} else {
+				t.Errorf("%s, seed %d: %s at %v: %s", b.name, seed, res.move.Outcome, res.end, res.move.Evidence)
+			}
+			sent += res.sent
+			worst = max(worst, res.sent)
+			last = max(last, res.end-res.onset)
+		}
+		fmt.Fprintf(&out, "%-28s %d of %d %s", b.name, right, seeds, map[bool]string{true: "rolled back", false: "done in time"}[b.bad])
+		if b.bad {
+			fmt.Fprintf(&out, ", requests to it after the fault began: mean %d, most %d, longest %v", sent/seeds, worst, last)
+		}
+		fmt.Fprintln(&out)
+		is.New(t).Equal(right, seeds)
+	}
+	goldie.New(t).Assert(t, "moves", []byte(out.String()))
+}
+
+// Guards against mechanisms that do nothing: without the small share, and
+// without processes that start later, more requests reach a bad version.
+func TestMovesNeedEachMechanism(t *testing.T) {
+	is := is.New(t)
+	sent := func(b behaviour, without off) (n int) {
+		for seed := range uint64(10) {
+			n += run(seed, b, without).sent
+		}
+		return n
+	}
+	atOnce, late := behaviours[4], behaviours[6]
+	noHold := func(p *Plan) { p.share = max(p.share, 0.5) }
+	oneStart := func(p *Plan) {
+		for _, r := range p.routes {
+			r.errors.starts = max(r.errors.starts, 1e9)
+		}
+	}
+	with, without := sent(atOnce, nil), sent(atOnce, noHold)
+	t.Logf("%s: %d requests in 10 moves, without the small share %d", atOnce.name, with, without)
+	is.True(without > with)
+	with, without = sent(late, nil), sent(late, oneStart)
+	t.Logf("%s: %d requests in 10 moves, with one start %d", late.name, with, without)
+	is.True(without > 2*with)
+}
+
+// Guards against wrong error rates: at the edge of the null hypothesis a
+// process may show a fault with a probability of 1e-4.
+func TestFalseAlarms(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 4))
+	hits := func(n int, rate float64) (x pair) {
+		x.n = float64(n)
+		for range n {
+			if r.Float64() < rate {
+				x.hits++
+			}
+		}
+		return x
+	}
+	shown := 0
+	for range 5000 {
+		p := newProcess(tailMargin)
+		for range 100 {
+			p.update(0.04+0.02*r.Float64(), hits(20, 0.05), hits(10, 0.05+tailMargin))
+		}
+		if p.shown() {
+			shown++
+		}
+	}
+	t.Logf("%d of 5000 processes show a fault", shown)
+	is.New(t).True(shown <= 4) // 0.5 are expected at most; more than 4 have a probability below 2e-4
+}
+
+// Guards against a ramp that goes on, or a move that completes, while
+// measurements are missing.
+func TestRampPausesWithoutSamples(t *testing.T) {
+	is := is.New(t)
+	p := New(move)
+	is.Equal(p.Share(start.Add(-time.Second)), 0.0)
+	for now := start; now.Before(by); now = now.Add(time.Second) {
+		is.True(p.Share(now) <= SmallShare)
+	}
+	is.Equal(p.Share(by), 0.0)
+	is.Equal(p.Move().Outcome, corianderwing.RolledBack)
+	is.True(p.Move().Evidence != "")
+}
