Add the load and stubs commands

Cause: runs against real processes need a command, and a way to start all stand-ins of a settings file in one process.

Change: corianderwing load, load compare and stubs. The stand-in repeats the request id in its 504 after a deadline too: without it, an entry instance took the answer for a crossed one (code 504 of the system).

Conclusion: scenarios can be run from the command line.

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -31,6 +31,8 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			stubCommand(),
+			stubsCommand(),
+			loadCommand(),
 			checkCommand(),
 			statusCommand(),
 			treeCommand(),
--- a/io/load/text.go
+++ b/io/load/text.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 )
@@ -115,7 +117,15 @@
 	if before != 0 {
 		change = fmt.Sprintf("%+.1f%%", 100*(after-before)/before)
 	}
-	fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%s\t\n", name, figure, before, after, change)
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t\n", name, figure, number(before), number(after), change)
+}
+
+// number writes counts as whole numbers and the rest with four decimals.
+func number(v float64) string {
+	if v == math.Trunc(v) {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(v, 'f', 4, 64)
 }
 
 // Broken lists the invariants that the run shows to be broken.
--- a/io/stub/settings.go
+++ b/io/stub/settings.go
@@ -1,10 +1,13 @@
 package stub
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"corianderwing"
@@ -57,3 +60,23 @@
 	}
 	return all
 }
+
+// ServeAll listens on the addresses of all stand-ins and serves them until
+// ctx ends and they have left. Stop ends that early.
+func ServeAll(ctx, stop context.Context, all []Config) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, c := range all {
+		ln, err := net.Listen("tcp", c.Addr)
+		if err != nil {
+			errs[i] = err
+			cancel()
+			break
+		}
+		wg.Go(func() { errs[i] = New(c).Serve(ctx, stop, ln) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -77,6 +77,7 @@
 		w := send(t.Context(), h, "POST", "/x", "Cw-Request", "a", "Cw-Left", "300", "Idempotency-Key", "k")
 		is.Equal(time.Since(start), 300*time.Millisecond)
 		is.Equal(w.Code, http.StatusGatewayTimeout)
+		is.Equal(w.Header().Get("Cw-Request"), "a") // or the system takes it for a crossed answer
 		is.Equal(w.Header().Get("Cw-Run"), "")
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
--- a/io/stub/work.go
+++ b/io/stub/work.go
@@ -55,6 +55,7 @@
 	if err != nil || !s.serve(ctx, r, c) {
 		s.runs.end(run, Cut)
 		if r.Context().Err() == nil {
+			w.Header().Set("Cw-Request", id)
 			http.Error(w, "deadline passed or body cut", http.StatusGatewayTimeout)
 		}
 		return
