--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,9 +88,9 @@
 	budget   *retry.Budget
 
 	active   atomic.Int64 // requests in progress, hand-overs included
-	settling sync.WaitGroup
-	draining atomic.Bool // leaves the lookup answers
-	closing  atomic.Bool // answers with Connection: close
+	settling atomic.Int64 // outcomes of orders that are not stored yet
+	draining atomic.Bool  // leaves the lookup answers
+	closing  atomic.Bool  // answers with Connection: close
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -199,6 +199,11 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
+const (
+	syncTicks = 5  // between renewals of the own pools: 100 ms
+	lookTicks = 25 // between renewals of the places: 500 ms, as often as gossip
+)
+
 // loop keeps the snapshots of the request path current, wakes queues, and ends
 // requests under revoked keys.
 func (s *Server) loop(changed <-chan struct{}) {
@@ -213,11 +218,15 @@
 			s.running.check(s.cfg.Guide)
 			s.sync()
 		case <-tick.C:
-			if n%5 == 0 {
+			now := time.Now()
+			if n%syncTicks == 0 {
 				s.sync()
 			}
+			if n%lookTicks == 0 {
+				s.look(now)
+			}
 			for _, p := range *s.pools.Load() {
-				p.tick(time.Now())
+				p.tick(now)
 			}
 		}
 	}
@@ -241,27 +250,14 @@
 	}
 	err := pause(ctx, s.opt.lookup+s.opt.spread)
 	s.closing.Store(true)
-	for err == nil && s.active.Load() > 0 {
+	for err == nil && s.active.Load()+s.settling.Load() > 0 {
 		err = pause(ctx, s.opt.tick)
 	}
-	settled := make(chan struct{})
-	go func() {
-		s.settling.Wait()
-		close(settled)
-	}()
-	if err == nil {
-		select {
-		case <-settled:
-		case <-ctx.Done():
-			err = context.Cause(ctx)
-		}
-	}
 	if err != nil {
 		s.running.stop(corianderwing.Errorf(corianderwing.Stopping, "the instance stopped"))
 	}
 	s.cancel()
 	<-s.done
-	<-settled
 	for _, p := range *s.pools.Load() {
 		p.reset()
 	}
