Spread callers over entry instances and count admissions strictly

Cause: every caller of a region asked the same entry instance for lookups, so the instances of the other failure domain got no callers, and the fixed parts of rates there lay idle.

Ruled out: weights for single entry instances; the lookup decides that.

Change: the plan draws the entry instance that a caller asks first. Only requests that surely were admitted count for the excess, noshare counts as a refusal for rate, and a run without any admission no longer panics. Region weights that are all 0 are refused.

--- a/io/load/caller.go
+++ b/io/load/caller.go
@@ -36,7 +36,7 @@
 	Addr string `json:"addr"`
 }
 
-// caller is a client of one workspace in one region. It caches the answer to
+// caller is a client of one workspace next to one entry instance. It caches the answer to
 // its lookup until that expires, and turns to the alternates when an instance
 // does not answer.
 type caller struct {
--- a/io/load/excess.go
+++ b/io/load/excess.go
@@ -17,6 +17,9 @@
 // largest excess of their number over rate times length plus burst, of all
 // windows.
 func excess(rate, burst float64, admitted []span) float64 {
+	if len(admitted) == 0 {
+		return 0
+	}
 	ends := make([]time.Duration, len(admitted))
 	for i, s := range admitted {
 		ends[i] = s.done
--- a/io/load/plan.go
+++ b/io/load/plan.go
@@ -18,6 +18,7 @@
 	Kind   int           // index into its mix
 	Number int           // in the order of the plan, from 0
 	Region corianderwing.RegionID
+	Entry  int // of the region's entry instances, the one that the caller asks first
 	Resend resend
 	Gap    time.Duration // with resendNow: from the first copy to the second
 }
@@ -68,6 +69,7 @@
 	spec    Load
 	regions []corianderwing.RegionID
 	weights []float64 // of regions
+	entries []int     // entry instances of regions
 	kinds   []float64 // weights of the mix
 }
 
@@ -79,6 +81,7 @@
 		}
 		p.regions = append(p.regions, r.Name)
 		p.weights = append(p.weights, weight)
+		p.entries = append(p.entries, len(entries(cfg, r.Name)))
 	}
 	for _, k := range p.spec.Mix {
 		p.kinds = append(p.kinds, k.Weight)
@@ -112,7 +115,9 @@
 func (p *planner) event(at time.Duration) Event {
 	e := Event{At: at, Load: p.load}
 	e.Kind = p.pick(p.kinds)
-	e.Region = p.regions[p.pick(p.weights)]
+	region := p.pick(p.weights)
+	e.Region = p.regions[region]
+	e.Entry = p.rand.IntN(p.entries[region])
 	if x := p.rand.Float64(); x < p.spec.Mix[e.Kind].Resend {
 		e.Resend = resendAfter
 		if x < p.spec.Mix[e.Kind].Resend/2 {
@@ -123,18 +128,23 @@
 	return e
 }
 
-// pick draws an index by weight.
+// pick draws an index by weight. One weight at least must be above 0.
 func (p *planner) pick(weights []float64) int {
 	var sum float64
 	for _, w := range weights {
 		sum += w
 	}
 	x := p.rand.Float64() * sum
+	last := 0
 	for i, w := range weights {
+		if w == 0 {
+			continue
+		}
 		if x < w {
 			return i
 		}
 		x -= w
+		last = i
 	}
-	return len(weights) - 1
+	return last // x was rounded up
 }
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -184,7 +184,7 @@
 	var admitted []span
 	for _, x := range all {
 		v := b.judge(x.sent, x.o)
-		if x.o.took() {
+		if x.o.admitted() {
 			admitted = append(admitted, x.span)
 		}
 		if !x.copy && e.plan[x.index].At >= warm {
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,15 +38,16 @@
 	start    time.Time
 	plan     []Event
 	seen     []seen
-	callers  map[route]*caller
+	callers  map[place]*caller
 	flight   atomic.Int64
 	wg       sync.WaitGroup
 }
 
-// route is where a caller is.
-type route struct {
+// place is where a caller is.
+type place struct {
 	load   int
 	region corianderwing.RegionID
+	entry  int
 }
 
 // seen is what became of one planned request.
@@ -60,7 +62,7 @@
 // Run runs a scenario that passed Check. When ctx ends, it stops sending,
 // waits for the requests under way, and returns what it has.
 func Run(ctx context.Context, s *Scenario, cfg *conf.Config, opts ...Option) (*Result, error) {
-	e := &engine{scenario: s, cfg: cfg, callers: map[route]*caller{}, progress: func(int, int) {}}
+	e := &engine{scenario: s, cfg: cfg, callers: map[place]*caller{}, progress: func(int, int) {}}
 	e.client = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 512,
 		IdleConnTimeout:     30 * time.Second,
@@ -90,11 +92,14 @@
 	w := e.scenario.Loads[load].Name
 	key, _ := e.cfg.Caller(w)
 	for _, r := range e.cfg.Regions {
-		e.callers[route{load, r.Name}] = &caller{
-			client:    e.client,
-			workspace: w,
-			key:       key,
-			first:     entries(e.cfg, r.Name),
+		all := entries(e.cfg, r.Name)
+		for i := range all {
+			e.callers[place{load, r.Name, i}] = &caller{
+				client:    e.client,
+				workspace: w,
+				key:       key,
+				first:     slices.Concat(all[i:], all[:i]),
+			}
 		}
 	}
 }
@@ -143,7 +148,7 @@
 // The context is not that of the run: a stopped run waits for its requests.
 func (e *engine) request(i int) {
 	event, s := e.plan[i], &e.seen[i]
-	c := e.callers[route{event.Load, event.Region}]
+	c := e.callers[place{event.Load, event.Region, event.Entry}]
 	m := e.message(event)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.scenario.Timeout)*time.Millisecond)
 	defer cancel()
--- a/io/load/scenario.go
+++ b/io/load/scenario.go
@@ -170,12 +170,17 @@
 		c.within(at+".burst.every", l.Burst.Every, 0.01, maxSeconds)
 	}
 	c.within(at+".burst.count", float64(l.Burst.Count), 0, 100_000)
+	var sum float64
 	for r, weight := range l.Regions {
+		sum += weight
 		if len(entries(cfg, r)) == 0 {
 			c.fail(at+".regions", "region %q has no entry instances", r)
 		}
 		c.within(fmt.Sprintf("%s.regions.%s", at, r), weight, 0, 1_000_000)
 	}
+	if len(l.Regions) > 0 && sum == 0 {
+		c.fail(at+".regions", "every weight is 0, allowed: at least one above 0")
+	}
 	if len(l.Mix) == 0 {
 		c.fail(at+".mix", "is empty, allowed: at least one kind, here or for all workspaces")
 	}
