--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -32,6 +32,8 @@
 			demoCommand(),
 			serveCommand(),
 			stubCommand(),
+			stubsCommand(),
+			loadCommand(),
 			checkCommand(),
 			statusCommand(),
 			treeCommand(),
