--- a/core/share/grantor.go
+++ b/core/share/grantor.go
@@ -20,6 +20,7 @@
 type Grantor struct {
 	from   time.Time
 	pools  map[corianderwing.BoundID]*pool
+	levels map[corianderwing.BoundID]*ceiling
 	peers  map[corianderwing.InstanceID]*peer
 	swept  time.Time
 	broken uint64
@@ -40,9 +41,10 @@
 // from, which is WaitUntil of the time at which its leadership began.
 func NewGrantor(from time.Time) *Grantor {
 	return &Grantor{
-		from:  from,
-		pools: make(map[corianderwing.BoundID]*pool),
-		peers: make(map[corianderwing.InstanceID]*peer),
+		from:   from,
+		pools:  make(map[corianderwing.BoundID]*pool),
+		levels: make(map[corianderwing.BoundID]*ceiling),
+		peers:  make(map[corianderwing.InstanceID]*peer),
 	}
 }
 
@@ -59,7 +61,10 @@
 }
 
 // Forget removes a bound. Grants of it lapse at their holders.
-func (g *Grantor) Forget(b corianderwing.BoundID) { delete(g.pools, b) }
+func (g *Grantor) Forget(b corianderwing.BoundID) {
+	delete(g.pools, b)
+	delete(g.levels, b)
+}
 
 // Broken returns how often a pool and its grants exceeded the pool's burst.
 // Anything but zero is a fault of this package.
@@ -93,12 +98,16 @@
 	follows := ok && life == p.life && seq == p.seq+1
 	p = &peer{life: life, seq: seq, seen: now}
 	g.peers[holder] = p
+	o := owner{holder, life}
 	for _, s := range spends {
-		pool, ok := g.pools[s.Bound]
-		if !ok {
+		if c := g.levels[s.Bound]; c != nil {
+			p.grants = append(p.grants, c.update(now, o, s))
+		}
+		pool := g.pools[s.Bound]
+		if pool == nil {
 			continue
 		}
-		if grant, ok := pool.update(now, owner{holder, life}, follows, s); ok {
+		if grant, ok := pool.update(now, o, follows, s); ok {
 			p.grants = append(p.grants, grant)
 		}
 		if !pool.sound(now) {
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -32,6 +32,7 @@
 	bounds atomic.Pointer[map[corianderwing.BoundID]*Bound]
 
 	mu       sync.Mutex
+	levels   map[corianderwing.BoundID]*Level
 	seq      uint64 // of the latest report
 	sent     time.Time
 	answered bool // the latest report has its answer
@@ -41,7 +42,7 @@
 
 // NewHolder returns a holder without tokens.
 func NewHolder(now time.Time) *Holder {
-	h := &Holder{origin: now}
+	h := &Holder{origin: now, levels: make(map[corianderwing.BoundID]*Level)}
 	h.bounds.Store(&map[corianderwing.BoundID]*Bound{})
 	return h
 }
@@ -123,6 +124,9 @@
 			spends = append(spends, s)
 		}
 	}
+	for _, l := range h.levels {
+		spends = append(spends, l.report(now))
+	}
 	return h.seq, spends
 }
 
@@ -141,12 +145,15 @@
 		b.release(now, seq)
 	}
 	for _, g := range grants {
+		end := corianderwing.HolderDeadline(h.sent, time.Duration(g.Left)*time.Millisecond)
+		if l := h.levels[g.Bound]; l != nil {
+			l.put(int64(g.Tokens), end)
+		}
 		b := all[g.Bound]
 		if b == nil {
 			continue
 		}
 		b.open = true
-		end := corianderwing.HolderDeadline(h.sent, time.Duration(g.Left)*time.Millisecond)
 		b.put(now, g.Tokens, end)
 		if b.Waiting() > int64(b.Stock(now)) {
 			h.dry = true
