Report how late the load command itself sent requests

Cause: response times count from the planned time, so a busy machine looks like a slow system.

Ruled out: counting from the actual time of sending, which hides queueing.

Change: a result has the 99th percentile of the delay between planned and actual sending, and the first line of the table shows it with the number of unsent requests.

--- a/io/load/result.go
+++ b/io/load/result.go
@@ -20,6 +20,7 @@
 	Seconds    float64        `json:"seconds"` // measured
 	Planned    int            `json:"planned"` // with the warm-up
 	Sent       int            `json:"sent"`    // with the warm-up
+	Lag        int64          `json:"lag"`     // 99th percentile of how late requests were sent; part of their times
 	Total      Row            `json:"total"`
 	Workspaces []Row          `json:"workspaces"`
 	Kinds      []Row          `json:"kinds"`
@@ -113,6 +114,7 @@
 		Sent:     sent,
 		Codes:    map[string]int{},
 	}
+	r.Lag = e.lag(sent)
 	total := newTally("total")
 	kinds := map[string]*tally{}
 	for i := range s.Loads {
@@ -139,6 +141,16 @@
 	return r
 }
 
+// lag returns how late the load command itself was, so that its own delay is
+// not taken for that of the system.
+func (e *engine) lag(sent int) int64 {
+	h := hdrhistogram.New(1, maxTime, 3)
+	for i, event := range e.plan[:sent] {
+		_ = h.RecordValue(min(max((e.seen[i].sent-event.At).Microseconds(), 1), maxTime)) // in range
+	}
+	return h.ValueAtPercentile(99)
+}
+
 // spread finds the worst-served and the best-served workspace.
 func (r *Result) spread() {
 	first := true
--- a/io/load/text.go
+++ b/io/load/text.go
@@ -15,7 +15,8 @@
 // Text returns the result as tables. Times are in milliseconds.
 func (r *Result) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "scenario=%s seed=%d seconds=%g planned=%d sent=%d\n", r.Scenario, r.Seed, r.Seconds, r.Planned, r.Sent)
+	fmt.Fprintf(&b, "scenario=%s seed=%d seconds=%g planned=%d sent=%d lag=%sms unsent=%d\n",
+		r.Scenario, r.Seed, r.Seconds, r.Planned, r.Sent, ms(r.Lag), r.Codes[string(notSent)])
 	table(&b, "workspace", append(slices.Clone(r.Workspaces), r.Total))
 	table(&b, "kind", r.Kinds)
 	for _, name := range slices.Sorted(maps.Keys(r.Codes)) {
