Let a new leader grant tokens once every seat has told what it holds

Cause: after a leader change no tokens were granted for 3 s, until the predecessor's grants had expired; small workspaces have no fixed part and were refused with 305. Change: a report made after the holder heard from the new leader, with the settings that the pools start from, replaces the wait; each life must be known for LendLife; only seated instances get tokens.

--- a/core/share/grantor.go
+++ b/core/share/grantor.go
@@ -19,6 +19,8 @@
 // when the renewal had arrived. Its methods must not run at the same time.
 type Grantor struct {
 	from   time.Time
+	lapse  time.Time                         // all grants of predecessors have lapsed
+	await  map[corianderwing.InstanceID]bool // holders that may have grants of a predecessor
 	pools  map[corianderwing.BoundID]*pool
 	levels map[corianderwing.BoundID]*ceiling
 	peers  map[corianderwing.InstanceID]*peer
@@ -29,6 +31,7 @@
 type peer struct {
 	life   corianderwing.Incarnation
 	seq    uint64
+	first  time.Time // first report of this life
 	seen   time.Time
 	grants []corianderwing.Grant // the answer to seq
 }
@@ -38,9 +41,17 @@
 func WaitUntil(now time.Time) time.Time { return corianderwing.GrantorDeadline(now, Life) }
 
 // NewGrantor returns a grantor with empty pools that grants nothing before
-// from, which is WaitUntil of the time at which its leadership began.
-func NewGrantor(from time.Time) *Grantor {
+// from, which is WaitUntil of the time at which its leadership began, or
+// before each of the holders has introduced itself. Holders must include all
+// that a predecessor may have granted tokens to; without any, only from counts.
+func NewGrantor(from time.Time, holders ...corianderwing.InstanceID) *Grantor {
+	await := make(map[corianderwing.InstanceID]bool)
+	for _, id := range holders {
+		await[id] = true
+	}
 	return &Grantor{
+		await:  await,
+		lapse:  from,
 		from:   from,
 		pools:  make(map[corianderwing.BoundID]*pool),
 		levels: make(map[corianderwing.BoundID]*ceiling),
@@ -84,9 +95,6 @@
 // ignored. A grant of zero tokens tells the holder that the pool can use
 // tokens that the holder gives.
 func (g *Grantor) Update(now time.Time, holder corianderwing.InstanceID, life corianderwing.Incarnation, seq uint64, spends []corianderwing.Spend) []corianderwing.Grant {
-	if now.Before(g.from) {
-		return nil
-	}
 	g.sweep(now)
 	p, ok := g.peers[holder]
 	if ok && (life < p.life || life == p.life && seq < p.seq) {
@@ -96,11 +104,18 @@
 		return p.grants
 	}
 	follows := ok && life == p.life && seq == p.seq+1
-	p = &peer{life: life, seq: seq, seen: now}
+	first := now
+	if ok && life == p.life {
+		first = p.first
+	}
+	p = &peer{life: life, seq: seq, first: first, seen: now}
 	g.peers[holder] = p
 	o := owner{holder, life}
+	if now.Before(g.from) {
+		return nil
+	}
 	for _, s := range spends {
-		if c := g.levels[s.Bound]; c != nil {
+		if c := g.levels[s.Bound]; c != nil && !now.Before(g.lapse) {
 			p.grants = append(p.grants, c.update(now, o, s))
 		}
 		pool := g.pools[s.Bound]
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -39,14 +39,16 @@
 // was written.
 func TestBoundNeedsEachMechanism(t *testing.T) {
 	for off, first := range map[string]uint64{
-		"restart empty":       1,
-		"new leader waits":    1,
-		"recognise repeats":   1,
-		"latest answer only":  1,
-		"consecutive reports": 1,
-		"debts":               1,
-		"delayed increase":    1,
-		"drift margin":        1,
+		"restart empty":                 1,
+		"new leader waits":              1,
+		"recognise repeats":             1,
+		"latest answer only":            1,
+		"consecutive reports":           1,
+		"debts":                         1,
+		"delayed increase":              1,
+		"drift margin":                  1,
+		"introduced after the election": 1,
+		"introduced with the settings":  1,
 	} {
 		t.Run(off, func(t *testing.T) {
 			seed, err := runs.FirstFailure(first, 1000, func(seed uint64) error { return runFaults(seed, off) })
--- a/core/share/sim_test.go
+++ b/core/share/sim_test.go
@@ -93,6 +93,8 @@
 	fixed   float64
 	nodes   []*node
 	leader  *Grantor
+	term    int
+	settled int // revision at the time of the election
 	lclock  clock
 	judge   central
 	drift   float64
@@ -108,6 +110,7 @@
 	holder *Holder
 	level  *Level
 	life   corianderwing.Incarnation
+	term   int // of the leader that answered last
 	fixed  float64
 	thaw   time.Duration
 	flood  bool // takes all tokens that there are
@@ -169,7 +172,13 @@
 	if f.off == "new leader waits" {
 		from = now
 	}
-	f.leader = NewGrantor(from)
+	f.term++
+	f.settled = f.revision
+	var holders []corianderwing.InstanceID
+	for _, n := range f.nodes {
+		holders = append(holders, n.id)
+	}
+	f.leader = NewGrantor(from, holders...)
 	_, pool := Divide(f.rate, f.burst, f.fixed, len(f.nodes))
 	if f.nodes == nil {
 		f.after(0, func() { f.elect() })
@@ -182,6 +191,7 @@
 func (f *fleet) start(n *node) {
 	now := n.clock.read(f.now)
 	n.life++
+	n.term = 0
 	n.holder = NewHolder(now)
 	seat, _ := Divide(f.rate, f.burst, n.fixed, len(f.nodes))
 	n.level = n.holder.ConfigureLevel(testLevel)
@@ -207,9 +217,12 @@
 	if f.off == "debts" {
 		f.forgetDebts(n)
 	}
-	life := n.life
+	life, term, revision := n.life, n.term, n.revision
 	f.send(func(again bool) {
 		g := f.leader
+		if f.off == "introduced after the election" || term == f.term && (revision >= f.settled || f.off == "introduced with the settings") {
+			g.Introduce(f.lclock.read(f.now), n.id, life, seq, spends)
+		}
 		p := g.peers[n.id]
 		if again && f.off == "recognise repeats" && p != nil && p.seq == seq {
 			p.seq--
@@ -218,7 +231,13 @@
 			g.peers[n.id] = &peer{life: life, seq: seq - 1}
 		}
 		grants := g.Update(f.lclock.read(f.now), n.id, life, seq, spends)
-		f.send(func(bool) { f.answer(n, h, seq, grants) })
+		answered := f.term
+		f.send(func(bool) {
+			if n.life == life {
+				n.term = max(n.term, answered)
+			}
+			f.answer(n, h, seq, grants)
+		})
 	})
 }
 
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -16,6 +16,9 @@
 const (
 	// renewEvery is the time between two renewals without a shortage.
 	renewEvery = time.Second
+	// quietEvery is the same, while a new leader learns what its predecessors
+	// granted.
+	quietEvery = 200 * time.Millisecond
 	// renewGap is the shortest time between two renewals.
 	renewGap = 10 * time.Millisecond
 	// renewTimeout bounds one renewal; it leaves time for two more before a
@@ -38,8 +41,9 @@
 	view   atomic.Pointer[state.View]
 	lease  atomic.Pointer[lease]
 	holder *share.Holder
-	kick   chan struct{} // a renewal is wanted now
-	quiet  atomic.Bool   // the leader grants nothing yet
+	kick   chan struct{}      // a renewal is wanted now
+	quiet  atomic.Bool        // the leader grants nothing yet
+	term   corianderwing.Term // of the leader that answered last; used by the renew loop only
 
 	mu       sync.Mutex
 	answered chan struct{} // closed and replaced after each renewal
@@ -147,7 +151,11 @@
 // waitRenew waits until the next renewal is due.
 func (f *follower) waitRenew(ctx context.Context) {
 	pause(ctx, renewGap)
-	due := time.NewTimer(renewEvery - renewGap)
+	next := renewEvery
+	if f.quiet.Load() {
+		next = quietEvery
+	}
+	due := time.NewTimer(next - renewGap)
 	defer due.Stop()
 	check := time.NewTicker(2 * renewGap)
 	defer check.Stop()
@@ -183,6 +191,7 @@
 		Domain:      f.agent.cfg.Domain,
 		Seq:         seq,
 		Revision:    f.view.Load().Revision(),
+		Term:        f.term,
 		Spends:      spends,
 	})
 	if err != nil {
@@ -201,6 +210,7 @@
 	})
 	f.holder.Granted(now, seq, reply.Grants)
 	f.quiet.Store(reply.Quiet)
+	f.term = reply.Term
 	f.mu.Lock()
 	f.finished = number
 	close(f.answered)
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -20,10 +20,10 @@
 	leases  leases
 
 	mu      sync.Mutex
-	term    corianderwing.Term // of grantor
-	grantor *share.Grantor     // owned by the leader of term
-	quiet   time.Time          // the grantor grants nothing before
-	bounds  *state.View        // the view that the grantor is configured from
+	term    corianderwing.Term     // of grantor
+	grantor *share.Grantor         // owned by the leader of term
+	settled corianderwing.Revision // that the grantor was first configured from
+	bounds  *state.View            // the view that the grantor is configured from
 }
 
 // lead returns the term in which this instance leads the group, or NoLeader
@@ -79,26 +79,45 @@
 		Revision: view.Revision(),
 		Left:     corianderwing.Millis(FreshFor.Milliseconds()),
 		Grants:   grants,
+		Term:     term,
 		Quiet:    quiet,
 	}, nil
 }
 
 // grant moves tokens to the holder that asks for them. Quiet is true while
-// grants of an earlier leader may be in use.
+// grants of an earlier leader may be in use. Only instances with a seat get
+// tokens, so that the next leader knows whom to ask for outstanding grants.
 func (h *host) grant(term corianderwing.Term, view *state.View, r *corianderwing.Renew) (grants []corianderwing.Grant, quiet bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	if h.grantor == nil || h.term != term {
-		h.quiet = share.WaitUntil(now)
-		h.grantor = share.NewGrantor(h.quiet)
-		h.term = term
-		h.bounds = nil
+		h.newGrantor(now, term, view)
 	}
 	if h.bounds != view {
 		h.configure(now, view)
 	}
-	return h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends), now.Before(h.quiet)
+	if _, seated := view.Seat(r.Instance); !seated {
+		return nil, h.grantor.Waits(now)
+	}
+	if r.Term == term && r.Revision >= h.settled {
+		h.grantor.Introduce(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
+	}
+	grants = h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
+	return grants, h.grantor.Waits(now)
+}
+
+// newGrantor starts the token pools of a new leadership. Every instance that
+// an earlier leader can have granted tokens to has a seat in the view.
+func (h *host) newGrantor(now time.Time, term corianderwing.Term, view *state.View) {
+	var holders []corianderwing.InstanceID
+	for _, seat := range view.Seats() {
+		holders = append(holders, seat.Instance)
+	}
+	h.grantor = share.NewGrantor(share.WaitUntil(now), holders...)
+	h.term = term
+	h.settled = view.Revision()
+	h.bounds = nil
 }
 
 // configure brings the grantor's bounds to those of the view.
--- a/share.go
+++ b/share.go
@@ -31,6 +31,7 @@
 	Domain      DomainID    `json:"domain"`
 	Seq         uint64      `json:"seq"` // grows with each renewal; a repeated one is answered from memory
 	Revision    Revision    `json:"revision"`
+	Term        Term        `json:"term"` // of the leader that answered last, before this was made
 	Spends      []Spend     `json:"spends,omitempty"`
 }
 
@@ -39,5 +40,6 @@
 	Revision Revision `json:"revision"` // the holder is fresh once its snapshot has this revision
 	Left     Millis   `json:"left"`     // length of the lease, counted from when the holder asked
 	Grants   []Grant  `json:"grants,omitempty"`
-	Quiet    bool     `json:"quiet,omitempty"` // the leader is new and grants nothing until earlier grants have expired
+	Term     Term     `json:"term"`            // of the leader
+	Quiet    bool     `json:"quiet,omitempty"` // the leader is new and does not know yet what its predecessors granted
 }
