Report role changes and vary the pace of faults

Cause: a new leader must start its token pools and leases anew, so io/ctrl has to learn of each leadership. All seeds had faults at the same pace. Ruled out: polling of Status, which can miss a short leadership. Change: group.WithRoleChange. The longest time between two faults is 0.4, 0.8, 1.6 or 3.2 s by seed; a run in which a lost disk keeps its identity; a group on a real store with damage and Wipe. The simulation inserts events near the end of its queue.

--- a/core/raft/off_test.go
+++ b/core/raft/off_test.go
@@ -208,8 +208,9 @@
 		off   mechanisms
 		fault string
 	}{
-		"reads without a round":   {mechanisms{rules: rules{readAtOnce: true}}, "not linearizable"},
-		"replies before the disk": {mechanisms{sendFirst: true}, ""},
+		"reads without a round":      {mechanisms{rules: rules{readAtOnce: true}}, "not linearizable"},
+		"a lost disk's old identity": {mechanisms{keepIdentity: true}, ""},
+		"replies before the disk":    {mechanisms{sendFirst: true}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			seed, fault := hunt(1, 1000, c.off)
--- a/core/raft/random_test.go
+++ b/core/raft/random_test.go
@@ -47,6 +47,7 @@
 	s     *sim
 	keys  [2][]porcupine.Operation
 	next  int
+	pace  time.Duration // longest time between two faults
 	ended bool
 }
 
@@ -142,7 +143,7 @@
 			r.deliver(Transfer{ID: r.call(func(string, bool, bool) {})})
 		}
 	}
-	s.after(s.some(800*time.Millisecond), w.trouble)
+	s.after(s.some(w.pace), w.trouble)
 }
 
 // partition cuts links: all those of one replica, some of them, or only those
@@ -175,6 +176,11 @@
 	}
 	s.log("%s loses its disk", r.id)
 	r.crash()
+	if s.off.keepIdentity {
+		r.disk = corianderwing.Stored{}
+		s.after(s.pause(), r.revive)
+		return
+	}
 	r.lost = true
 	s.add(corianderwing.InstanceID(fmt.Sprintf("%s.%d", r.id[:1], len(s.reps))))
 }
@@ -238,7 +244,7 @@
 func runSeed(seed uint64, off mechanisms, tracing bool) (string, *sim) {
 	s := newSim(seed, 3+int(seed%3), off, tracing)
 	s.crashes = 0.01
-	w := &workload{s: s}
+	w := &workload{s: s, pace: 400 * time.Millisecond << (seed % 4)}
 	for id := range 3 {
 		w.client(id)
 	}
--- a/core/raft/replica_test.go
+++ b/core/raft/replica_test.go
@@ -121,7 +121,7 @@
 }
 
 func (r *replica) step(ev Event) {
-	if m, ok := ev.(Received); ok {
+	if m, ok := ev.(Received); ok && r.s.tracing {
 		r.s.log("%s <- %s %s", r.id, m.Message.From, brief(m.Message))
 	}
 	before := r.node.commit
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"corianderwing"
@@ -15,7 +16,7 @@
 	rng   *rand.Rand
 	off   mechanisms
 	now   time.Time
-	queue []occasion // in order of time
+	queue []occasion // the next one last, so that insertions shift little
 	reps  []*replica
 	voter corianderwing.Voters
 
@@ -34,8 +35,9 @@
 // mechanisms names what a run leaves out, to show that the checks notice.
 type mechanisms struct {
 	rules
-	forgetVote bool // the disk keeps the term but not for whom the vote was
-	sendFirst  bool // replies are sent before what they promise is synced
+	forgetVote   bool // the disk keeps the term but not for whom the vote was
+	sendFirst    bool // replies are sent before what they promise is synced
+	keepIdentity bool // a replica that lost its disk comes back under its old id
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -79,21 +81,20 @@
 
 func (s *sim) after(d time.Duration, do func()) {
 	at := s.now.Add(d)
-	k, _ := slices.BinarySearchFunc(s.queue, at, func(o occasion, at time.Time) int {
-		if o.at.After(at) {
-			return 1
-		}
-		return -1
-	})
+	k := sort.Search(len(s.queue), func(k int) bool { return !s.queue[k].at.After(at) })
 	s.queue = slices.Insert(s.queue, k, occasion{at, do})
 }
 
 // run handles everything that is due in the next d, or until done.
 func (s *sim) run(d time.Duration, done func() bool) bool {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) && s.fault == "" {
-		o := s.queue[0]
-		s.queue = s.queue[1:]
+	for s.fault == "" {
+		last := len(s.queue) - 1
+		if last < 0 || s.queue[last].at.After(end) {
+			break
+		}
+		o := s.queue[last]
+		s.queue = s.queue[:last]
 		s.now = o.at
 		o.do()
 		if done != nil && done() {
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -56,6 +56,13 @@
 	return func(g *Group) { g.election, g.beat = election, heartbeat }
 }
 
+// WithRoleChange registers f, which the loop calls after each change of role,
+// leader or term, before it answers any call made under the new role. f must
+// not block and must not call the Group, other than Status and Leader.
+func WithRoleChange(f func(raft.RoleChange)) Option {
+	return func(g *Group) { g.changed = f }
+}
+
 // Group is one replica. One goroutine owns the node and the machine; callers
 // reach it through a queue. It owns the store and closes it.
 type Group struct {
@@ -67,6 +74,7 @@
 	every    corianderwing.Index
 	election time.Duration
 	beat     time.Duration
+	changed  func(raft.RoleChange)
 
 	mu     sync.Mutex
 	inbox  inbox
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +17,7 @@
 
 	"corianderwing"
 	"corianderwing/core/raft"
+	"corianderwing/io/store"
 )
 
 // memStore is a Store in memory. Each write takes delay, and fails once broken
@@ -321,11 +325,19 @@
 func TestTransfer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(t, 3)
+		var leaders sync.Map
+		f := newFleet(t, 3, WithRoleChange(func(c raft.RoleChange) {
+			if c.Role == raft.Leader {
+				leaders.Store(c.Term, c.Leader)
+			}
+		}))
 		g := f.leader()
 		start := time.Now()
 		is.NoErr(g.Transfer(t.Context()))
 		now := f.leader()
+		synctest.Wait()
+		leader, _ := leaders.Load(g.Status().Term)
+		is.Equal(leader, now.cfg.Self)
 		t.Logf("the transfer took %v", time.Since(start))
 		is.True(now != g)
 		is.True(time.Since(start) < 100*time.Millisecond)
@@ -394,3 +406,50 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against a group that does not find its state on a real disk, and
+// against damage that Open hides or Wipe does not end.
+func TestRealStore(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	cfg := Config{Group: "north", Self: "c1", Voters: corianderwing.Voters{Voters: []corianderwing.InstanceID{"c1"}}}
+	open := func(wipe bool) (*Group, *counter, error) {
+		s, err := store.OpenDir(dir)
+		is.NoErr(err)
+		if wipe {
+			is.NoErr(s.Wipe())
+		}
+		c := &counter{}
+		g, err := Open(cfg, s, c, &network{}, WithTiming(10*time.Millisecond, time.Millisecond), WithSnapshotEvery(7))
+		if err != nil {
+			is.NoErr(s.Close())
+		}
+		return g, c, err
+	}
+	propose := func(g *Group) {
+		for g.Status().Role != raft.Leader {
+			runtime.Gosched()
+		}
+		for range 20 {
+			_, err := g.Propose(t.Context(), number(1))
+			is.NoErr(err)
+		}
+		is.NoErr(g.Close())
+	}
+	g, _, err := open(false)
+	is.NoErr(err)
+	propose(g)
+	g, c, err := open(false)
+	is.NoErr(err)
+	propose(g)
+	is.Equal(c.sum, uint64(40))
+
+	is.NoErr(os.WriteFile(filepath.Join(dir, "vote"), []byte("damage"), 0o600))
+	_, _, err = open(false)
+	var damage *store.DamageError
+	is.True(errors.As(err, &damage))
+	g, c, err = open(true)
+	is.NoErr(err)
+	propose(g)
+	is.Equal(c.sum, uint64(20))
+}
--- a/io/group/loop.go
+++ b/io/group/loop.go
@@ -261,6 +261,10 @@
 	}
 	g.cfg.Logger.Info().Str("group", string(g.cfg.Group)).Str("role", p.change.Role.String()).
 		Str("leader", string(p.change.Leader)).Uint64("term", uint64(p.change.Term)).Msg("role changed")
+	if g.changed != nil {
+		g.publish()
+		g.changed(*p.change)
+	}
 	if p.change.Role == raft.Leader {
 		return
 	}
