Do not compare the latency of a cold version

Ruled out: a wider margin, which would hide a version that stays slow. Change: latency on a route is compared once 5% of the time of the move has passed since the first request to the new version; errors count from the first request.

--- a/core/shift/route.go
+++ b/core/shift/route.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -79,11 +80,12 @@
 
 // route compares the versions on one route.
 type route struct {
-	count    float64  // requests to both versions
-	compared float64  // requests to the new version in finished blocks
-	past     tally    // the old version in earlier blocks
-	block    [2]tally // the old and new version in the present block
-	whole    [2]tally // the same, since the start
+	count    float64   // requests to both versions
+	first    time.Time // when the new version was first compared
+	compared float64   // requests to the new version in finished blocks
+	past     tally     // the old version in earlier blocks
+	block    [2]tally  // the old and new version in the present block
+	whole    [2]tally  // the same, since the start
 	errors   process
 	median   process
 	tail     process
@@ -108,8 +110,8 @@
 }
 
 // test ends the block if it has requests to both versions, and reports the
-// evidence of a fault.
-func (r *route) test() (string, bool) {
+// evidence of a fault. It compares latency once the time warm has passed.
+func (r *route) test(now time.Time, warm time.Duration) (string, bool) {
 	from, to := &r.block[0], &r.block[1]
 	if from.count == 0 || to.count == 0 {
 		return "", false
@@ -121,21 +123,11 @@
 		fault = fmt.Sprintf("errors: new version %.0f of %.0f requests, old %.0f of %.0f",
 			r.whole[1].errors, r.whole[1].count, r.whole[0].errors, r.whole[0].count)
 	}
-	for _, slow := range []struct {
-		p *process
-		q float64
-	}{{&r.median, 0.5}, {&r.tail, 0.95}} {
-		if r.past.count < minPast {
-			break
-		}
-		i := r.past.quantile(slow.q)
-		rate := (r.past.above(i) + 0.5) / (r.past.count + 1)
-		slow.p.update(rate, pair{from.count, from.above(i)}, pair{to.count, to.above(i)})
-		if fault == "" && slow.p.shown() {
-			fault = fmt.Sprintf("latency: new version %.0f%% of %.0f requests over %v, old %.0f%% of %.0f",
-				100*r.whole[1].above(i)/r.whole[1].count, r.whole[1].count, Bound(i).Round(time.Millisecond),
-				100*r.whole[0].above(i)/r.whole[0].count, r.whole[0].count)
-		}
+	if r.first.IsZero() {
+		r.first = now
+	}
+	if now.Sub(r.first) >= warm && r.past.count >= minPast {
+		fault = cmp.Or(fault, r.slow(&r.median, 0.5), r.slow(&r.tail, 0.95))
 	}
 	r.endBlock()
 	if fault == "" {
@@ -144,6 +136,21 @@
 	return fmt.Sprintf("%s; probability under equal versions at most %.0e", fault, falseAlarm), true
 }
 
+// slow compares the requests that are slower than a quantile of the old
+// version, and returns the evidence of a fault or nothing.
+func (r *route) slow(p *process, quantile float64) string {
+	from, to := &r.block[0], &r.block[1]
+	i := r.past.quantile(quantile)
+	rate := (r.past.above(i) + 0.5) / (r.past.count + 1)
+	p.update(rate, pair{from.count, from.above(i)}, pair{to.count, to.above(i)})
+	if !p.shown() {
+		return ""
+	}
+	return fmt.Sprintf("latency: new version %.0f%% of %.0f requests over %v, old %.0f%% of %.0f",
+		100*r.whole[1].above(i)/r.whole[1].count, r.whole[1].count, Bound(i).Round(time.Millisecond),
+		100*r.whole[0].above(i)/r.whole[0].count, r.whole[0].count)
+}
+
 func (r *route) endBlock() {
 	r.compared += r.block[1].count
 	r.past.count = r.past.count*memory + r.block[0].count
--- a/core/shift/shift.go
+++ b/core/shift/shift.go
@@ -29,6 +29,11 @@
 	slackPart = 0.1  // part of the whole time that is kept in reserve at its end
 	shortRamp = 0.05 // part of the whole time below which a ramp is not begun
 
+	// warmPart is the part of the whole time, from the first request to the
+	// new version on a route, in which its latency is not compared: servers
+	// start cold. Errors count from the first request.
+	warmPart = 0.05
+
 	// stale is the age of the latest samples above which the ramp pauses.
 	stale = 3 * time.Second
 )
@@ -77,8 +82,9 @@
 		}
 		p.sampled = now
 	}
+	warm := time.Duration(warmPart * float64(p.move.By.Sub(p.move.Start)))
 	for _, name := range touched {
-		if evidence, ok := p.routes[name].test(); ok && p.move.Outcome == corianderwing.Moving {
+		if evidence, ok := p.routes[name].test(now, warm); ok && p.move.Outcome == corianderwing.Moving {
 			p.rollBack(fmt.Sprintf("route %s: %s", name, evidence))
 		}
 	}
