--- a/core/share/grantor.go
+++ b/core/share/grantor.go
@@ -34,11 +34,16 @@
 }
 
 // WaitUntil returns when a leader that takes over at now may grant: when all
-// grants of its predecessors have lapsed.
-func WaitUntil(now time.Time) time.Time { return corianderwing.GrantorDeadline(now, Life) }
+// grants of its predecessors have lapsed, and every process knows the limits.
+// Changed is when this replica last applied a change of any rate, burst, fixed
+// fraction or number of seats, by its own clock; the time at which the process
+// started, if it applied none since.
+func WaitUntil(now, changed time.Time) time.Time {
+	return latest(corianderwing.GrantorDeadline(now, Life), corianderwing.GrantorDeadline(changed, Known))
+}
 
 // NewGrantor returns a grantor with empty pools that grants nothing before
-// from, which is WaitUntil of the time at which its leadership began.
+// from, which WaitUntil returns.
 func NewGrantor(from time.Time) *Grantor {
 	return &Grantor{
 		from:   from,
@@ -49,7 +54,7 @@
 }
 
 // Configure sets the limit of a bound's token pool, as Divide returns it. A
-// decrease takes effect at once; an increase takes effect after Life, when no
+// decrease takes effect at once; an increase takes effect after Known, when no
 // holder uses the earlier limits any more. The pool gains no tokens by it.
 func (g *Grantor) Configure(now time.Time, b corianderwing.BoundID, l Limit) {
 	p, ok := g.pools[b]
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"corianderwing"
 	"corianderwing/internal/runs"
 )
 
@@ -39,14 +40,15 @@
 // was written.
 func TestBoundNeedsEachMechanism(t *testing.T) {
 	for off, first := range map[string]uint64{
-		"restart empty":       1,
-		"new leader waits":    1,
-		"recognise repeats":   1,
-		"latest answer only":  1,
-		"consecutive reports": 1,
-		"debts":               1,
-		"delayed increase":    1,
-		"drift margin":        1,
+		"restart empty":               1,
+		"new leader waits":            1,
+		"new leader waits for limits": 1,
+		"recognise repeats":           1,
+		"latest answer only":          1,
+		"consecutive reports":         1,
+		"debts":                       1,
+		"delayed increase":            1,
+		"drift margin":                1,
 	} {
 		t.Run(off, func(t *testing.T) {
 			seed, err := runs.FirstFailure(first, 1000, func(seed uint64) error { return runFaults(seed, off) })
@@ -55,3 +57,14 @@
 		})
 	}
 }
+
+// Guards against a pool that fills while a new leader waits: a change of its
+// limit started the new bucket at once (seed 9579 at 33 s).
+func TestPoolStaysEmptyUntilTheLeaderMayGrant(t *testing.T) {
+	from := WaitUntil(start, start)
+	g := NewGrantor(from)
+	g.Configure(start, testBound, Limit{Rate: 100, Burst: 100})
+	g.Configure(start, testBound, Limit{Rate: 50, Burst: 50})
+	grants := g.Update(from, "a", 1, 1, []corianderwing.Spend{{Bound: testBound, Want: 10}})
+	is.New(t).Equal(grants[0].Tokens, corianderwing.Tokens(0))
+}
--- a/core/share/sim_test.go
+++ b/core/share/sim_test.go
@@ -97,7 +97,8 @@
 	judge   central
 	drift   float64
 	failure error
-	used    int64 // units of the level bound, added up
+	changed time.Duration // when the division changed last
+	used    int64         // units of the level bound, added up
 
 	revision int
 }
@@ -165,9 +166,12 @@
 func (f *fleet) elect() {
 	f.lclock = newClock(f.r, f.drift)
 	now := f.lclock.read(f.now)
-	from := WaitUntil(now)
-	if f.off == "new leader waits" {
+	from := WaitUntil(now, f.lclock.read(f.changed))
+	switch f.off {
+	case "new leader waits":
 		from = now
+	case "new leader waits for limits":
+		from = WaitUntil(now, time.Time{})
 	}
 	f.leader = NewGrantor(from)
 	_, pool := Divide(f.rate, f.burst, f.fixed, len(f.nodes))
@@ -360,15 +364,15 @@
 	f.after(f.upTo(4*time.Second), f.fault)
 }
 
-// divide changes the fixed fraction. Every process learns it within Life.
+// divide changes the fixed fraction. Every process learns it within Known.
 func (f *fleet) divide(fixed float64) {
-	f.fixed = fixed
+	f.fixed, f.changed = fixed, f.now
 	f.revision++
 	revision := f.revision
 	seat, pool := Divide(f.rate, f.burst, fixed, len(f.nodes))
 	f.leader.Configure(f.lclock.read(f.now), testBound, pool)
 	if p := f.leader.pools[testBound]; f.off == "delayed increase" && !p.next.at.IsZero() {
-		p.next.at = p.next.at.Add(-2 * Life)
+		p.next.at = p.next.at.Add(-2 * Known)
 		p.settle(f.lclock.read(f.now))
 	}
 	for _, n := range f.nodes {
