--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -108,13 +108,15 @@
 }
 
 // newGrantor starts the token pools of a new leadership. Every instance that
-// an earlier leader can have granted tokens to has a seat in the view.
+// an earlier leader can have granted tokens to has a seat in the view. The
+// replica does not keep when limits changed last, so it assumes that they have
+// just changed.
 func (h *host) newGrantor(now time.Time, term corianderwing.Term, view *state.View) {
 	var holders []corianderwing.InstanceID
 	for _, seat := range view.Seats() {
 		holders = append(holders, seat.Instance)
 	}
-	h.grantor = share.NewGrantor(share.WaitUntil(now), holders...)
+	h.grantor = share.NewGrantor(share.WaitUntil(now, now), holders...)
 	h.term = term
 	h.settled = view.Revision()
 	h.bounds = nil
