Move versions: the leader compares, owners obey, operators are told

Cause: the entry role asked for a move's share and nobody answered; moves never ended. Ruled out: a comparison in each pool owner (too few samples for each, and the share would differ between failure domains); routes counted apart for each workspace (small workspaces never reach 100 requests). Change: owners report samples to the leader of the move's group every 200 ms and get the share; the leader proposes done or rolled back with the evidence; an instance without news for 3 s keeps the share at 5% or less. Before: a move stayed 'moving'. After: go test -run TestMoves ./cmd/corianderwing: a good version is done within its 12 s; a version that fails half of its requests is rolled back after 23 requests with the evidence 'new version 6 of 20 requests, old 0 of 420', and gets none of the next 500.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/shift"
 	"corianderwing/core/state"
 )
 
@@ -24,6 +25,7 @@
 	Domain      corianderwing.DomainID
 	Groups      []corianderwing.GroupID
 	Control     corianderwing.Control
+	Mover       Mover       // compares the versions of moves
 	Log         *log.Logger // default: the package's default logger
 
 	// Neighbours returns those that may lend tokens, nearest first. Optional.
@@ -40,6 +42,7 @@
 	cfg       Config
 	log       *log.Logger
 	followers []*follower
+	tally     tally
 	homes     atomic.Pointer[map[corianderwing.WorkspaceID]*follower]
 
 	mu     sync.Mutex // guards change, and writes to homes
@@ -58,6 +61,8 @@
 	}
 	a := &Agent{cfg: cfg, log: cfg.Log}
 	a.homes.Store(&map[corianderwing.WorkspaceID]*follower{})
+	a.tally.counts = map[sampleKey]*shift.Sample{}
+	a.tally.shares = map[corianderwing.RequestID]heard{}
 	now := time.Now()
 	for _, g := range cfg.Groups {
 		a.followers = append(a.followers, newFollower(a, g, now))
@@ -73,6 +78,9 @@
 		wg.Go(func() { f.renew(ctx) })
 		wg.Go(func() { f.takeSeat(ctx) })
 		wg.Go(func() { f.notice(ctx) })
+		if a.cfg.Mover != nil {
+			wg.Go(func() { f.reportMoves(ctx) })
+		}
 	}
 	wg.Wait()
 }
--- /dev/null
+++ b/io/agent/move.go
@@ -0,0 +1,152 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/shift"
+)
+
+const (
+	// sampleEvery is the time between two reports of samples. A fault must
+	// stop new requests within a second; three periods fit into it.
+	sampleEvery = 200 * time.Millisecond
+	// shareLife is how long a share counts without news from the leader. It
+	// is the length of a freshness lease.
+	shareLife = 3 * time.Second
+)
+
+// Mover is the way to the leader that compares the versions of a move.
+type Mover interface {
+	// Sample reports what was counted since the last report and returns the
+	// shares of the new versions by move.
+	Sample(ctx context.Context, g corianderwing.GroupID, moves []Counted) (map[corianderwing.RequestID]float64, error)
+}
+
+// Counted is what this instance counted for one move.
+type Counted struct {
+	Pool    corianderwing.PoolID
+	Move    corianderwing.RequestID
+	Samples []shift.Sample
+}
+
+// Attempt is the outcome of one attempt at an upstream, as evidence for a move.
+type Attempt struct {
+	Pool    corianderwing.PoolID
+	Route   corianderwing.Path
+	Version corianderwing.VersionID
+	Failed  bool          // counts against the version
+	First   time.Duration // to the first byte of the answer
+}
+
+// tally counts attempts between two reports.
+type tally struct {
+	mu     sync.Mutex
+	counts map[sampleKey]*shift.Sample
+	shares map[corianderwing.RequestID]heard
+}
+
+type sampleKey struct {
+	pool    corianderwing.PoolID
+	route   string
+	version corianderwing.VersionID
+}
+
+// heard is the last share that the leader told.
+type heard struct {
+	share float64
+	until time.Time
+}
+
+// Observe counts an attempt while its pool has a move under way.
+func (a *Agent) Observe(at Attempt) {
+	if !a.moving(at.Pool) {
+		return
+	}
+	key := sampleKey{at.Pool, at.Route.String(), at.Version}
+	a.tally.mu.Lock()
+	defer a.tally.mu.Unlock()
+	s := a.tally.counts[key]
+	if s == nil {
+		s = &shift.Sample{Route: key.route, Version: key.version}
+		a.tally.counts[key] = s
+	}
+	s.Count++
+	if at.Failed {
+		s.Errors++
+	}
+	s.Latency[shift.Bucket(at.First)]++
+}
+
+func (a *Agent) moving(p corianderwing.PoolID) bool {
+	for _, f := range a.followers {
+		if m, ok := f.view.Load().Move(p); ok && m.Outcome == corianderwing.Moving {
+			return true
+		}
+	}
+	return false
+}
+
+// Shift returns the share of a move's new version. An instance without news
+// from the leader keeps the share small.
+func (a *Agent) Shift(m corianderwing.Move, now time.Time) float64 {
+	a.tally.mu.Lock()
+	defer a.tally.mu.Unlock()
+	h, ok := a.tally.shares[m.ID]
+	if !ok {
+		return 0
+	}
+	if now.After(h.until) {
+		return min(h.share, shift.SmallShare)
+	}
+	return h.share
+}
+
+// reportMoves reports samples of a group's moves until ctx ends.
+func (f *follower) reportMoves(ctx context.Context) {
+	for pause(ctx, sampleEvery) {
+		var moves []Counted
+		for _, m := range f.view.Load().Moves() {
+			if m.Outcome == corianderwing.Moving {
+				moves = append(moves, Counted{Pool: m.Pool, Move: m.ID, Samples: f.agent.tally.take(m.Pool)})
+			}
+		}
+		if len(moves) == 0 {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		sent := time.Now()
+		shares, err := f.agent.cfg.Mover.Sample(callCtx, f.group, moves)
+		cancel()
+		if err != nil {
+			f.agent.log.Debug().Str("group", string(f.group)).Err(err).Msg("samples were not taken")
+			continue
+		}
+		f.agent.tally.hear(shares, sent.Add(shareLife))
+		f.agent.changed()
+	}
+}
+
+// take returns the samples of a pool and starts new ones.
+func (t *tally) take(p corianderwing.PoolID) []shift.Sample {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []shift.Sample
+	for key, s := range t.counts {
+		if key.pool == p {
+			all = append(all, *s)
+			delete(t.counts, key)
+		}
+	}
+	return all
+}
+
+func (t *tally) hear(shares map[corianderwing.RequestID]float64, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, share := range shares {
+		t.shares[id] = heard{share, until}
+	}
+}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -7,6 +7,7 @@
 
 	"corianderwing"
 	"corianderwing/core/share"
+	"corianderwing/core/shift"
 	"corianderwing/core/state"
 	"corianderwing/io/group"
 )
@@ -24,6 +25,10 @@
 	grantor *share.Grantor         // owned by the leader of term
 	settled corianderwing.Revision // that the grantor was first configured from
 	bounds  *state.View            // the view that the grantor is configured from
+
+	planMu   sync.Mutex
+	planTerm corianderwing.Term
+	plans    map[corianderwing.RequestID]*shift.Plan // owned by the leader of planTerm
 }
 
 // lead returns the term in which this instance leads the group, or NoLeader
--- /dev/null
+++ b/io/ctrl/move.go
@@ -0,0 +1,131 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/shift"
+	"corianderwing/io/peer"
+)
+
+var sampleMethod = peer.Method[SampleRequest, SampleReply]{Name: "Sample"}
+
+// SampleRequest reports what an entry instance counted for the moves of a
+// group since its last report.
+type SampleRequest struct {
+	Group   corianderwing.GroupID `json:"group"`
+	Reports []MoveReport          `json:"reports"`
+}
+
+// MoveReport is what was counted for one move.
+type MoveReport struct {
+	Pool    corianderwing.PoolID    `json:"pool"`
+	Move    corianderwing.RequestID `json:"move"`
+	Samples []shift.Sample          `json:"samples,omitempty"`
+}
+
+// SampleReply tells the share of the new version for each reported move.
+type SampleReply struct {
+	Shares []MoveShare `json:"shares"`
+}
+
+// MoveShare is the share of a move's new version, from 0 to 1.
+type MoveShare struct {
+	Move  corianderwing.RequestID `json:"move"`
+	Share float64                 `json:"share"`
+}
+
+// endEvery is the time between two looks at moves that have to end.
+const endEvery = 100 * time.Millisecond
+
+// Sample reports samples to the leader of a group.
+func (c *Client) Sample(ctx context.Context, r SampleRequest) (SampleReply, error) {
+	reply, err := onLeader(ctx, c, r.Group, func(ctx context.Context, addr string) (*SampleReply, error) {
+		return peer.Call(ctx, c.peer, addr, sampleMethod, &r)
+	})
+	if err != nil {
+		return SampleReply{}, err
+	}
+	return *reply, nil
+}
+
+// sample compares versions with new samples and returns the shares.
+func (h *host) sample(ctx context.Context, r *SampleRequest) (*SampleReply, error) {
+	if _, err := h.group.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	term, err := h.lead()
+	if err != nil {
+		return nil, err
+	}
+	h.planMu.Lock()
+	defer h.planMu.Unlock()
+	now := time.Now()
+	reply := new(SampleReply)
+	for _, report := range r.Reports {
+		m, ok := h.machine.View().Move(report.Pool)
+		if !ok || m.ID != report.Move || m.Outcome != corianderwing.Moving {
+			continue
+		}
+		p := h.plan(term, m)
+		p.Observe(now, report.Samples)
+		reply.Shares = append(reply.Shares, MoveShare{Move: m.ID, Share: p.Share(now)})
+	}
+	return reply, nil
+}
+
+// plan returns the plan of a move. A new leader compares again from the start.
+func (h *host) plan(term corianderwing.Term, m corianderwing.Move) *shift.Plan {
+	if h.planTerm != term {
+		h.plans, h.planTerm = map[corianderwing.RequestID]*shift.Plan{}, term
+	}
+	p := h.plans[m.ID]
+	if p == nil {
+		p = shift.New(m)
+		h.plans[m.ID] = p
+	}
+	return p
+}
+
+// endMoves records the outcome of moves while this instance leads the group.
+func (h *host) endMoves(ctx context.Context) {
+	for pause(ctx, endEvery) {
+		term, err := h.lead()
+		if err != nil {
+			continue
+		}
+		for _, m := range h.ended(term) {
+			c := corianderwing.Command{
+				Request:  corianderwing.RequestID("end-" + string(m.ID) + "-" + string(m.Outcome)),
+				Operator: "corianderwing",
+				Kind:     corianderwing.EndMove,
+				Move:     &m,
+			}
+			endCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+			// A failure is repeated at the next look, by whoever leads then.
+			_, _ = h.propose(endCtx, c)
+			cancel()
+		}
+	}
+}
+
+// ended returns the moves that are done or rolled back but not recorded so.
+func (h *host) ended(term corianderwing.Term) []corianderwing.Move {
+	h.planMu.Lock()
+	defer h.planMu.Unlock()
+	now := time.Now()
+	var all []corianderwing.Move
+	for _, m := range h.machine.View().Moves() {
+		if m.Outcome != corianderwing.Moving {
+			delete(h.plans, m.ID)
+			continue
+		}
+		p := h.plan(term, m)
+		p.Share(now)
+		if end := p.Move(); end.Outcome != corianderwing.Moving {
+			all = append(all, end)
+		}
+	}
+	return all
+}
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -103,6 +103,9 @@
 	peer.Handle(ps, joinMethod, func(ctx context.Context, r *joinRequest) (*empty, error) {
 		return onHost(s, r.Group, func(h *host) (*empty, error) { return &empty{}, h.join(ctx, r.ID) })
 	})
+	peer.Handle(ps, sampleMethod, func(ctx context.Context, r *SampleRequest) (*SampleReply, error) {
+		return onHost(s, r.Group, func(h *host) (*SampleReply, error) { return h.sample(ctx, r) })
+	})
 	peer.HandleStream(ps, watchMethod, func(ctx context.Context, r *watchRequest, send func(*corianderwing.Update) error) error {
 		_, err := onHost(s, r.Group, func(h *host) (*empty, error) { return nil, h.watch(ctx, r.After, send) })
 		return err
@@ -192,6 +195,7 @@
 		return errors.Join(eris.Wrapf(err, "open group %s", id), st.Close())
 	}
 	s.add(h)
+	go h.endMoves(ctx)
 	if self != s.cfg.Self {
 		go s.keepJoining(ctx, h)
 	}
--- a/io/daemon/entry.go
+++ b/io/daemon/entry.go
@@ -49,6 +49,7 @@
 		Groups:      client.Groups(),
 		Control:     client,
 		Log:         d.log,
+		Mover:       mover{client},
 		Neighbours:  func() []agent.Lender { return lenders(e.fleet, d.peer) },
 	})
 	peer.Handle(e.peers, borrowMethod, func(_ context.Context, r *borrowRequest) (*borrowReply, error) {
@@ -170,7 +171,13 @@
 			return g
 		},
 		SetPhase: e.fleet.SetPhase,
-		Metrics:  d.opts.metrics,
+		Shift:    e.agent.Shift,
+		Observe: func(s entry.Sample) {
+			if at, ok := attemptOf(s); ok {
+				e.agent.Observe(at)
+			}
+		},
+		Metrics: d.opts.metrics,
 	}, entry.WithLookup(d.opts.lookup))
 	if err != nil {
 		return err
