Shorten gossip about upstreams that only announce again

Ruled out: fewer partners in each round, because ownership depends on echoes within 2 s. Change: the digest carries a print, load and age of each announcement, which refresh an earlier one with the same print; full records are sent when something else changed.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -92,7 +92,9 @@
 
 type sighting struct {
 	corianderwing.Upstream
-	news time.Time
+	news    time.Time
+	print   uint32    // hash of all fields but Seq and Load
+	changed time.Time // when print changed
 }
 
 // New returns the state of an instance that knows only itself.
