Choose ports of real processes below the ephemeral range

Cause: freeAddr closed its listener before the next one was opened, so the system could return the same port again; TestBadInput failed once because two fields of a process had one port. Ports from the ephemeral range can also be taken by an outgoing connection between the choice and the start of the process; freePorts in io/demo had the same weakness.

Ruled out: holding all TCP listeners until the last address is known, as io/demo did, prevents repeats but not the loss to outgoing connections.

Change: io/local hands out each port of 10000 to 29999 at most once per process, after listening on it. A UDP socket held on the same port keeps other test processes from choosing it. The fixture of cmd/corianderwing and io/demo use it.

--- a/cmd/corianderwing/fleet_test.go
+++ b/cmd/corianderwing/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 
 	"corianderwing"
 	"corianderwing/io/entry"
+	"corianderwing/io/local"
 	"corianderwing/io/stub"
 )
 
@@ -123,15 +123,14 @@
 	return f
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// freeAddr returns a loopback address for one listener.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := local.Addr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 func (f *processes) startAll() {
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -25,6 +25,7 @@
 	"corianderwing/io/admin"
 	"corianderwing/io/conf"
 	"corianderwing/io/daemon"
+	"corianderwing/io/local"
 	"corianderwing/io/stub"
 )
 
@@ -132,25 +133,12 @@
 	for i := range f.cfg.Stubs {
 		addrs = append(addrs, &f.cfg.Stubs[i].Address)
 	}
-	return freePorts(addrs)
-}
-
-// freePorts sets each address to a loopback port that is free now. All are
-// held until the last one is known, so that they differ.
-func freePorts(addrs []*string) error {
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			l.Close()
-		}
-	}()
 	for _, addr := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := local.Addr()
 		if err != nil {
 			return eris.Wrap(err, "find a free port")
 		}
-		held = append(held, l)
-		*addr = l.Addr().String()
+		*addr = free
 	}
 	return nil
 }
--- /dev/null
+++ b/io/local/local.go
@@ -0,0 +1,57 @@
+// Package local hands out loopback addresses for the processes of a demo or a
+// test.
+package local
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+)
+
+// The ports that Addr chooses from. They lie below the range from which the
+// system takes ports for outgoing connections (32768 and above on Linux), so
+// that none of those can occupy a port between Addr and the listener's start.
+const (
+	firstPort = 10_000
+	lastPort  = 29_999
+)
+
+// loopback is the address that all listeners of a demo or a test use.
+var loopback = net.IPv4(127, 0, 0, 1)
+
+var (
+	mu     sync.Mutex
+	next   = firstPort + rand.IntN(lastPort-firstPort+1)
+	tried  int
+	claims []*net.UDPConn // held until the process ends
+)
+
+// Addr returns a loopback address on which nothing listens on TCP. It returns
+// each port at most once in the life of a process, and none that another
+// process got from Addr and may still use: a UDP socket on the same port,
+// held until the process ends, marks the port as taken.
+func Addr() (string, error) {
+	mu.Lock()
+	defer mu.Unlock()
+	for tried <= lastPort-firstPort {
+		port := next
+		tried++
+		next++
+		if next > lastPort {
+			next = firstPort
+		}
+		claim, err := net.ListenUDP("udp4", &net.UDPAddr{IP: loopback, Port: port})
+		if err != nil {
+			continue
+		}
+		l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: loopback, Port: port})
+		if err != nil {
+			claim.Close()
+			continue
+		}
+		claims = append(claims, claim)
+		return l.Addr().String(), l.Close()
+	}
+	return "", errors.New("every loopback port from 10000 to 29999 is taken or was handed out before")
+}
--- /dev/null
+++ b/io/local/local_test.go
@@ -0,0 +1,53 @@
+package local
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a port that is handed out twice, and against one that an
+// outgoing connection can occupy before its listener starts.
+func TestAddr(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for range 200 {
+		addr, err := Addr()
+		is.NoErr(err)
+		is.True(!seen[addr])
+		seen[addr] = true
+		at, err := netip.ParseAddrPort(addr)
+		is.NoErr(err)
+		is.True(at.Port() >= firstPort && at.Port() <= lastPort)
+	}
+}
+
+// Guards against a port on which another process listens, or that it has
+// chosen and not yet bound.
+func TestAddrSkipsTaken(t *testing.T) {
+	is := is.New(t)
+	taken := func(port int) *net.TCPAddr { return &net.TCPAddr{IP: loopback, Port: port} }
+	mu.Lock()
+	first := next
+	mu.Unlock()
+	if first > lastPort-2 {
+		first = firstPort
+	}
+	l, err := net.ListenTCP("tcp4", taken(first))
+	if err == nil { // else another process has it, which serves as well
+		defer l.Close()
+	}
+	claim, err := net.ListenUDP("udp4", &net.UDPAddr{IP: loopback, Port: first + 1})
+	if err == nil {
+		defer claim.Close()
+	}
+	mu.Lock()
+	next = first
+	mu.Unlock()
+	addr, err := Addr()
+	is.NoErr(err)
+	is.True(addr != taken(first).String())
+	is.True(addr != taken(first+1).String())
+}
