Test a crash of every process after 500 changes

Cause: no test restarted a whole deployment of real processes.

Change: TestKillAll ends all 11 processes with kill -9 while changes are in flight, after 500 were acknowledged, and starts them again. Tree, keys and revision must be as acknowledged through each control instance, and every change sent again must get its first answer and change nothing.

Conclusion: no fault found.

--- a/cmd/corianderwing/operate_test.go
+++ b/cmd/corianderwing/operate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"syscall"
@@ -124,3 +125,27 @@
 	}
 	return e.At
 }
+
+// Guards against an acknowledged change, or the answer to one, that a crash of
+// every process at once loses. Changes are in flight when it happens.
+func TestKillAll(t *testing.T) {
+	t.Parallel()
+	f := newProcesses(t)
+	f.startAll()
+	f.ready()
+	l := newLedger(f)
+	endWrites := l.write()
+	l.more(500)
+	before := l.count()
+	for id := range maps.Clone(f.running) {
+		f.kill(id)
+	}
+	f.startAll()
+	l.more(50)
+	endWrites()
+	f.ready()
+	l.verify(0, 1, 2)
+	l.resend(1)
+	l.verify(0, 1, 2)
+	t.Logf("%d changes before the crash, %d in all, every one sent again", before, l.count())
+}
