Log and count broken invariants in every process

Cause: a broken invariant of the control role was told to nobody outside the demo. Change: counter 'broken' and an error in the log; the grantor's own count is reported. Before: silent.

--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -19,6 +19,7 @@
 	group   *group.Group
 	machine *state.Machine
 	leases  leases
+	broken  func(invariant, detail string)
 
 	mu      sync.Mutex
 	term    corianderwing.Term     // of grantor
@@ -108,7 +109,11 @@
 	if r.Term == term && r.Revision >= h.settled {
 		h.grantor.Introduce(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
 	}
+	broken := h.grantor.Broken()
 	grants = h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
+	if h.grantor.Broken() != broken {
+		h.broken("share", "a pool and its grants exceed the burst in group "+string(h.id))
+	}
 	return grants, h.grantor.Waits(now)
 }
 
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return errors.Join(err, st.Close())
 	}
-	h := &host{id: id, self: self}
+	h := &host{id: id, self: self, broken: s.cfg.Broken}
 	h.machine = state.New(id, state.WithReport(s.cfg.Broken))
 	cfg := group.Config{
 		Group:  id,
