--- a/cmd/corianderwing/tree.go
+++ b/cmd/corianderwing/tree.go
@@ -91,12 +91,17 @@
 	return string(text)
 }
 
-func treeSet(ctx context.Context, s *session) error {
-	name, err := arg(s.cmd, 0, "PATH")
+// pathArg returns the node that the first argument names.
+func pathArg(cmd *cli.Command) (corianderwing.Path, error) {
+	name, err := arg(cmd, 0, "PATH")
 	if err != nil {
-		return err
+		return corianderwing.Path{}, err
 	}
-	p, err := tree.ParsePath(name)
+	return tree.ParsePath(name)
+}
+
+func treeSet(ctx context.Context, s *session) error {
+	p, err := pathArg(s.cmd)
 	if err != nil {
 		return err
 	}
@@ -142,11 +147,7 @@
 }
 
 func treeDrop(ctx context.Context, s *session) error {
-	name, err := arg(s.cmd, 0, "PATH")
-	if err != nil {
-		return err
-	}
-	p, err := tree.ParsePath(name)
+	p, err := pathArg(s.cmd)
 	if err != nil {
 		return err
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -160,6 +160,9 @@
 	if known, ok := s.upstream[u.ID]; ok && u.Incarnation < known.Incarnation {
 		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q: incarnation %d is known, %d is older", u.ID, known.Incarnation, u.Incarnation)
 	}
+	if known, ok := s.upstream[u.ID]; ok && u.Incarnation == known.Incarnation && u.Addr != known.Addr {
+		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q: two processes announce incarnation %d, at %s and %s", u.ID, u.Incarnation, known.Addr, u.Addr)
+	}
 	s.mergeUpstream(now, Sighting{Upstream: u})
 	return nil
 }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -11,6 +11,7 @@
 	"corianderwing"
 	"corianderwing/core/share"
 	"corianderwing/core/state"
+	"corianderwing/io/clock"
 )
 
 const (
@@ -92,7 +93,7 @@
 		if err != nil && ctx.Err() == nil {
 			f.agent.log.Debug().Str("group", string(f.group)).Err(err).Msg("watch ended")
 		}
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -150,7 +151,7 @@
 
 // waitRenew waits until the next renewal is due.
 func (f *follower) waitRenew(ctx context.Context) {
-	pause(ctx, renewGap)
+	clock.Sleep(ctx, renewGap)
 	next := renewEvery
 	if f.quiet.Load() {
 		next = quietEvery
@@ -251,7 +252,7 @@
 	cfg := &f.agent.cfg
 	for n := 1; ctx.Err() == nil; n++ {
 		if _, ok := f.view.Load().Seat(cfg.Self); ok {
-			pause(ctx, renewEvery)
+			clock.Sleep(ctx, renewEvery)
 			continue
 		}
 		c := corianderwing.Command{
@@ -268,14 +269,14 @@
 		if err != nil {
 			f.agent.log.Info().Str("group", string(f.group)).Err(err).Msg("no seat yet")
 		}
-		pause(ctx, renewEvery)
+		clock.Sleep(ctx, renewEvery)
 	}
 }
 
 // notice reports changes of freshness, which pass without any event.
 func (f *follower) notice(ctx context.Context) {
 	was := false
-	for pause(ctx, retryPause) {
+	for clock.Sleep(ctx, retryPause) {
 		is := f.fresh(f.view.Load(), time.Now())
 		if is != was {
 			f.agent.changed()
@@ -283,14 +284,3 @@
 		was = is
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/agent/move.go
+++ b/io/agent/move.go
@@ -7,6 +7,7 @@
 
 	"corianderwing"
 	"corianderwing/core/shift"
+	"corianderwing/io/clock"
 )
 
 const (
@@ -106,7 +107,7 @@
 
 // reportMoves reports samples of a group's moves until ctx ends.
 func (f *follower) reportMoves(ctx context.Context) {
-	for pause(ctx, sampleEvery) {
+	for clock.Sleep(ctx, sampleEvery) {
 		var moves []Counted
 		for _, m := range f.view.Load().Moves() {
 			if m.Outcome == corianderwing.Moving {
--- a/io/ctrl/identity.go
+++ b/io/ctrl/identity.go
@@ -15,6 +15,7 @@
 
 	"corianderwing"
 	"corianderwing/core/raft"
+	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/store"
 )
@@ -137,7 +138,7 @@
 		if err == nil {
 			return reply.OK, nil
 		}
-		if !pause(ctx, 2*roundPause) {
+		if !clock.Sleep(ctx, 2*roundPause) {
 			return false, eris.Wrapf(ctx.Err(), "ask %s to vouch for %s", v.ID, req.ID)
 		}
 	}
@@ -190,7 +191,7 @@
 		if err != nil {
 			s.log.Info().Str("group", string(h.id)).Err(err).Msg("not a voter yet")
 		}
-		if !pause(ctx, time.Second) {
+		if !clock.Sleep(ctx, time.Second) {
 			return
 		}
 	}
--- a/io/ctrl/mirror.go
+++ b/io/ctrl/mirror.go
@@ -9,6 +9,7 @@
 
 	"corianderwing"
 	"corianderwing/core/state"
+	"corianderwing/io/clock"
 )
 
 // Mirror follows the settings of every group for operators. Its reads are
@@ -46,7 +47,7 @@
 			for ctx.Err() == nil {
 				// A watch that ends is opened again after the revision reached.
 				_ = m.client.Watch(ctx, g, v.view.Load().Revision(), v.update)
-				pause(ctx, 2*roundPause)
+				clock.Sleep(ctx, 2*roundPause)
 			}
 		})
 	}
--- a/io/ctrl/move.go
+++ b/io/ctrl/move.go
@@ -6,6 +6,7 @@
 
 	"corianderwing"
 	"corianderwing/core/shift"
+	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 )
 
@@ -90,7 +91,7 @@
 
 // endMoves records the outcome of moves while this instance leads the group.
 func (h *host) endMoves(ctx context.Context) {
-	for pause(ctx, endEvery) {
+	for clock.Sleep(ctx, endEvery) {
 		term, err := h.lead()
 		if err != nil {
 			continue
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/clock"
 	"corianderwing/io/ctrl"
 	"corianderwing/io/peer"
 	"corianderwing/io/record"
@@ -79,7 +80,7 @@
 			}
 			d.log.Debug().Str("group", string(g)).Err(err).Msg("seed not applied yet")
 		}
-		pause(d.ctx, seedPause)
+		clock.Sleep(d.ctx, seedPause)
 	}
 }
 
@@ -132,14 +133,3 @@
 	c.server.Kill()
 	c.records.Close()
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
