Keep what regions send to each other below the link caps

Ruled out: taking tokens when a request begins. Tokens of the answer's direction at the first entry instance: it has no seat in the owner's region, so the owner checks and pays for the answer.

Change: a link direction is a bound of core/share in units of 1 KiB, divided over the seats of the sending region and a token pool. The group with most voters in the sending region grants. 10% of each cap is kept back for the system's own traffic and for packet headers; the burst is 100 ms of the rest. core/link books requests and estimated answers for admission, and takes tokens immediately before bytes are written, in both directions. A full link makes the choice of failure domain skip the region; if all are full, the request is refused with LinkFull as not run. A refusal after an attempt that may have run is no longer marked as not run when a later failure domain refuses.

Before: no bound. In io/entry, TestLongBodiesAreWithinTheCap without Links exceeds 200 kB/s and 20 kB in both directions.

Conclusion: the cap holds for bytes written to connections. The use of the rate under skewed overload is poor; the token pool of a link is renewed too seldom for a burst of 100 ms.

--- /dev/null
+++ b/core/link/link.go
@@ -0,0 +1,180 @@
+// Package link keeps what one instance sends to other regions below the caps
+// of the links. A link direction is a bound of core/share in units of Unit
+// bytes; this package converts between bytes and tokens, decides whether a
+// request may begin, and estimates the sizes of answers.
+//
+// Tokens are taken when bytes are sent and not when a request begins. Tokens
+// that are held while an upstream works would add to those that the bucket
+// gains meanwhile, and both together would exceed the burst.
+package link
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/share"
+)
+
+const (
+	// Unit is the number of bytes that one token stands for. With it a second
+	// of 1 Tbit/s has 122 million tokens, below the 268 million that a lot of
+	// core/share holds.
+	Unit = 1024
+	// ownPart is the part of each cap that is kept back: about 4% for TCP and
+	// IP headers (52 of 1500 bytes), which are not counted, and the rest for
+	// gossip, consensus, distribution and records.
+	ownPart = 0.1
+	// burstTime is the time for which a direction may be used at its rate
+	// beyond its rate. 100 ms of 280 Mbit/s are 3.5 MB.
+	burstTime = 100 * time.Millisecond
+	// fixed is the part that is divided over seats.
+	fixed = 0.5
+	// maxBook bounds the booking of one request. Longer answers are paced, and
+	// must not keep out all others for as long as they take.
+	maxBook = 256 << 10
+	// firstBook is what the only booking needs. Without it a route whose
+	// estimate exceeds the burst of a seat would never cross the link: in
+	// trials at 8 Mbit/s no request was admitted.
+	firstBook = 16 << 10
+	// bookAhead is the time in which bookings may use tokens that are yet to
+	// come. It is of the order of an upstream's work and the way there.
+	bookAhead = 500 * time.Millisecond
+	// rateAge smooths the rate of payments.
+	rateAge = 500 * time.Millisecond
+)
+
+// Limits returns the limit of one seat and the limit of the token pool of a
+// link direction whose sending region has the given number of seats. One token
+// for each seat is left out of the burst, because Line.Pay may keep the rest
+// of a token.
+func Limits(limit corianderwing.BytesPerSecond, seats int) (seat, pool share.Limit) {
+	rate := float64(limit) * (1 - ownPart) / Unit
+	burst := rate*burstTime.Seconds() - float64(seats)
+	return share.Divide(corianderwing.TokensPerSecond(rate), corianderwing.Tokens(max(1, burst)), fixed, seats)
+}
+
+// Tokens returns the number of tokens that cover n bytes.
+func Tokens(n corianderwing.Bytes) corianderwing.Tokens {
+	return corianderwing.Tokens((n + Unit - 1) / Unit)
+}
+
+// Line is one instance's share of a link direction. It owns the bookings and
+// the rest of the last token. Its methods are safe for concurrent use.
+type Line struct {
+	holder *share.Holder
+	id     corianderwing.BoundID
+	rest   atomic.Int64 // bytes of a token that was taken in part, less than Unit
+	booked atomic.Int64 // bytes
+	queue  atomic.Int64 // bytes that wait for Pay
+
+	mu   sync.Mutex // guards what follows
+	rate float64    // smoothed rate of payments, tokens/s
+	at   time.Time  // of rate
+}
+
+// NewLine returns the share of the bound id of h.
+func NewLine(h *share.Holder, id corianderwing.BoundID) *Line { return &Line{holder: h, id: id} }
+
+// Bound returns the bound, or nil while it is not configured.
+func (l *Line) Bound() *share.Bound { return l.holder.Bound(l.id) }
+
+// Reserve books n bytes if the tokens at hand, and those that are soon gained,
+// cover them, all other bookings and what waits for Pay. For the only booking, firstBook bytes are enough.
+func (l *Line) Reserve(now time.Time, n corianderwing.Bytes) bool {
+	b := l.Bound()
+	if b == nil {
+		return false
+	}
+	n = min(n, maxBook)
+	booked := l.booked.Add(int64(n))
+	need := corianderwing.Bytes(booked)
+	if need == n {
+		need = min(n, firstBook)
+	}
+	need += corianderwing.Bytes(l.queue.Load())
+	if Tokens(need) <= b.Stock(now)+l.soon(now, b) {
+		return true
+	}
+	l.booked.Add(-int64(n))
+	return false
+}
+
+// Queue changes the number of bytes that wait for Pay by n.
+func (l *Line) Queue(n corianderwing.Bytes) { l.queue.Add(int64(n)) }
+
+// Refused counts a request that Reserve did not admit as demand, so that the
+// next renewals ask for tokens.
+func (l *Line) Refused(n corianderwing.Bytes) {
+	if b := l.Bound(); b != nil {
+		b.Ask(Tokens(min(n, firstBook)))
+	}
+}
+
+// soon returns the tokens that the line will probably gain within bookAhead:
+// at the rate of the fixed part or at that of the latest payments.
+func (l *Line) soon(now time.Time, b *share.Bound) corianderwing.Tokens {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rate := max(float64(b.FixedRate()), l.rate*decay(now.Sub(l.at)))
+	return corianderwing.Tokens(rate * bookAhead.Seconds())
+}
+
+// note adds n tokens to the rate of payments.
+func (l *Line) note(now time.Time, n corianderwing.Tokens) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.After(l.at) {
+		l.rate *= decay(now.Sub(l.at))
+		l.at = now
+	}
+	l.rate += float64(n) / rateAge.Seconds()
+}
+
+func decay(d time.Duration) float64 { return math.Exp(-d.Seconds() / rateAge.Seconds()) }
+
+// Settle ends a booking of n bytes.
+func (l *Line) Settle(n corianderwing.Bytes) { l.booked.Add(-int64(min(n, maxBook))) }
+
+// Pay takes tokens for up to n bytes and returns for how many.
+func (l *Line) Pay(now time.Time, n corianderwing.Bytes) corianderwing.Bytes {
+	b := l.Bound()
+	if b == nil || n <= 0 {
+		return 0
+	}
+	paid := l.useRest(n)
+	want := n - paid
+	if want == 0 {
+		return n
+	}
+	tokens := b.TakePart(now, Tokens(want))
+	b.Ask(tokens)
+	l.note(now, tokens)
+	got := corianderwing.Bytes(tokens) * Unit
+	if got > want {
+		l.keepRest(got - want)
+	}
+	return paid + min(got, want)
+}
+
+func (l *Line) useRest(n corianderwing.Bytes) corianderwing.Bytes {
+	for {
+		rest := l.rest.Load()
+		use := min(rest, int64(n))
+		if l.rest.CompareAndSwap(rest, rest-use) {
+			return corianderwing.Bytes(use)
+		}
+	}
+}
+
+// keepRest keeps less than one token, however many calls run at the same time.
+func (l *Line) keepRest(n corianderwing.Bytes) {
+	for {
+		rest := l.rest.Load()
+		if l.rest.CompareAndSwap(rest, min(rest+int64(n), Unit-1)) {
+			return
+		}
+	}
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -46,7 +46,7 @@
 		}
 		return Upstream
 	case corianderwing.QueueFull, corianderwing.NoCapacity, corianderwing.NoUpstream,
-		corianderwing.NotOwner, corianderwing.Stopping:
+		corianderwing.NotOwner, corianderwing.Stopping, corianderwing.LinkFull:
 		return Domain
 	}
 	return Never
--- /dev/null
+++ b/core/share/part.go
@@ -0,0 +1,38 @@
+package share
+
+import (
+	"time"
+
+	"corianderwing"
+)
+
+// Ask counts n tokens as demand, as Take does for one.
+func (b *Bound) Ask(n corianderwing.Tokens) { b.tries.Add(int64(n)) }
+
+// FixedRate returns the rate of the fixed part.
+func (b *Bound) FixedRate() corianderwing.TokensPerSecond {
+	f := b.fixed.Load()
+	if f.one == 0 {
+		return 0
+	}
+	return corianderwing.TokensPerSecond(1e9 / f.per)
+}
+
+// TakePart takes up to n tokens, in the same order as TakeN but from several
+// sources if necessary, and returns how many. It is safe for concurrent use.
+func (b *Bound) TakePart(now time.Time, n corianderwing.Tokens) corianderwing.Tokens {
+	var got corianderwing.Tokens
+	f := b.fixed.Load()
+	if part := min(n, f.Level(now)); part > 0 && f.Take(now, part) {
+		got = part
+	}
+	ms := b.ms(now)
+	for _, lots := range [2][]lot{b.lent[:], b.lots[:]} {
+		for i := range lots {
+			if part := min(n-got, lots[i].valid(ms)); part > 0 && lots[i].take(ms, part) {
+				got += part
+			}
+		}
+	}
+	return got
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -22,6 +22,8 @@
 	Self        corianderwing.InstanceID
 	Incarnation corianderwing.Incarnation
 	Domain      corianderwing.DomainID
+	Region      corianderwing.RegionID
+	Links       []corianderwing.LinkCap // all link directions
 	Groups      []corianderwing.GroupID
 	Control     corianderwing.Control
 	Log         *log.Logger // default: the package's default logger
@@ -40,6 +42,7 @@
 	cfg       Config
 	log       *log.Logger
 	followers []*follower
+	lines     map[corianderwing.RegionID]*line
 	homes     atomic.Pointer[map[corianderwing.WorkspaceID]*follower]
 
 	mu     sync.Mutex // guards change, and writes to homes
@@ -62,6 +65,7 @@
 	for _, g := range cfg.Groups {
 		a.followers = append(a.followers, newFollower(a, g, now))
 	}
+	a.lines = a.newLines()
 	return a
 }
 
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -126,6 +126,7 @@
 		}
 		f.holder.Configure(now, corianderwing.RateBound(w), seat)
 	}
+	f.configureLinks(now, v, seated)
 	if f.bounds != nil {
 		for _, w := range f.bounds.Workspaces() {
 			if !v.Has(w) {
--- /dev/null
+++ b/io/agent/link.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/link"
+	"corianderwing/core/share"
+	"corianderwing/core/state"
+)
+
+const (
+	// reserveFor is the longest wait for tokens before a link counts as full.
+	// A renewal with a leader in the same region takes about 2 ms.
+	reserveFor = 20 * time.Millisecond
+	// fullFor is how long a full link refuses without another wait.
+	fullFor = 20 * time.Millisecond
+)
+
+// line is this instance's share of the link to one other region.
+type line struct {
+	*link.Line
+	follower *follower
+	full     atomic.Int64 // Unix time in ns until which the link counts as full
+}
+
+var _ corianderwing.Links = (*Agent)(nil)
+
+// newLines returns the lines of the links that begin in this region.
+func (a *Agent) newLines() map[corianderwing.RegionID]*line {
+	lines := map[corianderwing.RegionID]*line{}
+	for _, c := range a.cfg.Links {
+		for _, f := range a.followers {
+			if c.From == a.cfg.Region && c.Group == f.group {
+				lines[c.To] = &line{Line: link.NewLine(f.holder, corianderwing.LinkBound(c.From, c.To)), follower: f}
+			}
+		}
+	}
+	return lines
+}
+
+// configureLinks brings the shares of links to the seats of the view. A link
+// cap comes from the settings file and changes only with a restart.
+func (f *follower) configureLinks(now time.Time, v *state.View, seated bool) {
+	for _, c := range f.agent.cfg.Links {
+		if c.From != f.agent.cfg.Region || c.Group != f.group {
+			continue
+		}
+		seat, _ := link.Limits(c.Cap, v.SeatsIn(c.Domains))
+		if !seated {
+			seat = share.Limit{}
+		}
+		f.holder.Configure(now, corianderwing.LinkBound(c.From, c.To), seat)
+	}
+}
+
+// Reserve implements corianderwing.Links.
+func (a *Agent) Reserve(ctx context.Context, to corianderwing.RegionID, n corianderwing.Bytes) error {
+	l := a.lines[to]
+	if l == nil || l.Bound() == nil {
+		return corianderwing.Errorf(corianderwing.LinkFull, "no share of a link from %s to %s", a.cfg.Region, to)
+	}
+	now := time.Now()
+	if l.Line.Reserve(now, n) {
+		return nil
+	}
+	l.Refused(n)
+	if now.UnixNano() >= l.full.Load() {
+		giveUp := now.Add(reserveFor)
+		done := func(now time.Time) bool { return l.Line.Reserve(now, n) }
+		if l.await(ctx, n, giveUp, done) {
+			return nil
+		}
+		l.full.Store(time.Now().Add(fullFor).UnixNano())
+	}
+	return corianderwing.Errorf(corianderwing.LinkFull, "link from %s to %s", a.cfg.Region, to)
+}
+
+// Settle implements corianderwing.Links.
+func (a *Agent) Settle(to corianderwing.RegionID, n corianderwing.Bytes) {
+	if l := a.lines[to]; l != nil {
+		l.Line.Settle(n)
+	}
+}
+
+// Pay implements corianderwing.Links.
+func (a *Agent) Pay(ctx context.Context, to corianderwing.RegionID, n corianderwing.Bytes) (paid corianderwing.Bytes, err error) {
+	l := a.lines[to]
+	if l == nil || l.Bound() == nil {
+		return 0, corianderwing.Errorf(corianderwing.LinkFull, "no share of a link from %s to %s", a.cfg.Region, to)
+	}
+	pay := func(now time.Time) bool {
+		paid = l.Line.Pay(now, n)
+		return paid > 0
+	}
+	if pay(time.Now()) {
+		return paid, nil
+	}
+	l.Queue(n)
+	defer l.Queue(-n)
+	if l.await(ctx, n, time.Time{}, pay) {
+		return paid, nil
+	}
+	return 0, context.Cause(ctx)
+}
+
+// await calls done until it returns true, giveUp has passed or ctx ends. Until
+// then the renewals ask for tokens for n bytes. A zero giveUp is no limit.
+func (l *line) await(ctx context.Context, n corianderwing.Bytes, giveUp time.Time, done func(time.Time) bool) bool {
+	b := l.Bound()
+	b.Wait(int64(link.Tokens(n)))
+	defer b.Wait(-int64(link.Tokens(n)))
+	l.follower.wake()
+	answered, _ := l.follower.renewals()
+	poll := time.NewTicker(pollEvery)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-answered:
+			answered, _ = l.follower.renewals()
+		case <-poll.C:
+		}
+		now := time.Now()
+		if done(now) {
+			return true
+		}
+		if !giveUp.IsZero() && !now.Before(giveUp) {
+			return false
+		}
+	}
+}
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/link"
 	"corianderwing/core/share"
 	"corianderwing/core/state"
 	"corianderwing/io/group"
@@ -18,6 +19,7 @@
 	group   *group.Group
 	machine *state.Machine
 	leases  leases
+	links   []corianderwing.LinkCap
 
 	mu      sync.Mutex
 	term    corianderwing.Term // of grantor
@@ -111,6 +113,12 @@
 		_, pool := share.Divide(e.Rate, e.Burst, e.Fixed, view.SeatTotal())
 		h.grantor.Configure(now, corianderwing.RateBound(w), pool)
 	}
+	for _, c := range h.links {
+		if c.Group == h.id {
+			_, pool := link.Limits(c.Cap, view.SeatsIn(c.Domains))
+			h.grantor.Configure(now, corianderwing.LinkBound(c.From, c.To), pool)
+		}
+	}
 	h.forget(view)
 	h.bounds = view
 }
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -29,6 +29,7 @@
 	Log     *log.Logger                       // default: the package's default logger
 	Broken  func(invariant, detail string)    // told about a broken invariant
 	Records *record.Holder                    // holds shipped records; nil refuses them
+	Links   []corianderwing.LinkCap           // all link directions
 }
 
 // Server is a control instance. It hosts a replica of each group that lists
@@ -177,7 +178,7 @@
 	if err != nil {
 		return errors.Join(err, st.Close())
 	}
-	h := &host{id: id, self: self}
+	h := &host{id: id, self: self, links: s.cfg.Links}
 	h.machine = state.New(id, state.WithReport(s.cfg.Broken))
 	cfg := group.Config{
 		Group:  id,
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -37,6 +37,7 @@
 		Log:     d.log,
 		Broken:  d.opts.broken,
 		Records: holder,
+		Links:   d.cfg.LinkCaps(),
 	}, d.peer)
 	if err != nil {
 		return errors.Join(err, holder.Close())
--- a/io/daemon/entry.go
+++ b/io/daemon/entry.go
@@ -46,6 +46,8 @@
 		Self:        d.process.ID,
 		Incarnation: incarnation,
 		Domain:      d.process.Domain,
+		Region:      d.cfg.Region(d.process.Domain),
+		Links:       d.cfg.LinkCaps(),
 		Groups:      client.Groups(),
 		Control:     client,
 		Log:         d.log,
@@ -164,6 +166,7 @@
 		Control:  client,
 		Fleet:    e.fleet,
 		Recorder: e.records,
+		Links:    e.agent,
 		Secret:   d.cfg.Secret,
 		Home: func(w corianderwing.WorkspaceID) corianderwing.GroupID {
 			g, _ := e.agent.Home(w)
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -57,6 +57,7 @@
 		if e == nil {
 			return rep, nil
 		}
+		e = sinceLast(last, e)
 		last = e
 		if s.again(j, e) == retry.Never {
 			return nil, e
@@ -85,7 +86,7 @@
 // is gone or has no upstreams was not loaded by the request.
 func (s *Server) mayMove(j *job, e *corianderwing.Error) bool {
 	switch e.Code {
-	case corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping:
+	case corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping, corianderwing.LinkFull:
 		return true
 	case corianderwing.ConnFail:
 		if len(j.attempts) == 0 {
@@ -108,13 +109,18 @@
 
 // hop hands a request over to the owner of a pool.
 func (s *Server) hop(ctx context.Context, j *job, owner corianderwing.Instance) (*reply, *corianderwing.Error) {
+	pace, e := s.bookRequest(ctx, j, owner.Region)
+	if e != nil {
+		return nil, e
+	}
+	defer pace.settle()
 	start := time.Now()
 	pr := s.peer(owner.Inner)
 	first := s.hopDeadline(j, start)
 	// The owner's refusal should arrive before we give up on the owner.
 	back := time.Duration(pr.delay.Load()) + 5*time.Millisecond
 	back += min(first.Sub(start)/50, 50*time.Millisecond)
-	h := append(attemptHeader(j, first.Add(-back), start, 6),
+	h := append(attemptHeader(j, first.Add(-back), start, 7),
 		field{hPool, string(j.pool)},
 		field{hTries, strconv.Itoa(j.tries)},
 		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
@@ -124,6 +130,9 @@
 	if j.once {
 		h = append(h, field{hOnce, "1"})
 	}
+	if pace != nil {
+		h = append(h, field{hRegion, string(s.self.Region)})
+	}
 	a, e := send(ctx, call{
 		host:   &pr.host,
 		method: j.method,
@@ -135,6 +144,7 @@
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
 		first:  first,
+		pace:   pace,
 	})
 	if e != nil {
 		s.lost(pr, owner, e, time.Since(start))
@@ -156,7 +166,9 @@
 		a.discard()
 		return nil, corianderwing.Errorf(corianderwing.Crossed, "owner %s sent no result code", owner.ID)
 	}
-	return nil, refusalOf(a)
+	e = refusalOf(a)
+	s.noteFull(owner.Region, e)
+	return nil, e
 }
 
 // hopDeadline returns when the owner must have answered. While the request may
