--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -23,6 +23,8 @@
 	Self        corianderwing.InstanceID
 	Incarnation corianderwing.Incarnation
 	Domain      corianderwing.DomainID
+	Region      corianderwing.RegionID
+	Links       []corianderwing.LinkCap // all link directions
 	Groups      []corianderwing.GroupID
 	Control     corianderwing.Control
 	Mover       Mover       // compares the versions of moves
@@ -43,6 +45,7 @@
 	log       *log.Logger
 	followers []*follower
 	tally     tally
+	lines     map[corianderwing.RegionID]*line
 	homes     atomic.Pointer[map[corianderwing.WorkspaceID]*follower]
 
 	mu     sync.Mutex // guards change, and writes to homes
@@ -67,6 +70,7 @@
 	for _, g := range cfg.Groups {
 		a.followers = append(a.followers, newFollower(a, g, now))
 	}
+	a.lines = a.newLines()
 	return a
 }
 
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/link"
 	"corianderwing/core/share"
 	"corianderwing/core/shift"
 	"corianderwing/core/state"
@@ -20,6 +21,7 @@
 	machine *state.Machine
 	leases  leases
 	broken  func(invariant, detail string)
+	links   []corianderwing.LinkCap
 
 	mu      sync.Mutex
 	term    corianderwing.Term     // of grantor
@@ -142,6 +144,12 @@
 		_, pool := share.Divide(e.Rate, e.Burst, e.Fixed, view.SeatTotal())
 		h.grantor.Configure(now, corianderwing.RateBound(w), pool)
 	}
+	for _, c := range h.links {
+		if c.Group == h.id {
+			_, pool := link.Limits(c.Cap, view.SeatsIn(c.Domains))
+			h.grantor.Configure(now, corianderwing.LinkBound(c.From, c.To), pool)
+		}
+	}
 	h.forget(view)
 	h.bounds = view
 }
