Let a resent order wait for the outcome of the first request

Cause: a resend that came while the first request ran was refused with 404 claimopen, although its caller wants the first answer. Ruled out: waiting at the group's leader (it would hold a call open for each order). Change: the claim is asked again with growing pauses (25 to 400 ms) until the order is settled or the deadline comes.

--- a/io/entry/order.go
+++ b/io/entry/order.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,10 +70,25 @@
 }
 
 // claim asks the home group for the order. It returns the first answer if the
-// order has run, and nothing if this request may run it.
+// order has run, and nothing if this request may run it. While another request
+// runs the order, it waits for the outcome until the deadline.
 func (s *Server) claim(v *visit, o corianderwing.Order) (*corianderwing.Answer, *corianderwing.Error) {
+	for n, wait := 1, firstClaimWait; ; n, wait = n+1, min(2*wait, lastClaimWait) {
+		answer, e := s.claimOnce(v, o, n)
+		if e == nil || e.Code != corianderwing.ClaimOpen || e.Run == corianderwing.RanYes {
+			return answer, e
+		}
+		if time.Now().Add(wait).After(v.deadline) || pause(v.ctx, wait) != nil {
+			return nil, e
+		}
+	}
+}
+
+// claimOnce proposes the claim under a request id of its own, because a
+// repeated id gets its first result.
+func (s *Server) claimOnce(v *visit, o corianderwing.Order, n int) (*corianderwing.Answer, *corianderwing.Error) {
 	cmd := corianderwing.Command{
-		Request: v.id + "-claim",
+		Request: v.id + "-claim" + corianderwing.RequestID(strconv.Itoa(n)),
 		Kind:    corianderwing.Claim,
 		Now:     time.Now(),
 		Order:   &o,
@@ -111,6 +127,13 @@
 	return nil, corianderwing.Errorf(corianderwing.ClaimOpen, "first request %s", got.Holder)
 }
 
+// The times between two looks at an order that another request runs. Each look
+// is an entry of the group's log, so they grow.
+const (
+	firstClaimWait = 25 * time.Millisecond
+	lastClaimWait  = 400 * time.Millisecond
+)
+
 // proposeEvery is the time between attempts to propose a claim.
 const proposeEvery = 50 * time.Millisecond
 
