--- a/cmd/corianderwing/fleet_test.go
+++ b/cmd/corianderwing/fleet_test.go
@@ -252,7 +252,10 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	client := http.Client{Timeout: patience}
+	return exchange(&http.Client{Timeout: patience}, req)
+}
+
+func exchange(client *http.Client, req *http.Request) reply {
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{err: err}
