Do not call a request "not run" that an earlier attempt may have run

Cause: when an attempt at an upstream failed without an answer and the next one was refused for lack of a slot or an upstream, the caller got the second refusal with Cw-Run: no, which can be false (invariant I9).

Change: local retries keep what is known about earlier attempts.

Before: go test ./io/entry -run MayHaveRun: the request ran once, and the refusal 402 says "no"; with the hand-over's part off as well, it ran twice and the refusal 304 says "no". After: both say "unknown".

Conclusion: idempotent routes only; others are never tried again.

--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"corianderwing"
+	"corianderwing/core/retry"
 	"corianderwing/core/share"
 )
 
@@ -232,3 +234,39 @@
 		})
 	}
 }
+
+// Guards against "not run" for a request that may have run at an earlier
+// attempt, when a later one is refused: behind a full link, or because the
+// upstream has left.
+func TestRefusalAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	for _, code := range []string{"304", "402"} {
+		bubble(t, func(w *world) {
+			w.regions = map[string]corianderwing.RegionID{"d1": "x", "d2": "y"}
+			w.links = map[string]corianderwing.Links{"a": open(), "b": open()}
+			w.route("ws", "svc", func(e *corianderwing.Effective) { e.Tries = 9 })
+			ran := 0
+			w.raw("up-a", "d1", 1, func(_ net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				ran++
+				if code == "402" {
+					w.mu.Lock()
+					clear(w.ups)
+					w.mu.Unlock()
+					time.Sleep(300 * time.Millisecond) // until the instance has seen it
+				}
+			})
+			opt := WithRetry(retry.Config{Burst: 1})
+			list := []*Server{w.instance("a", "d1", opt), w.instance("b", "d2", opt)}
+			if code == "304" {
+				w.announce("up-b", "d2", 4)
+			}
+			g := w.get("/ws/svc/p")
+			if ran == 0 || g.code != code || g.run != "unknown" {
+				t.Errorf("the request ran %d times, and the refusal %s, not %s, says %q", ran, g.code, code, g.run)
+			}
+			w.close(list...)
+		})
+	}
+}
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -39,8 +39,9 @@
 		if s.again(j, e) != retry.Upstream || !p.spend(j, start) {
 			return nil, e
 		}
+		last := e
 		if sl, e = p.acquire(ctx, j, start); e != nil {
-			return nil, e
+			return nil, sinceLast(last, e)
 		}
 	}
 }
