Add a longest-prefix table of client blocks

Cause: a lookup by client block has to find the site of 570,000 blocks, and no library of the module list does longest-prefix matching.

Change: core/table keeps sorted rows with the row of the containing block, read through an atomic pointer and replaced as a whole by Apply.

IPv6 is around the 200 ns of its target on this busy machine and above it in some runs; it needs a run on a machine at rest before it counts as met.

--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,122 @@
+// Package table maps client addresses to sites by longest-prefix match.
+//
+// It is built for 570,000 client blocks and 440 sites. The target of a lookup
+// is 200 ns: BenchmarkLookup measured 81 to 140 ns for IPv4 and 181 to 282 ns
+// for IPv6, on a machine with twice as many runnable threads as cores. A table
+// takes 24 bytes per block and 1 MiB per address family.
+package table
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Site is the number of a site.
+type Site uint16
+
+// Block assigns a prefix of client addresses to a site.
+type Block struct {
+	Prefix netip.Prefix
+	Site   Site
+}
+
+// Change assigns a block, or removes the one with its prefix.
+type Change struct {
+	Block
+	Drop bool
+}
+
+// Table is the current assignment. Lookups load a pointer to an immutable
+// table and take no lock; Apply replaces that table by a changed copy. The
+// zero Table is empty and ready to use.
+type Table struct {
+	mu  sync.Mutex // held by Apply
+	now atomic.Pointer[pair]
+}
+
+// pair holds the two families, which never share a prefix.
+type pair struct{ four, six family }
+
+// Lookup returns the site of the longest prefix that contains a. An IPv4
+// address that is mapped to IPv6 counts as IPv4.
+func (t *Table) Lookup(a netip.Addr) (Site, bool) {
+	p := t.now.Load()
+	if p == nil || !a.IsValid() {
+		return 0, false
+	}
+	a = a.Unmap()
+	if a.Is4() {
+		return p.four.lookup(keyOf(a))
+	}
+	return p.six.lookup(keyOf(a))
+}
+
+// Len returns the number of blocks.
+func (t *Table) Len() int {
+	p := t.now.Load()
+	if p == nil {
+		return 0
+	}
+	return p.four.len() + p.six.len()
+}
+
+// Apply makes all changes at once, in their order. It fails without any
+// change if a prefix is not valid. It copies the table, which takes time
+// proportional to its size, so callers pass changes together.
+func (t *Table) Apply(changes []Change) error {
+	var four, six []edit
+	for i, c := range changes {
+		if !c.Prefix.IsValid() {
+			return fmt.Errorf("change %d: prefix %v is not valid", i, c.Prefix)
+		}
+		if c.Prefix.Addr().Is4In6() {
+			return fmt.Errorf("change %d: prefix %v is an IPv4-mapped one, use its IPv4 form", i, c.Prefix)
+		}
+		p := c.Prefix.Masked()
+		e := edit{key: keyOf(p.Addr()), bits: uint8(p.Bits()), site: c.Site, drop: c.Drop}
+		if p.Addr().Is4() {
+			four = append(four, e)
+			continue
+		}
+		six = append(six, e)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.now.Load()
+	if old == nil {
+		old = &pair{}
+	}
+	t.now.Store(&pair{
+		four: old.four.with(order(four)),
+		six:  old.six.with(order(six)),
+	})
+	return nil
+}
+
+// edit is a Change to one family.
+type edit struct {
+	key
+	bits uint8
+	site Site
+	drop bool
+}
+
+func (e edit) compare(o edit) int {
+	return cmp.Or(cmp.Compare(e.hi, o.hi), cmp.Compare(e.lo, o.lo), cmp.Compare(e.bits, o.bits))
+}
+
+// order sorts edits by prefix and keeps the last one of each.
+func order(all []edit) []edit {
+	slices.SortStableFunc(all, edit.compare)
+	kept := all[:0]
+	for i, e := range all {
+		if i+1 == len(all) || e.compare(all[i+1]) != 0 {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,184 @@
+package table
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	manyBlocks = 570_000
+	manySites  = 440
+	maxMemory  = 64 << 20
+)
+
+// blocks draws blocks like those of a routing table: IPv4 of 16 to 24 bits,
+// IPv6 of 32 to 48 bits below 2000::/3.
+func blocks(n int, six bool) []Change {
+	rng := rand.New(rand.NewPCG(1, 2))
+	all := make([]Change, 0, n)
+	seen := make(map[netip.Prefix]bool, n)
+	for len(all) < n {
+		p := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(rng.Uint32()), byte(rng.Uint32()), byte(rng.Uint32())}), 16+rng.IntN(9)).Masked()
+		if six {
+			p = netip.PrefixFrom(netip.AddrFrom16([16]byte{0x20 | byte(rng.IntN(16)), byte(rng.Uint32()), byte(rng.Uint32()), byte(rng.Uint32()), byte(rng.Uint32()), byte(rng.Uint32())}), 32+rng.IntN(17)).Masked()
+		}
+		if !seen[p] {
+			seen[p] = true
+			all = append(all, Change{Block: Block{p, Site(len(all) % manySites)}})
+		}
+	}
+	return all
+}
+
+// naive is the longest match by trying every block.
+func naive(all map[netip.Prefix]Site, a netip.Addr) (site Site, ok bool) {
+	best := -1
+	for p, s := range all {
+		if p.Contains(a) && p.Bits() > best {
+			best, site, ok = p.Bits(), s, true
+		}
+	}
+	return site, ok
+}
+
+// Guards against a wrong match, in particular of nested blocks and after
+// blocks were replaced and removed: the addresses are dense, so that blocks
+// nest often and the walk over parents is long.
+func TestLongestMatch(t *testing.T) {
+	addr := rapid.Custom(func(t *rapid.T) netip.Addr {
+		b := make([]byte, 4)
+		if rapid.Bool().Draw(t, "six") {
+			b = make([]byte, 16)
+		}
+		for i := range b {
+			b[i] = rapid.SampledFrom([]byte{0, 1, 0x80, 0xff}).Draw(t, "byte")
+		}
+		a, _ := netip.AddrFromSlice(b)
+		return a
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		var table Table
+		want := map[netip.Prefix]Site{}
+		for range rapid.IntRange(1, 4).Draw(rt, "applies") {
+			var changes []Change
+			for range rapid.IntRange(0, 20).Draw(rt, "changes") {
+				a := addr.Draw(rt, "addr").Unmap()
+				p := netip.PrefixFrom(a, rapid.IntRange(0, a.BitLen()).Draw(rt, "bits"))
+				if p.Addr().Is4In6() {
+					continue
+				}
+				c := Change{Block: Block{p, Site(rapid.IntRange(0, manySites-1).Draw(rt, "site"))}, Drop: rapid.IntRange(0, 3).Draw(rt, "drop") == 0}
+				changes = append(changes, c)
+				delete(want, p.Masked())
+				if !c.Drop {
+					want[p.Masked()] = c.Site
+				}
+			}
+			is.NoErr(table.Apply(changes))
+			if table.Len() != len(want) {
+				rt.Fatalf("%d blocks, want %d", table.Len(), len(want))
+			}
+		}
+		for range 20 {
+			a := addr.Draw(rt, "lookup").Unmap()
+			site, ok := table.Lookup(a)
+			wantSite, wantOK := naive(want, a)
+			if site != wantSite || ok != wantOK {
+				rt.Fatalf("%v: site %d %v, want %d %v", a, site, ok, wantSite, wantOK)
+			}
+		}
+	})
+}
+
+// Guards against a change with a bad prefix that is applied in part.
+func TestBadPrefix(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	good := Change{Block: Block{netip.MustParsePrefix("10.0.0.0/8"), 1}}
+	is.True(table.Apply([]Change{good, {}}) != nil)
+	is.Equal(table.Len(), 0)
+	_, ok := table.Lookup(netip.Addr{})
+	is.True(!ok)
+}
+
+// Guards against a table that outgrows the 64 MB of a daemon, while it is
+// replaced: then the old and the new one are held.
+func TestMemory(t *testing.T) {
+	for _, six := range []bool{false, true} {
+		is := is.New(t)
+		changes := blocks(manyBlocks, six)
+		before := heap()
+		old, next := new(Table), new(Table)
+		is.NoErr(old.Apply(changes))
+		p := old.now.Load()
+		next.now.Store(p)
+		is.NoErr(next.Apply([]Change{{Block: changes[0].Block, Drop: true}}))
+		used := heap() - before
+		t.Logf("six %v: %d bytes for the old and the new table of %d blocks", six, used, manyBlocks)
+		is.True(used < maxMemory)
+		is.Equal(old.Len(), manyBlocks)
+		is.Equal(next.Len(), manyBlocks-1)
+		runtime.KeepAlive(changes)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Guards against a lookup that allocates.
+func TestLookupAllocates(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	changes := blocks(1000, true)
+	is.NoErr(table.Apply(changes))
+	a := changes[7].Prefix.Addr()
+	is.Equal(testing.AllocsPerRun(100, func() { table.Lookup(a) }), 0.0)
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for name, six := range map[string]bool{"four": false, "six": true} {
+		b.Run(name, func(b *testing.B) {
+			var table Table
+			changes := blocks(manyBlocks, six)
+			if err := table.Apply(changes); err != nil {
+				b.Fatal(err)
+			}
+			rng := rand.New(rand.NewPCG(3, 4))
+			rng.Shuffle(len(changes), func(i, j int) { changes[i], changes[j] = changes[j], changes[i] })
+			addrs := make([]netip.Addr, 1<<16)
+			for i := range addrs {
+				addrs[i] = changes[i].Prefix.Addr()
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				table.Lookup(addrs[i&(len(addrs)-1)])
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkReplace is one change to a full table.
+func BenchmarkReplace(b *testing.B) {
+	var table Table
+	changes := blocks(manyBlocks, false)
+	if err := table.Apply(changes); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if err := table.Apply(changes[:1]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
