--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -34,6 +34,7 @@
 			stubCommand(),
 			stubsCommand(),
 			loadCommand(),
+			slopesCommand(),
 			checkCommand(),
 			statusCommand(),
 			treeCommand(),
--- a/cmd/corianderwing/tree.go
+++ b/cmd/corianderwing/tree.go
@@ -91,17 +91,12 @@
 	return string(text)
 }
 
-// pathArg returns the node that the first argument names.
-func pathArg(cmd *cli.Command) (corianderwing.Path, error) {
-	name, err := arg(cmd, 0, "PATH")
+func treeSet(ctx context.Context, s *session) error {
+	name, err := arg(s.cmd, 0, "PATH")
 	if err != nil {
-		return corianderwing.Path{}, err
+		return err
 	}
-	return tree.ParsePath(name)
-}
-
-func treeSet(ctx context.Context, s *session) error {
-	p, err := pathArg(s.cmd)
+	p, err := tree.ParsePath(name)
 	if err != nil {
 		return err
 	}
@@ -147,7 +142,11 @@
 }
 
 func treeDrop(ctx context.Context, s *session) error {
-	p, err := pathArg(s.cmd)
+	name, err := arg(s.cmd, 0, "PATH")
+	if err != nil {
+		return err
+	}
+	p, err := tree.ParsePath(name)
 	if err != nil {
 		return err
 	}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"fmt"
 	"time"
 
 	"corianderwing"
@@ -14,16 +13,11 @@
 	Seq         uint64                    `json:"seq"`
 }
 
-// Seen names the latest announcement of an upstream that the sender has. It
-// stands for the announcement itself if the receiver has an earlier one with
-// the same print: most announcements change only the load.
+// Seen names the latest announcement of an upstream that the sender has.
 type Seen struct {
 	ID          corianderwing.UpstreamID  `json:"id"`
 	Incarnation corianderwing.Incarnation `json:"inc"`
 	Seq         uint64                    `json:"seq"`
-	Print       uint32                    `json:"print"` // hash of all fields but Seq and Load
-	Load        float64                   `json:"load,omitempty"`
-	Age         corianderwing.Millis      `json:"age"`
 }
 
 // Digest lists what the sender has, so that the receiver can tell what it
@@ -59,14 +53,14 @@
 // the digest, and the records that are hot.
 func (s *State) Message(now time.Time) Gossip {
 	s.Beat(now)
-	m := Gossip{From: s.self.ID, Digest: s.Digest(now), News: []News{s.own(now)}}
+	m := Gossip{From: s.self.ID, Digest: s.Digest(), News: []News{s.own(now)}}
 	for _, p := range s.members {
 		if now.Sub(p.news) < hot {
 			m.News = append(m.News, p.record(now))
 		}
 	}
 	for _, u := range s.upstream {
-		if now.Sub(u.changed) < hot {
+		if now.Sub(u.news) < hot {
 			m.Sightings = append(m.Sightings, u.record(now))
 		}
 	}
@@ -81,14 +75,14 @@
 }
 
 // Digest lists what this instance has.
-func (s *State) Digest(now time.Time) Digest {
+func (s *State) Digest() Digest {
 	d := Digest{Instances: make([]Mark, 0, len(s.members)+1)}
 	d.Instances = append(d.Instances, mark(s.self))
 	for _, p := range s.members {
 		d.Instances = append(d.Instances, mark(p.Instance))
 	}
 	for _, u := range s.upstream {
-		d.Upstreams = append(d.Upstreams, u.seen(now))
+		d.Upstreams = append(d.Upstreams, Seen{u.ID, u.Incarnation, u.Seq})
 	}
 	return d
 }
@@ -103,7 +97,7 @@
 	for _, k := range d.Upstreams {
 		seen[k.ID] = k
 	}
-	m := Gossip{From: s.self.ID, Digest: s.Digest(now), News: []News{s.own(now)}}
+	m := Gossip{From: s.self.ID, Digest: s.Digest(), News: []News{s.own(now)}}
 	for id, p := range s.members {
 		k, ok := has[id]
 		if (!ok || newer(p.Incarnation, p.Seq, k.Incarnation, k.Seq)) && (p.Phase == corianderwing.Left || !p.lapsed(now)) {
@@ -112,8 +106,7 @@
 	}
 	for id, u := range s.upstream {
 		k, ok := seen[id]
-		ok = ok && (u.print == k.Print || !newer(u.Incarnation, u.Seq, k.Incarnation, k.Seq))
-		if !ok && (u.Phase == corianderwing.Left || !u.lapsed(now)) {
+		if (!ok || newer(u.Incarnation, u.Seq, k.Incarnation, k.Seq)) && (u.Phase == corianderwing.Left || !u.lapsed(now)) {
 			m.Sightings = append(m.Sightings, u.record(now))
 		}
 	}
@@ -128,9 +121,6 @@
 	for _, u := range m.Sightings {
 		s.mergeUpstream(now, u)
 	}
-	for _, k := range m.Digest.Upstreams {
-		s.refresh(now, k)
-	}
 	for _, k := range m.Digest.Instances {
 		if k.ID == s.self.ID {
 			s.echoed(now, m.From, k)
@@ -181,19 +171,6 @@
 	}
 	u.Upstream, u.news = n.Upstream, now.Add(-age)
 	u.Phase = phase
-	if p := printOf(u.Upstream); p != u.print {
-		u.print, u.changed = p, now
-	}
-}
-
-// refresh takes an announcement that changes only Seq and Load.
-func (s *State) refresh(now time.Time, k Seen) {
-	age := max(0, time.Duration(k.Age)*time.Millisecond)
-	u, ok := s.upstream[k.ID]
-	if !ok || u.print != k.Print || age >= SilentFor || !newer(k.Incarnation, k.Seq, u.Incarnation, u.Seq) {
-		return
-	}
-	u.Seq, u.Load, u.news = k.Seq, k.Load, now.Add(-age)
 }
 
 // echoed notes that another instance has the heartbeat that k names.
@@ -240,16 +217,6 @@
 	return News{Instance: p.Instance, Able: p.able, Heard: p.heard, Age: millis(now.Sub(p.news))}
 }
 
-func (u *sighting) seen(now time.Time) Seen {
-	return Seen{ID: u.ID, Incarnation: u.Incarnation, Seq: u.Seq, Print: u.print, Load: u.Load, Age: millis(now.Sub(u.news))}
-}
-
-// printOf returns a hash of all fields but Seq and Load.
-func printOf(u corianderwing.Upstream) uint32 {
-	u.Seq, u.Load = 0, 0
-	return uint32(hash(fmt.Sprintf("%+v", u)))
-}
-
 func (u *sighting) record(now time.Time) Sighting {
 	return Sighting{Upstream: u.Upstream, Age: millis(now.Sub(u.news))}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -92,9 +92,7 @@
 
 type sighting struct {
 	corianderwing.Upstream
-	news    time.Time
-	print   uint32    // hash of all fields but Seq and Load
-	changed time.Time // when print changed
+	news time.Time
 }
 
 // New returns the state of an instance that knows only itself.
@@ -160,9 +158,6 @@
 	if known, ok := s.upstream[u.ID]; ok && u.Incarnation < known.Incarnation {
 		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q: incarnation %d is known, %d is older", u.ID, known.Incarnation, u.Incarnation)
 	}
-	if known, ok := s.upstream[u.ID]; ok && u.Incarnation == known.Incarnation && u.Addr != known.Addr {
-		return corianderwing.Errorf(corianderwing.BadInput, "upstream %q: two processes announce incarnation %d, at %s and %s", u.ID, u.Incarnation, known.Addr, u.Addr)
-	}
 	s.mergeUpstream(now, Sighting{Upstream: u})
 	return nil
 }
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -46,7 +46,7 @@
 		}
 		return Upstream
 	case corianderwing.QueueFull, corianderwing.TooLate, corianderwing.NoCapacity,
-		corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping, corianderwing.LinkFull:
+		corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping:
 		return Domain // TooLate: the wait was too long here, not everywhere
 	}
 	return Never
--- a/core/share/bound.go
+++ b/core/share/bound.go
@@ -10,7 +10,7 @@
 const (
 	lotBits  = 28 // 268 million tokens in a lot, and lot ends up to two years after the start of the process
 	lotMax   = 1<<lotBits - 1
-	granted  = 4 // lots of granted tokens; a renewal a second needs two
+	granted  = 4 // lots of granted tokens; a renewal a second with tokens valid for 3 s needs no more
 	borrowed = 2
 )
 
--- a/core/share/grantor.go
+++ b/core/share/grantor.go
@@ -37,16 +37,12 @@
 }
 
 // WaitUntil returns when a leader that takes over at now may grant: when all
-// grants of its predecessors have lapsed, and every process knows the limits.
-// Changed is when this replica last applied a change of any rate, burst, fixed
-// fraction or number of seats, by its own clock; the time at which the process
-// started, if it applied none since.
-func WaitUntil(now, changed time.Time) time.Time {
-	return latest(corianderwing.GrantorDeadline(now, Life), corianderwing.GrantorDeadline(changed, Known))
-}
+// grants of its predecessors have lapsed.
+func WaitUntil(now time.Time) time.Time { return corianderwing.GrantorDeadline(now, Life) }
 
 // NewGrantor returns a grantor with empty pools that grants nothing before
-// from, which WaitUntil returns, or before each of the holders has introduced itself. Holders must include all
+// from, which is WaitUntil of the time at which its leadership began, or
+// before each of the holders has introduced itself. Holders must include all
 // that a predecessor may have granted tokens to; without any, only from counts.
 func NewGrantor(from time.Time, holders ...corianderwing.InstanceID) *Grantor {
 	await := make(map[corianderwing.InstanceID]bool)
@@ -64,7 +60,7 @@
 }
 
 // Configure sets the limit of a bound's token pool, as Divide returns it. A
-// decrease takes effect at once; an increase takes effect after Known, when no
+// decrease takes effect at once; an increase takes effect after Life, when no
 // holder uses the earlier limits any more. The pool gains no tokens by it.
 func (g *Grantor) Configure(now time.Time, b corianderwing.BoundID, l Limit) {
 	p, ok := g.pools[b]
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -59,7 +59,7 @@
 // Configure sets the limit of this seat's fixed part of a bound, as Divide
 // returns it; the zero Limit for an instance without a seat. A decrease takes
 // effect at once. An increase, the first one included, takes effect after
-// Known, when every process knows the new division, and not before a grantor
+// Life, when every process knows the new division, and not before a grantor
 // has answered.
 func (h *Holder) Configure(now time.Time, id corianderwing.BoundID, l Limit) *Bound {
 	h.mu.Lock()
--- a/core/share/pool.go
+++ b/core/share/pool.go
@@ -28,7 +28,6 @@
 
 // pool is the token pool of one bound.
 type pool struct {
-	from   time.Time // the pool is empty until then
 	limit  Limit
 	next   change
 	bucket *Bucket
@@ -39,7 +38,7 @@
 
 func newPool(l Limit, from time.Time) *pool {
 	b := NewBucket(l, from)
-	return &pool{from: from, limit: l, bucket: b, full: b.depth.Load(), wants: make(map[corianderwing.InstanceID]want)}
+	return &pool{limit: l, bucket: b, full: b.depth.Load(), wants: make(map[corianderwing.InstanceID]want)}
 }
 
 func (p *pool) configure(now time.Time, l Limit) {
@@ -54,7 +53,7 @@
 		return
 	}
 	p.limit = l
-	p.bucket = p.bucket.replace(l, latest(now, p.from))
+	p.bucket = p.bucket.replace(l, now)
 	p.full = p.bucket.depth.Load()
 	p.limitDepth(now)
 }
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -20,7 +20,7 @@
 //   - A Grantor credits gives and takes back tokens only for a report that
 //     directly follows one that it answered itself. An old report that
 //     reaches another leader creates nothing.
-//   - Each increase of a configured limit takes effect after Known,
+//   - Each increase of a configured limit takes effect after one lifetime,
 //     when no process uses the earlier limits any more.
 //
 // A request that finds no token should not be refused at once. Its instance
@@ -39,13 +39,9 @@
 )
 
 const (
-	// Life is how long granted tokens are valid: one renewal a second with a
-	// margin. A new leader waits as long, so a longer Life means more refusals
-	// after the loss of a leader.
-	Life = 1500 * time.Millisecond
-	// Known is the time after which every process that may act knows a changed
-	// limit: the length of a freshness lease.
-	Known = 3 * time.Second
+	// Life is how long granted tokens are valid. It equals the freshness
+	// lease: an instance that cannot renew loses both together.
+	Life = 3 * time.Second
 	// LendLife is how long borrowed tokens are valid. A borrower has requests
 	// waiting and uses them at once.
 	LendLife = 500 * time.Millisecond
@@ -94,7 +90,7 @@
 	if low == next {
 		return low, change{}
 	}
-	return low, change{limit: next, at: corianderwing.GrantorDeadline(now, Known)}
+	return low, change{limit: next, at: corianderwing.GrantorDeadline(now, Life)}
 }
 
 // due reports whether the change may take effect.
--- a/io/admin/calls.go
+++ b/io/admin/calls.go
@@ -56,12 +56,10 @@
 func (c *Client) Drop(ctx context.Context, d DropNode) (Accepted, error) {
 	c.fill(&d.Change)
 	// Once a workspace is removed, its group cannot be looked up by it, and a
-	// second try would not reach the first answer. If it is gone already, this
-	// may be a change that is sent again: the only group, or one that the
-	// caller names, still has its first answer.
+	// second try would not reach the first answer.
 	if d.Group == "" {
 		n, err := c.Node(ctx, "", d.Path)
-		if err != nil && corianderwing.CodeOf(err) != corianderwing.Unknown {
+		if err != nil {
 			return Accepted{}, err
 		}
 		d.Group = n.Group
@@ -103,7 +101,7 @@
 	c.fill(&d.Change)
 	if d.Group == "" { // for the same reason as in Drop
 		info, err := do[DrainInfo](ctx, c, call{method: http.MethodGet, path: "/v1/drains/" + string(d.Upstream)})
-		if err != nil && corianderwing.CodeOf(err) != corianderwing.Unknown {
+		if err != nil {
 			return Accepted{}, err
 		}
 		d.Group = info.Group
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -14,7 +14,6 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
-	"corianderwing/core/shift"
 	"corianderwing/core/state"
 )
 
@@ -23,11 +22,8 @@
 	Self        corianderwing.InstanceID
 	Incarnation corianderwing.Incarnation
 	Domain      corianderwing.DomainID
-	Region      corianderwing.RegionID
-	Links       []corianderwing.LinkCap // all link directions
 	Groups      []corianderwing.GroupID
 	Control     corianderwing.Control
-	Mover       Mover       // compares the versions of moves
 	Log         *log.Logger // default: the package's default logger
 
 	// Neighbours returns those that may lend tokens, nearest first. Optional.
@@ -44,8 +40,6 @@
 	cfg       Config
 	log       *log.Logger
 	followers []*follower
-	tally     tally
-	lines     map[corianderwing.RegionID]*line
 	homes     atomic.Pointer[map[corianderwing.WorkspaceID]*follower]
 
 	mu     sync.Mutex // guards change, and writes to homes
@@ -64,13 +58,10 @@
 	}
 	a := &Agent{cfg: cfg, log: cfg.Log}
 	a.homes.Store(&map[corianderwing.WorkspaceID]*follower{})
-	a.tally.counts = map[sampleKey]*shift.Sample{}
-	a.tally.shares = map[corianderwing.RequestID]heard{}
 	now := time.Now()
 	for _, g := range cfg.Groups {
 		a.followers = append(a.followers, newFollower(a, g, now))
 	}
-	a.lines = a.newLines()
 	return a
 }
 
@@ -82,9 +73,6 @@
 		wg.Go(func() { f.renew(ctx) })
 		wg.Go(func() { f.takeSeat(ctx) })
 		wg.Go(func() { f.notice(ctx) })
-		if a.cfg.Mover != nil {
-			wg.Go(func() { f.reportMoves(ctx) })
-		}
 	}
 	wg.Wait()
 }
--- a/io/agent/follow.go
+++ b/io/agent/follow.go
@@ -11,7 +11,6 @@
 	"corianderwing"
 	"corianderwing/core/share"
 	"corianderwing/core/state"
-	"corianderwing/io/clock"
 )
 
 const (
@@ -93,7 +92,7 @@
 		if err != nil && ctx.Err() == nil {
 			f.agent.log.Debug().Str("group", string(f.group)).Err(err).Msg("watch ended")
 		}
-		clock.Sleep(ctx, retryPause)
+		pause(ctx, retryPause)
 	}
 }
 
@@ -131,7 +130,6 @@
 		}
 		f.holder.Configure(now, corianderwing.RateBound(w), seat)
 	}
-	f.configureLinks(now, v, seated)
 	if f.bounds != nil {
 		for _, w := range f.bounds.Workspaces() {
 			if !v.Has(w) {
@@ -152,7 +150,7 @@
 
 // waitRenew waits until the next renewal is due.
 func (f *follower) waitRenew(ctx context.Context) {
-	clock.Sleep(ctx, renewGap)
+	pause(ctx, renewGap)
 	next := renewEvery
 	if f.quiet.Load() {
 		next = quietEvery
@@ -253,7 +251,7 @@
 	cfg := &f.agent.cfg
 	for n := 1; ctx.Err() == nil; n++ {
 		if _, ok := f.view.Load().Seat(cfg.Self); ok {
-			clock.Sleep(ctx, renewEvery)
+			pause(ctx, renewEvery)
 			continue
 		}
 		c := corianderwing.Command{
@@ -270,14 +268,14 @@
 		if err != nil {
 			f.agent.log.Info().Str("group", string(f.group)).Err(err).Msg("no seat yet")
 		}
-		clock.Sleep(ctx, renewEvery)
+		pause(ctx, renewEvery)
 	}
 }
 
 // notice reports changes of freshness, which pass without any event.
 func (f *follower) notice(ctx context.Context) {
 	was := false
-	for clock.Sleep(ctx, retryPause) {
+	for pause(ctx, retryPause) {
 		is := f.fresh(f.view.Load(), time.Now())
 		if is != was {
 			f.agent.changed()
@@ -285,3 +283,14 @@
 		was = is
 	}
 }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/io/ctrl/client.go
+++ b/io/ctrl/client.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"corianderwing"
-	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 )
 
@@ -159,7 +158,7 @@
 		if ctx.Err() != nil {
 			return nil, last
 		}
-		if tries%len(c.voters[g]) == 0 && !clock.Sleep(ctx, roundPause) {
+		if tries%len(c.voters[g]) == 0 && !pause(ctx, roundPause) {
 			return nil, last
 		}
 	}
@@ -174,6 +173,17 @@
 	return e.Code != corianderwing.NoLeader && e.Code != corianderwing.NoQuorum
 }
 
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 func (c *Client) pick(g corianderwing.GroupID) (Voter, error) {
 	voters := c.voters[g]
 	if len(voters) == 0 {
--- a/io/ctrl/host.go
+++ b/io/ctrl/host.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"corianderwing"
-	"corianderwing/core/link"
 	"corianderwing/core/share"
-	"corianderwing/core/shift"
 	"corianderwing/core/state"
 	"corianderwing/io/group"
 )
@@ -20,18 +18,12 @@
 	group   *group.Group
 	machine *state.Machine
 	leases  leases
-	broken  func(invariant, detail string)
-	links   []corianderwing.LinkCap
 
 	mu      sync.Mutex
 	term    corianderwing.Term     // of grantor
 	grantor *share.Grantor         // owned by the leader of term
 	settled corianderwing.Revision // that the grantor was first configured from
 	bounds  *state.View            // the view that the grantor is configured from
-
-	planMu   sync.Mutex
-	planTerm corianderwing.Term
-	plans    map[corianderwing.RequestID]*shift.Plan // owned by the leader of planTerm
 }
 
 // lead returns the term in which this instance leads the group, or NoLeader
@@ -111,24 +103,18 @@
 	if r.Term == term && r.Revision >= h.settled {
 		h.grantor.Introduce(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
 	}
-	broken := h.grantor.Broken()
 	grants = h.grantor.Update(now, r.Instance, r.Incarnation, r.Seq, r.Spends)
-	if h.grantor.Broken() != broken {
-		h.broken("share", "a pool and its grants exceed the burst in group "+string(h.id))
-	}
 	return grants, h.grantor.Waits(now)
 }
 
 // newGrantor starts the token pools of a new leadership. Every instance that
-// an earlier leader can have granted tokens to has a seat in the view. The
-// replica does not keep when limits changed last, so it assumes that they have
-// just changed.
+// an earlier leader can have granted tokens to has a seat in the view.
 func (h *host) newGrantor(now time.Time, term corianderwing.Term, view *state.View) {
 	var holders []corianderwing.InstanceID
 	for _, seat := range view.Seats() {
 		holders = append(holders, seat.Instance)
 	}
-	h.grantor = share.NewGrantor(share.WaitUntil(now, now), holders...)
+	h.grantor = share.NewGrantor(share.WaitUntil(now), holders...)
 	h.term = term
 	h.settled = view.Revision()
 	h.bounds = nil
@@ -144,12 +130,6 @@
 		_, pool := share.Divide(e.Rate, e.Burst, e.Fixed, view.SeatTotal())
 		h.grantor.Configure(now, corianderwing.RateBound(w), pool)
 	}
-	for _, c := range h.links {
-		if c.Group == h.id {
-			_, pool := link.Limits(c.Cap, view.SeatsIn(c.Domains))
-			h.grantor.Configure(now, corianderwing.LinkBound(c.From, c.To), pool)
-		}
-	}
 	h.forget(view)
 	h.bounds = view
 }
--- a/io/ctrl/identity.go
+++ b/io/ctrl/identity.go
@@ -15,7 +15,6 @@
 
 	"corianderwing"
 	"corianderwing/core/raft"
-	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/store"
 )
@@ -138,7 +137,7 @@
 		if err == nil {
 			return reply.OK, nil
 		}
-		if !clock.Sleep(ctx, 2*roundPause) {
+		if !pause(ctx, 2*roundPause) {
 			return false, eris.Wrapf(ctx.Err(), "ask %s to vouch for %s", v.ID, req.ID)
 		}
 	}
@@ -191,7 +190,7 @@
 		if err != nil {
 			s.log.Info().Str("group", string(h.id)).Err(err).Msg("not a voter yet")
 		}
-		if !clock.Sleep(ctx, time.Second) {
+		if !pause(ctx, time.Second) {
 			return
 		}
 	}
--- a/io/ctrl/mirror.go
+++ b/io/ctrl/mirror.go
@@ -9,7 +9,6 @@
 
 	"corianderwing"
 	"corianderwing/core/state"
-	"corianderwing/io/clock"
 )
 
 // Mirror follows the settings of every group for operators. Its reads are
@@ -47,7 +46,7 @@
 			for ctx.Err() == nil {
 				// A watch that ends is opened again after the revision reached.
 				_ = m.client.Watch(ctx, g, v.view.Load().Revision(), v.update)
-				clock.Sleep(ctx, 2*roundPause)
+				pause(ctx, 2*roundPause)
 			}
 		})
 	}
--- a/io/ctrl/server.go
+++ b/io/ctrl/server.go
@@ -29,7 +29,6 @@
 	Log     *log.Logger                       // default: the package's default logger
 	Broken  func(invariant, detail string)    // told about a broken invariant
 	Records *record.Holder                    // holds shipped records; nil refuses them
-	Links   []corianderwing.LinkCap           // all link directions
 }
 
 // Server is a control instance. It hosts a replica of each group that lists
@@ -104,9 +103,6 @@
 	peer.Handle(ps, joinMethod, func(ctx context.Context, r *joinRequest) (*empty, error) {
 		return onHost(s, r.Group, func(h *host) (*empty, error) { return &empty{}, h.join(ctx, r.ID) })
 	})
-	peer.Handle(ps, sampleMethod, func(ctx context.Context, r *SampleRequest) (*SampleReply, error) {
-		return onHost(s, r.Group, func(h *host) (*SampleReply, error) { return h.sample(ctx, r) })
-	})
 	peer.HandleStream(ps, watchMethod, func(ctx context.Context, r *watchRequest, send func(*corianderwing.Update) error) error {
 		_, err := onHost(s, r.Group, func(h *host) (*empty, error) { return nil, h.watch(ctx, r.After, send) })
 		return err
@@ -181,7 +177,7 @@
 	if err != nil {
 		return errors.Join(err, st.Close())
 	}
-	h := &host{id: id, self: self, broken: s.cfg.Broken, links: s.cfg.Links}
+	h := &host{id: id, self: self}
 	h.machine = state.New(id, state.WithReport(s.cfg.Broken))
 	cfg := group.Config{
 		Group:  id,
@@ -196,7 +192,6 @@
 		return errors.Join(eris.Wrapf(err, "open group %s", id), st.Close())
 	}
 	s.add(h)
-	go h.endMoves(ctx)
 	if self != s.cfg.Self {
 		go s.keepJoining(ctx, h)
 	}
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"corianderwing"
-	"corianderwing/io/clock"
 	"corianderwing/io/ctrl"
 	"corianderwing/io/peer"
 	"corianderwing/io/record"
@@ -38,7 +37,6 @@
 		Log:     d.log,
 		Broken:  d.opts.broken,
 		Records: holder,
-		Links:   d.cfg.LinkCaps(),
 	}, d.peer)
 	if err != nil {
 		return errors.Join(err, holder.Close())
@@ -81,7 +79,7 @@
 			}
 			d.log.Debug().Str("group", string(g)).Err(err).Msg("seed not applied yet")
 		}
-		clock.Sleep(d.ctx, seedPause)
+		pause(d.ctx, seedPause)
 	}
 }
 
@@ -134,3 +132,14 @@
 	c.server.Kill()
 	c.records.Close()
 }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -74,7 +74,6 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	o.broken = o.report(o.broken)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		cfg:     cfg,
@@ -93,19 +92,6 @@
 	return d, nil
 }
 
-// report returns a function that logs and counts a broken invariant before it
-// calls next.
-func (o *options) report(next func(invariant, detail string)) func(invariant, detail string) {
-	count := metrics.GetOrRegisterCounter("broken", o.metrics)
-	return func(invariant, detail string) {
-		count.Inc(1)
-		o.log.Error().Str("invariant", invariant).Str("detail", detail).Msg("an invariant is broken")
-		if next != nil {
-			next(invariant, detail)
-		}
-	}
-}
-
 func (d *Daemon) start() error {
 	if d.process.Control != nil {
 		if err := d.startControl(); err != nil {
--- a/io/daemon/entry.go
+++ b/io/daemon/entry.go
@@ -46,12 +46,9 @@
 		Self:        d.process.ID,
 		Incarnation: incarnation,
 		Domain:      d.process.Domain,
-		Region:      d.cfg.Region(d.process.Domain),
-		Links:       d.cfg.LinkCaps(),
 		Groups:      client.Groups(),
 		Control:     client,
 		Log:         d.log,
-		Mover:       mover{client},
 		Neighbours:  func() []agent.Lender { return lenders(e.fleet, d.peer) },
 	})
 	peer.Handle(e.peers, borrowMethod, func(_ context.Context, r *borrowRequest) (*borrowReply, error) {
@@ -167,20 +164,13 @@
 		Control:  client,
 		Fleet:    e.fleet,
 		Recorder: e.records,
-		Links:    e.agent,
 		Secret:   d.cfg.Secret,
 		Home: func(w corianderwing.WorkspaceID) corianderwing.GroupID {
 			g, _ := e.agent.Home(w)
 			return g
 		},
 		SetPhase: e.fleet.SetPhase,
-		Shift:    e.agent.Shift,
-		Observe: func(s entry.Sample) {
-			if at, ok := attemptOf(s); ok {
-				e.agent.Observe(at)
-			}
-		},
-		Metrics: d.opts.metrics,
+		Metrics:  d.opts.metrics,
 	}, entry.WithLookup(d.opts.lookup))
 	if err != nil {
 		return err
--- a/io/daemon/wire.go
+++ b/io/daemon/wire.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 
 	"corianderwing"
 	"corianderwing/core/member"
 	"corianderwing/io/agent"
-	"corianderwing/io/ctrl"
-	"corianderwing/io/entry"
 	"corianderwing/io/peer"
 )
 
@@ -55,46 +52,6 @@
 	return reply.Tokens, reply.Left, nil
 }
 
-// mover reports samples of moves to the leaders of their groups. It
-// implements agent.Mover.
-type mover struct{ client *ctrl.Client }
-
-// Sample implements agent.Mover.
-func (m mover) Sample(ctx context.Context, g corianderwing.GroupID, moves []agent.Counted) (map[corianderwing.RequestID]float64, error) {
-	req := ctrl.SampleRequest{Group: g}
-	for _, c := range moves {
-		req.Reports = append(req.Reports, ctrl.MoveReport{Pool: c.Pool, Move: c.Move, Samples: c.Samples})
-	}
-	reply, err := m.client.Sample(ctx, req)
-	if err != nil {
-		return nil, err
-	}
-	shares := map[corianderwing.RequestID]float64{}
-	for _, s := range reply.Shares {
-		shares[s.Move] = s.Share
-	}
-	return shares, nil
-}
-
-// attemptOf turns the entry role's sample into evidence for a move. Refusals
-// for lack of capacity and attempts that we cut say nothing about a version.
-// Routes of the same name count together over all workspaces: they reach the
-// same code of the upstreams, and a small workspace alone has too few requests.
-func attemptOf(s entry.Sample) (agent.Attempt, bool) {
-	switch s.Code {
-	case corianderwing.Shed, corianderwing.CallerGone, corianderwing.KeyRevoked,
-		corianderwing.NoCapacity, corianderwing.CutBody, corianderwing.BigBody, corianderwing.Stopping:
-		return agent.Attempt{}, false
-	}
-	return agent.Attempt{
-		Pool:    s.Pool,
-		Route:   corianderwing.Path{Service: s.Service, Route: s.Route},
-		Version: s.Version,
-		Failed:  s.Code != corianderwing.OK || s.Status >= http.StatusInternalServerError,
-		First:   s.First,
-	}, true
-}
-
 // lenders returns the other live instances of the same failure domain.
 func lenders(f corianderwing.Fleet, pc *peer.Client) []agent.Lender {
 	self := f.Self()
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	_ "embed"
+	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -16,7 +16,6 @@
 
 	"corianderwing"
 	"corianderwing/io/admin"
-	"corianderwing/io/clock"
 	"corianderwing/io/load"
 )
 
@@ -36,8 +35,6 @@
 	drainBound = 5 * time.Second
 	// leaderBound is how long a group may be without a leader after a kill.
 	leaderBound = 10 * time.Second
-	// tableEvery is the number of seconds between two tables of workspaces.
-	tableEvery = 5
 	// probeWorkspace is whose key is revoked on the way.
 	probeWorkspace = corianderwing.WorkspaceID("prober")
 	probePath      = "/prober/motif-catalogue/stock"
@@ -91,7 +88,6 @@
 	fleet   *fleet
 	counter *counter
 	client  *http.Client
-	lines   int // of the live view
 	summary Summary
 }
 
@@ -107,7 +103,7 @@
 		return nil, err
 	}
 	d := &demo{opts: opts, fleet: f}
-	d.counter = newCounter(&http.Transport{MaxIdleConnsPerHost: 256})
+	d.counter = &counter{next: &http.Transport{MaxIdleConnsPerHost: 256}, codes: map[string]int{}}
 	d.client = &http.Client{Transport: d.counter.next, Timeout: 10 * time.Second}
 	d.summary.Seed, d.summary.Broken = opts.Seed, []string{}
 	err = d.run(ctx)
@@ -177,32 +173,24 @@
 		probe := &prober{client: d.client, key: key, path: probePath}
 		for probe.served.Load() == 0 {
 			probe.once(ctx, p.Entry.Public)
-			if !clock.Sleep(ctx, 20*time.Millisecond) {
-				return eris.Wrapf(ctx.Err(), "%s does not serve", p.ID)
+			if err := sleep(ctx, 20*time.Millisecond); err != nil {
+				return eris.Wrapf(err, "%s does not serve", p.ID)
 			}
 		}
 	}
 	return nil
 }
 
-// live prints one line of the live view for each second, and a table of the
-// workspaces now and then.
+// live prints one line of the live view.
 func (d *demo) live(sent, planned int) {
+	codes, mean := d.counter.take()
 	var parts []string
-	for c, n := range d.counter.takeCodes() {
+	for c, n := range codes {
 		parts = append(parts, fmt.Sprintf("%s:%d", codeName(c), n))
 	}
 	slices.Sort(parts)
-	fmt.Fprintf(d.opts.Live, "%6d of %d sent  %s\n", sent, planned, strings.Join(parts, " "))
-	if d.lines++; d.lines%tableEvery != 0 {
-		return
-	}
-	all := d.counter.takeWorkspaces()
-	for _, name := range slices.Sorted(maps.Keys(all)) {
-		t := all[name]
-		fmt.Fprintf(d.opts.Live, "       %-16s served %5d  refused %5d  first byte p50 %6.1f ms  p99 %6.1f ms\n", name, t.served, t.refused,
-			float64(t.first.ValueAtPercentile(50))/1000, float64(t.first.ValueAtPercentile(99))/1000)
-	}
+	fmt.Fprintf(d.opts.Live, "%6d of %d sent  first byte %5.1f ms  %s\n",
+		sent, planned, float64(mean.Microseconds())/1000, strings.Join(parts, " "))
 }
 
 func codeName(text string) string {
@@ -223,7 +211,7 @@
 	}{{0.1, d.revokeKey}, {0.35, d.drainUpstream}, {0.65, d.killLeader}}
 	for _, step := range steps {
 		due := start.Add(time.Duration(step.at * float64(d.opts.For)))
-		if !clock.Sleep(ctx, time.Until(due)) {
+		if sleep(ctx, time.Until(due)) != nil {
 			return nil // the traffic ended first
 		}
 		// A step ends even if the traffic ends meanwhile: its bounds count.
@@ -246,16 +234,16 @@
 	if err := d.fleet.admin.Await(ctx, key.Group, key.Revision); err != nil {
 		return err
 	}
-	clock.Sleep(ctx, 300*time.Millisecond)
+	_ = sleep(ctx, 300*time.Millisecond)
 	a, err := d.fleet.admin.RevokeKey(ctx, admin.RevokeKey{Workspace: probeWorkspace, ID: key.Key.ID})
 	if err != nil {
 		return eris.Wrap(err, "revoke the key")
 	}
 	accepted := time.Now()
 	fmt.Fprintf(d.opts.Live, "-- revoked key %s at revision %d\n", key.Key.ID, a.Revision)
-	clock.Sleep(ctx, keyBound)
+	_ = sleep(ctx, keyBound)
 	before := probe.served.Load()
-	clock.Sleep(ctx, 500*time.Millisecond)
+	_ = sleep(ctx, 500*time.Millisecond)
 	d.summary.Key = KeyStep{
 		Done:   true,
 		Served: probe.served.Load(),
@@ -276,13 +264,13 @@
 	}
 	accepted := time.Now()
 	fmt.Fprintf(d.opts.Live, "-- drained upstream %s at revision %d\n", id, a.Revision)
-	clock.Sleep(ctx, drainBound)
+	_ = sleep(ctx, drainBound)
 	last, late := d.fleet.latestRun(id, accepted)
 	d.summary.Drain = DrainStep{Done: true, Upstream: id, After: late}
 	if late > 0 {
 		d.summary.Drain.Late = last.Sub(accepted).Milliseconds()
 	}
-	clock.Sleep(ctx, 500*time.Millisecond)
+	_ = sleep(ctx, 500*time.Millisecond)
 	if again, _ := d.fleet.latestRun(id, accepted); again.After(accepted.Add(drainBound)) {
 		d.broke("I11: upstream %s got new work %v after the drain was accepted", id, drainBound)
 	}
@@ -340,3 +328,14 @@
 		d.broke("the upstreams' logs could not be read in full")
 	}
 }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.New("stopped")
+	case <-t.C:
+		return nil
+	}
+}
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -25,7 +25,6 @@
 	"corianderwing/io/admin"
 	"corianderwing/io/conf"
 	"corianderwing/io/daemon"
-	"corianderwing/io/local"
 	"corianderwing/io/stub"
 )
 
@@ -133,12 +132,25 @@
 	for i := range f.cfg.Stubs {
 		addrs = append(addrs, &f.cfg.Stubs[i].Address)
 	}
+	return freePorts(addrs)
+}
+
+// freePorts sets each address to a loopback port that is free now. All are
+// held until the last one is known, so that they differ.
+func freePorts(addrs []*string) error {
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			l.Close()
+		}
+	}()
 	for _, addr := range addrs {
-		free, err := local.Addr()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return eris.Wrap(err, "find a free port")
 		}
-		*addr = free
+		held = append(held, l)
+		*addr = l.Addr().String()
 	}
 	return nil
 }
--- a/io/demo/probe.go
+++ b/io/demo/probe.go
@@ -3,44 +3,27 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"corianderwing"
 )
 
-// counter counts answers for the live view.
+// counter counts answers by result code for the live view.
 type counter struct {
 	next http.RoundTripper
 
-	mu         sync.Mutex
-	codes      map[string]int
-	workspaces map[string]*tally
-}
-
-// tally is what the callers of one workspace saw since the last look.
-type tally struct {
-	served  int
-	refused int
-	first   *hdrhistogram.Histogram // time to the first byte of served answers, us
-}
-
-// longest is the longest time that the live view tells apart.
-const longest = 10 * time.Second
-
-func newCounter(next http.RoundTripper) *counter {
-	return &counter{next: next, codes: map[string]int{}, workspaces: map[string]*tally{}}
+	mu    sync.Mutex
+	codes map[string]int
+	sum   time.Duration
+	count int
 }
 
 // RoundTrip implements http.RoundTripper.
 func (c *counter) RoundTrip(r *http.Request) (*http.Response, error) {
 	start := time.Now()
 	resp, err := c.next.RoundTrip(r)
-	took := time.Since(start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
@@ -49,43 +32,23 @@
 	}
 	if code := resp.Header.Get("Cw-Code"); code != "" {
 		c.codes[code]++
-		c.count(r.URL.Path, resp.StatusCode, took)
+		c.sum += time.Since(start)
+		c.count++
 	}
 	return resp, err
 }
 
-func (c *counter) count(path string, status int, took time.Duration) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	t := c.workspaces[name]
-	if t == nil {
-		t = &tally{first: hdrhistogram.New(1, longest.Microseconds(), 2)}
-		c.workspaces[name] = t
-	}
-	if status >= http.StatusBadRequest {
-		t.refused++
-		return
-	}
-	t.served++
-	// A value beyond the longest time is left out of the live view only.
-	_ = t.first.RecordValue(took.Microseconds())
-}
-
-// takeCodes returns the counts by code since the last call.
-func (c *counter) takeCodes() map[string]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	codes := c.codes
-	c.codes = map[string]int{}
-	return codes
-}
-
-// takeWorkspaces returns the counts by workspace since the last call.
-func (c *counter) takeWorkspaces() map[string]*tally {
+// take returns the counts since the last call and the mean time to the first
+// byte.
+func (c *counter) take() (codes map[string]int, mean time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := c.workspaces
-	c.workspaces = map[string]*tally{}
-	return all
+	codes, c.codes = c.codes, map[string]int{}
+	if c.count > 0 {
+		mean = c.sum / time.Duration(c.count)
+	}
+	c.sum, c.count = 0, 0
+	return codes, mean
 }
 
 // prober sends requests with one key all the time, over every entry instance,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -31,8 +31,6 @@
 	Control  corianderwing.Control
 	Fleet    corianderwing.Fleet
 	Recorder corianderwing.Recorder
-	// Links bounds what is sent to other regions. Without it nothing does.
-	Links corianderwing.Links
 
 	// Secret is the fleet's secret: it keys the hashes of callers' keys and
 	// the token of hand-overs.
@@ -80,8 +78,6 @@
 	hosts   sync.Map // inner address → *peer
 	suspect sync.Map // corianderwing.InstanceID → time.Time until which others are preferred
 	times   sync.Map // routeID → *atomic.Int64
-	full    sync.Map // corianderwing.RegionID → time.Time until which its link to us is full
-	sizes   sync.Map // routeID → *link.Size
 	views   atomic.Pointer[map[corianderwing.PoolID]*plan]
 	planMu  sync.Mutex // serialises writers of views
 
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -20,15 +20,14 @@
 	hService   = "Cw-Service"
 	hRoute     = "Cw-Route"
 	hClass     = "Cw-Class"
-	hPool      = "Cw-Pool"   // between instances, from here on
-	hOnce      = "Cw-Once"   // 1 for a route that is not idempotent
-	hTries     = "Cw-Tries"  // attempts left
-	hWait      = "Cw-Wait"   // longest wait for a slot, ms
-	hHops      = "Cw-Hops"   // hand-overs so far
-	hToken     = "Cw-Token"  // proves that the sender belongs to the fleet
-	hRegion    = "Cw-Region" // region of the sender, if it is another one
-	hTook      = "Cw-Took"   // time at the pool owner until the answer's header, µs
-	hTried     = "Cw-Tried"  // attempts at upstreams
+	hPool      = "Cw-Pool"  // between instances, from here on
+	hOnce      = "Cw-Once"  // 1 for a route that is not idempotent
+	hTries     = "Cw-Tries" // attempts left
+	hWait      = "Cw-Wait"  // longest wait for a slot, ms
+	hHops      = "Cw-Hops"  // hand-overs so far
+	hToken     = "Cw-Token" // proves that the sender belongs to the fleet
+	hTook      = "Cw-Took"  // time at the pool owner until the answer's header, µs
+	hTried     = "Cw-Tried" // attempts at upstreams
 )
 
 // hopByHop holds the headers that concern one connection only, and those that
--- a/io/entry/inner.go
+++ b/io/entry/inner.go
@@ -27,14 +27,7 @@
 		writeError(w, e)
 		return
 	}
-	pace, stop := s.paceAnswer(r, j)
-	defer stop()
-	w = pace.writer(w)
 	w.Header()[hRequest] = []string{string(j.id)}
-	if e := s.bookAnswer(pace, j); e != nil {
-		writeError(w, e)
-		return
-	}
 	ctx, cut, done := bound(r.Context(), j.deadline)
 	defer done()
 	var run runner
@@ -61,7 +54,6 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	s.learn(pace, j)
 }
 
 // maxInner bounds the body of a handed-over request. The first entry instance
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -126,8 +124,8 @@
 		return
 	}
 	var u corianderwing.Upstream
-	if err := strict(raw, &u); err != nil {
-		writeError(w, corianderwing.Errorf(corianderwing.BadInput, "announcement: %v", err))
+	if err := json.Unmarshal(raw, &u); err != nil {
+		writeError(w, corianderwing.Errorf(corianderwing.BadInput, "%v", err))
 		return
 	}
 	if u.Domain == "" {
@@ -144,20 +142,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// strict decodes JSON without unknown fields or text after it, so that a
-// misspelt field is not lost.
-func strict(raw []byte, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("there is text after the object")
-	}
-	return nil
-}
-
 func (s *Server) checkUpstream(u corianderwing.Upstream) *corianderwing.Error {
 	bad := func(field string, v any) *corianderwing.Error {
 		return corianderwing.Errorf(corianderwing.BadInput, "field %s: %v", field, v)
--- a/io/entry/meter.go
+++ b/io/entry/meter.go
@@ -24,7 +24,7 @@
 }
 
 func newMeter(r metrics.Registry) *meter {
-	return &meter{registry: r, invariants: metrics.GetOrRegisterCounter("broken", r)}
+	return &meter{registry: r, invariants: metrics.GetOrRegisterCounter("invariants", r)}
 }
 
 // broken counts a broken invariant.
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -28,7 +28,6 @@
 	id     corianderwing.RequestID
 	fresh  bool      // use a new connection
 	first  time.Time // deadline of the first byte of the answer
-	pace   *pacer    // pays for what is sent; nil within a region
 }
 
 // answer is the answer to a call. Its reader must be read to the end, or
@@ -108,7 +107,7 @@
 
 func (a *answer) write(c call) error {
 	bw := a.conn.bw
-	bw.Reset(c.pace.out(a.conn))
+	bw.Reset(a.conn)
 	bw.WriteString(c.method)
 	bw.WriteByte(' ')
 	bw.WriteString(c.uri)
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -57,7 +57,6 @@
 		if e == nil {
 			return rep, nil
 		}
-		e = sinceLast(last, e)
 		last = e
 		if s.again(j, e) == retry.Never {
 			return nil, e
@@ -86,7 +85,7 @@
 // is gone or has no upstreams was not loaded by the request.
 func (s *Server) mayMove(j *job, e *corianderwing.Error) bool {
 	switch e.Code {
-	case corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping, corianderwing.LinkFull:
+	case corianderwing.NoUpstream, corianderwing.NotOwner, corianderwing.Stopping:
 		return true
 	case corianderwing.ConnFail:
 		if len(j.attempts) == 0 {
@@ -109,11 +108,6 @@
 
 // hop hands a request over to the owner of a pool.
 func (s *Server) hop(ctx context.Context, j *job, owner corianderwing.Instance) (*reply, *corianderwing.Error) {
-	pace, e := s.bookRequest(ctx, j, owner.Region)
-	if e != nil {
-		return nil, e
-	}
-	defer pace.settle()
 	start := time.Now()
 	pr := s.peer(owner.Inner)
 	first := s.hopDeadline(j, start)
@@ -126,12 +120,11 @@
 		uri:    j.uri,
 		name:   j.host,
 		header: j.header,
-		extra:  s.hopHeader(j, first.Add(-back), start, pace != nil),
+		extra:  s.hopHeader(j, first.Add(-back), start),
 		body:   j.body,
 		id:     j.id,
 		fresh:  j.once && !s.opt.reuse,
 		first:  first,
-		pace:   pace,
 	})
 	if e != nil {
 		s.lost(pr, owner, e, time.Since(start))
@@ -153,15 +146,12 @@
 		a.discard()
 		return nil, corianderwing.Errorf(corianderwing.Crossed, "owner %s sent no result code", owner.ID)
 	}
-	e = refusalOf(a)
-	s.noteFull(owner.Region, e)
-	return nil, e
+	return nil, refusalOf(a)
 }
 
-// hopHeader returns the headers of a hand-over. Far tells that it crosses a
-// link between regions, so that the owner paces the answer.
-func (s *Server) hopHeader(j *job, deadline, now time.Time, far bool) []field {
-	h := append(attemptHeader(j, deadline, now, 7),
+// hopHeader returns the headers of a hand-over.
+func (s *Server) hopHeader(j *job, deadline, now time.Time) []field {
+	h := append(attemptHeader(j, deadline, now, 6),
 		field{hPool, string(j.pool)},
 		field{hTries, strconv.Itoa(j.tries)},
 		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
@@ -171,9 +161,6 @@
 	if j.once {
 		h = append(h, field{hOnce, "1"})
 	}
-	if far {
-		h = append(h, field{hRegion, string(s.self.Region)})
-	}
 	return h
 }
 
