--- a/cmd/corianderwing/move_test.go
+++ b/cmd/corianderwing/move_test.go
@@ -29,8 +29,8 @@
 	return client
 }
 
-// traffic sends requests from several callers until stop is called.
-func (f *processes) traffic() (stop func()) {
+// steady sends requests from several callers until stop is called.
+func (f *processes) steady() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for c := range 8 {
@@ -111,7 +111,7 @@
 	f := newProcesses(t)
 	f.startAll()
 	f.ready()
-	stop := f.traffic()
+	stop := f.steady()
 	defer stop()
 
 	f.version("v2")
