Count a request as slow only beyond 1.4 times the old quantile

Cause: TestMoves on a machine at load 25 rolled back a good version with 50% of its requests over the old median beside 57% of the old version's: as the share grows, the new version carries the load and the old one loses it. Ruled out: a larger difference alone (0.1 was reached near the end of the ramp). Change: the threshold is one latency bucket above the old version's quantile.

--- a/core/shift/route.go
+++ b/core/shift/route.go
@@ -143,10 +143,12 @@
 }
 
 // slow compares the requests that are slower than a quantile of the old
-// version, and returns the evidence of a fault or nothing.
+// version by a bucket, a factor of 1.4, and returns the evidence of a fault or
+// nothing. A new version takes over the load while the old one loses it, so
+// that a smaller difference shows the load and not the version.
 func (r *route) slow(p *process, quantile float64) string {
 	from, to := &r.block[0], &r.block[1]
-	i := r.past.quantile(quantile)
+	i := min(r.past.quantile(quantile)+1, Buckets-1)
 	rate := (r.past.above(i) + 0.5) / (r.past.count + 1)
 	p.update(rate, pair{from.count, from.above(i)}, pair{to.count, to.above(i)})
 	if !p.shown() || !p.exceeds(minSlower) {
