--- a/cmd/corianderwing/stop_test.go
+++ b/cmd/corianderwing/stop_test.go
@@ -126,7 +126,7 @@
 	})
 	f.settled()
 	tr := f.traffic(8)
-	tr.more(f, 3000) // each instance renews its plan of owners once a second
+	tr.more(f, 3000) // each instance renews its plan of owners every 500 ms
 	f.signal("e1", syscall.SIGTERM)
 	began := time.Now()
 	is.NoErr(f.running["e1"].Wait()) // it ends by itself, with status 0
