--- a/io/entry/plan.go
+++ b/io/entry/plan.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,15 @@
 	return all[id]
 }
 
+// refresh renews the plan of one pool, for a request that met no owner by it.
+func (s *Server) refresh(id corianderwing.PoolID) {
+	s.planMu.Lock()
+	defer s.planMu.Unlock()
+	all := maps.Clone(*s.views.Load())
+	all[id] = s.newPlan(id)
+	s.views.Store(&all)
+}
+
 func (s *Server) newPlan(id corianderwing.PoolID) *plan {
 	p := &plan{}
 	for rank, d := range s.cfg.Fleet.Domains(id) {
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -39,6 +39,7 @@
 		if next.After(giveUp) || next.After(j.deadline) || s.again(j, e) == retry.Never || pause(ctx, ownerWait) != nil {
 			return nil, e
 		}
+		s.refresh(j.pool)
 	}
 }
 
