Test shares of links at agents and at the leader

Cause: the wiring of link caps in io/agent and io/ctrl had no test.

Change: two agents in virtual time share a link with a leader; an agent without its group goes on with its fixed part; a leader grants the links of its own group only.

Conclusion: the wiring is covered, but not by a run that fails without it.

--- /dev/null
+++ b/io/agent/link_test.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/link"
+	"corianderwing/core/share"
+	"corianderwing/core/state"
+)
+
+const testCap = 10_000_000 // bytes/s
+
+// control is a group with one replica that is its leader.
+type control struct {
+	mu      sync.Mutex
+	machine *state.Machine
+	grantor *share.Grantor
+	index   corianderwing.Index
+	cut     bool // renewals fail
+}
+
+func (c *control) Propose(_ context.Context, _ corianderwing.GroupID, cmd corianderwing.Command) (corianderwing.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cmd.Now = time.Now()
+	data, err := state.EncodeCommand(cmd)
+	if err != nil {
+		return corianderwing.Result{}, err
+	}
+	c.index++
+	return state.DecodeResult(c.machine.Apply(c.index, data))
+}
+
+func (c *control) Renew(_ context.Context, r corianderwing.Renew) (corianderwing.Renewed, error) {
+	time.Sleep(2 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut {
+		return corianderwing.Renewed{}, corianderwing.Errorf(corianderwing.NoLeader, "test")
+	}
+	return corianderwing.Renewed{
+		Revision: c.machine.View().Revision(),
+		Left:     3000,
+		Grants:   c.grantor.Update(time.Now(), r.Instance, r.Incarnation, r.Seq, r.Spends),
+	}, nil
+}
+
+func (c *control) Watch(ctx context.Context, _ corianderwing.GroupID, _ corianderwing.Revision, f func(corianderwing.Update) error) error {
+	for {
+		changed := c.machine.Changed()
+		u, err := c.machine.View().Snapshot()
+		if err == nil {
+			err = f(u)
+		}
+		if err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// testAgents starts two agents of one region, and waits until their shares of
+// the link are in force.
+func testAgents(ctx context.Context) (*control, []*Agent) {
+	c := &control{machine: state.New("g"), grantor: share.NewGrantor(time.Now())}
+	links := []corianderwing.LinkCap{{From: "x", To: "y", Cap: testCap, Group: "g", Domains: []corianderwing.DomainID{"x-a"}}}
+	_, pool := link.Limits(testCap, 2)
+	c.grantor.Configure(time.Now(), corianderwing.LinkBound("x", "y"), pool)
+	var agents []*Agent
+	for _, id := range []corianderwing.InstanceID{"i1", "i2"} {
+		a := New(Config{Self: id, Incarnation: 1, Domain: "x-a", Region: "x", Groups: []corianderwing.GroupID{"g"}, Control: c, Links: links})
+		agents = append(agents, a)
+		go a.Run(ctx)
+	}
+	time.Sleep(10 * time.Second)
+	return c, agents
+}
+
+// Guards against instances that together pay for more than the cap, against
+// payments that use little of it, and against a wait that outlasts its request.
+func TestAgentsShareTheCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		_, agents := testAgents(ctx)
+		is.NoErr(agents[0].Reserve(ctx, "y", 100_000))
+		agents[0].Settle("y", 100_000)
+		is.Equal(corianderwing.CodeOf(agents[0].Reserve(ctx, "z", 1)), corianderwing.LinkFull) // no link
+		run, stop := context.WithTimeout(ctx, 10*time.Second)
+		var mu sync.Mutex
+		const rate = 0.9 * testCap
+		level, least, sum, at := 0.1*rate, 0.0, 0.0, time.Now()
+		for i := range 200 {
+			go func() {
+				for {
+					n, err := agents[min(i, 1)].Pay(run, "y", 32<<10) // one at i1, the others at i2
+					if err != nil {
+						return
+					}
+					mu.Lock()
+					level = min(0.1*rate, level+rate*time.Since(at).Seconds()) - float64(n)
+					at = time.Now()
+					least = min(least, level)
+					sum += float64(n)
+					mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		is.Equal(corianderwing.CodeOf(agents[1].Reserve(ctx, "y", 10<<20)), corianderwing.LinkFull)
+		<-run.Done()
+		stop()
+		synctest.Wait()
+		is.True(least >= 0) // no window has more than rate and burst
+		t.Logf("%.0f%% of the rate was used", 100*sum/(10*rate))
+		is.True(sum > 0.5*10*rate)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an instance that cannot renew and then sends nothing, or more
+// than its fixed part.
+func TestAgentWithoutItsGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		c, agents := testAgents(ctx)
+		c.mu.Lock()
+		c.cut = true
+		c.mu.Unlock()
+		time.Sleep(4 * time.Second) // grants have expired
+		run, stop := context.WithTimeout(ctx, 10*time.Second)
+		sum := 0.0
+		for {
+			n, err := agents[0].Pay(run, "y", 32<<10)
+			if err != nil {
+				break
+			}
+			sum += float64(n)
+		}
+		stop()
+		seat, _ := link.Limits(testCap, 2)
+		most := (float64(seat.Rate)*10 + seat.Burst) * link.Unit
+		t.Logf("%.0f%% of the fixed part was used", 100*sum/most)
+		is.True(sum <= most)
+		is.True(sum > 0.9*most)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/io/ctrl/link_test.go
@@ -0,0 +1,37 @@
+package ctrl
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/state"
+)
+
+// Guards against a leader that grants no tokens of its group's links, or
+// tokens of a link that another group grants.
+func TestLeaderGrantsItsLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &host{id: "g", machine: state.New("g"), links: []corianderwing.LinkCap{
+			{From: "x", To: "y", Cap: 1_000_000, Group: "g", Domains: []corianderwing.DomainID{"x-a"}},
+			{From: "y", To: "x", Cap: 1_000_000, Group: "other", Domains: []corianderwing.DomainID{"y-a"}},
+		}}
+		ask := func(seq uint64) []corianderwing.Grant {
+			grants, _ := h.grant(1, h.machine.View(), &corianderwing.Renew{Instance: "i", Incarnation: 1, Seq: seq, Spends: []corianderwing.Spend{
+				{Bound: corianderwing.LinkBound("x", "y"), Want: 10},
+				{Bound: corianderwing.LinkBound("y", "x"), Want: 10},
+			}})
+			return grants
+		}
+		is.Equal(len(ask(1)), 0) // the leader is new
+		time.Sleep(4 * time.Second)
+		got := ask(2)
+		is.Equal(len(got), 1)
+		is.Equal(got[0].Bound, corianderwing.LinkBound("x", "y"))
+		is.Equal(got[0].Tokens, corianderwing.Tokens(10))
+	})
+}
