--- a/io/ctrl/link_test.go
+++ b/io/ctrl/link_test.go
@@ -20,6 +20,12 @@
 			{From: "x", To: "y", Cap: 1_000_000, Group: "g", Domains: []corianderwing.DomainID{"x-a"}},
 			{From: "y", To: "x", Cap: 1_000_000, Group: "other", Domains: []corianderwing.DomainID{"y-a"}},
 		}}
+		seat, err := state.EncodeCommand(corianderwing.Command{
+			Request: "seat", Kind: corianderwing.TakeSeat, Now: time.Now(),
+			Seat: &corianderwing.Seat{Domain: "x-a", Instance: "i"},
+		})
+		is.NoErr(err)
+		h.machine.Apply(1, seat) // only instances with a seat get tokens
 		ask := func(seq uint64) []corianderwing.Grant {
 			grants, _ := h.grant(1, h.machine.View(), &corianderwing.Renew{Instance: "i", Incarnation: 1, Seq: seq, Spends: []corianderwing.Spend{
 				{Bound: corianderwing.LinkBound("x", "y"), Want: 10},
