--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -26,6 +26,7 @@
 	quiet   bool // grants nothing
 	stuck   bool // watches deliver nothing
 	watches int
+	delay   time.Duration // of a renewal
 }
 
 func newLeader() *leader {
@@ -51,6 +52,7 @@
 }
 
 func (l *leader) Renew(_ context.Context, r corianderwing.Renew) (corianderwing.Renewed, error) {
+	time.Sleep(l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cut {
--- a/io/agent/link_test.go
+++ b/io/agent/link_test.go
@@ -11,75 +11,21 @@
 
 	"corianderwing"
 	"corianderwing/core/link"
-	"corianderwing/core/share"
-	"corianderwing/core/state"
 )
 
 const testCap = 10_000_000 // bytes/s
 
-// control is a group with one replica that is its leader.
-type control struct {
-	mu      sync.Mutex
-	machine *state.Machine
-	grantor *share.Grantor
-	index   corianderwing.Index
-	cut     bool // renewals fail
-}
-
-func (c *control) Propose(_ context.Context, _ corianderwing.GroupID, cmd corianderwing.Command) (corianderwing.Result, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cmd.Now = time.Now()
-	data, err := state.EncodeCommand(cmd)
-	if err != nil {
-		return corianderwing.Result{}, err
-	}
-	c.index++
-	return state.DecodeResult(c.machine.Apply(c.index, data))
-}
-
-func (c *control) Renew(_ context.Context, r corianderwing.Renew) (corianderwing.Renewed, error) {
-	time.Sleep(2 * time.Millisecond)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cut {
-		return corianderwing.Renewed{}, corianderwing.Errorf(corianderwing.NoLeader, "test")
-	}
-	return corianderwing.Renewed{
-		Revision: c.machine.View().Revision(),
-		Left:     3000,
-		Grants:   c.grantor.Update(time.Now(), r.Instance, r.Incarnation, r.Seq, r.Spends),
-	}, nil
-}
-
-func (c *control) Watch(ctx context.Context, _ corianderwing.GroupID, _ corianderwing.Revision, f func(corianderwing.Update) error) error {
-	for {
-		changed := c.machine.Changed()
-		u, err := c.machine.View().Snapshot()
-		if err == nil {
-			err = f(u)
-		}
-		if err != nil {
-			return err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // testAgents starts two agents of one region, and waits until their shares of
 // the link are in force.
-func testAgents(ctx context.Context) (*control, []*Agent) {
-	c := &control{machine: state.New("g"), grantor: share.NewGrantor(time.Now())}
-	links := []corianderwing.LinkCap{{From: "x", To: "y", Cap: testCap, Group: "g", Domains: []corianderwing.DomainID{"x-a"}}}
+func testAgents(ctx context.Context) (*leader, []*Agent) {
+	c := newLeader()
+	c.delay = 2 * time.Millisecond
+	links := []corianderwing.LinkCap{{From: "x", To: "y", Cap: testCap, Group: "home", Domains: []corianderwing.DomainID{"x-a"}}}
 	_, pool := link.Limits(testCap, 2)
 	c.grantor.Configure(time.Now(), corianderwing.LinkBound("x", "y"), pool)
 	var agents []*Agent
 	for _, id := range []corianderwing.InstanceID{"i1", "i2"} {
-		a := New(Config{Self: id, Incarnation: 1, Domain: "x-a", Region: "x", Groups: []corianderwing.GroupID{"g"}, Control: c, Links: links})
+		a := New(Config{Self: id, Incarnation: 1, Domain: "x-a", Region: "x", Groups: []corianderwing.GroupID{"home"}, Control: c, Links: links})
 		agents = append(agents, a)
 		go a.Run(ctx)
 	}
@@ -137,9 +83,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		c, agents := testAgents(ctx)
-		c.mu.Lock()
-		c.cut = true
-		c.mu.Unlock()
+		c.set(&c.cut, true)
 		time.Sleep(4 * time.Second) // grants have expired
 		run, stop := context.WithTimeout(ctx, 10*time.Second)
 		sum := 0.0
