Use the shared sleep in io/entry and io/slope

Cause: three copies of one function. Ruled out: one error value for all (io/entry needs the cause of the context). Change: both call clock.Sleep. Before and after: go test ./io/entry passes.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,6 +22,7 @@
 	"corianderwing/core/queue"
 	"corianderwing/core/retry"
 	"corianderwing/core/route"
+	"corianderwing/io/clock"
 )
 
 // Config holds what an entry instance needs from the rest of the process.
@@ -273,14 +274,10 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return context.Cause(ctx)
 	}
+	return nil
 }
 
 // nextID returns a request id that no other request of the fleet has.
--- a/io/slope/slope.go
+++ b/io/slope/slope.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"corianderwing/io/clock"
 )
 
 // Point is one measurement: the cost Y at the size X.
@@ -190,12 +192,8 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
