Say expire where the code said lapse, and replicated log

Change: comments and unexported names only. Before and after: go test ./core/share ./core/member ./core/queue ./io/fleet . passes.

--- a/change.go
+++ b/change.go
@@ -21,7 +21,7 @@
 	Settle    Kind = "settle"  // store the outcome of a claimed order
 )
 
-// Command is one entry of a group's agreed log. Only the fields of its Kind
+// Command is one entry of a group's replicated log. Only the fields of its Kind
 // are set. Now is stamped by the leader, so that every replica decides alike.
 type Command struct {
 	Request  RequestID `json:"request"`
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -106,14 +106,14 @@
 	m := Gossip{From: s.self.ID, Digest: s.Digest(now), News: []News{s.own(now)}}
 	for id, p := range s.members {
 		k, ok := has[id]
-		if (!ok || newer(p.Incarnation, p.Seq, k.Incarnation, k.Seq)) && (p.Phase == corianderwing.Left || !p.lapsed(now)) {
+		if (!ok || newer(p.Incarnation, p.Seq, k.Incarnation, k.Seq)) && (p.Phase == corianderwing.Left || !p.expired(now)) {
 			m.News = append(m.News, p.record(now))
 		}
 	}
 	for id, u := range s.upstream {
 		k, ok := seen[id]
 		ok = ok && (u.print == k.Print || !newer(u.Incarnation, u.Seq, k.Incarnation, k.Seq))
-		if !ok && (u.Phase == corianderwing.Left || !u.lapsed(now)) {
+		if !ok && (u.Phase == corianderwing.Left || !u.expired(now)) {
 			m.Sightings = append(m.Sightings, u.record(now))
 		}
 	}
@@ -229,7 +229,7 @@
 func (s *State) own(now time.Time) News {
 	n := News{Instance: s.self, Able: !s.able.IsZero(), Age: millis(now.Sub(s.beats[len(s.beats)-1].at))}
 	for _, p := range s.members {
-		if p.Domain == s.self.Domain && !p.lapsed(now) {
+		if p.Domain == s.self.Domain && !p.expired(now) {
 			n.Heard = append(n.Heard, mark(p.Instance))
 		}
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -36,9 +36,9 @@
 	// instance echoed last.
 	ActFor = 2 * time.Second
 	// SilentFor is how long an instance or upstream may be silent before it
-	// counts as lapsed.
+	// counts as expired.
 	SilentFor = 3 * time.Second
-	// Remember is how long a lapsed or left instance or upstream is
+	// Remember is how long an expired or left instance or upstream is
 	// remembered, so that old news does not bring it back.
 	Remember = 60 * time.Second
 	// Every is the time between two rounds of gossip.
@@ -201,13 +201,13 @@
 	s.updateAble(now)
 }
 
-// lapsed reports whether an instance has been silent for too long. The margin
+// expired reports whether an instance has been silent for too long. The margin
 // covers the drift of this clock and of those that added to the age.
-func (p *peer) lapsed(now time.Time) bool {
+func (p *peer) expired(now time.Time) bool {
 	return !now.Before(corianderwing.GrantorDeadline(p.news, SilentFor))
 }
 
-// lapsed reports whether an upstream has been silent for too long.
-func (u *sighting) lapsed(now time.Time) bool {
+// expired reports whether an upstream has been silent for too long.
+func (u *sighting) expired(now time.Time) bool {
 	return !now.Before(corianderwing.HolderDeadline(u.news, SilentFor))
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -134,7 +134,7 @@
 }
 
 // Guards against messages that repeat what an upstream announces each second,
-// and against an upstream that lapses because its announcements are shortened.
+// and against an upstream that expires because its announcements are shortened.
 func TestDigestRefreshesUpstreams(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1e9, 0)
--- a/core/member/owner.go
+++ b/core/member/owner.go
@@ -35,7 +35,7 @@
 // echoed that.
 func (s *State) echoedByAll(now time.Time) bool {
 	for _, p := range s.members {
-		if p.Domain == s.self.Domain && p.Phase == corianderwing.Ready && !p.lapsed(now) && p.echo.Before(s.able) {
+		if p.Domain == s.self.Domain && p.Phase == corianderwing.Ready && !p.expired(now) && p.echo.Before(s.able) {
 			return false
 		}
 	}
@@ -44,7 +44,7 @@
 
 // candidate reports whether an instance may own pools of its domain.
 func (p *peer) candidate(now time.Time) bool {
-	return p.able && p.Phase == corianderwing.Ready && !p.lapsed(now)
+	return p.able && p.Phase == corianderwing.Ready && !p.expired(now)
 }
 
 // mayOwn reports whether this instance stands as a candidate.
--- a/core/member/partner.go
+++ b/core/member/partner.go
@@ -50,7 +50,7 @@
 	slices.SortFunc(from, func(a, b *peer) int { return cmp.Compare(a.ID, b.ID) })
 	s.rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
 	slices.SortStableFunc(from, func(a, b *peer) int {
-		return cmp.Compare(b2i(a.lapsed(now)), b2i(b.lapsed(now)))
+		return cmp.Compare(b2i(a.expired(now)), b2i(b.expired(now)))
 	})
 	for _, p := range from[:min(n, len(from))] {
 		to = append(to, p.Peer)
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -49,7 +49,7 @@
 		v.owners[s.self.Domain] = []candidate{{s.self, hash(string(s.self.ID))}}
 	}
 	for _, p := range s.members {
-		if p.Phase == corianderwing.Left || p.lapsed(now) {
+		if p.Phase == corianderwing.Left || p.expired(now) {
 			continue
 		}
 		v.Instances = append(v.Instances, p.Instance)
@@ -62,7 +62,7 @@
 
 func (s *State) viewUpstreams(v *View, now time.Time) {
 	for _, u := range s.upstream {
-		if u.Phase == corianderwing.Left || u.lapsed(now) {
+		if u.Phase == corianderwing.Left || u.expired(now) {
 			continue
 		}
 		at := place{u.Pool, u.Domain}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -212,7 +212,7 @@
 			return
 		}
 		q.remove(n)
-		if code := lapsed(n.Item, now); code != corianderwing.OK {
+		if code := expired(n.Item, now); code != corianderwing.OK {
 			q.refuse(n.ID, code)
 			continue
 		}
@@ -236,8 +236,8 @@
 	return nil
 }
 
-// lapsed returns why a request must not start any more, or OK.
-func lapsed(it Item, now time.Time) corianderwing.Code {
+// expired returns why a request must not start any more, or OK.
+func expired(it Item, now time.Time) corianderwing.Code {
 	switch {
 	case !now.Before(it.Deadline):
 		return corianderwing.TooLate
@@ -251,7 +251,7 @@
 	for i := range q.lanes {
 		for _, f := range q.lanes[i].turn {
 			for _, n := range f.items {
-				if code := lapsed(n.Item, now); code != corianderwing.OK {
+				if code := expired(n.Item, now); code != corianderwing.OK {
 					q.refuse(n.ID, code)
 				}
 			}
--- a/core/share/bound.go
+++ b/core/share/bound.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// put replaces an empty or lapsed lot.
+// put replaces an empty or expired lot.
 func (l *lot) put(end uint64, n corianderwing.Tokens) {
 	l.v.Store(end<<lotBits | uint64(min(n, lotMax)))
 }
--- a/core/share/grantor.go
+++ b/core/share/grantor.go
@@ -19,7 +19,7 @@
 // when the renewal had arrived. Its methods must not run at the same time.
 type Grantor struct {
 	from   time.Time
-	lapse  time.Time                         // all grants of predecessors have lapsed
+	expiry time.Time                         // all grants of predecessors have expired
 	await  map[corianderwing.InstanceID]bool // holders that may have grants of a predecessor
 	pools  map[corianderwing.BoundID]*pool
 	levels map[corianderwing.BoundID]*ceiling
@@ -37,7 +37,7 @@
 }
 
 // WaitUntil returns when a leader that takes over at now may grant: when all
-// grants of its predecessors have lapsed, and every process knows the limits.
+// grants of its predecessors have expired, and every process knows the limits.
 // Changed is when this replica last applied a change of any rate, burst, fixed
 // fraction or number of seats, by its own clock; the time at which the process
 // started, if it applied none since.
@@ -55,7 +55,7 @@
 	}
 	return &Grantor{
 		await:  await,
-		lapse:  from,
+		expiry: from,
 		from:   from,
 		pools:  make(map[corianderwing.BoundID]*pool),
 		levels: make(map[corianderwing.BoundID]*ceiling),
@@ -75,7 +75,7 @@
 	p.configure(now, l)
 }
 
-// Forget removes a bound. Grants of it lapse at their holders.
+// Forget removes a bound. Grants of it expire at their holders.
 func (g *Grantor) Forget(b corianderwing.BoundID) {
 	delete(g.pools, b)
 	delete(g.levels, b)
@@ -119,7 +119,7 @@
 		return nil
 	}
 	for _, s := range spends {
-		if c := g.levels[s.Bound]; c != nil && !now.Before(g.lapse) {
+		if c := g.levels[s.Bound]; c != nil && !now.Before(g.expiry) {
 			p.grants = append(p.grants, c.update(now, o, s))
 		}
 		pool := g.pools[s.Bound]
--- a/core/share/handover.go
+++ b/core/share/handover.go
@@ -7,7 +7,7 @@
 )
 
 // Introduce tells a new grantor what a holder holds of its predecessors'
-// grants, so that it need not wait until these have lapsed. It must be called
+// grants, so that it need not wait until these have expired. It must be called
 // before Update with the same report, and only for a report that was made
 // after the holder had heard from this grantor and had applied the settings
 // that the grantor was first configured from: answers of predecessors to
--- a/core/share/ledger.go
+++ b/core/share/ledger.go
@@ -19,7 +19,7 @@
 	return b.next.limit
 }
 
-// settle applies a due change and ends loans to neighbours that have lapsed.
+// settle applies a due change and ends loans to neighbours that have expired.
 func (b *Bound) settle(now time.Time, met bool) {
 	b.debts = slices.DeleteFunc(b.debts, func(d debt) bool {
 		if d.seq != 0 || now.Before(d.until) {
@@ -101,7 +101,7 @@
 }
 
 // spend closes the books on the granted tokens. What the book holds is either
-// still held, or was withdrawn here because it lapsed or is in excess, or was
+// still held, or was withdrawn here because it expired or is in excess, or was
 // spent. The grantor takes back what is neither held nor spent.
 func (b *Bound) spend(now time.Time) corianderwing.Spend {
 	var held, dropped corianderwing.Tokens
@@ -178,7 +178,7 @@
 	return lent
 }
 
-// store puts tokens into a lot that is empty or has lapsed, or joins them with the lot that
+// store puts tokens into a lot that is empty or has expired, or joins them with the lot that
 // ends first. It returns how many tokens it stored.
 func store(lots []lot, ms, end uint64, n corianderwing.Tokens) corianderwing.Tokens {
 	n = min(n, lotMax)
--- a/core/share/level.go
+++ b/core/share/level.go
@@ -152,7 +152,7 @@
 }
 
 // update replaces the share of a holder by what it keeps and what it gets in
-// addition. Shares of its earlier lives count until they lapse.
+// addition. Shares of its earlier lives count until they expire.
 func (c *ceiling) update(now time.Time, o owner, s corianderwing.Spend) corianderwing.Grant {
 	var others, owed corianderwing.Tokens
 	c.shares = slices.DeleteFunc(c.shares, func(l loan) bool {
--- a/core/share/pool.go
+++ b/core/share/pool.go
@@ -59,7 +59,7 @@
 	p.limitDepth(now)
 }
 
-// settle applies a due change and drops loans that have lapsed.
+// settle applies a due change and drops loans that have expired.
 func (p *pool) settle(now time.Time) {
 	if p.next.due(now) {
 		l := p.next.limit
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -13,7 +13,7 @@
 //     burst of the pool.
 //   - Tokens that a Holder gives or lends leave its bucket first, and they
 //     reduce the depth of that bucket until they are known to be elsewhere or
-//     have lapsed.
+//     have expired.
 //   - A Holder accepts the answer to its latest report only. A report
 //     therefore states all granted tokens that the Holder can ever spend, and
 //     the Grantor takes back the rest.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -15,7 +15,7 @@
 	"corianderwing/core/member"
 )
 
-// tick is the time between two checks for lapsed instances and upstreams.
+// tick is the time between two checks for expired instances and upstreams.
 const tick = 100 * time.Millisecond
 
 // Exchanger sends a gossip message and returns the answer.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -104,7 +104,7 @@
 }
 
 // Counter returns the counter with the given one-word name. Callers on the
-// request path keep it, because the look-up takes a lock.
+// request path keep it, because the lookup takes a lock.
 func (m *Meter) Counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, m.registry)
 }
--- a/log.go
+++ b/log.go
@@ -1,6 +1,6 @@
 package corianderwing
 
-// Types of a group's agreed log, as a replica stores it.
+// Types of a group's replicated log, as a replica stores it.
 
 // Term numbers the leaderships of a group.
 type Term uint64
--- a/share.go
+++ b/share.go
@@ -20,7 +20,7 @@
 type Grant struct {
 	Bound  BoundID `json:"bound"`
 	Tokens Tokens  `json:"tokens"`
-	Left   Millis  `json:"left"` // time until the tokens lapse, counted from when the holder asked
+	Left   Millis  `json:"left"` // time until the tokens expire, counted from when the holder asked
 }
 
 // Renew asks the leader of a group for a freshness lease and for tokens.
--- a/unit.go
+++ b/unit.go
@@ -29,7 +29,7 @@
 }
 
 // GrantorDeadline returns when the grantor may treat a lease of length d,
-// given at now, as lapsed.
+// given at now, as expired.
 func GrantorDeadline(now time.Time, d time.Duration) time.Time {
 	return now.Add(d + time.Duration(float64(d)*MaxDrift))
 }
