--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -7,18 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
-// buffers holds copy buffers. 32 KiB is what io.Copy uses.
-var buffers = sync.Pool{New: func() any {
-	b := make([]byte, 32<<10)
-	return &b
-}}
-
 // refuse answers with a result code of the system.
 func (s *Server) refuse(v *visit, e *corianderwing.Error) {
 	v.code, v.run, v.reason = e.Code, e.Run, e.Detail
@@ -73,7 +67,7 @@
 	var e *corianderwing.Error
 	switch {
 	case v.ctx.Err() != nil:
-		return ended(v.ctx, corianderwing.RanYes)
+		return relay.Ended(v.ctx, corianderwing.RanYes)
 	case errors.As(err, &e):
 		return e
 	}
@@ -82,7 +76,7 @@
 
 // answerHeader sets the header of an answer that comes from an upstream.
 func answerHeader(out http.Header, rep *reply, id corianderwing.RequestID) {
-	endToEnd(out, rep.Header)
+	relay.EndToEnd(out, rep.Header, ours)
 	if n := rep.Header["Content-Length"]; len(n) == 1 {
 		out["Content-Length"] = n
 	}
@@ -99,27 +93,15 @@
 // stream copies an answer's body. Answers of unknown length may be streams of
 // events, so each part is sent on at once.
 func stream(w io.Writer, rep *reply, rc *http.ResponseController) error {
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	for {
-		n, err := rep.Read(*buf)
-		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				return rep.unread(werr)
-			}
-		}
-		if isEOF(err) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if rep.ContentLength < 0 {
-			if err := rc.Flush(); err != nil {
-				return rep.unread(err)
-			}
-		}
+	var flush func() error
+	if rep.ContentLength < 0 {
+		flush = rc.Flush
+	}
+	readErr, writeErr := relay.Copy(w, rep, flush)
+	if writeErr != nil {
+		return rep.unread(writeErr)
 	}
+	return readErr
 }
 
 // record returns the evidence of a refused or slow answer.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -23,6 +23,7 @@
 	"corianderwing/core/retry"
 	"corianderwing/core/route"
 	"corianderwing/io/clock"
+	"corianderwing/io/relay"
 )
 
 // Config holds what an entry instance needs from the rest of the process.
@@ -109,7 +110,7 @@
 	spread time.Duration
 	header int
 	answer int
-	dial   Dial
+	dial   relay.Dial
 	seed   uint64
 	tick   time.Duration
 	queue  queue.Config
@@ -130,7 +131,7 @@
 func WithHeaderLimit(n int) Option { return func(o *options) { o.header = n } }
 
 // WithDial replaces the way connections are opened.
-func WithDial(d Dial) Option { return func(o *options) { o.dial = d } }
+func WithDial(d relay.Dial) Option { return func(o *options) { o.dial = d } }
 
 // WithSeed makes random choices repeatable.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
@@ -164,7 +165,7 @@
 		spread: time.Second,
 		header: 16 << 10,
 		answer: 1 << 20,
-		dial:   tcpDial(),
+		dial:   relay.TCP(),
 		seed:   rand.Uint64(),
 		tick:   20 * time.Millisecond,
 	}
@@ -267,7 +268,7 @@
 		p.reset()
 	}
 	s.hosts.Range(func(_, h any) bool {
-		h.(*peer).reset()
+		h.(*peer).Reset()
 		return true
 	})
 	return err
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
 // Headers of the system. Those that a caller or an upstream sets are removed,
@@ -31,82 +32,19 @@
 	hTried     = "Cw-Tried"  // attempts at upstreams
 )
 
-// hopByHop holds the headers that concern one connection only, and those that
-// the forwarder sets itself.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Expect":              true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 // ours reports whether a header name belongs to the system.
 func ours(name string) bool {
 	return len(name) > 3 && name[0] == 'C' && name[1] == 'w' && name[2] == '-'
 }
 
-// field is one line of a header. Lists of fields are cheaper to build and to
-// write than maps.
-type field struct {
-	name, value string
-}
-
-// passes reports whether a header is meant for the other end.
-func passes(name string, connection []string) bool {
-	return !hopByHop[name] && !ours(name) && !inList(connection, name)
-}
-
-// fields returns the headers of in that are meant for the other end, but for
-// those that skip selects, and the size of the whole header in bytes.
-func fields(in http.Header, skip func(name string) bool) (out []field, size int) {
-	out = make([]field, 0, len(in)+4)
-	connection := in["Connection"]
-	for name, values := range in {
-		pass := passes(name, connection) && (skip == nil || !skip(name))
-		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
-			if pass {
-				out = append(out, field{name, v})
-			}
-		}
-	}
-	return out, size
-}
-
-// endToEnd adds to out the headers of in that are meant for the other end.
-func endToEnd(out, in http.Header) {
-	connection := in["Connection"]
-	for name, values := range in {
-		if passes(name, connection) {
-			out[name] = values
-		}
-	}
-}
-
-// inList reports whether a comma-separated header value names a header.
-func inList(lines []string, name string) bool {
-	for _, line := range lines {
-		for part := range strings.SplitSeq(line, ",") {
-			if strings.EqualFold(strings.TrimSpace(part), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // forwarded returns the header that goes to an upstream: that of the caller
 // without keys. Size is that of the caller's line and header, in bytes.
-func forwarded(r *http.Request, cookies []string, key string) (out []field, size int) {
+func forwarded(r *http.Request, cookies []string, key string) (out []relay.Field, size int) {
 	in := r.Header
-	out, size = fields(in, func(name string) bool {
+	out, size = relay.Fields(in, func(name string) bool {
+		if ours(name) {
+			return true
+		}
 		switch name {
 		case "X-Api-Key", "Authorization", "Cookie":
 			return true
@@ -118,11 +56,11 @@
 	})
 	for _, v := range in["Authorization"] {
 		if _, ok := bearer(v); !ok {
-			out = append(out, field{"Authorization", v})
+			out = append(out, relay.Field{Name: "Authorization", Value: v})
 		}
 	}
 	for _, v := range cookies {
-		out = append(out, field{"Cookie", v})
+		out = append(out, relay.Field{Name: "Cookie", Value: v})
 	}
 	return out, size + len(r.RequestURI) + len(r.Method) + len(r.Host)
 }
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
 // job is a request on its way to an upstream.
@@ -23,8 +24,8 @@
 	method string
 	uri    string
 	host   string
-	header []field
-	body   *body
+	header []relay.Field
+	body   *relay.Body
 
 	attempts []corianderwing.Attempt
 	tried    []corianderwing.UpstreamID
@@ -33,7 +34,7 @@
 // reply is an upstream's answer on its way to the caller. Its reader must be
 // read to the end or closed.
 type reply struct {
-	*answer
+	*relay.Answer
 	onEnd func(complete bool) // called once
 	left  bool                // the caller did not take the whole answer
 }
@@ -48,7 +49,7 @@
 
 // Read implements io.Reader.
 func (r *reply) Read(b []byte) (int, error) {
-	n, err := r.answer.Read(b)
+	n, err := r.Answer.Read(b)
 	if err != nil {
 		r.end(isEOF(err))
 	}
@@ -57,7 +58,7 @@
 
 // close ends a reply that is not read to its end.
 func (r *reply) close() {
-	r.discard()
+	r.Discard()
 	r.end(false)
 }
 
--- a/io/entry/links.go
+++ b/io/entry/links.go
@@ -85,12 +85,13 @@
 	return nil
 }
 
-// out returns a writer to w that pays for each byte before it is written.
-func (p *pacer) out(w io.Writer) io.Writer {
+// wrap returns a function that makes a writer pay for each byte before it is
+// written, or nil.
+func (p *pacer) wrap() func(io.Writer) io.Writer {
 	if p == nil {
-		return w
+		return nil
 	}
-	return &pacedOut{p, w}
+	return func(w io.Writer) io.Writer { return &pacedOut{p, w} }
 }
 
 type pacedOut struct {
@@ -174,9 +175,9 @@
 	if until, ok := s.full.Load(to); ok && time.Now().Before(until.(time.Time)) {
 		return nil, corianderwing.Errorf(corianderwing.LinkFull, "link from %s to %s", to, s.self.Region)
 	}
-	n := 2*headBytes + len(j.method) + len(j.uri) + len(j.host) + int(max(j.body.total, int64(len(j.body.head))))
+	n := 2*headBytes + len(j.method) + len(j.uri) + len(j.host) + int(max(j.body.Total, int64(len(j.body.Head))))
 	for _, f := range j.header {
-		n += len(f.name) + len(f.value) + lineBytes
+		n += len(f.Name) + len(f.Value) + lineBytes
 	}
 	return p, p.book(corianderwing.Bytes(n))
 }
--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -11,6 +11,7 @@
 	"corianderwing"
 	"corianderwing/core/retry"
 	"corianderwing/core/route"
+	"corianderwing/io/relay"
 )
 
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
@@ -54,7 +55,7 @@
 		Once:   j.once,
 		Left:   j.tries,
 		Until:  j.deadline,
-		Replay: j.body.replay(),
+		Replay: j.body.Replay(),
 	}, time.Now())
 }
 
@@ -70,33 +71,34 @@
 	}
 	j.tries--
 	j.tried = append(j.tried, up.ID)
-	a, e := send(ctx, call{
-		host:   sl.host,
-		method: j.method,
-		uri:    j.uri,
-		name:   j.host,
-		header: j.header,
-		extra:  attemptHeader(j, j.deadline, start, 0),
-		body:   j.body,
-		id:     j.id,
-		fresh:  j.once && !s.opt.reuse,
-		first:  s.firstByte(j, start),
+	a, e := relay.Send(ctx, relay.Call{
+		Host:   sl.host,
+		Method: j.method,
+		URI:    j.uri,
+		Name:   j.host,
+		Header: j.header,
+		Extra:  attemptHeader(j, j.deadline, start, 0),
+		Body:   j.body,
+		ID:     j.id,
+		Fresh:  j.once && !s.opt.reuse,
+		First:  s.firstByte(j, start),
+		Echo:   hRequest,
 	})
 	first := time.Since(start)
 	if e == nil && a.StatusCode == http.StatusServiceUnavailable && a.Header.Get(hRun) == string(corianderwing.RanNo) {
-		a.drain()
+		a.Drain()
 		e = corianderwing.Errorf(corianderwing.Shed, "upstream %s", up.ID)
 	}
 	s.note(j, up, e, a, wait, first)
 	if e != nil {
 		if e.Code == corianderwing.FirstByte {
-			sl.host.reset()
+			sl.host.Reset()
 		}
 		p.release(up.ID, j.workspace, resultOf(e), first, first)
 		return nil, e
 	}
 	smooth(s.typical(j), first)
-	rep := &reply{answer: a}
+	rep := &reply{Answer: a}
 	rep.onEnd = func(complete bool) {
 		p.release(up.ID, j.workspace, rep.result(ctx, complete), first, time.Since(start))
 	}
@@ -117,7 +119,7 @@
 }
 
 // note keeps the attempt for the record and for the comparison of versions.
-func (s *Server) note(j *job, up corianderwing.Upstream, e *corianderwing.Error, a *answer, wait, first time.Duration) {
+func (s *Server) note(j *job, up corianderwing.Upstream, e *corianderwing.Error, a *relay.Answer, wait, first time.Duration) {
 	code, status := corianderwing.OK, 0
 	if e != nil {
 		code = e.Code
@@ -168,7 +170,7 @@
 // firstByte returns the deadline of the first byte of an attempt. While the
 // request may be tried again, an attempt gets an equal part of the time left.
 func (s *Server) firstByte(j *job, now time.Time) time.Time {
-	if j.once || j.tries <= 0 || !j.body.replay() || j.body.rest != nil {
+	if j.once || j.tries <= 0 || !j.body.Replay() || j.body.Rest != nil {
 		return j.deadline
 	}
 	return s.part(j, now, j.deadline.Sub(now)/time.Duration(j.tries+1))
@@ -203,13 +205,13 @@
 }
 
 // attemptHeader returns the headers of one attempt, with room for more.
-func attemptHeader(j *job, deadline, now time.Time, more int) []field {
-	return append(make([]field, 0, 6+more),
-		field{hLeft, leftHeader(deadline, now)},
-		field{hRequest, string(j.id)},
-		field{hWorkspace, string(j.workspace)},
-		field{hService, string(j.service)},
-		field{hRoute, string(j.route)},
-		field{hClass, string(j.class)},
+func attemptHeader(j *job, deadline, now time.Time, more int) []relay.Field {
+	return append(make([]relay.Field, 0, 6+more),
+		relay.Field{Name: hLeft, Value: leftHeader(deadline, now)},
+		relay.Field{Name: hRequest, Value: string(j.id)},
+		relay.Field{Name: hWorkspace, Value: string(j.workspace)},
+		relay.Field{Name: hService, Value: string(j.service)},
+		relay.Field{Name: hRoute, Value: string(j.route)},
+		relay.Field{Name: hClass, Value: string(j.class)},
 	)
 }
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
 // system serves the paths under /-/.
@@ -122,7 +123,7 @@
 	}
 	raw, err := io.ReadAll(io.LimitReader(r.Body, 4<<10))
 	if err != nil {
-		writeError(w, cutBody(err, corianderwing.RanNo))
+		writeError(w, relay.CutBody(err, corianderwing.RanNo))
 		return
 	}
 	var u corianderwing.Upstream
--- a/io/entry/order.go
+++ b/io/entry/order.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
 // maxOrderKey is the longest Idempotency-Key, in bytes.
@@ -65,7 +66,7 @@
 		d.WriteString(part)
 		d.Write([]byte{0})
 	}
-	d.Write(v.body.head)
+	d.Write(v.body.Head)
 	return d.Sum64()
 }
 
@@ -180,7 +181,7 @@
 func (s *Server) finishOrder(v *visit, o corianderwing.Order, rep *reply) {
 	defer rep.close()
 	head := make(http.Header)
-	endToEnd(head, rep.Header)
+	relay.EndToEnd(head, rep.Header, ours)
 	kept, err := io.ReadAll(io.LimitReader(rep, int64(s.opt.answer)+1))
 	if err != nil {
 		e := s.cutAnswer(v, err)
--- a/io/entry/plan.go
+++ b/io/entry/plan.go
@@ -8,6 +8,7 @@
 
 	"corianderwing"
 	"corianderwing/core/route"
+	"corianderwing/io/relay"
 )
 
 // plan is a snapshot of where a pool's requests can go.
@@ -113,11 +114,11 @@
 	}
 	s.hosts.Range(func(addr, h any) bool {
 		if live[addr.(string)] {
-			h.(*peer).trim(idleTimeout)
+			h.(*peer).Trim(relay.IdleTimeout)
 			return true
 		}
 		s.hosts.Delete(addr)
-		h.(*peer).reset()
+		h.(*peer).Reset()
 		return true
 	})
 	s.suspect.Range(func(id, until any) bool {
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -10,6 +10,7 @@
 	"corianderwing/core/queue"
 	"corianderwing/core/retry"
 	"corianderwing/core/route"
+	"corianderwing/io/relay"
 )
 
 // pool is the owner's side of one pool in the own failure domain: the queue,
@@ -24,7 +25,7 @@
 	waiters map[uint64]chan grant
 	seq     uint64
 	budget  *retry.Budget
-	hosts   map[corianderwing.UpstreamID]*host
+	hosts   map[corianderwing.UpstreamID]*relay.Host
 	move    corianderwing.Move
 	moving  bool
 }
@@ -32,7 +33,7 @@
 // slot is a slot of an upstream, with the connections to it.
 type slot struct {
 	up   corianderwing.Upstream
-	host *host
+	host *relay.Host
 }
 
 // grant ends the wait of a request.
@@ -62,7 +63,7 @@
 		route:   route.New(cfg, rand.New(rand.NewPCG(s.opt.seed, uint64(len(old))))),
 		waiters: make(map[uint64]chan grant),
 		budget:  retry.NewBudget(s.opt.retry),
-		hosts:   make(map[corianderwing.UpstreamID]*host),
+		hosts:   make(map[corianderwing.UpstreamID]*relay.Host),
 	}
 	p.sync(time.Now())
 	all := make(map[corianderwing.PoolID]*pool, len(old)+1)
@@ -212,7 +213,7 @@
 		}
 	default:
 	}
-	return ended(ctx, corianderwing.RanNo)
+	return relay.Ended(ctx, corianderwing.RanNo)
 }
 
 // apply carries out what the queue decided. The lock is held.
@@ -270,15 +271,15 @@
 }
 
 // reset closes the idle connections to all upstreams.
-func (p *pool) reset() { p.each(func(h *host) { h.reset() }) }
+func (p *pool) reset() { p.each(func(h *relay.Host) { h.Reset() }) }
 
 // trim closes connections that have been idle for long.
-func (p *pool) trim() { p.each(func(h *host) { h.trim(idleTimeout) }) }
+func (p *pool) trim() { p.each(func(h *relay.Host) { h.Trim(relay.IdleTimeout) }) }
 
 // each calls f without the lock, which f needs to count closed connections.
-func (p *pool) each(f func(*host)) {
+func (p *pool) each(f func(*relay.Host)) {
 	p.mu.Lock()
-	hosts := make([]*host, 0, len(p.hosts))
+	hosts := make([]*relay.Host, 0, len(p.hosts))
 	for _, h := range p.hosts {
 		hosts = append(hosts, h)
 	}
@@ -304,25 +305,25 @@
 
 // host returns the connections to an upstream. One that came back at another
 // address gets new ones. The lock is held.
-func (p *pool) host(u corianderwing.Upstream) *host {
+func (p *pool) host(u corianderwing.Upstream) *relay.Host {
 	h, ok := p.hosts[u.ID]
-	if ok && h.addr == u.Addr {
+	if ok && h.Addr == u.Addr {
 		return h
 	}
 	if ok {
-		go h.reset() // needs the lock
+		go h.Reset() // needs the lock
 	}
 	id := u.ID
-	h = &host{
-		addr: u.Addr,
-		dial: p.s.opt.dial,
-		most: int(u.Slots),
-		allow: func() bool {
+	h = &relay.Host{
+		Addr: u.Addr,
+		Dial: p.s.opt.dial,
+		Most: int(u.Slots),
+		Allow: func() bool {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			return p.route.Dial(id)
 		},
-		gone: func() {
+		Gone: func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.route.Hangup(id)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
 // visit is a caller's request at its first entry instance.
@@ -228,11 +229,11 @@
 		rc.SetReadDeadline(v.deadline.Add(time.Second))
 	}
 	var e *corianderwing.Error
-	if v.body, e = readBody(v.r, int64(v.eff.Body), v.order); e != nil {
+	if v.body, e = relay.Read(v.r, int64(v.eff.Body), v.order); e != nil {
 		s.refuse(v, e)
 		return
 	}
-	if v.body.rest == nil && v.body != emptyBody {
+	if v.body.Rest == nil && v.body != relay.Empty {
 		// From here on the server reads ahead, to notice a caller that leaves.
 		rc.SetReadDeadline(time.Time{})
 	}
@@ -250,8 +251,8 @@
 }
 
 // release ends reads of the caller's body that are still going on.
-func release(b *body, rc *http.ResponseController) {
-	if b.rest != nil && b.used && !b.ended.Load() {
+func release(b *relay.Body, rc *http.ResponseController) {
+	if b.Rest != nil && b.Used && !b.Ended.Load() {
 		rc.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/io/entry/sock_test.go
+++ b/io/entry/sock_test.go
@@ -6,49 +6,18 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"golang.org/x/sys/unix"
 
 	"corianderwing"
+	"corianderwing/io/relay"
 )
 
-// Guards against requests over an idle connection that the peer has closed,
-// and against connections that outlive a partition.
-func TestSockets(t *testing.T) {
-	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer l.Close()
-	c, err := tcpDial()(context.Background(), l.Addr().String())
-	is.NoErr(err)
-	defer c.Close()
-	there, err := l.Accept()
-	is.NoErr(err)
-	probe := prober(c)
-	is.True(probe())
-	raw, err := c.(syscall.Conn).SyscallConn()
-	is.NoErr(err)
-	is.NoErr(raw.Control(func(fd uintptr) {
-		ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
-		is.NoErr(err)
-		is.Equal(ms, 3000)
-	}))
-	there.Close()
-	for end := time.Now().Add(10 * time.Second); probe(); runtime.Gosched() {
-		is.True(time.Now().Before(end))
-	}
-}
-
 // Guards against differences between the pipes of the other tests and real
 // sockets: requests of all kinds through two instances, over connections that
 // are used again.
@@ -91,7 +60,7 @@
 	for i := range 8 {
 		wg.Go(func() {
 			for n := range 25 {
-				size := []int{0, 1, 5000, headSize + 1, 3 * headSize}[n%5]
+				size := []int{0, 1, 5000, relay.HeadSize + 1, 3 * relay.HeadSize}[n%5]
 				path := []string{"/ws/svc/x", "/ws/order/x"}[n%2]
 				body := strings.Repeat("x", size)
 				req, _ := http.NewRequest(http.MethodPost, urls[i%2]+path, strings.NewReader(body))
--- a/io/entry/steer.go
+++ b/io/entry/steer.go
@@ -10,6 +10,7 @@
 
 	"corianderwing"
 	"corianderwing/core/retry"
+	"corianderwing/io/relay"
 )
 
 // maxHops bounds hand-overs of one request: the first entry instance hands it
@@ -18,7 +19,7 @@
 
 // peer is another entry instance's inner listener.
 type peer struct {
-	host
+	relay.Host
 	delay atomic.Int64 // smoothed time there and back without its work, ns
 }
 
@@ -141,18 +142,19 @@
 	// The owner's refusal should arrive before we give up on the owner.
 	back := time.Duration(pr.delay.Load()) + 5*time.Millisecond
 	back += min(first.Sub(start)/50, 50*time.Millisecond)
-	a, e := send(ctx, call{
-		host:   &pr.host,
-		method: j.method,
-		uri:    j.uri,
-		name:   j.host,
-		header: j.header,
-		extra:  s.hopHeader(j, first.Add(-back), start, pace != nil),
-		body:   j.body,
-		id:     j.id,
-		fresh:  j.once && !s.opt.reuse,
-		first:  first,
-		pace:   pace,
+	a, e := relay.Send(ctx, relay.Call{
+		Host:   &pr.Host,
+		Method: j.method,
+		URI:    j.uri,
+		Name:   j.host,
+		Header: j.header,
+		Extra:  s.hopHeader(j, first.Add(-back), start, pace != nil),
+		Body:   j.body,
+		ID:     j.id,
+		Fresh:  j.once && !s.opt.reuse,
+		First:  first,
+		Out:    pace.wrap(),
+		Echo:   hRequest,
 	})
 	if e != nil {
 		s.lost(pr, owner, e, time.Since(start))
@@ -169,9 +171,9 @@
 	switch a.Header.Get(hCode) {
 	case "100":
 		smooth(s.typical(j), time.Since(start))
-		return &reply{answer: a}, nil
+		return &reply{Answer: a}, nil
 	case "":
-		a.discard()
+		a.Discard()
 		return nil, corianderwing.Errorf(corianderwing.Crossed, "owner %s sent no result code", owner.ID)
 	}
 	e = refusalOf(a)
@@ -181,19 +183,19 @@
 
 // hopHeader returns the headers of a hand-over. Far tells that it crosses a
 // link between regions, so that the owner paces the answer.
-func (s *Server) hopHeader(j *job, deadline, now time.Time, far bool) []field {
+func (s *Server) hopHeader(j *job, deadline, now time.Time, far bool) []relay.Field {
 	h := append(attemptHeader(j, deadline, now, 7),
-		field{hPool, string(j.pool)},
-		field{hTries, strconv.Itoa(j.tries)},
-		field{hWait, strconv.FormatInt(int64(j.wait), 10)},
-		field{hHops, strconv.Itoa(j.hops + 1)},
-		field{hToken, s.token},
+		relay.Field{Name: hPool, Value: string(j.pool)},
+		relay.Field{Name: hTries, Value: strconv.Itoa(j.tries)},
+		relay.Field{Name: hWait, Value: strconv.FormatInt(int64(j.wait), 10)},
+		relay.Field{Name: hHops, Value: strconv.Itoa(j.hops + 1)},
+		relay.Field{Name: hToken, Value: s.token},
 	)
 	if j.once {
-		h = append(h, field{hOnce, "1"})
+		h = append(h, relay.Field{Name: hOnce, Value: "1"})
 	}
 	if far {
-		h = append(h, field{hRegion, string(s.self.Region)})
+		h = append(h, relay.Field{Name: hRegion, Value: string(s.self.Region)})
 	}
 	return h
 }
@@ -201,7 +203,7 @@
 // hopDeadline returns when the owner must have answered. While the request may
 // go elsewhere, a quarter of the time is kept for that.
 func (s *Server) hopDeadline(j *job, now time.Time) time.Time {
-	if j.once || j.tries <= 1 || j.body.rest != nil {
+	if j.once || j.tries <= 1 || j.body.Rest != nil {
 		return j.deadline
 	}
 	return s.part(j, now, j.deadline.Sub(now)*3/4)
@@ -215,7 +217,7 @@
 func (s *Server) lost(pr *peer, owner corianderwing.Instance, e *corianderwing.Error, waited time.Duration) {
 	switch e.Code {
 	case corianderwing.FirstByte:
-		pr.reset()
+		pr.Reset()
 		if waited < patience {
 			return
 		}
@@ -227,8 +229,8 @@
 }
 
 // refusalOf reads the owner's refusal.
-func refusalOf(a *answer) *corianderwing.Error {
-	defer a.discard()
+func refusalOf(a *relay.Answer) *corianderwing.Error {
+	defer a.Discard()
 	var e corianderwing.Error
 	raw, err := io.ReadAll(io.LimitReader(a, 64<<10))
 	if err == nil {
@@ -244,6 +246,6 @@
 	if h, ok := s.hosts.Load(addr); ok {
 		return h.(*peer)
 	}
-	h, _ := s.hosts.LoadOrStore(addr, &peer{host: host{addr: addr, dial: s.opt.dial, most: 256}})
+	h, _ := s.hosts.LoadOrStore(addr, &peer{Host: relay.Host{Addr: addr, Dial: s.opt.dial, Most: 256}})
 	return h.(*peer)
 }
--- a/io/entry/body.go
+++ b/io/relay/body.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import (
 	"errors"
@@ -9,62 +9,62 @@
 	"corianderwing"
 )
 
-// headSize is the part of a request body that is read before anything is
+// HeadSize is the part of a request body that is read before anything is
 // sent. A body within it can be sent again, and one that is truncated or over
 // its limit is refused as not run.
-const headSize = 64 << 10
+const HeadSize = 64 << 10
 
-// body is the body of a request. The head has been read from the caller; the
-// rest is read while it is sent, and cannot be sent twice.
-type body struct {
-	head  []byte
-	rest  io.Reader // nil if head is the whole body
-	total int64     // -1 if unknown
-	left  int64     // bytes of rest that the limit allows
-	used  bool
-	ended atomic.Bool // rest has been read to its end
+// Body is the body of a request. Head has been read from the caller; Rest
+// is read while it is sent, and cannot be sent twice.
+type Body struct {
+	Head  []byte
+	Rest  io.Reader   // nil if Head is the whole body
+	Total int64       // -1 if unknown
+	Used  bool        // a part of Rest was sent
+	Ended atomic.Bool // Rest has been read to its end
+	left  int64       // bytes of Rest that the limit allows
 }
 
-// emptyBody is shared by requests without a body.
-var emptyBody = &body{}
+// Empty is shared by requests without a body.
+var Empty = &Body{}
 
-// readBody reads the first part of r's body, or all of it.
-func readBody(r *http.Request, limit int64, all bool) (*body, *corianderwing.Error) {
+// Read reads the first part of r's body, or all of it.
+func Read(r *http.Request, limit int64, all bool) (*Body, *corianderwing.Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return emptyBody, nil
+		return Empty, nil
 	}
 	if r.ContentLength > limit {
 		return nil, corianderwing.Errorf(corianderwing.BigBody, "body has %d bytes, limit %d", r.ContentLength, limit)
 	}
 	most := limit
 	if !all {
-		most = min(limit, headSize)
+		most = min(limit, HeadSize)
 	}
-	b := &body{total: r.ContentLength}
+	b := &Body{Total: r.ContentLength}
 	var err error
 	if n := r.ContentLength; n >= 0 && n <= most {
-		b.head = make([]byte, n)
-		_, err = io.ReadFull(r.Body, b.head)
+		b.Head = make([]byte, n)
+		_, err = io.ReadFull(r.Body, b.Head)
 		if err == nil {
 			err = expectEOF(r.Body)
 		}
 	} else {
-		b.head, err = io.ReadAll(io.LimitReader(r.Body, most+1))
+		b.Head, err = io.ReadAll(io.LimitReader(r.Body, most+1))
 	}
 	switch {
 	case err != nil:
-		return nil, cutBody(err, corianderwing.RanNo)
-	case int64(len(b.head)) <= most:
-		b.total = int64(len(b.head))
+		return nil, CutBody(err, corianderwing.RanNo)
+	case int64(len(b.Head)) <= most:
+		b.Total = int64(len(b.Head))
 		return b, nil
-	case int64(len(b.head)) > limit:
+	case int64(len(b.Head)) > limit:
 		return nil, corianderwing.Errorf(corianderwing.BigBody, "body is over its limit of %d bytes", limit)
 	}
-	if int64(len(b.head)) == b.total {
+	if int64(len(b.Head)) == b.Total {
 		return b, nil
 	}
-	b.rest = r.Body
-	b.left = limit - int64(len(b.head))
+	b.Rest = r.Body
+	b.left = limit - int64(len(b.Head))
 	return b, nil
 }
 
@@ -82,28 +82,29 @@
 	return err
 }
 
-func cutBody(err error, run corianderwing.Ran) *corianderwing.Error {
+// CutBody returns the error for a body that ended early or broke a limit.
+func CutBody(err error, run corianderwing.Ran) *corianderwing.Error {
 	return &corianderwing.Error{Code: corianderwing.CutBody, Run: run, Detail: err.Error()}
 }
 
 // size returns the length to announce, -1 if it is not known.
-func (b *body) size() int64 { return b.total }
+func (b *Body) size() int64 { return b.Total }
 
-// replay reports whether the body can be sent (again).
-func (b *body) replay() bool { return b.rest == nil || !b.used }
+// Replay reports whether the body can be sent (again).
+func (b *Body) Replay() bool { return b.Rest == nil || !b.Used }
 
 // WriteTo writes the body. An error of the caller's side is a
 // *corianderwing.Error.
-func (b *body) WriteTo(w io.Writer) (int64, error) {
-	m, err := w.Write(b.head)
+func (b *Body) WriteTo(w io.Writer) (int64, error) {
+	m, err := w.Write(b.Head)
 	n := int64(m)
-	if err != nil || b.rest == nil {
+	if err != nil || b.Rest == nil {
 		return n, err
 	}
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	for {
-		m, err := b.rest.Read(*buf)
+		m, err := b.Rest.Read(*buf)
 		if b.left -= int64(m); b.left < 0 {
 			return n, &corianderwing.Error{Code: corianderwing.BigBody, Run: corianderwing.RanUnknown, Detail: "body is over its limit"}
 		}
@@ -111,7 +112,7 @@
 			// Before the last part is sent: the answer may follow at once, and
 			// a body that has not ended then gets its reads cut off, which
 			// would end the caller's connection.
-			b.ended.Store(true)
+			b.Ended.Store(true)
 		}
 		if m > 0 {
 			k, werr := w.Write((*buf)[:m])
@@ -124,7 +125,7 @@
 			return n, nil
 		}
 		if err != nil {
-			return n, cutBody(err, corianderwing.RanUnknown)
+			return n, CutBody(err, corianderwing.RanUnknown)
 		}
 	}
 }
--- a/io/entry/conn.go
+++ b/io/relay/conn.go
@@ -1,9 +1,11 @@
-package entry
+package relay
 
 import (
 	"bufio"
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +23,12 @@
 	// minDial is the shortest time that a dial gets, if the deadline allows:
 	// four times the longest way there and back.
 	minDial = 300 * time.Millisecond
-	// idleTimeout ends unused connections, so that a former pool owner soon
+	// IdleTimeout ends unused connections, so that a former pool owner soon
 	// uses none of an upstream's connections.
-	idleTimeout = 15 * time.Second
+	IdleTimeout = 15 * time.Second
+	// keepMargin is the least margin before the peer closes an idle connection:
+	// ten times the way to another region.
+	keepMargin = 500 * time.Millisecond
 	// answerHeaderLimit bounds the header of an answer, in bytes.
 	answerHeaderLimit = 64 << 10
 )
@@ -31,8 +36,8 @@
 // Dial opens a connection. It must end when ctx ends.
 type Dial func(ctx context.Context, addr string) (net.Conn, error)
 
-// tcpDial is the Dial that is used outside tests.
-func tcpDial() Dial {
+// TCP is the Dial that is used outside tests.
+func TCP() Dial {
 	d := &net.Dialer{
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -47,13 +52,13 @@
 	}
 }
 
-// host holds the connections to one address.
-type host struct {
-	addr  string
-	dial  Dial
-	most  int         // idle connections that are kept
-	allow func() bool // counts a new connection, or refuses it; nil for no budget
-	gone  func()      // counts the end of a connection
+// Host holds the connections to one address.
+type Host struct {
+	Addr  string
+	Dial  Dial
+	Most  int         // idle connections that are kept
+	Allow func() bool // counts a new connection, or refuses it; nil for no budget
+	Gone  func()      // counts the end of a connection
 
 	mu    sync.Mutex
 	idle  []*conn
@@ -64,13 +69,14 @@
 // request at a time uses it.
 type conn struct {
 	net.Conn
-	host   *host
+	host   *Host
 	epoch  uint64
 	br     *bufio.Reader
 	bw     *bufio.Writer
 	sent   atomic.Int64 // bytes handed to the kernel for the current request
 	limit  int64        // bytes that may still be read; negative for no limit
 	since  time.Time    // start of idleness
+	until  time.Time    // not used after it; zero for no limit
 	probe  func() bool  // reports whether an idle connection still works
 	closed atomic.Bool
 }
@@ -103,26 +109,35 @@
 		return nil
 	}
 	err := c.Conn.Close()
-	if c.host.gone != nil {
-		c.host.gone()
+	if c.host.Gone != nil {
+		c.host.Gone()
 	}
 	return err
 }
 
-// get returns an idle connection, or a new one if fresh is set or none is
-// idle. No byte has been sent when it fails. The answer is due at first.
-func (h *host) get(ctx context.Context, fresh bool, first time.Time) (*conn, error) {
-	if !fresh {
-		if c := h.pop(); c != nil {
-			return c, nil
+// get returns an idle connection that suits c, or a new one. No byte has been
+// sent when it fails.
+func (h *Host) get(ctx context.Context, c Call) (_ *conn, dialled bool, _ error) {
+	if !c.Fresh {
+		if cn := h.pop(c.Recent); cn != nil {
+			return cn, false, nil
 		}
 	}
-	if h.allow != nil && !h.allow() {
-		h.trim(0)
-		if !h.allow() {
-			return nil, corianderwing.Errorf(corianderwing.NoCapacity, "connection budget of %s is used up", h.addr)
+	if h.Allow != nil && !h.Allow() {
+		h.Trim(0)
+		if !h.Allow() {
+			return nil, false, corianderwing.Errorf(corianderwing.NoCapacity, "connection budget of %s is used up", h.Addr)
 		}
 	}
+	cn, err := h.open(ctx, c.First)
+	if err != nil && h.Gone != nil {
+		h.Gone()
+	}
+	return cn, true, err
+}
+
+// open dials. The answer is due at first.
+func (h *Host) open(ctx context.Context, first time.Time) (*conn, error) {
 	h.mu.Lock()
 	epoch := h.epoch
 	h.mu.Unlock()
@@ -131,25 +146,24 @@
 	left := time.Until(first)
 	ctx, cancel := context.WithTimeout(ctx, min(left, dialTimeout, max(left/2, minDial)))
 	defer cancel()
-	raw, err := h.dial(ctx, h.addr)
+	raw, err := h.Dial(ctx, h.Addr)
 	if err != nil {
-		if h.gone != nil {
-			h.gone()
-		}
 		return nil, err
 	}
-	c := &conn{Conn: raw, host: h, epoch: epoch, probe: prober(raw)}
-	c.br = bufio.NewReaderSize(c, 4096)
-	c.bw = bufio.NewWriterSize(c, 4096)
-	return c, nil
+	cn := &conn{Conn: raw, host: h, epoch: epoch, probe: prober(raw)}
+	cn.br = bufio.NewReaderSize(cn, 4096)
+	cn.bw = bufio.NewWriterSize(cn, 4096)
+	return cn, nil
 }
 
-// pop returns the most recently used idle connection that still works.
-func (h *host) pop() *conn {
+// pop returns the most recently used idle connection that still works. One
+// that has been idle since before recent is not returned.
+func (h *Host) pop(recent time.Time) *conn {
+	now := time.Now()
 	for {
 		h.mu.Lock()
 		n := len(h.idle)
-		if n == 0 {
+		if n == 0 || h.idle[n-1].since.Before(recent) {
 			h.mu.Unlock()
 			return nil
 		}
@@ -157,7 +171,7 @@
 		h.idle[n-1] = nil
 		h.idle = h.idle[:n-1]
 		h.mu.Unlock()
-		if c.probe() {
+		if (c.until.IsZero() || now.Before(c.until)) && c.probe() {
 			c.sent.Store(0)
 			return c
 		}
@@ -165,11 +179,13 @@
 	}
 }
 
-// put keeps a connection for the next request.
-func (h *host) put(c *conn) {
+// put keeps a connection for the next request. KeepAlive is the answer's
+// header, which tells when the peer will close the connection.
+func (h *Host) put(c *conn, keepAlive string) {
 	c.since = time.Now()
+	c.until = closesAt(keepAlive, c.since)
 	h.mu.Lock()
-	keep := c.epoch == h.epoch && len(h.idle) < h.most
+	keep := c.epoch == h.epoch && len(h.idle) < h.Most
 	if keep {
 		h.idle = append(h.idle, c)
 	}
@@ -179,17 +195,43 @@
 	}
 }
 
-// reset closes the idle connections, and makes those in use close when their
+// closesAt returns until when a connection with the given Keep-Alive header
+// may be used, zero if it says nothing. A fifth of the time, at least, is kept
+// as a margin for a request on its way.
+func closesAt(keepAlive string, now time.Time) time.Time {
+	for part := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		n, err := strconv.ParseInt(value, 10, 32)
+		if err != nil || n < 0 {
+			return time.Time{}
+		}
+		d := time.Duration(n) * time.Second
+		return now.Add(d - max(d/5, keepMargin))
+	}
+	return time.Time{}
+}
+
+// Idle returns the number of connections that no request uses.
+func (h *Host) Idle() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.idle)
+}
+
+// Reset closes the idle connections, and makes those in use close when their
 // request ends.
-func (h *host) reset() {
+func (h *Host) Reset() {
 	h.mu.Lock()
 	h.epoch++
 	h.mu.Unlock()
-	h.trim(0)
+	h.Trim(0)
 }
 
-// trim closes the idle connections that have not been used for d.
-func (h *host) trim(d time.Duration) {
+// Trim closes the idle connections that have not been used for d.
+func (h *Host) Trim(d time.Duration) {
 	now := time.Now()
 	h.mu.Lock()
 	var old []*conn
--- /dev/null
+++ b/io/relay/header.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop holds the headers that concern one connection only, and those that
+// the forwarder sets itself.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// passes reports whether a header is meant for the other end.
+func passes(name string, connection []string, skip func(name string) bool) bool {
+	return !hopByHop[name] && !inList(connection, name) && (skip == nil || !skip(name))
+}
+
+// Fields returns the headers of in that are meant for the other end, but for
+// those that skip selects, and the size of the whole header in bytes.
+func Fields(in http.Header, skip func(name string) bool) (out []Field, size int) {
+	out = make([]Field, 0, len(in)+4)
+	connection := in["Connection"]
+	for name, values := range in {
+		pass := passes(name, connection, skip)
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+			if pass {
+				out = append(out, Field{name, v})
+			}
+		}
+	}
+	return out, size
+}
+
+// EndToEnd adds to out the headers of in that are meant for the other end, but
+// for those that skip selects.
+func EndToEnd(out, in http.Header, skip func(name string) bool) {
+	connection := in["Connection"]
+	for name, values := range in {
+		if passes(name, connection, skip) {
+			out[name] = values
+		}
+	}
+}
+
+// inList reports whether a comma-separated header value names a header.
+func inList(lines []string, name string) bool {
+	for _, line := range lines {
+		for part := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/io/entry/send.go
+++ b/io/relay/send.go
@@ -1,4 +1,7 @@
-package entry
+// Package relay makes single attempts of a request over connections of its own:
+// it never repeats a request, tells whether the peer may have run it, and
+// accepts only the answer that echoes the request's id.
+package relay
 
 import (
 	"context"
@@ -16,25 +19,44 @@
 
 var errBigAnswer = errors.New("answer header is over its limit")
 
-// call is one attempt of a request over one connection.
-type call struct {
-	host   *host
-	method string
-	uri    string
-	name   string // Host header
-	header []field
-	extra  []field // headers of this attempt
-	body   *body
-	id     corianderwing.RequestID
-	fresh  bool      // use a new connection
-	first  time.Time // deadline of the first byte of the answer
-	pace   *pacer    // pays for what is sent; nil within a region
+// Field is one line of a header. Lists of fields are cheaper to build and to
+// write than maps.
+type Field struct {
+	Name, Value string
 }
 
-// answer is the answer to a call. Its reader must be read to the end, or
-// closed.
-type answer struct {
+// Call is one attempt of a request over one connection.
+type Call struct {
+	Host   *Host
+	Method string
+	URI    string
+	Name   string // Host header
+	Header []Field
+	Extra  []Field // headers of this attempt
+	Body   *Body
+	ID     corianderwing.RequestID
+	Echo   string    // canonical name of the header in which the peer echoes ID
+	Fresh  bool      // use a new connection
+	Recent time.Time // use no connection that has been idle since before; zero for any
+	First  time.Time // deadline of the first byte of the answer
+
+	// Foreign is the number of answers to other requests that are skipped
+	// before the own one. A peer that answers a request twice sends the second
+	// answer where the next one is expected.
+	Foreign int
+	// Unframed accepts an answer without a length, which ends with its
+	// connection. A reset connection still fails it.
+	Unframed bool
+	// Out wraps the connection for writing, for example to pace it. Optional.
+	Out func(io.Writer) io.Writer
+}
+
+// Answer is the answer to a call. Its reader must be read to the end, or
+// closed with Discard.
+type Answer struct {
 	*http.Response
+	Dialled bool // the connection was opened for this call
+
 	ctx     context.Context
 	conn    *conn
 	stop    func() bool
@@ -43,29 +65,25 @@
 	over    bool
 }
 
-// send makes one attempt. It uses the connection for nothing else until the
+// Send makes one attempt. It uses the connection for nothing else until the
 // answer is complete, and never repeats the request. The returned error tells
 // whether the request may have reached the peer.
-func send(ctx context.Context, c call) (*answer, *corianderwing.Error) {
-	cn, err := c.host.get(ctx, c.fresh, c.first)
+func Send(ctx context.Context, c Call) (*Answer, *corianderwing.Error) {
+	cn, dialled, err := c.Host.get(ctx, c)
 	if err != nil {
 		return nil, unsent(ctx, err)
 	}
 	// Closing the connection on cancellation ends every read and write on it,
 	// and tells the peer to stop.
-	a := &answer{ctx: ctx, conn: cn}
+	a := &Answer{ctx: ctx, conn: cn, Dialled: dialled}
 	a.stop = context.AfterFunc(ctx, func() { cn.Close() })
 	// Setting a deadline fails only on a closed connection, which the next
 	// read or write reports; what was received before can still be read.
-	cn.SetReadDeadline(c.first)
+	cn.SetReadDeadline(c.First)
 	if err := a.write(c); err != nil && !answered(cn) {
 		return nil, a.fail(err)
 	}
-	if err := a.readHeader(c); err != nil {
-		return nil, a.fail(err)
-	}
-	if e := a.check(c); e != nil {
-		a.discard()
+	if e := a.readOwn(c); e != nil {
 		return nil, e
 	}
 	cn.SetReadDeadline(time.Time{})
@@ -75,9 +93,36 @@
 	return a, nil
 }
 
+// readOwn reads the header of the answer to c, past those to other requests.
+func (a *Answer) readOwn(c Call) *corianderwing.Error {
+	for skipped := 0; ; skipped++ {
+		if err := a.readHeader(c); err != nil {
+			return a.fail(err)
+		}
+		e := a.check(c)
+		if e == nil {
+			return nil
+		}
+		if e.Code != corianderwing.Crossed || skipped >= c.Foreign || !a.skip() {
+			a.Discard()
+			return e
+		}
+	}
+}
+
+// skip reads an answer to another request to its end. It reports whether
+// another answer can follow.
+func (a *Answer) skip() bool {
+	if a.Close || a.endsWithConn() {
+		return false
+	}
+	_, err := io.Copy(io.Discard, a.Body)
+	return err == nil
+}
+
 // small waits for the whole body of a small answer. If it ends early, nothing
 // has been passed on yet, and the request may be tried again.
-func (a *answer) small() *corianderwing.Error {
+func (a *Answer) small() *corianderwing.Error {
 	n := a.ContentLength
 	if n <= 0 || n > int64(a.conn.br.Size()) || a.Body == http.NoBody {
 		return nil
@@ -86,11 +131,11 @@
 	if err == nil {
 		return nil
 	}
-	a.discard()
+	a.Discard()
 	if a.ctx.Err() != nil {
-		return ended(a.ctx, corianderwing.RanUnknown)
+		return Ended(a.ctx, corianderwing.RanUnknown)
 	}
-	return corianderwing.Errorf(corianderwing.ShortBody, "answer of %d bytes from %s: %v", n, a.conn.host.addr, err)
+	return corianderwing.Errorf(corianderwing.ShortBody, "answer of %d bytes from %s: %v", n, a.conn.host.Addr, err)
 }
 
 // answered reports whether the peer sent an answer although it did not read
@@ -106,29 +151,33 @@
 // and stop reading.
 const inlineBody = 32 << 10
 
-func (a *answer) write(c call) error {
+func (a *Answer) write(c Call) error {
 	bw := a.conn.bw
-	bw.Reset(c.pace.out(a.conn))
-	bw.WriteString(c.method)
+	var out io.Writer = a.conn
+	if c.Out != nil {
+		out = c.Out(out)
+	}
+	bw.Reset(out)
+	bw.WriteString(c.Method)
 	bw.WriteByte(' ')
-	bw.WriteString(c.uri)
+	bw.WriteString(c.URI)
 	bw.WriteString(" HTTP/1.1\r\nHost: ")
-	bw.WriteString(c.name)
+	bw.WriteString(c.Name)
 	bw.WriteString("\r\n")
 	// Names and values come from a parsed header, so they hold no line ends.
-	for _, list := range [2][]field{c.header, c.extra} {
+	for _, list := range [2][]Field{c.Header, c.Extra} {
 		for _, f := range list {
-			bw.WriteString(f.name)
+			bw.WriteString(f.Name)
 			bw.WriteString(": ")
-			bw.WriteString(f.value)
+			bw.WriteString(f.Value)
 			bw.WriteString("\r\n")
 		}
 	}
-	size := c.body.size()
+	size := c.Body.size()
 	switch {
 	case size < 0:
 		bw.WriteString("Transfer-Encoding: chunked\r\n")
-	case size > 0 || c.method != http.MethodGet && c.method != http.MethodHead:
+	case size > 0 || c.Method != http.MethodGet && c.Method != http.MethodHead:
 		bw.WriteString("Content-Length: ")
 		bw.WriteString(strconv.FormatInt(size, 10))
 		bw.WriteString("\r\n")
@@ -136,17 +185,17 @@
 	if _, err := bw.WriteString("\r\n"); err != nil {
 		return err
 	}
-	if size >= 0 && size <= inlineBody && c.body.rest == nil {
-		bw.Write(c.body.head)
+	if size >= 0 && size <= inlineBody && c.Body.Rest == nil {
+		bw.Write(c.Body.Head)
 		return bw.Flush()
 	}
-	c.body.used = c.body.rest != nil
+	c.Body.Used = c.Body.Rest != nil
 	a.written = make(chan error, 1)
-	go func() { a.written <- a.writeBody(c.body, size) }()
+	go func() { a.written <- a.writeBody(c.Body, size) }()
 	return nil
 }
 
-func (a *answer) writeBody(b *body, size int64) error {
+func (a *Answer) writeBody(b *Body, size int64) error {
 	bw := a.conn.bw
 	var err error
 	if size < 0 {
@@ -179,9 +228,9 @@
 )
 
 // readHeader reads the final answer's header, past any 1xx ones.
-func (a *answer) readHeader(c call) error {
+func (a *Answer) readHeader(c Call) error {
 	req := &getRequest
-	if c.method == http.MethodHead {
+	if c.Method == http.MethodHead {
 		req = &headRequest
 	}
 	for {
@@ -203,20 +252,25 @@
 
 // check rejects an answer that may belong to another request or whose end
 // could not be recognised.
-func (a *answer) check(c call) *corianderwing.Error {
-	if ids := a.Header["Cw-Request"]; len(ids) != 1 || ids[0] != string(c.id) {
-		return corianderwing.Errorf(corianderwing.Crossed, "answer has request id %q, not %q", ids, c.id)
+func (a *Answer) check(c Call) *corianderwing.Error {
+	if ids := a.Header[c.Echo]; len(ids) != 1 || ids[0] != string(c.ID) {
+		return corianderwing.Errorf(corianderwing.Crossed, "answer has request id %q, not %q", ids, c.ID)
 	}
-	if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody {
+	if a.endsWithConn() && !c.Unframed {
 		return corianderwing.Errorf(corianderwing.ShortBody, "answer has neither length nor chunks, so its end cannot be recognised")
 	}
 	return nil
 }
 
+// endsWithConn reports whether only the end of the connection ends the answer.
+func (a *Answer) endsWithConn() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody
+}
+
 // fail ends the connection and returns what err means for the request.
-func (a *answer) fail(err error) *corianderwing.Error {
+func (a *Answer) fail(err error) *corianderwing.Error {
 	sent := a.conn.sent.Load() > 0
-	a.discard()
+	a.Discard()
 	if e := a.caller.Load(); e != nil {
 		return e
 	}
@@ -225,22 +279,22 @@
 	}
 	late := errors.Is(err, os.ErrDeadlineExceeded)
 	if a.ctx.Err() != nil {
-		e := ended(a.ctx, corianderwing.RanUnknown)
+		e := Ended(a.ctx, corianderwing.RanUnknown)
 		late = e.Code == corianderwing.Deadline
 		if !late {
 			return e
 		}
 	}
 	if late {
-		return corianderwing.Errorf(corianderwing.FirstByte, "no answer from %s", a.conn.host.addr)
+		return corianderwing.Errorf(corianderwing.FirstByte, "no answer from %s", a.conn.host.Addr)
 	}
-	return corianderwing.Errorf(corianderwing.SendFail, "connection to %s: %v", a.conn.host.addr, err)
+	return corianderwing.Errorf(corianderwing.SendFail, "connection to %s: %v", a.conn.host.Addr, err)
 }
 
 // unsent returns the error for a request of which nothing was sent.
 func unsent(ctx context.Context, err error) *corianderwing.Error {
 	if ctx.Err() != nil {
-		return ended(ctx, corianderwing.RanNo)
+		return Ended(ctx, corianderwing.RanNo)
 	}
 	var e *corianderwing.Error
 	if errors.As(err, &e) {
@@ -249,8 +303,8 @@
 	return corianderwing.Errorf(corianderwing.ConnFail, "%v", err)
 }
 
-// ended returns the error for a request whose context ended.
-func ended(ctx context.Context, run corianderwing.Ran) *corianderwing.Error {
+// Ended returns the error for a request whose context ended.
+func Ended(ctx context.Context, run corianderwing.Ran) *corianderwing.Error {
 	code, text := corianderwing.CallerGone, "the caller closed the connection"
 	var e *corianderwing.Error
 	if errors.As(context.Cause(ctx), &e) {
@@ -260,20 +314,20 @@
 }
 
 // Read reads the answer's body. At its end the connection is free again.
-func (a *answer) Read(b []byte) (int, error) {
+func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
 		a.finish()
 	default:
-		a.discard()
+		a.Discard()
 	}
 	return n, err
 }
 
 // finish gives the connection back after a complete exchange.
-func (a *answer) finish() {
+func (a *Answer) finish() {
 	if a.over {
 		return
 	}
@@ -294,11 +348,11 @@
 		a.conn.Close()
 		return
 	}
-	a.conn.host.put(a.conn)
+	a.conn.host.put(a.conn, a.Header.Get("Keep-Alive"))
 }
 
-// discard closes the connection if the exchange is not over.
-func (a *answer) discard() {
+// Discard closes the connection if the exchange is not over.
+func (a *Answer) Discard() {
 	if a.over {
 		return
 	}
@@ -307,11 +361,11 @@
 	a.conn.Close()
 }
 
-// drain reads a small answer to its end, so that the connection can be used
+// Drain reads a small answer to its end, so that the connection can be used
 // again, and discards any other.
-func (a *answer) drain() {
+func (a *Answer) Drain() {
 	if a.ContentLength >= 0 && a.ContentLength <= int64(a.conn.br.Size()) {
 		io.Copy(io.Discard, a)
 	}
-	a.discard()
+	a.Discard()
 }
--- /dev/null
+++ b/io/relay/send_test.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// peerOf returns a Host whose connections are answered by serve.
+func peerOf(serve func(c net.Conn, br *bufio.Reader)) *Host {
+	return &Host{Addr: "peer", Most: 4, Dial: func(context.Context, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		go func() {
+			defer there.Close()
+			serve(there, bufio.NewReader(there))
+		}()
+		return here, nil
+	}}
+}
+
+func ask(h *Host, id string) Call {
+	return Call{
+		Host: h, Method: http.MethodGet, URI: "/", Name: "h", Body: Empty,
+		ID: corianderwing.RequestID(id), Echo: "X-Id", First: time.Now().Add(time.Second),
+	}
+}
+
+func answer(w io.Writer, id, more, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, len(body), more, body)
+}
+
+func text(t *testing.T, a *Answer, e *corianderwing.Error) string {
+	t.Helper()
+	if e != nil {
+		return fmt.Sprint(uint16(e.Code))
+	}
+	b, err := io.ReadAll(a)
+	if err != nil {
+		a.Discard()
+		return "cut"
+	}
+	return string(b)
+}
+
+// Guards against a second answer to an earlier request, which arrives where
+// the next one is due: it must neither reach the caller nor cost the request.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := peerOf(func(c net.Conn, br *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				answer(c, "old", "", "foreign")
+				answer(c, "new", "", "own")
+			}
+		})
+		c := ask(h, "new")
+		a, e := Send(t.Context(), c)
+		is.Equal(text(t, a, e), "504") // crossed
+		c.Foreign = 1
+		a, e = Send(t.Context(), c)
+		is.Equal(text(t, a, e), "own")
+		h.Reset()
+	})
+}
+
+// Guards against answers without a length that a reset cut short and that look
+// complete, and against refusing those that ended as they should.
+func TestUnframedAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is := is.New(t)
+	is.NoErr(err)
+	defer l.Close()
+	reset := false
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			http.ReadRequest(bufio.NewReader(c))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbytes")
+			if reset {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}
+	}()
+	h := &Host{Addr: l.Addr().String(), Dial: TCP(), Most: 1}
+	c := ask(h, "a")
+	a, e := Send(t.Context(), c)
+	is.Equal(text(t, a, e), "503") // refused unless asked for
+	c.Unframed, c.First = true, time.Now().Add(time.Minute)
+	a, e = Send(t.Context(), c)
+	is.Equal(text(t, a, e), "bytes")
+	reset = true
+	c.First = time.Now().Add(time.Minute)
+	a, e = Send(t.Context(), c)
+	got := text(t, a, e)
+	is.True(got == "cut" || got == "501") // a reset may overtake the bytes
+}
+
+// Guards against requests over connections that their peer is about to close.
+func TestIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dials := 0
+		h := peerOf(func(c net.Conn, br *bufio.Reader) {
+			dials++
+			for {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				answer(c, "a", "Keep-Alive: timeout=5\r\n", "")
+			}
+		})
+		get := func(recent time.Duration) int {
+			c := ask(h, "a")
+			if recent > 0 {
+				c.Recent = time.Now().Add(-recent)
+			}
+			a, e := Send(t.Context(), c)
+			is.Equal(text(t, a, e), "")
+			return dials
+		}
+		is.Equal(get(0), 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(get(0), 1)
+		is.Equal(get(time.Second), 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(get(time.Second), 2) // idle for longer than allowed
+		h.Trim(0)
+		is.Equal(get(0), 3)
+		time.Sleep(4100 * time.Millisecond)
+		is.Equal(get(0), 4) // the peer closes it after 5 s
+		h.Reset()
+	})
+}
--- a/io/entry/sock_linux.go
+++ b/io/relay/sock_linux.go
@@ -1,4 +1,4 @@
-package entry
+package relay
 
 import (
 	"errors"
--- a/io/entry/sock_other.go
+++ b/io/relay/sock_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package entry
+package relay
 
 import (
 	"net"
