--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -31,6 +31,7 @@
 		Commands: []*cli.Command{
 			demoCommand(),
 			serveCommand(),
+			nodeCommand(),
 			stubCommand(),
 			stubsCommand(),
 			loadCommand(),
--- /dev/null
+++ b/core/items/check.go
@@ -0,0 +1,158 @@
+package items
+
+import (
+	"cmp"
+	"reflect"
+	"strings"
+
+	"corianderwing"
+)
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+func bad(format string, args ...any) error {
+	return corianderwing.Errorf(corianderwing.BadChange, format, args...)
+}
+
+// check returns an error if an item is wrong by itself, whatever the others
+// are. Stale items are checked as well: an edit is accepted as a whole.
+func check(e corianderwing.Edit) error {
+	for i := range e.Rules {
+		if err := checkRule(&e.Rules[i]); err != nil {
+			return err
+		}
+	}
+	for i := range e.Tenures {
+		if err := checkTenure(&e.Tenures[i]); err != nil {
+			return err
+		}
+	}
+	for i := range e.Pools {
+		p := &e.Pools[i]
+		if p.Name == "" {
+			return bad("pool %d: the name is empty", i)
+		}
+		if p.Conns < 0 || p.Cold < 0 || p.ColdRate < 0 {
+			return bad("pool %s: a bound is negative", p.Name)
+		}
+	}
+	for i, d := range e.Drops {
+		if d.Name == "" {
+			return bad("removal %d: the name is empty", i)
+		}
+	}
+	if l := e.Limits; l != nil && (l.Header <= 0 || l.Body < 0 || l.Reading <= 0 || l.Idle <= 0) {
+		return bad("limits: a bound is not positive")
+	}
+	return nil
+}
+
+func checkRule(r *corianderwing.Rule) error {
+	switch {
+	case r.Name == "":
+		return bad("rule: the name is empty")
+	case r.Host == "":
+		return bad("rule %s: the host is empty", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return bad("rule %s: the prefix %q does not begin with a slash", r.Name, r.Prefix)
+	case r.Timeout <= 0:
+		return bad("rule %s: the timeout is %d ms, it must be positive", r.Name, r.Timeout)
+	case r.Tries < 0:
+		return bad("rule %s: the number of tries is negative", r.Name)
+	case len(r.Targets) == 0:
+		return bad("rule %s: it names no pool", r.Name)
+	}
+	total := 0.0
+	for _, t := range r.Targets {
+		if t.Pool == "" {
+			return bad("rule %s: the name of a pool is empty", r.Name)
+		}
+		if !(t.Weight >= 0) {
+			return bad("rule %s: the weight of pool %s is %v, it must not be negative", r.Name, t.Pool, t.Weight)
+		}
+		total += t.Weight
+	}
+	if total <= 0 {
+		return bad("rule %s: no pool has a positive weight", r.Name)
+	}
+	return nil
+}
+
+func checkTenure(t *corianderwing.Tenure) error {
+	switch {
+	case t.Name == "":
+		return bad("tenure: the name is empty")
+	case !(t.Rate >= 0) || t.Burst < 0:
+		return bad("tenure %s: rate %v or burst %d is negative", t.Name, t.Rate, t.Burst)
+	}
+	for _, k := range t.Keys {
+		if k == "" {
+			return bad("tenure %s: a key is empty", t.Name)
+		}
+	}
+	return nil
+}
+
+// conflict returns an error if e changes an item under the version that it
+// has. Two operators may choose the same version: one of them must learn that
+// its content is not in force.
+func (s *Set) conflict(e corianderwing.Edit) error {
+	for i := range e.Rules {
+		if r := &e.Rules[i]; differs(s, s.rules[r.Name], corianderwing.RuleItem, string(r.Name), r.Version, r) {
+			return taken("rule", string(r.Name), r.Version)
+		}
+	}
+	for i := range e.Tenures {
+		if t := &e.Tenures[i]; differs(s, s.tenures[t.Name], corianderwing.TenureItem, string(t.Name), t.Version, t) {
+			return taken("tenure", string(t.Name), t.Version)
+		}
+	}
+	for i := range e.Pools {
+		if p := &e.Pools[i]; differs(s, s.pools[p.Name], corianderwing.PoolItem, string(p.Name), p.Version, p) {
+			return taken("pool", string(p.Name), p.Version)
+		}
+	}
+	if l := e.Limits; l != nil && s.limits != nil && l.Version == s.limits.Version && *l != *s.limits {
+		return taken("limits", "", l.Version)
+	}
+	for _, d := range e.Drops {
+		if v := s.versionOf(d.Kind, d.Name); v == d.Version && s.drops[key{d.Kind, d.Name}] != v {
+			return taken(string(d.Kind), d.Name, v)
+		}
+	}
+	return nil
+}
+
+// differs reports whether item has the version of the held item, or of its
+// removal, and another content.
+func differs[V any](s *Set, held *V, kind corianderwing.ItemKind, name string, v corianderwing.Version, item *V) bool {
+	if s.versionOf(kind, name) != v {
+		return false
+	}
+	return held == nil && v != 0 || held != nil && !reflect.DeepEqual(held, item)
+}
+
+func taken(kind, name string, v corianderwing.Version) error {
+	return corianderwing.Errorf(corianderwing.Conflict, "%s %s: version %d is in force with other content", kind, name, v)
+}
+
+// valid returns an error if items of the set contradict each other.
+func (s *Set) valid() error {
+	for _, r := range s.rules {
+		for _, t := range r.Targets {
+			if s.pools[t.Pool] == nil {
+				return bad("rule %s: pool %s does not exist", r.Name, t.Pool)
+			}
+		}
+	}
+	owner := map[string]corianderwing.WorkspaceID{}
+	for _, t := range s.tenures {
+		for _, k := range t.Keys {
+			if other, ok := owner[k]; ok && other != t.Name {
+				return bad("tenure %s: one of its keys belongs to %s", max(t.Name, other), min(t.Name, other))
+			}
+			owner[k] = t.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/items/find.go
@@ -0,0 +1,94 @@
+package items
+
+import (
+	"cmp"
+	"net/url"
+	"slices"
+	"strings"
+
+	"corianderwing"
+)
+
+// index builds the look-up tables of the request path.
+func (s *Set) index() {
+	s.hosts = make(map[string][]*corianderwing.Rule)
+	for _, r := range s.rules {
+		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+	}
+	for _, list := range s.hosts {
+		slices.SortFunc(list, func(a, b *corianderwing.Rule) int {
+			if n := len(b.Prefix) - len(a.Prefix); n != 0 {
+				return n
+			}
+			return cmp.Compare(a.Name, b.Name)
+		})
+	}
+	s.owners = make(map[string]*corianderwing.Tenure)
+	for _, t := range s.tenures {
+		for _, k := range t.Keys {
+			s.owners[k] = t
+		}
+	}
+}
+
+// Rule returns the rule for a path of a host: the one with the longest prefix.
+func (s *Set) Rule(host, path string) (*corianderwing.Rule, bool) {
+	for _, r := range s.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// PathOf returns the path of a request target as rules compare it.
+func PathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	if strings.HasPrefix(path, "/") {
+		return path
+	}
+	u, err := url.Parse(path) // a proxy's form, with scheme and host
+	if err != nil {
+		return path
+	}
+	return u.EscapedPath()
+}
+
+// Owner returns the workspace that holds a key.
+func (s *Set) Owner(key string) (*corianderwing.Tenure, bool) {
+	t, ok := s.owners[key]
+	return t, ok
+}
+
+// Tenure returns a workspace by name.
+func (s *Set) Tenure(name corianderwing.WorkspaceID) (*corianderwing.Tenure, bool) {
+	t, ok := s.tenures[name]
+	return t, ok
+}
+
+// Tenures calls f with every workspace, in no order.
+func (s *Set) Tenures(f func(*corianderwing.Tenure)) {
+	for _, t := range s.tenures {
+		f(t)
+	}
+}
+
+// Keyed reports whether requests need a key: some workspace exists.
+func (s *Set) Keyed() bool { return len(s.tenures) > 0 }
+
+// Pool returns a pool by name.
+func (s *Set) Pool(name corianderwing.PoolID) (*corianderwing.Pool, bool) {
+	p, ok := s.pools[name]
+	return p, ok
+}
+
+// Rules returns the number of rules.
+func (s *Set) Rules() int { return len(s.rules) }
+
+// Limits returns the limits of callers, or defaults if none were set.
+func (s *Set) Limits() corianderwing.Limits {
+	if s.limits != nil {
+		return *s.limits
+	}
+	return corianderwing.Limits{Header: 16 << 10, Body: 64 << 20, Reading: 5000, Idle: 60000}
+}
--- /dev/null
+++ b/core/items/items.go
@@ -0,0 +1,191 @@
+// Package items holds the shared settings as named items, each with a version
+// of its own: rules that send requests to pools, tenures of workspaces, pools,
+// and the limits of callers. Of two states of an item the one with the higher
+// version is in force, in whatever order they arrive, so that operators need
+// no common revision.
+package items
+
+import (
+	"maps"
+	"slices"
+
+	"corianderwing"
+)
+
+// key names an item among all kinds.
+type key struct {
+	kind corianderwing.ItemKind
+	name string
+}
+
+// Set is an immutable set of items. Its zero value is not usable; use New.
+type Set struct {
+	rules   map[corianderwing.RouteID]*corianderwing.Rule
+	tenures map[corianderwing.WorkspaceID]*corianderwing.Tenure
+	pools   map[corianderwing.PoolID]*corianderwing.Pool
+	limits  *corianderwing.Limits
+	drops   map[key]corianderwing.Version // versions of removed items, kept for ever
+
+	hosts  map[string][]*corianderwing.Rule // by host, longest prefix first
+	owners map[string]*corianderwing.Tenure // by key
+}
+
+// New returns a set without items.
+func New() *Set {
+	s := &Set{
+		rules:   map[corianderwing.RouteID]*corianderwing.Rule{},
+		tenures: map[corianderwing.WorkspaceID]*corianderwing.Tenure{},
+		pools:   map[corianderwing.PoolID]*corianderwing.Pool{},
+		drops:   map[key]corianderwing.Version{},
+	}
+	s.index()
+	return s
+}
+
+// Merge returns the set with the items of e that are newer than those held. It
+// returns s itself if none is, and an error if e is malformed, changes an item
+// without a new version, or would leave the set invalid.
+func (s *Set) Merge(e corianderwing.Edit) (*Set, error) {
+	if err := check(e); err != nil {
+		return nil, err
+	}
+	if err := s.conflict(e); err != nil {
+		return nil, err
+	}
+	next := s.clone()
+	changed := next.put(e)
+	changed = next.drop(e.Drops) || changed
+	if !changed {
+		return s, nil
+	}
+	if err := next.valid(); err != nil {
+		return nil, err
+	}
+	next.index()
+	return next, nil
+}
+
+func (s *Set) clone() *Set {
+	return &Set{
+		rules:   maps.Clone(s.rules),
+		tenures: maps.Clone(s.tenures),
+		pools:   maps.Clone(s.pools),
+		limits:  s.limits,
+		drops:   maps.Clone(s.drops),
+	}
+}
+
+// put adds the items of e that are newer.
+func (s *Set) put(e corianderwing.Edit) (changed bool) {
+	for i := range e.Rules {
+		r := &e.Rules[i]
+		changed = place(s, s.rules, corianderwing.RuleItem, r.Name, r.Version, r) || changed
+	}
+	for i := range e.Tenures {
+		t := &e.Tenures[i]
+		changed = place(s, s.tenures, corianderwing.TenureItem, t.Name, t.Version, t) || changed
+	}
+	for i := range e.Pools {
+		p := &e.Pools[i]
+		changed = place(s, s.pools, corianderwing.PoolItem, p.Name, p.Version, p) || changed
+	}
+	if e.Limits != nil && (s.limits == nil || e.Limits.Version > s.limits.Version) {
+		s.limits = e.Limits
+		changed = true
+	}
+	return changed
+}
+
+// place sets an item if it is newer than the one held and than its removal.
+func place[K ~string, V any](s *Set, m map[K]*V, kind corianderwing.ItemKind, name K, v corianderwing.Version, item *V) bool {
+	if v <= s.versionOf(kind, string(name)) {
+		return false
+	}
+	m[name] = item
+	delete(s.drops, key{kind, string(name)})
+	return true
+}
+
+func (s *Set) drop(drops []corianderwing.Drop) (changed bool) {
+	for _, d := range drops {
+		if d.Version <= s.versionOf(d.Kind, d.Name) {
+			continue
+		}
+		switch d.Kind {
+		case corianderwing.RuleItem:
+			delete(s.rules, corianderwing.RouteID(d.Name))
+		case corianderwing.TenureItem:
+			delete(s.tenures, corianderwing.WorkspaceID(d.Name))
+		case corianderwing.PoolItem:
+			delete(s.pools, corianderwing.PoolID(d.Name))
+		}
+		s.drops[key{d.Kind, d.Name}] = d.Version
+		changed = true
+	}
+	return changed
+}
+
+// versionOf returns the version of an item or of its removal, 0 if neither is
+// known.
+func (s *Set) versionOf(kind corianderwing.ItemKind, name string) corianderwing.Version {
+	switch kind {
+	case corianderwing.RuleItem:
+		if r := s.rules[corianderwing.RouteID(name)]; r != nil {
+			return r.Version
+		}
+	case corianderwing.TenureItem:
+		if t := s.tenures[corianderwing.WorkspaceID(name)]; t != nil {
+			return t.Version
+		}
+	case corianderwing.PoolItem:
+		if p := s.pools[corianderwing.PoolID(name)]; p != nil {
+			return p.Version
+		}
+	}
+	return s.drops[key{kind, name}]
+}
+
+// Saved is a Set in a form that can be encoded.
+type Saved struct {
+	Items corianderwing.Edit   `json:"items"`
+	Drops []corianderwing.Drop `json:"drops,omitempty"`
+}
+
+// All returns the items that are not dropped, sorted by name.
+func (s *Set) All() corianderwing.Edit {
+	e := corianderwing.Edit{Limits: s.limits}
+	for _, name := range slices.Sorted(maps.Keys(s.rules)) {
+		e.Rules = append(e.Rules, *s.rules[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.tenures)) {
+		e.Tenures = append(e.Tenures, *s.tenures[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+		e.Pools = append(e.Pools, *s.pools[name])
+	}
+	return e
+}
+
+// Save returns the set with its removals.
+func (s *Set) Save() Saved {
+	out := Saved{Items: s.All()}
+	for k, v := range s.drops {
+		out.Drops = append(out.Drops, corianderwing.Drop{Kind: k.kind, Name: k.name, Version: v})
+	}
+	slices.SortFunc(out.Drops, func(a, b corianderwing.Drop) int {
+		if a.Kind != b.Kind {
+			return compare(string(a.Kind), string(b.Kind))
+		}
+		return compare(a.Name, b.Name)
+	})
+	return out
+}
+
+// Load returns the set that Save returned.
+func Load(in Saved) *Set {
+	s := New()
+	s.put(in.Items)
+	s.drop(in.Drops)
+	s.index()
+	return s
+}
--- /dev/null
+++ b/core/model/command.go
@@ -0,0 +1,221 @@
+package model
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"corianderwing"
+)
+
+// Announced is an upstream in a command. Cold tells for how much longer it is
+// slow, because clocks differ.
+type Announced struct {
+	corianderwing.Upstream
+	Cold corianderwing.Millis `json:"cold,omitempty"`
+}
+
+// Left names an upstream that is gone.
+type Left struct {
+	ID          corianderwing.UpstreamID  `json:"id"`
+	Incarnation corianderwing.Incarnation `json:"incarnation"`
+}
+
+// Evacuation ends or allows new work in a failure domain.
+type Evacuation struct {
+	Domain corianderwing.DomainID `json:"domain"`
+	On     bool                   `json:"on"`
+}
+
+// Command is one change of the site. Only one of its fields is set, but for
+// Announce, Leave and Expire, which a control instance collects.
+type Command struct {
+	Edit     *corianderwing.Edit `json:"edit,omitempty"`
+	Announce []Announced         `json:"announce,omitempty"`
+	Leave    []Left              `json:"leave,omitempty"`
+	Expire   []Left              `json:"expire,omitempty"` // silent, but welcome back
+	Evacuate *Evacuation         `json:"evacuate,omitempty"`
+	Move     *corianderwing.Move `json:"move,omitempty"`    // starts a move
+	EndMove  *corianderwing.Move `json:"endmove,omitempty"` // records its outcome
+}
+
+// Result answers a command. Error is nil if what the command asks for is in
+// force now, whether or not it changed anything.
+type Result struct {
+	Revision corianderwing.Revision `json:"revision"`
+	Error    *corianderwing.Error   `json:"error,omitempty"`
+}
+
+// maxGone is the number of departed upstreams that are remembered, so that a
+// heartbeat that was delayed on its way does not bring one back.
+const maxGone = 4096
+
+// Apply returns the view after a command that arrived at now. The view itself
+// does not change. A refused command leads to the same view.
+func (v *View) Apply(c *Command, now time.Time) (*View, error) {
+	switch {
+	case c.Edit != nil:
+		return v.edit(*c.Edit)
+	case len(c.Announce)+len(c.Leave)+len(c.Expire) > 0:
+		return v.roster(c, now), nil
+	case c.Evacuate != nil:
+		return v.evacuate(*c.Evacuate), nil
+	case c.Move != nil:
+		return v.startMove(*c.Move)
+	case c.EndMove != nil:
+		return v.endMove(*c.EndMove), nil
+	}
+	return v, corianderwing.Errorf(corianderwing.BadInput, "the command is empty")
+}
+
+func (v *View) edit(e corianderwing.Edit) (*View, error) {
+	set, err := v.items.Merge(e)
+	if err != nil || set == v.items {
+		return v, err
+	}
+	n := *v
+	n.items = set
+	n.revision++
+	return &n, nil
+}
+
+// roster takes announcements and departures.
+func (v *View) roster(c *Command, now time.Time) *View {
+	n := v.next()
+	for i := range c.Announce {
+		n.announce(&c.Announce[i], now)
+	}
+	for _, l := range c.Leave {
+		n.leave(l)
+	}
+	for _, l := range c.Expire {
+		if u, ok := n.upstreams[l.ID]; ok && u.Incarnation == l.Incarnation {
+			delete(n.upstreams, l.ID)
+		}
+	}
+	n.index()
+	n.revision++
+	return n
+}
+
+// announce takes an announcement, unless it comes from an earlier life than
+// the one that is known.
+func (v *View) announce(a *Announced, now time.Time) {
+	if v.Stale(&a.Upstream) {
+		return
+	}
+	u := &Upstream{Upstream: a.Upstream}
+	old := v.upstreams[a.ID]
+	if old != nil && old.Incarnation == a.Incarnation {
+		u.No = old.No
+		// An upstream that began to drain does not come back in the same life.
+		if old.Phase == corianderwing.Draining {
+			u.Phase = corianderwing.Draining
+		}
+	} else {
+		v.number++
+		u.No = v.number
+	}
+	if a.Cold > 0 {
+		u.Cold = a.Cold.After(now)
+	}
+	for id, other := range v.upstreams {
+		if id != a.ID && other.Addr == a.Addr {
+			v.leave(Left{ID: id, Incarnation: other.Incarnation})
+		}
+	}
+	v.upstreams[a.ID] = u
+}
+
+// Stale reports whether an announcement was made by an earlier life of the
+// upstream, by one that has left, or by a former user of an address that a
+// later upstream has.
+func (v *View) Stale(a *corianderwing.Upstream) bool {
+	if old, ok := v.upstreams[a.ID]; ok && old.Incarnation > a.Incarnation {
+		return true
+	}
+	if last, ok := v.gone[a.ID]; ok && last >= a.Incarnation {
+		return true
+	}
+	for id, other := range v.upstreams {
+		if id != a.ID && other.Addr == a.Addr && other.Incarnation > a.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// leave removes an upstream, unless a later life of it has been announced.
+func (v *View) leave(l Left) {
+	if u, ok := v.upstreams[l.ID]; ok {
+		if u.Incarnation > l.Incarnation {
+			return
+		}
+		delete(v.upstreams, l.ID)
+	}
+	if last, ok := v.gone[l.ID]; ok && last >= l.Incarnation {
+		return
+	}
+	_, known := v.gone[l.ID]
+	v.gone = maps.Clone(v.gone)
+	v.gone[l.ID] = l.Incarnation
+	if known {
+		return
+	}
+	v.order = append(slices.Clip(v.order), l.ID)
+	for len(v.order) > maxGone {
+		delete(v.gone, v.order[0])
+		v.order = v.order[1:]
+	}
+}
+
+func (v *View) evacuate(e Evacuation) *View {
+	if v.evacuated[e.Domain] == e.On {
+		return v
+	}
+	n := *v
+	n.evacuated = maps.Clone(v.evacuated)
+	if e.On {
+		n.evacuated[e.Domain] = true
+	} else {
+		delete(n.evacuated, e.Domain)
+	}
+	n.revision++
+	return &n
+}
+
+// startMove starts a move. The same move asked for again changes nothing,
+// whatever has become of it; another one may start only when the last one has
+// ended.
+func (v *View) startMove(m corianderwing.Move) (*View, error) {
+	if m.Pool == "" || m.To == "" {
+		return v, corianderwing.Errorf(corianderwing.BadInput, "a move needs a pool and a version")
+	}
+	last, ok := v.moves[m.Pool]
+	if ok && last.To == m.To && (last.Outcome == corianderwing.Moving || m.ID == last.ID) {
+		return v, nil
+	}
+	if ok && last.Outcome == corianderwing.Moving {
+		return v, corianderwing.Errorf(corianderwing.Conflict, "pool %s is moving to version %s", m.Pool, last.To)
+	}
+	m.Outcome, m.Evidence = corianderwing.Moving, ""
+	return v.withMove(m), nil
+}
+
+// endMove records the outcome of the move that is under way.
+func (v *View) endMove(m corianderwing.Move) *View {
+	last, ok := v.moves[m.Pool]
+	if !ok || last.ID != m.ID || last.Outcome != corianderwing.Moving {
+		return v
+	}
+	last.Outcome, last.Evidence = m.Outcome, m.Evidence
+	return v.withMove(last)
+}
+
+func (v *View) withMove(m corianderwing.Move) *View {
+	n := *v
+	n.moves = maps.Clone(v.moves)
+	n.moves[m.Pool] = m
+	n.revision++
+	return &n
+}
--- /dev/null
+++ b/core/model/machine.go
@@ -0,0 +1,206 @@
+package model
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderwing"
+)
+
+// window is how many changes a Machine keeps for those that follow it. A
+// follower that lacks more gets a snapshot.
+const window = 512
+
+// Update leads a follower's view to Revision: Snapshot is a whole view, Command
+// one change to the view before it.
+type Update struct {
+	Revision corianderwing.Revision `json:"revision"`
+	Snapshot []byte                 `json:"snapshot,omitempty"`
+	Command  []byte                 `json:"command,omitempty"`
+}
+
+// Machine is one replica of the site's state. It implements
+// corianderwing.Machine and owns the current View. Its readers take no lock.
+type Machine struct {
+	now    func() time.Time
+	mu     sync.Mutex
+	index  corianderwing.Index
+	public atomic.Pointer[public]
+}
+
+// public is what readers see. It is immutable; each change replaces it. The
+// backing array of updates is shared with later ones, which write only behind
+// its end.
+type public struct {
+	view    *View
+	index   corianderwing.Index
+	updates []Update
+	changed chan struct{} // closed when the next public replaces this one
+}
+
+// NewMachine returns a replica of a new site. Now returns the time from which
+// the rest of a cold start is counted.
+func NewMachine(now func() time.Time) *Machine {
+	m := &Machine{now: now}
+	m.public.Store(&public{view: New(), changed: make(chan struct{})})
+	return m
+}
+
+// View returns the current view.
+func (m *Machine) View() *View { return m.public.Load().view }
+
+// Applied returns the index of the last command that the view includes.
+func (m *Machine) Applied() corianderwing.Index { return m.public.Load().index }
+
+// Changed returns a channel that is closed at the next command. To miss
+// nothing, take the channel before reading the view or the updates.
+func (m *Machine) Changed() <-chan struct{} { return m.public.Load().changed }
+
+// Updates returns what leads from a revision to the current one: the changes
+// in between, or a snapshot if some of them are no longer kept or the revision
+// is of another history.
+func (m *Machine) Updates(after corianderwing.Revision) ([]Update, error) {
+	p := m.public.Load()
+	if after == p.view.revision {
+		return nil, nil
+	}
+	if after < p.view.revision {
+		missing := int(p.view.revision - after)
+		if missing <= len(p.updates) {
+			return p.updates[len(p.updates)-missing:], nil
+		}
+	} else {
+		// The follower is ahead of this replica, which will catch up.
+		return nil, nil
+	}
+	data, err := p.view.Save(m.now())
+	if err != nil {
+		return nil, err
+	}
+	return []Update{{Revision: p.view.revision, Snapshot: data}}, nil
+}
+
+// Apply implements corianderwing.Machine. Commands that the view includes
+// already, because the replica started again, change nothing.
+func (m *Machine) Apply(i corianderwing.Index, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.public.Load()
+	if i <= m.index {
+		return encodeResult(Result{Revision: p.view.revision})
+	}
+	m.index = i
+	next, err := p.view, error(nil)
+	c, err := Decode(data)
+	if err == nil {
+		next, err = p.view.Apply(c, m.now())
+	}
+	updates := p.updates
+	if next.revision != p.view.revision {
+		updates = append(updates, Update{Revision: next.revision, Command: data})
+		if extra := len(updates) - window; extra > 0 {
+			updates = updates[extra:]
+		}
+	}
+	m.public.Store(&public{view: next, index: i, updates: updates, changed: make(chan struct{})})
+	close(p.changed)
+	return encodeResult(Result{Revision: next.revision, Error: asError(err)})
+}
+
+// Restored is the encoded form of a Machine.
+type restored struct {
+	Index corianderwing.Index `json:"index"`
+	View  []byte              `json:"view"`
+}
+
+// Save implements corianderwing.Machine.
+func (m *Machine) Save() ([]byte, error) {
+	p := m.public.Load()
+	view, err := p.view.Save(m.now())
+	if err != nil {
+		return nil, err
+	}
+	return encoding.Marshal(restored{Index: p.index, View: view})
+}
+
+// Restore implements corianderwing.Machine. A snapshot that is older than the
+// view changes nothing.
+func (m *Machine) Restore(data []byte) error {
+	var r restored
+	if err := decoding.Unmarshal(data, &r); err != nil {
+		return fmt.Errorf("decoding a snapshot: %w", err)
+	}
+	view, err := Load(r.View, m.now())
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.Index <= m.index {
+		return nil
+	}
+	m.index = r.Index
+	p := m.public.Load()
+	m.public.Store(&public{view: view, index: r.Index, changed: make(chan struct{})})
+	close(p.changed)
+	return nil
+}
+
+// DecodeResult decodes what Machine.Apply returns.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	if err := decoding.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("decoding a result: %w", err)
+	}
+	return r, nil
+}
+
+// encodeResult cannot fail: every field of a result was made here.
+func encodeResult(r Result) []byte {
+	data, err := encoding.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func asError(err error) *corianderwing.Error {
+	if err == nil {
+		return nil
+	}
+	if e, ok := err.(*corianderwing.Error); ok {
+		return e
+	}
+	return corianderwing.Errorf(corianderwing.CodeOf(err), "%v", err)
+}
+
+// Update returns the view after an update. It fails with a Conflict if the
+// update does not follow the view, so that a snapshot is needed.
+func (v *View) Update(u Update, now time.Time) (*View, error) {
+	if u.Snapshot != nil {
+		if u.Revision <= v.revision {
+			return v, nil
+		}
+		return Load(u.Snapshot, now)
+	}
+	if u.Revision <= v.revision {
+		return v, nil
+	}
+	if u.Revision != v.revision+1 {
+		return v, corianderwing.Errorf(corianderwing.Conflict, "update to revision %d after %d", u.Revision, v.revision)
+	}
+	c, err := Decode(u.Command)
+	if err != nil {
+		return v, err
+	}
+	next, err := v.Apply(c, now)
+	if err != nil {
+		return v, corianderwing.Errorf(corianderwing.Conflict, "update to revision %d is refused: %v", u.Revision, err)
+	}
+	if next.revision != u.Revision {
+		return v, corianderwing.Errorf(corianderwing.Conflict, "update to revision %d led to %d", u.Revision, next.revision)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/core/model/model.go
@@ -0,0 +1,103 @@
+// Package model is the replicated state of a site: its items, the announced
+// upstreams, version moves and evacuated failure domains. Control instances
+// and entry instances run the same code on the same commands, so an entry
+// instance needs only the commands after its revision.
+package model
+
+import (
+	"maps"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/items"
+)
+
+// Upstream is an announced upstream with what the site has decided about it.
+type Upstream struct {
+	corianderwing.Upstream
+	// No is a short number for the upstream, unique among the living ones.
+	No uint32 `json:"no"`
+	// Cold is until when the upstream bears little load. Each process counts
+	// it from when it learned of it.
+	Cold time.Time `json:"-"`
+}
+
+// View is an immutable state of the site. Its zero value is not usable; use
+// New.
+type View struct {
+	revision  corianderwing.Revision
+	items     *items.Set
+	upstreams map[corianderwing.UpstreamID]*Upstream
+	gone      map[corianderwing.UpstreamID]corianderwing.Incarnation
+	order     []corianderwing.UpstreamID // of gone, oldest first
+	evacuated map[corianderwing.DomainID]bool
+	moves     map[corianderwing.PoolID]corianderwing.Move
+	number    uint32 // last Upstream.No
+	pools     map[corianderwing.PoolID][]*Upstream
+}
+
+// New returns the state of a new site.
+func New() *View {
+	v := &View{
+		items:     items.New(),
+		upstreams: map[corianderwing.UpstreamID]*Upstream{},
+		gone:      map[corianderwing.UpstreamID]corianderwing.Incarnation{},
+		evacuated: map[corianderwing.DomainID]bool{},
+		moves:     map[corianderwing.PoolID]corianderwing.Move{},
+	}
+	v.index()
+	return v
+}
+
+// Revision counts the commands that were applied.
+func (v *View) Revision() corianderwing.Revision { return v.revision }
+
+// Items returns the settings.
+func (v *View) Items() *items.Set { return v.items }
+
+// Upstream returns an announced upstream.
+func (v *View) Upstream(id corianderwing.UpstreamID) (*Upstream, bool) {
+	u, ok := v.upstreams[id]
+	return u, ok
+}
+
+// Pool returns the upstreams of a pool, by id. The caller must not change it.
+func (v *View) Pool(p corianderwing.PoolID) []*Upstream { return v.pools[p] }
+
+// Pools returns the upstreams of every pool. The caller must not change it.
+func (v *View) Pools() map[corianderwing.PoolID][]*Upstream { return v.pools }
+
+// Upstreams returns the number of announced upstreams.
+func (v *View) Upstreams() int { return len(v.upstreams) }
+
+// Evacuated reports whether a failure domain gets no new work.
+func (v *View) Evacuated(d corianderwing.DomainID) bool { return v.evacuated[d] }
+
+// Move returns the latest move of a pool.
+func (v *View) Move(p corianderwing.PoolID) (corianderwing.Move, bool) {
+	m, ok := v.moves[p]
+	return m, ok
+}
+
+// Moves calls f with the latest move of every pool, in no order.
+func (v *View) Moves(f func(corianderwing.Move)) {
+	for _, m := range v.moves {
+		f(m)
+	}
+}
+
+// next returns a copy whose maps of upstreams may be changed.
+func (v *View) next() *View {
+	n := *v
+	n.upstreams = maps.Clone(v.upstreams)
+	return &n
+}
+
+// index groups the upstreams by pool.
+func (v *View) index() {
+	v.pools = make(map[corianderwing.PoolID][]*Upstream)
+	for _, id := range sortedKeys(v.upstreams) {
+		u := v.upstreams[id]
+		v.pools[u.Pool] = append(v.pools[u.Pool], u)
+	}
+}
--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"corianderwing"
 )
@@ -114,3 +115,15 @@
 	}
 	return 0
 }
+
+// Heard returns when this leader last heard from a member, zero if it does not
+// lead or does not know the member.
+func (n *Node) Heard(id corianderwing.InstanceID) time.Time {
+	if n.role == Leader && id == n.cfg.Self {
+		return n.now
+	}
+	if p := n.lead.peers[id]; p != nil {
+		return p.heard
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/io/follow/follow.go
@@ -0,0 +1,341 @@
+// Package follow keeps an entry instance in touch with the control role: it
+// holds the state of the site, and knows until when that state may be relied
+// on.
+package follow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/clock"
+	"corianderwing/io/peer"
+	"corianderwing/io/plane"
+)
+
+const (
+	// beatEvery is the interval of an entry instance's beats. It adds to the
+	// age of the confirmation that a lease is counted from.
+	beatEvery = 400 * time.Millisecond
+	// beatTimeout bounds one beat.
+	beatTimeout = 600 * time.Millisecond
+	// maxAge is the age of a confirmation above which another control instance
+	// is tried: the present one is out of touch itself.
+	maxAge = 1800 * time.Millisecond
+	// watchPause is the pause before a broken watch is opened again.
+	watchPause = 50 * time.Millisecond
+	// lagTimeout is how long the state may lack a confirmed revision before the
+	// watch is opened again.
+	lagTimeout = 700 * time.Millisecond
+)
+
+// Config describes the entry instance and whom it follows.
+type Config struct {
+	Self  func() corianderwing.Instance // as it is to be announced
+	Seeds []string                      // peer addresses of control instances to try first
+	// Lease is for how long a confirmed state may be relied on.
+	Lease time.Duration
+	Log   *log.Logger
+	// Now returns the boot time. Default: clock.Boot.
+	Now func() time.Time
+	// Changed is called after each change of the state. It must not block.
+	Changed func()
+}
+
+// Follower is the entry instance's side of the control role. It owns the
+// state and its lease.
+type Follower struct {
+	cfg    Config
+	peer   *peer.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	state atomic.Pointer[state]
+	info  atomic.Pointer[plane.BeatReply]
+
+	mu       sync.Mutex
+	controls []plane.Control
+	current  string        // peer address of the followed control instance
+	moved    chan struct{} // closed when current changes
+	misses   int
+	lagging  time.Time // since when the state lacks a confirmed revision
+	watching context.CancelFunc
+}
+
+// state is a view with its lease. It is immutable.
+type state struct {
+	view  *model.View
+	known bool      // the view came from a control instance
+	until time.Time // boot time until which the view may be relied on
+
+	// next is a confirmation that counts once the view has its revision.
+	next struct {
+		revision corianderwing.Revision
+		until    time.Time
+	}
+}
+
+// settle extends the lease if the view has the revision that next confirms.
+func (s *state) settle() {
+	if s.view.Revision() >= s.next.revision && s.next.until.After(s.until) {
+		s.until = s.next.until
+	}
+}
+
+// lags reports whether the view lacks a revision that was confirmed.
+func (s *state) lags() bool { return s.view.Revision() < s.next.revision }
+
+// New starts to follow. Close stops it.
+func New(cfg Config, pc *peer.Client) *Follower {
+	if cfg.Now == nil {
+		cfg.Now = clock.Boot
+	}
+	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{})}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.state.Store(&state{view: model.New()})
+	f.info.Store(&plane.BeatReply{})
+	for _, s := range cfg.Seeds {
+		f.controls = append(f.controls, plane.Control{Peer: s})
+	}
+	f.choose("")
+	f.wg.Go(f.keepBeating)
+	f.wg.Go(f.keepWatching)
+	return f
+}
+
+// View returns the state, and whether it came from a control instance at all.
+func (f *Follower) View() (v *model.View, known bool) {
+	s := f.state.Load()
+	return s.view, s.known
+}
+
+// Fresh returns until when the state may be relied on, as a boot time.
+func (f *Follower) Fresh() time.Time { return f.state.Load().until }
+
+// IsFresh reports whether the state may be relied on now.
+func (f *Follower) IsFresh() bool { return f.cfg.Now().Before(f.Fresh()) }
+
+// Neighbors returns the other live entry instances of the failure domain, as
+// the control role last said.
+func (f *Follower) Neighbors() []corianderwing.Instance { return f.info.Load().Neighbors }
+
+// Beat sends a beat at once, for example before a planned stop.
+func (f *Follower) Beat(ctx context.Context) { f.beat(ctx) }
+
+// Close stops following.
+func (f *Follower) Close() {
+	f.cancel()
+	f.wg.Wait()
+}
+
+func (f *Follower) keepBeating() {
+	for {
+		f.beat(f.ctx)
+		if !clock.Sleep(f.ctx, beatEvery) {
+			return
+		}
+	}
+}
+
+// beat sends one beat and takes over the reply.
+func (f *Follower) beat(ctx context.Context) {
+	f.mu.Lock()
+	addr := f.current
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	sent := f.cfg.Now()
+	reply, err := peer.Call(ctx, f.peer, addr, plane.BeatMethod, &plane.Beat{Entry: f.cfg.Self()})
+	if err != nil {
+		f.missed(addr, err)
+		return
+	}
+	f.info.Store(reply)
+	f.learn(reply.Controls)
+	if !reply.Fresh {
+		f.missed(addr, nil)
+		return
+	}
+	age := time.Duration(reply.Age) * time.Millisecond
+	f.extend(reply.Revision, corianderwing.HolderDeadline(sent.Add(-age), f.cfg.Lease))
+	f.heard(addr, age)
+}
+
+// heard notes that a control instance answered, and leaves it if it is out of
+// touch itself or does not send what it confirmed.
+func (f *Follower) heard(addr string, age time.Duration) {
+	now := f.cfg.Now()
+	s := f.state.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.misses = 0
+	if !s.lags() {
+		f.lagging = time.Time{}
+	} else if f.lagging.IsZero() {
+		f.lagging = now
+	}
+	if !f.lagging.IsZero() && now.Sub(f.lagging) > lagTimeout {
+		f.lagging = time.Time{}
+		if f.watching != nil {
+			f.watching()
+		}
+	}
+	if age > maxAge {
+		f.leave(addr, "out of touch")
+	}
+}
+
+// maxMisses is how many beats in a row may fail before another control
+// instance is tried.
+const maxMisses = 2
+
+func (f *Follower) missed(addr string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.misses++
+	_, known := f.View()
+	if f.misses >= maxMisses || !known {
+		reason := "knows no leader"
+		if err != nil {
+			reason = err.Error()
+		}
+		f.leave(addr, reason)
+	}
+}
+
+// leave follows the next control instance. The lock is held.
+func (f *Follower) leave(addr, reason string) {
+	if f.current != addr {
+		return
+	}
+	f.misses = 0
+	f.choose(addr)
+	if f.current != addr {
+		f.cfg.Log.Info().Str("control", addr).Str("next", f.current).Str("reason", reason).Msg("control instance changed")
+	}
+}
+
+// choose takes the control instance after the given one, or the nearest.
+// The lock is held, or nobody else runs yet.
+func (f *Follower) choose(after string) {
+	if len(f.controls) == 0 {
+		return
+	}
+	i := slices.IndexFunc(f.controls, func(c plane.Control) bool { return c.Peer == after })
+	next := f.controls[(i+1)%len(f.controls)].Peer
+	if next == f.current {
+		return
+	}
+	f.current = next
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// learn takes over which control instances there are, the nearest first.
+func (f *Follower) learn(list []plane.Control) {
+	if len(list) == 0 {
+		return
+	}
+	self := f.cfg.Self()
+	rank := func(c plane.Control) int {
+		switch {
+		case c.Domain == self.Domain:
+			return 0
+		case c.Region == self.Region:
+			return 1
+		}
+		return 2
+	}
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b plane.Control) int { return rank(a) - rank(b) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	nearest := len(f.controls) == 0 || f.controls[0] != list[0]
+	f.controls = list
+	for _, s := range f.cfg.Seeds {
+		if !slices.ContainsFunc(f.controls, func(c plane.Control) bool { return c.Peer == s }) {
+			f.controls = append(f.controls, plane.Control{Peer: s})
+		}
+	}
+	if nearest {
+		f.choose("")
+	}
+}
+
+// extend takes a confirmation over: the state may be relied on until then once
+// it has the revision.
+func (f *Follower) extend(r corianderwing.Revision, until time.Time) {
+	f.update(func(s *state) {
+		if r >= s.next.revision {
+			s.next.revision, s.next.until = r, until
+		}
+		s.settle()
+	})
+}
+
+// update replaces the state by a changed copy.
+func (f *Follower) update(change func(*state)) {
+	for {
+		old := f.state.Load()
+		next := *old
+		change(&next)
+		if f.state.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// keepWatching receives the changes of the state.
+func (f *Follower) keepWatching() {
+	for f.ctx.Err() == nil {
+		f.mu.Lock()
+		addr, moved := f.current, f.moved
+		ctx, cancel := context.WithCancel(f.ctx)
+		f.watching = cancel
+		f.mu.Unlock()
+		go func() {
+			select {
+			case <-moved:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		view, _ := f.View()
+		err := peer.Follow(ctx, f.peer, addr, plane.WatchMethod, plane.Watch(view.Revision()), f.apply)
+		cancel()
+		if err != nil && f.ctx.Err() == nil {
+			f.cfg.Log.Debug().Str("control", addr).Err(err).Msg("watch ended")
+		}
+		clock.Sleep(f.ctx, watchPause)
+	}
+}
+
+// apply takes one update over.
+func (f *Follower) apply(u *model.Update) error {
+	old, _ := f.View()
+	next, err := old.Update(*u, time.Now())
+	if err != nil && corianderwing.CodeOf(err) == corianderwing.Conflict {
+		f.cfg.Log.Error().Uint64("revision", uint64(u.Revision)).Err(err).Msg("the state does not fit an update; asking for a snapshot")
+		f.update(func(s *state) { s.view, s.until = model.New(), time.Time{} })
+	}
+	if err != nil {
+		return err
+	}
+	f.update(func(s *state) {
+		s.view, s.known = next, true
+		s.settle()
+	})
+	if f.cfg.Changed != nil {
+		f.cfg.Changed()
+	}
+	f.cfg.Log.Info().Uint64("revision", uint64(next.Revision())).Bool("snapshot", u.Snapshot != nil).
+		Int("rules", next.Items().Rules()).Int("upstreams", next.Upstreams()).Msg("state changed")
+	return nil
+}
--- a/io/group/status.go
+++ b/io/group/status.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"time"
+
 	"corianderwing"
 	"corianderwing/core/raft"
 )
@@ -22,6 +24,9 @@
 	// the leader knows it for others.
 	Matches map[corianderwing.InstanceID]corianderwing.Index `json:"matches,omitempty"`
 
+	// Heard tells when each member last answered. Only the leader knows it.
+	Heard map[corianderwing.InstanceID]time.Time `json:"heard,omitempty"`
+
 	// Err is why the replica stopped by itself, or nil.
 	Err error `json:"-"`
 }
@@ -37,9 +42,11 @@
 	}
 	if c.Role == raft.Leader {
 		s.Matches = make(map[corianderwing.InstanceID]corianderwing.Index)
+		s.Heard = make(map[corianderwing.InstanceID]time.Time)
 		for _, list := range [][]corianderwing.InstanceID{s.Voters.Voters, s.Voters.Learners} {
 			for _, id := range list {
 				s.Matches[id] = g.node.Match(id)
+				s.Heard[id] = g.node.Heard(id)
 			}
 		}
 	}
--- /dev/null
+++ b/io/node/settings.go
@@ -0,0 +1,196 @@
+// Package node assembles the process of one instance of a site from its
+// settings and from the adapter that speaks to callers, upstreams and
+// operators.
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"corianderwing"
+)
+
+// Settings are the settings of one instance. Times are written with a unit.
+type Settings struct {
+	Name   string                 `yaml:"name"`
+	Role   string                 `yaml:"role"` // entry or control
+	IP     string                 `yaml:"ip"`
+	Domain corianderwing.DomainID `yaml:"domain"`
+	Region corianderwing.RegionID `yaml:"region"`
+	Ports  []int                  `yaml:"ports"` // first and last port for other instances
+	Seeds  []string               `yaml:"seeds"` // control instances; only the IP numbers count
+	Found  bool                   `yaml:"found"` // the site starts for the first time
+	Data   string                 `yaml:"data"`
+	Beat   Span                   `yaml:"beat"` // interval of the upstreams' heartbeats
+	Log    string                 `yaml:"log"`  // level: debug, info, warn or error
+	Secret string                 `yaml:"secret"`
+
+	Domains map[corianderwing.DomainID]corianderwing.RegionID `yaml:"domains"`
+	Listen  Listen                                            `yaml:"listen"`
+	Losses  int                                               `yaml:"losses"` // control instances that may be lost at once
+	Memory  int                                               `yaml:"memory"` // limit in MB, 0 for none
+	Bounds  Bounds                                            `yaml:"bounds"`
+}
+
+// Listen holds the addresses on which an instance listens.
+type Listen struct {
+	Public  string `yaml:"public"`  // callers
+	Ready   string `yaml:"ready"`   // readiness checks
+	Admin   string `yaml:"admin"`   // upstreams and operators
+	Lookup  string `yaml:"lookup"`  // callers that ask where to go
+	Metrics string `yaml:"metrics"` // optional
+}
+
+// Bounds are what the site promises.
+type Bounds struct {
+	Lookup Span    `yaml:"lookup"` // longest time for which callers may cache a lookup
+	Revoke Span    `yaml:"revoke"` // after which no instance accepts a revoked key
+	Grace  Span    `yaml:"grace"`  // between the order to stop and the end
+	Retry  float64 `yaml:"retry"`  // part of a pool's requests that may be sent once more
+}
+
+// Span is a time span in settings, such as 1500ms or 2.5s.
+type Span time.Duration
+
+// UnmarshalYAML implements yaml.BytesUnmarshaler.
+func (s *Span) UnmarshalYAML(b []byte) error {
+	text := strings.Trim(strings.TrimSpace(string(b)), `"'`)
+	if text == "" || text == "null" {
+		return nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return fmt.Errorf("%q is not a time span such as 1500ms or 2.5s", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// After returns the time s after now.
+func (s Span) After(now time.Time) time.Time { return now.Add(time.Duration(s)) }
+
+// Load reads and checks a settings file. The error names every field that is
+// wrong.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "reading the settings: %v", err)
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings. Fields that it does not know are ignored: a
+// newer platform may send them.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := yaml.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "settings: %v", err)
+	}
+	s.fill()
+	if problems := s.check(); len(problems) > 0 {
+		return nil, corianderwing.Errorf(corianderwing.BadInput, "settings: %s", strings.Join(problems, "; "))
+	}
+	return s, nil
+}
+
+// Defaults for what a platform may leave out.
+const (
+	defaultBeat   = Span(1500 * time.Millisecond)
+	defaultLookup = Span(5 * time.Second)
+	defaultRevoke = Span(5 * time.Second)
+	defaultGrace  = Span(6 * time.Second)
+	defaultRetry  = 0.2
+)
+
+func (s *Settings) fill() {
+	for _, f := range []struct {
+		span *Span
+		def  Span
+	}{
+		{&s.Beat, defaultBeat},
+		{&s.Bounds.Lookup, defaultLookup},
+		{&s.Bounds.Revoke, defaultRevoke},
+		{&s.Bounds.Grace, defaultGrace},
+	} {
+		if *f.span <= 0 {
+			*f.span = f.def
+		}
+	}
+	if s.Bounds.Retry <= 0 {
+		s.Bounds.Retry = defaultRetry
+	}
+	if s.Log == "" {
+		s.Log = "info"
+	}
+	if s.Secret == "" {
+		s.Secret = "corianderwing"
+	}
+}
+
+// The roles of an instance.
+const (
+	Entry   = "entry"
+	Control = "control"
+)
+
+func (s *Settings) check() (problems []string) {
+	bad := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	if s.Role != Entry && s.Role != Control {
+		bad("role is %q, allowed: %s, %s", s.Role, Entry, Control)
+	}
+	if net.ParseIP(s.IP) == nil {
+		bad("ip is %q, allowed: an IP number", s.IP)
+	}
+	if s.Domain == "" {
+		bad("domain is empty")
+	}
+	if len(s.Ports) != 2 || s.Ports[0] <= 0 || s.Ports[1] < s.Ports[0] {
+		bad("ports is %v, allowed: the first and the last port", s.Ports)
+	}
+	if len(s.Seeds) == 0 {
+		bad("seeds is empty")
+	}
+	for _, a := range s.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			bad("seeds: %q is not an address with a port", a)
+		}
+	}
+	if s.Role == Control && s.Data == "" {
+		bad("data is empty")
+	}
+	if s.Role == Entry && s.Listen.Public == "" {
+		bad("listen.public is empty")
+	}
+	return problems
+}
+
+// peerAddr returns the address of this instance's peer server. Control
+// instances use the first port everywhere, so that seeds can be reached.
+func (s *Settings) peerAddr() string {
+	port := s.Ports[0]
+	if s.Role == Entry && s.Ports[1] > port {
+		port++
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(port))
+}
+
+// seedPeers returns the peer addresses of the seeds.
+func (s *Settings) seedPeers() []string {
+	var list []string
+	for _, a := range s.Seeds {
+		host, _, err := net.SplitHostPort(a)
+		if err == nil {
+			list = append(list, net.JoinHostPort(host, strconv.Itoa(s.Ports[0])))
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- /dev/null
+++ b/io/plane/batch.go
@@ -0,0 +1,66 @@
+package plane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/model"
+)
+
+// batchDelay is how long an announcement waits for others: when a site starts,
+// all upstreams announce themselves at once.
+const batchDelay = 15 * time.Millisecond
+
+// batchTimeout bounds the commit of a batch. Upstreams wait for an answer for
+// one second.
+const batchTimeout = 900 * time.Millisecond
+
+// batch collects announcements and departures into common commands.
+type batch struct {
+	propose func(context.Context, *model.Command) error
+
+	mu   sync.Mutex
+	next *pending
+}
+
+// pending is a command that is being collected.
+type pending struct {
+	command model.Command
+	done    chan struct{}
+	err     error
+}
+
+func newBatch(propose func(context.Context, *model.Command) error) *batch {
+	return &batch{propose: propose}
+}
+
+// add adds to the next command and waits until it is committed.
+func (b *batch) add(ctx context.Context, f func(*model.Command)) error {
+	b.mu.Lock()
+	if b.next == nil {
+		p := &pending{done: make(chan struct{})}
+		b.next = p
+		time.AfterFunc(batchDelay, func() { b.send(p) })
+	}
+	p := b.next
+	f(&p.command)
+	b.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		return corianderwing.Errorf(corianderwing.NoQuorum, "the announcement is not committed yet")
+	}
+}
+
+func (b *batch) send(p *pending) {
+	b.mu.Lock()
+	b.next = nil
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+	defer cancel()
+	p.err = b.propose(ctx, &p.command)
+	close(p.done)
+}
--- /dev/null
+++ b/io/plane/plane.go
@@ -0,0 +1,174 @@
+// Package plane is the control role of a site: it takes the heartbeats of
+// upstreams and the orders of operators, keeps entry instances up to date, and
+// tells callers which of them to use. Every control instance offers all of it;
+// the leader of the group decides what must be decided once.
+package plane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/clock"
+	"corianderwing/io/peer"
+	"corianderwing/io/quorum"
+)
+
+// Config describes a control instance.
+type Config struct {
+	Quorum quorum.Config
+	// Beat is the interval of the upstreams' heartbeats.
+	Beat time.Duration
+	// Lookup is for how long callers may cache the answer of Locate.
+	Lookup time.Duration
+	Log    *log.Logger
+}
+
+// Plane is a running control instance. It implements corianderwing.Site.
+type Plane struct {
+	cfg     Config
+	log     *log.Logger
+	machine *model.Machine
+	replica *quorum.Replica
+	peer    *peer.Client
+	batch   *batch
+	seen    *seen
+	rounds  *rounds
+	lead    *lead
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	beats    map[corianderwing.InstanceID]beaten // entries that beat here
+	entries  []corianderwing.Instance            // all live ones, as the leader last said
+	controls []Control
+	version  uint64    // of entries
+	confirm  time.Time // boot time at which revision was confirmed
+	revision corianderwing.Revision
+}
+
+var _ corianderwing.Site = (*Plane)(nil)
+
+// beaten is an entry instance that beats at this control instance.
+type beaten struct {
+	entry corianderwing.Instance
+	at    time.Time
+}
+
+// Open starts a control instance and registers its calls with a peer server,
+// which must begin to serve soon.
+func Open(cfg Config, pc *peer.Client, ps *peer.Server) (*Plane, error) {
+	p := &Plane{
+		cfg:     cfg,
+		log:     cfg.Log,
+		machine: model.NewMachine(time.Now),
+		peer:    pc,
+		seen:    newSeen(),
+		beats:   map[corianderwing.InstanceID]beaten{},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.lead = newLead(cfg.Beat)
+	p.register(ps)
+	var err error
+	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
+	if err != nil {
+		p.cancel()
+		return nil, err
+	}
+	p.batch = newBatch(p.propose)
+	p.rounds = newRounds(p.ctx, p.replica.Confirm)
+	p.wg.Go(p.keepPulse)
+	p.wg.Go(p.keepExpiring)
+	return p, nil
+}
+
+func (p *Plane) register(ps *peer.Server) {
+	peer.Handle(ps, BeatMethod, func(_ context.Context, b *Beat) (*BeatReply, error) {
+		return p.beat(b), nil
+	})
+	peer.Handle(ps, pulseMethod, func(ctx context.Context, q *pulse) (*pulseReply, error) {
+		return p.pulsed(ctx, q)
+	})
+	peer.HandleStream(ps, WatchMethod, func(ctx context.Context, q *watchRequest, send func(*model.Update) error) error {
+		return p.watch(ctx, q.After, send)
+	})
+}
+
+// propose commits a command and returns its refusal, if any.
+func (p *Plane) propose(ctx context.Context, c *model.Command) error {
+	data, err := model.Encode(c)
+	if err != nil {
+		return corianderwing.Errorf(corianderwing.BadInput, "encoding a command: %v", err)
+	}
+	reply, err := p.replica.Propose(ctx, data)
+	if err != nil {
+		return err
+	}
+	result, err := model.DecodeResult(reply)
+	if err != nil {
+		return err
+	}
+	if result.Error != nil {
+		return result.Error
+	}
+	return nil
+}
+
+// watch sends the updates after a revision until ctx ends.
+func (p *Plane) watch(ctx context.Context, after corianderwing.Revision, send func(*model.Update) error) error {
+	for {
+		changed := p.machine.Changed()
+		updates, err := p.machine.Updates(after)
+		if err != nil {
+			return err
+		}
+		for i := range updates {
+			if err := send(&updates[i]); err != nil {
+				return err
+			}
+			after = updates[i].Revision
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// beat takes the beat of an entry instance.
+func (p *Plane) beat(b *Beat) *BeatReply {
+	now := clock.Boot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beats[b.Entry.ID] = beaten{b.Entry, now}
+	r := &BeatReply{Controls: p.controls, Revision: p.revision, Fresh: !p.confirm.IsZero()}
+	r.Age = corianderwing.Millis(now.Sub(p.confirm).Milliseconds() + 1)
+	if len(r.Controls) == 0 {
+		for _, addr := range p.replica.Peers() {
+			r.Controls = append(r.Controls, Control{Peer: addr})
+		}
+	}
+	for _, e := range p.entries {
+		if e.Domain == b.Entry.Domain && e.ID != b.Entry.ID {
+			r.Neighbors = append(r.Neighbors, e)
+		}
+	}
+	return r
+}
+
+// Close hands leadership over and stops the instance.
+func (p *Plane) Close(ctx context.Context) error {
+	err := p.replica.Close(ctx)
+	p.cancel()
+	p.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/io/plane/pulse.go
@@ -0,0 +1,333 @@
+package plane
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/clock"
+	"corianderwing/io/peer"
+	"corianderwing/io/quorum"
+)
+
+const (
+	// pulseEvery is the interval at which control instances report to the
+	// leader. It adds to the age of what entry instances are told.
+	pulseEvery = 400 * time.Millisecond
+	// pulseTimeout bounds one report: a round of the leader and the way there
+	// and back.
+	pulseTimeout = 900 * time.Millisecond
+	// entryFor is how long an entry instance counts as live after its last
+	// beat.
+	entryFor = 1800 * time.Millisecond
+)
+
+// seen collects the upstreams that sent heartbeats since the last pulse.
+type seen struct {
+	mu      sync.Mutex
+	numbers map[uint32]struct{}
+	seqs    map[corianderwing.UpstreamID]lastSeq
+}
+
+// lastSeq is the latest heartbeat of one life of an upstream.
+type lastSeq struct {
+	incarnation corianderwing.Incarnation
+	seq         uint64
+}
+
+func newSeen() *seen {
+	return &seen{numbers: map[uint32]struct{}{}, seqs: map[corianderwing.UpstreamID]lastSeq{}}
+}
+
+// late reports whether a heartbeat was overtaken by a later one of the same
+// life, and remembers it otherwise.
+func (s *seen) late(h *corianderwing.Heartbeat) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, ok := s.seqs[h.ID]
+	if ok && last.incarnation == h.Incarnation && h.Seq < last.seq {
+		return true
+	}
+	s.seqs[h.ID] = lastSeq{h.Incarnation, h.Seq}
+	return false
+}
+
+func (s *seen) add(no uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.numbers[no] = struct{}{}
+}
+
+// take returns the upstreams seen since the last call.
+func (s *seen) take() []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]uint32, 0, len(s.numbers))
+	for no := range s.numbers {
+		list = append(list, no)
+	}
+	clear(s.numbers)
+	slices.Sort(list)
+	return list
+}
+
+// keepPulse reports to the leader.
+func (p *Plane) keepPulse() {
+	for clock.Sleep(p.ctx, pulseEvery) {
+		asked := clock.Boot()
+		ctx, cancel := context.WithTimeout(p.ctx, pulseTimeout)
+		reply, err := p.pulse(ctx)
+		cancel()
+		if err != nil {
+			p.log.Debug().Err(err).Msg("no leader confirmed the state")
+			continue
+		}
+		p.confirmed(asked, reply)
+	}
+}
+
+// pulse sends one report.
+func (p *Plane) pulse(ctx context.Context) (*pulseReply, error) {
+	q := p.report()
+	addr := p.replica.Leader()
+	switch addr {
+	case "":
+		return nil, errors.New("no leader is known")
+	case p.cfg.Quorum.Addr:
+		return p.pulsed(ctx, q)
+	}
+	return peer.Call(ctx, p.peer, addr, pulseMethod, q)
+}
+
+// report returns the next pulse.
+func (p *Plane) report() *pulse {
+	now := clock.Boot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := &pulse{
+		Replica: p.replica.Self(),
+		Domain:  p.cfg.Quorum.Domain,
+		Region:  p.cfg.Quorum.Region,
+		Seen:    p.seen.take(),
+		Known:   p.version,
+	}
+	for id, b := range p.beats {
+		age := now.Sub(b.at)
+		if age > entryFor {
+			delete(p.beats, id)
+			continue
+		}
+		q.Entries = append(q.Entries, reported{b.entry, corianderwing.Millis(age.Milliseconds())})
+	}
+	slices.SortFunc(q.Entries, func(a, b reported) int { return compare(a.ID, b.ID) })
+	return q
+}
+
+func compare[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// confirmed takes over the leader's answer to a pulse that was sent at asked.
+func (p *Plane) confirmed(asked time.Time, r *pulseReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if asked.After(p.confirm) {
+		p.confirm, p.revision = asked, r.Revision
+	}
+	if r.Version != p.version {
+		p.version, p.entries, p.controls = r.Version, r.Entries, r.Controls
+	}
+}
+
+// pulsed takes a pulse at the leader. It answers once a majority has confirmed
+// after the call that this instance leads.
+func (p *Plane) pulsed(ctx context.Context, q *pulse) (*pulseReply, error) {
+	term, ok := p.replica.Leads()
+	if !ok {
+		return nil, corianderwing.Errorf(corianderwing.NoLeader, "%s does not lead", p.replica.Self())
+	}
+	p.replica.Note(q.Replica, q.Domain, q.Region)
+	p.lead.take(term, q, clock.Boot())
+	index, err := p.rounds.wait(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.applied(ctx, index); err != nil {
+		return nil, err
+	}
+	reply := &pulseReply{Revision: p.machine.View().Revision()}
+	reply.Version, reply.Entries, reply.Controls = p.lead.live(term, clock.Boot())
+	if reply.Version == q.Known {
+		reply.Entries, reply.Controls = nil, nil
+	}
+	return reply, nil
+}
+
+// applied waits until the machine of this instance has applied an index.
+func (p *Plane) applied(ctx context.Context, i corianderwing.Index) error {
+	for {
+		changed := p.machine.Changed()
+		if p.machine.Applied() >= i || p.replica.Status().Applied >= i {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(appliedPoll):
+		case <-ctx.Done():
+			return corianderwing.Errorf(corianderwing.NoQuorum, "entry %d is not applied yet", i)
+		}
+	}
+}
+
+// appliedPoll is the interval at which a waiting read looks at the replica:
+// entries that are no commands do not show at the machine.
+const appliedPoll = 5 * time.Millisecond
+
+// lead is what the leader knows of others. It begins anew with each term.
+type lead struct {
+	beat time.Duration
+
+	mu      sync.Mutex
+	term    corianderwing.Term
+	since   time.Time
+	entries map[corianderwing.InstanceID]beaten
+	control map[corianderwing.InstanceID]pulsed
+	seen    map[uint32]time.Time // last heartbeat of an upstream
+	version uint64
+	list    []corianderwing.Instance // of version
+	others  []Control                // of version
+}
+
+// pulsed is a control instance that sends pulses.
+type pulsed struct {
+	control Control
+	at      time.Time
+}
+
+func newLead(beat time.Duration) *lead { return &lead{beat: beat} }
+
+// begin starts a new term. The lock is held.
+func (l *lead) begin(term corianderwing.Term, now time.Time) {
+	if l.entries != nil && l.term == term {
+		return
+	}
+	l.term, l.since = term, now
+	l.entries = map[corianderwing.InstanceID]beaten{}
+	l.control = map[corianderwing.InstanceID]pulsed{}
+	l.seen = map[uint32]time.Time{}
+}
+
+// take notes what a control instance reports.
+func (l *lead) take(term corianderwing.Term, q *pulse, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(term, now)
+	l.control[q.Replica] = pulsed{Control{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
+	for _, no := range q.Seen {
+		l.seen[no] = now
+	}
+	for _, e := range q.Entries {
+		at := now.Add(-time.Duration(e.Age) * time.Millisecond)
+		if old, ok := l.entries[e.ID]; !ok || at.After(old.at) {
+			l.entries[e.ID] = beaten{e.Instance, at}
+		}
+	}
+}
+
+// live returns the live entry and control instances and the version of both
+// lists.
+func (l *lead) live(term corianderwing.Term, now time.Time) (uint64, []corianderwing.Instance, []Control) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(term, now)
+	var list []corianderwing.Instance
+	for id, b := range l.entries {
+		if now.Sub(b.at) > entryFor {
+			delete(l.entries, id)
+			continue
+		}
+		list = append(list, b.entry)
+	}
+	slices.SortFunc(list, func(a, b corianderwing.Instance) int { return compare(a.ID, b.ID) })
+	var others []Control
+	for id, c := range l.control {
+		if now.Sub(c.at) > entryFor {
+			delete(l.control, id)
+			continue
+		}
+		others = append(others, c.control)
+	}
+	slices.SortFunc(others, func(a, b Control) int { return compare(a.Peer, b.Peer) })
+	if l.version == 0 || !slices.EqualFunc(list, l.list, same) || !slices.Equal(others, l.others) {
+		l.list, l.others = list, others
+		// Versions of different leaders must not be equal.
+		l.version = uint64(term)<<32 | (l.version+1)&(1<<32-1)
+	}
+	return l.version, l.list, l.others
+}
+
+// same reports whether two states of an instance mean the same to others.
+func same(a, b corianderwing.Instance) bool {
+	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Phase == b.Phase && a.Public == b.Public && a.Peer == b.Peer
+}
+
+// silent returns the upstreams of a view that sent no heartbeat for long. It
+// returns none before the leader has led for as long.
+func (l *lead) silent(term corianderwing.Term, v *model.View, now time.Time) []model.Left {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(term, now)
+	after := time.Duration(silentBeats) * l.beat
+	if now.Sub(l.since) < after {
+		return nil
+	}
+	var gone []model.Left
+	for _, list := range v.Pools() {
+		for _, u := range list {
+			at, ok := l.seen[u.No]
+			if !ok {
+				l.seen[u.No] = now // watched from now on
+				continue
+			}
+			if now.Sub(at) >= after {
+				gone = append(gone, model.Left{ID: u.ID, Incarnation: u.Incarnation})
+			}
+		}
+	}
+	return gone
+}
+
+// silentBeats is the number of heartbeat intervals after which a silent
+// upstream is removed. Entry instances notice a dead one sooner by themselves.
+const silentBeats = 5
+
+// keepExpiring removes upstreams that have been silent for long, while this
+// instance leads.
+func (p *Plane) keepExpiring() {
+	for clock.Sleep(p.ctx, p.cfg.Beat/2) {
+		term, ok := p.replica.Leads()
+		if !ok {
+			continue
+		}
+		gone := p.lead.silent(term, p.machine.View(), clock.Boot())
+		if len(gone) == 0 {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
+		err := p.propose(ctx, &model.Command{Expire: gone})
+		cancel()
+		for _, l := range gone {
+			p.log.Info().Str("upstream", string(l.ID)).Int("beats", silentBeats).Err(err).Msg("silent upstream removed")
+		}
+	}
+}
--- /dev/null
+++ b/io/plane/site.go
@@ -0,0 +1,169 @@
+package plane
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/clock"
+)
+
+// coldSlack is by how much the announced end of a cold start may differ from
+// the known one: heartbeats are late now and then.
+const coldSlack = time.Second
+
+// Beat implements corianderwing.Site.
+func (p *Plane) Beat(ctx context.Context, h corianderwing.Heartbeat) error {
+	view := p.machine.View()
+	if view.Stale(&h.Upstream) || p.seen.late(&h) {
+		return nil
+	}
+	u, known := view.Upstream(h.ID)
+	if known && u.Incarnation == h.Incarnation && !news(u, &h, time.Now()) {
+		p.seen.add(u.No)
+		return nil
+	}
+	err := p.batch.add(ctx, func(c *model.Command) {
+		c.Announce = append(c.Announce, model.Announced{Upstream: h.Upstream, Cold: h.Cold})
+	})
+	p.log.Info().Str("upstream", string(h.ID)).Str("pool", string(h.Pool)).Str("addr", h.Addr).
+		Str("version", string(h.Version)).Str("phase", string(h.Phase)).Int64("cold", int64(h.Cold)).
+		Uint64("incarnation", uint64(h.Incarnation)).Err(err).Msg("upstream announced")
+	return err
+}
+
+// news reports whether a heartbeat differs from what is known.
+func news(u *model.Upstream, h *corianderwing.Heartbeat, now time.Time) bool {
+	if u.Addr != h.Addr || u.Pool != h.Pool || u.Version != h.Version || u.Domain != h.Domain || u.Slots != h.Slots {
+		return true
+	}
+	if h.Phase == corianderwing.Draining && u.Phase != corianderwing.Draining {
+		return true
+	}
+	return h.Cold > 0 && h.Cold.After(now).Sub(u.Cold) > coldSlack
+}
+
+// Leave implements corianderwing.Site.
+func (p *Plane) Leave(ctx context.Context, id corianderwing.UpstreamID, i corianderwing.Incarnation) error {
+	u, known := p.machine.View().Upstream(id)
+	if i == 0 && known {
+		i = u.Incarnation
+	}
+	err := p.batch.add(ctx, func(c *model.Command) {
+		c.Leave = append(c.Leave, model.Left{ID: id, Incarnation: i})
+	})
+	p.log.Info().Str("upstream", string(id)).Uint64("incarnation", uint64(i)).Err(err).Msg("upstream left")
+	return err
+}
+
+// Edit implements corianderwing.Site.
+func (p *Plane) Edit(ctx context.Context, e corianderwing.Edit) error {
+	err := p.propose(ctx, &model.Command{Edit: &e})
+	p.log.Info().Int("rules", len(e.Rules)).Int("tenures", len(e.Tenures)).Int("pools", len(e.Pools)).
+		Int("drops", len(e.Drops)).Err(err).Msg("edit")
+	return err
+}
+
+// Items implements corianderwing.Site.
+func (p *Plane) Items(ctx context.Context) (corianderwing.Edit, error) {
+	view, err := p.current(ctx)
+	if err != nil {
+		return corianderwing.Edit{}, err
+	}
+	return view.Items().All(), nil
+}
+
+// current returns a view that includes everything that was confirmed before
+// the call.
+func (p *Plane) current(ctx context.Context) (*model.View, error) {
+	index, err := p.replica.Confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.applied(ctx, index); err != nil {
+		return nil, err
+	}
+	return p.machine.View(), nil
+}
+
+// Move implements corianderwing.Site.
+func (p *Plane) Move(ctx context.Context, pool corianderwing.PoolID, to corianderwing.VersionID, by time.Time) error {
+	now := time.Now()
+	m := corianderwing.Move{
+		ID:   corianderwing.RequestID(string(pool) + "." + string(to)),
+		Pool: pool, To: to, Start: now.UTC(), By: by.UTC(),
+	}
+	err := p.propose(ctx, &model.Command{Move: &m})
+	p.log.Info().Str("pool", string(pool)).Str("version", string(to)).Time("by", by).Err(err).Msg("move ordered")
+	return err
+}
+
+// MoveOf implements corianderwing.Site.
+func (p *Plane) MoveOf(ctx context.Context, pool corianderwing.PoolID) (corianderwing.Move, error) {
+	view, err := p.current(ctx)
+	if err != nil {
+		return corianderwing.Move{}, err
+	}
+	m, ok := view.Move(pool)
+	if !ok {
+		return m, corianderwing.Errorf(corianderwing.Unknown, "pool %s has no move", pool)
+	}
+	return m, nil
+}
+
+// Evacuate implements corianderwing.Site.
+func (p *Plane) Evacuate(ctx context.Context, d corianderwing.DomainID, on bool) error {
+	err := p.propose(ctx, &model.Command{Evacuate: &model.Evacuation{Domain: d, On: on}})
+	p.log.Info().Str("domain", string(d)).Bool("on", on).Err(err).Msg("evacuation")
+	return err
+}
+
+// Locate implements corianderwing.Site.
+func (p *Plane) Locate(region corianderwing.RegionID, d corianderwing.DomainID) ([]string, time.Time, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := near(p.live(clock.Boot()), region, d)
+	if len(list) == 0 {
+		return nil, time.Time{}, corianderwing.Errorf(corianderwing.NoUpstream, "no entry instance is known")
+	}
+	return list, time.Now().Add(p.cfg.Lookup), nil
+}
+
+// live returns the entry instances that this instance takes to be live: those
+// that the leader named, and those that beat here. The lock is held.
+func (p *Plane) live(now time.Time) []corianderwing.Instance {
+	list := make([]corianderwing.Instance, 0, len(p.entries))
+	for _, e := range p.entries {
+		if _, here := p.beats[e.ID]; !here {
+			list = append(list, e)
+		}
+	}
+	for _, b := range p.beats {
+		if now.Sub(b.at) <= entryFor {
+			list = append(list, b.entry)
+		}
+	}
+	return list
+}
+
+// near returns the public addresses of the ready entry instances in a failure
+// domain, or else in its region, or else anywhere.
+func near(list []corianderwing.Instance, region corianderwing.RegionID, d corianderwing.DomainID) []string {
+	for _, fits := range []func(corianderwing.Instance) bool{
+		func(e corianderwing.Instance) bool { return e.Domain == d },
+		func(e corianderwing.Instance) bool { return e.Region == region },
+		func(corianderwing.Instance) bool { return true },
+	} {
+		var out []string
+		for _, e := range list {
+			if e.Phase == corianderwing.Ready && fits(e) {
+				out = append(out, e.Public)
+			}
+		}
+		if len(out) > 0 {
+			return out
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/plane/wire.go
@@ -0,0 +1,72 @@
+package plane
+
+import (
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/peer"
+)
+
+// Beat is what an entry instance tells a control instance several times a
+// second.
+type Beat struct {
+	Entry corianderwing.Instance `json:"entry"`
+}
+
+// BeatReply tells an entry instance how current the control instance is.
+type BeatReply struct {
+	// Age is how long before the reply the leader confirmed Revision.
+	Age      corianderwing.Millis   `json:"age"`
+	Revision corianderwing.Revision `json:"revision"`
+	Fresh    bool                   `json:"fresh,omitempty"` // Age and Revision are known
+	// Controls are the control instances that the leader hears of, and the
+	// seeds.
+	Controls []Control `json:"controls,omitempty"`
+	// Neighbors are the live entry instances of the same failure domain.
+	Neighbors []corianderwing.Instance `json:"neighbors,omitempty"`
+}
+
+// Control is a control instance as others know it.
+type Control struct {
+	Peer   string                 `json:"peer"`
+	Domain corianderwing.DomainID `json:"domain,omitempty"`
+	Region corianderwing.RegionID `json:"region,omitempty"`
+}
+
+// watchRequest asks for the updates after a revision.
+type watchRequest struct {
+	After corianderwing.Revision `json:"after"`
+}
+
+// pulse is what a control instance tells the leader several times a second.
+type pulse struct {
+	Replica corianderwing.InstanceID `json:"replica"`
+	Domain  corianderwing.DomainID   `json:"domain"`
+	Region  corianderwing.RegionID   `json:"region"`
+	Seen    []uint32                 `json:"seen,omitempty"` // numbers of upstreams that sent heartbeats
+	Entries []reported               `json:"entries,omitempty"`
+	Known   uint64                   `json:"known"` // version of the entries that the sender knows
+}
+
+// reported is an entry instance with the age of its last beat.
+type reported struct {
+	corianderwing.Instance
+	Age corianderwing.Millis `json:"age,omitempty"`
+}
+
+// pulseReply answers a pulse once the leader has confirmed that it leads.
+type pulseReply struct {
+	Revision corianderwing.Revision   `json:"revision"`
+	Version  uint64                   `json:"version"` // of Entries and Controls
+	Controls []Control                `json:"controls,omitempty"`
+	Entries  []corianderwing.Instance `json:"entries,omitempty"` // all live ones, if the sender does not know them
+}
+
+// The calls between entry and control instances, and among the latter.
+var (
+	BeatMethod  = peer.Method[Beat, BeatReply]{Name: "SiteBeat"}
+	WatchMethod = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
+	pulseMethod = peer.Method[pulse, pulseReply]{Name: "SitePulse"}
+)
+
+// Watch returns the request for the updates after a revision.
+func Watch(after corianderwing.Revision) *watchRequest { return &watchRequest{After: after} }
--- /dev/null
+++ b/io/quorum/sender.go
@@ -0,0 +1,109 @@
+package quorum
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/raft"
+	"corianderwing/io/peer"
+)
+
+const (
+	// sendTimeout bounds one batch of consensus messages. A batch that takes
+	// longer is as good as lost; consensus sends again.
+	sendTimeout = time.Second
+	// maxBatch is the largest number of consensus messages in one call.
+	maxBatch = 64
+	// maxFlight is how many batches may be on their way to one replica.
+	maxFlight = 16
+	// maxQueue is how many messages may wait for one replica.
+	maxQueue = 512
+	// quietFor is how long a queue without messages is kept.
+	quietFor = time.Minute
+)
+
+// sender carries consensus messages. It never blocks: when a replica does not
+// keep up, messages to it are lost.
+type sender struct {
+	ctx  context.Context
+	peer *peer.Client
+
+	mu     sync.Mutex
+	queues map[string]chan raft.Message // by peer address
+}
+
+func newSender(ctx context.Context, pc *peer.Client) *sender {
+	return &sender{ctx: ctx, peer: pc, queues: map[string]chan raft.Message{}}
+}
+
+// Send implements group.Sender.
+func (s *sender) Send(to corianderwing.InstanceID, m raft.Message) {
+	addr := AddrOf(to)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q, ok := s.queues[addr]
+	if !ok {
+		q = make(chan raft.Message, maxQueue)
+		s.queues[addr] = q
+		go s.run(addr, q)
+	}
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+func (s *sender) run(addr string, q chan raft.Message) {
+	flight := make(chan struct{}, maxFlight)
+	for {
+		batch := s.collect(addr, q)
+		if batch == nil {
+			return
+		}
+		select {
+		case flight <- struct{}{}:
+		case <-s.ctx.Done():
+			return
+		}
+		go func() {
+			defer func() { <-flight }()
+			ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+			defer cancel()
+			// A lost batch needs no handling: consensus repeats what matters.
+			_, _ = peer.Call(ctx, s.peer, addr, stepMethod, &stepRequest{Messages: batch})
+		}()
+	}
+}
+
+// collect waits for a message and takes those that are already queued. It
+// returns nil when the queue has been quiet for long.
+func (s *sender) collect(addr string, q chan raft.Message) []raft.Message {
+	quiet := time.NewTimer(quietFor)
+	defer quiet.Stop()
+	var batch []raft.Message
+	select {
+	case m := <-q:
+		batch = append(batch, m)
+	case <-s.ctx.Done():
+		return nil
+	case <-quiet.C:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(q) == 0 {
+			delete(s.queues, addr)
+			return nil
+		}
+		batch = append(batch, <-q)
+	}
+	for len(batch) < maxBatch {
+		select {
+		case m := <-q:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -24,6 +24,7 @@
 	voteName     = "vote"
 	snapshotName = "snapshot"
 	identityName = "identity"
+	foundersName = "founders"
 	tempSuffix   = ".tmp"
 	segPrefix    = "log-"
 
--- a/io/store/value.go
+++ b/io/store/value.go
@@ -110,6 +110,23 @@
 	return eris.Wrap(s.replace(identityName, identity{id}), "saving the identity")
 }
 
+// Founders returns the membership with which the group of this directory began.
+func (s *Store) Founders() (corianderwing.Voters, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v corianderwing.Voters
+	_, err := s.read(foundersName, &v)
+	return v, eris.Wrap(err, "reading the founders")
+}
+
+// SetFounders stores the membership with which the group begins. It is due
+// before SetIdentity: a directory with an identity knows its founders.
+func (s *Store) SetFounders(v corianderwing.Voters) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return eris.Wrap(s.replace(foundersName, v), "saving the founders")
+}
+
 // firstSegment starts the log of an empty directory. The identity is written
 // after it, so that Load can tell a lost log from a new directory.
 func (s *Store) firstSegment() error {
