Divide the rates of workspaces into shares that expire

Ruled out: a fixed part for each entry instance (instances are not known beforehand and callers move between regions), and a token from the leader for each request (24 ms or 70 ms there and back). Change: core/quota divides a limit over control instances and these over entry instances, by demand; shares expire after 2.5 s, a new leader hands out only what is in use, and an entry instance without tokens borrows from a reserve of its control instance. SIGHUP reloads the settings; it ended the process.

--- a/cmd/corianderwing/node.go
+++ b/cmd/corianderwing/node.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -43,11 +46,7 @@
 	if err != nil {
 		return err
 	}
-	var failed error
-	select {
-	case <-ctx.Done():
-	case failed = <-n.Failed():
-	}
+	failed := wait(ctx, n, cmd.String("settings"))
 	grace := time.Duration(set.Bounds.Grace) - stopReserve
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
@@ -56,3 +55,22 @@
 	}
 	return failed
 }
+
+// wait returns when the instance is to stop, with the reason if it failed. On
+// SIGHUP it reads the settings again.
+func wait(ctx context.Context, n *node.Node, path string) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-n.Failed():
+			return err
+		case <-hup:
+			set, err := node.Load(path)
+			n.Reload(set, err)
+		}
+	}
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -14,6 +14,7 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/plane"
@@ -46,6 +47,18 @@
 	Now func() time.Time
 	// Changed is called after each change of the state. It must not block.
 	Changed func()
+	// Limits takes this instance's shares of the limits of workspaces.
+	Limits Limits
+}
+
+// Limits holds an instance's shares of the limits of workspaces.
+type Limits interface {
+	// Needs returns the demand, and what is in use of the shares from a control
+	// instance.
+	Needs(from string) []quota.Need
+	// Lend replaces the shares from a control instance. They are valid until a
+	// boot time.
+	Lend(from string, shares []quota.Share, until time.Time)
 }
 
 // Follower is the entry instance's side of the control role. It owns the
@@ -61,6 +74,7 @@
 	info  atomic.Pointer[plane.BeatReply]
 
 	mu       sync.Mutex
+	seeds    []string // peer addresses of control instances to try first
 	controls []plane.Control
 	current  string        // peer address of the followed control instance
 	moved    chan struct{} // closed when current changes
@@ -97,7 +111,7 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Boot
 	}
-	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{})}
+	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{}), seeds: cfg.Seeds}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.state.Store(&state{view: model.New()})
 	f.info.Store(&plane.BeatReply{})
@@ -129,6 +143,33 @@
 // Beat sends a beat at once, for example before a planned stop.
 func (f *Follower) Beat(ctx context.Context) { f.beat(ctx) }
 
+// Borrow asks the control instance for tokens of a workspace's limit. It
+// returns how many there are, and when there may be more.
+func (f *Follower) Borrow(ctx context.Context, w corianderwing.WorkspaceID, tokens int) (int, time.Duration, error) {
+	f.mu.Lock()
+	addr := f.current
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	r, err := peer.Call(ctx, f.peer, addr, plane.BorrowMethod, &plane.Borrow{Workspace: w, Tokens: tokens})
+	if err != nil {
+		return 0, 0, err
+	}
+	return r.Tokens, time.Duration(r.After) * time.Millisecond, nil
+}
+
+// borrowTimeout bounds a Borrow, for which a request waits. A control instance
+// of the failure domain answers within 2 ms.
+const borrowTimeout = 60 * time.Millisecond
+
+// SetSeeds replaces the control instances that are tried when no other one
+// answers.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
 // Close stops following.
 func (f *Follower) Close() {
 	f.cancel()
@@ -152,12 +193,13 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	sent := f.cfg.Now()
-	reply, err := peer.Call(ctx, f.peer, addr, plane.BeatMethod, &plane.Beat{Entry: f.cfg.Self()})
+	reply, err := peer.Call(ctx, f.peer, addr, plane.BeatMethod, &plane.Beat{Entry: f.cfg.Self(), Needs: f.cfg.Limits.Needs(addr)})
 	if err != nil {
 		f.missed(addr, err)
 		return
 	}
 	f.info.Store(reply)
+	f.cfg.Limits.Lend(addr, reply.Shares, corianderwing.HolderDeadline(sent, time.Duration(reply.Left)*time.Millisecond))
 	f.learn(reply.Controls)
 	if !reply.Fresh {
 		f.missed(addr, nil)
@@ -259,7 +301,7 @@
 	defer f.mu.Unlock()
 	nearest := len(f.controls) == 0 || f.controls[0] != list[0]
 	f.controls = list
-	for _, s := range f.cfg.Seeds {
+	for _, s := range f.seeds {
 		if !slices.ContainsFunc(f.controls, func(c plane.Control) bool { return c.Peer == s }) {
 			f.controls = append(f.controls, plane.Control{Peer: s})
 		}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -27,6 +27,9 @@
 	IsFresh() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
+	// Borrow asks the control role for tokens of a workspace's limit. It
+	// returns how many there are, and when there may be more.
+	Borrow(ctx context.Context, w corianderwing.WorkspaceID, tokens int) (int, time.Duration, error)
 }
 
 // Config describes an entry instance.
@@ -35,6 +38,7 @@
 	Region   corianderwing.RegionID
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 	State    State
+	Limits   *Limits
 	Dialect  corianderwing.Dialect
 	Dial     relay.Dial // default: TCP
 	Log      *log.Logger
@@ -128,6 +132,13 @@
 			s.pools[name] = s.newPool(name)
 		}
 	}
+	limited := map[corianderwing.WorkspaceID]bool{}
+	view.Items().Tenures(func(t *corianderwing.Tenure) {
+		if t.Rate > 0 {
+			limited[t.Name] = true
+		}
+	})
+	s.cfg.Limits.set(limited)
 	sharers := 1 + len(s.cfg.State.Neighbors())
 	for _, p := range s.pools {
 		p.sync(view, sharers)
@@ -156,15 +167,13 @@
 }
 
 // Ready reports whether the instance should get new callers.
-func (s *Server) Ready() bool {
-	_, known := s.cfg.State.View()
-	return known && !s.draining.Load() && s.cfg.State.IsFresh()
-}
+func (s *Server) Ready() bool { return s.Open() && s.cfg.State.IsFresh() }
 
-// Open reports whether the instance takes part: it is not about to stop.
+// Open reports whether the instance takes part: it knows the settings and its
+// shares, and is not about to stop.
 func (s *Server) Open() bool {
-	_, known := s.cfg.State.View()
-	return known && !s.draining.Load()
+	view, known := s.cfg.State.View()
+	return known && view.Revision() > 0 && !s.draining.Load() && s.cfg.Limits.ready()
 }
 
 // Drain makes the instance unready. It goes on to serve, and asks callers to
--- a/io/gate/visit.go
+++ b/io/gate/visit.go
@@ -36,6 +36,8 @@
 	err      *corianderwing.Error // why the system itself answered
 	status   int
 	begun    bool
+	counted  bool          // a token of the workspace's limit was taken
+	comeBack time.Duration // when the caller should try again; 0 if unknown
 }
 
 // serve answers the request.
@@ -101,6 +103,31 @@
 		return corianderwing.Errorf(corianderwing.NoUpstream, "pool %s has no upstream", name)
 	}
 	v.place()
+	return v.takeToken()
+}
+
+// takeToken counts the request against its workspace's limit.
+func (v *visit) takeToken() *corianderwing.Error {
+	if v.tenure == nil {
+		return nil
+	}
+	ok, borrow, wait := v.s.cfg.Limits.take(v.tenure)
+	if !ok && borrow {
+		n, after, err := v.s.cfg.State.Borrow(v.r.Context(), v.tenure.Name, borrowTokens)
+		if err != nil {
+			v.s.log.Debug().Str("request", string(v.ask.ID)).Err(err).Msg("no tokens could be borrowed")
+		}
+		v.s.cfg.Limits.borrowed(v.tenure.Name, n, after)
+		ok = n > 0
+	}
+	if !ok && wait == 0 {
+		return corianderwing.Errorf(corianderwing.NoShare, "no share of the limit of workspace %s has arrived", v.tenure.Name)
+	}
+	if !ok {
+		v.comeBack = wait
+		return corianderwing.Errorf(corianderwing.OverRate, "workspace %s is over its share of %v a second", v.tenure.Name, v.tenure.Rate)
+	}
+	v.counted = true
 	return nil
 }
 
@@ -358,6 +385,9 @@
 		return
 	}
 	v.begun = true
+	if v.counted && err.Run == corianderwing.RanNo {
+		v.s.cfg.Limits.give(v.tenure)
+	}
 	v.s.cfg.Dialect.Refuse(v.w, v.ask.ID, err, v.retryAfter(err))
 }
 
@@ -366,9 +396,12 @@
 	if err.Run != corianderwing.RanNo {
 		return 0
 	}
+	if v.comeBack > 0 {
+		return v.comeBack
+	}
 	switch err.Code {
 	case corianderwing.NoCapacity, corianderwing.TooLate, corianderwing.NoUpstream, corianderwing.Shed,
-		corianderwing.ConnFail, corianderwing.NotFresh, corianderwing.OverRate:
+		corianderwing.ConnFail, corianderwing.NotFresh, corianderwing.OverRate, corianderwing.NoShare:
 		return 100 * time.Millisecond
 	}
 	return 0
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -112,7 +112,12 @@
 		},
 		Beat:   time.Duration(set.Beat),
 		Lookup: min(time.Duration(set.Bounds.Lookup), lookupFor),
-		Log:    n.log,
+		Excess: plane.Excess{
+			Window: time.Duration(set.Bounds.Window),
+			Over:   set.Bounds.Over,
+			Slack:  set.Bounds.Slack,
+		},
+		Log: n.log,
 	}, n.client, n.peers)
 	if err != nil {
 		return eris.Wrap(err, "opening the control role")
@@ -148,6 +153,7 @@
 		Public:      set.Listen.Public,
 		Peer:        set.peerAddr(),
 	}
+	limits := gate.NewLimits()
 	n.follow = follow.New(follow.Config{
 		Self: func() corianderwing.Instance {
 			self := self
@@ -161,12 +167,14 @@
 		Lease:   time.Duration(set.Bounds.Revoke) - leaseMargin,
 		Log:     n.log,
 		Changed: func() { n.changed() },
+		Limits:  limits,
 	}, n.client)
 	g := gate.New(gate.Config{
 		Domain:   set.Domain,
 		Region:   set.Region,
 		RegionOf: func(d corianderwing.DomainID) corianderwing.RegionID { return set.Domains[d] },
 		State:    n.follow,
+		Limits:   limits,
 		Dialect:  n.adapter,
 		Log:      n.log,
 		Meter:    n.meter,
@@ -197,6 +205,23 @@
 	}
 }
 
+// Reload takes over what may change while the instance runs: the seeds, and
+// the level of the log. Settings that could not be read change nothing.
+func (n *Node) Reload(set *Settings, err error) {
+	if err != nil {
+		n.log.Error().Err(err).Msg("settings not reloaded")
+		return
+	}
+	n.log.SetLevel(log.ParseLevel(set.Log))
+	if n.follow != nil {
+		n.follow.SetSeeds(set.seedPeers())
+	}
+	if n.plane != nil {
+		n.plane.SetSeeds(set.seedPeers())
+	}
+	n.log.Info().Strs("seeds", set.Seeds).Msg("settings reloaded")
+}
+
 // Failed returns a channel that gets an error when the instance cannot go on.
 func (n *Node) Failed() <-chan error { return n.failed }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -54,6 +54,9 @@
 	Lookup Span    `yaml:"lookup"` // longest time for which callers may cache a lookup
 	Revoke Span    `yaml:"revoke"` // after which no instance accepts a revoked key
 	Grace  Span    `yaml:"grace"`  // between the order to stop and the end
+	Window Span    `yaml:"window"` // in which the rate and burst of a workspace are counted
+	Over   float64 `yaml:"over"`   // part by which a workspace may exceed them in a window
+	Slack  float64 `yaml:"slack"`  // requests by which it may exceed them besides
 	Retry  float64 `yaml:"retry"`  // part of a pool's requests that may be sent once more
 }
 
@@ -107,6 +110,7 @@
 	defaultLookup = Span(5 * time.Second)
 	defaultRevoke = Span(5 * time.Second)
 	defaultGrace  = Span(6 * time.Second)
+	defaultWindow = Span(time.Second)
 	defaultRetry  = 0.2
 )
 
@@ -119,6 +123,7 @@
 		{&s.Bounds.Lookup, defaultLookup},
 		{&s.Bounds.Revoke, defaultRevoke},
 		{&s.Bounds.Grace, defaultGrace},
+		{&s.Bounds.Window, defaultWindow},
 	} {
 		if *f.span <= 0 {
 			*f.span = f.def
--- /dev/null
+++ b/io/plane/lend.go
@@ -0,0 +1,63 @@
+package plane
+
+import (
+	"strconv"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/quota"
+	"corianderwing/io/clock"
+)
+
+const (
+	// reserveName is the control instance as a holder of its own shares.
+	reserveName = "reserve"
+	// reservePart is the demand of the reserve as a part of that of the entry
+	// instances. Few requests a second come unevenly at each of them, and
+	// evenly at all together.
+	reservePart = 0.5
+)
+
+// lend divides this instance's shares of the limits of workspaces. The lock is
+// held.
+func (p *Plane) lend(b *Beat, r *BeatReply, now time.Time) {
+	left := min(quota.Lease, p.lent.Sub(now))
+	if left <= 0 {
+		p.divider.SetLimits(nil)
+	}
+	p.keepReserve(now.Add(left), now)
+	name := string(b.Entry.ID) + "/" + strconv.FormatUint(uint64(b.Entry.Incarnation), 36)
+	r.Shares = p.divider.Ask(name, b.Needs, now)
+	r.Left = corianderwing.Millis(max(0, left.Milliseconds()))
+}
+
+// keepReserve renews the share from which entry instances borrow. The lock is
+// held.
+func (p *Plane) keepReserve(until, now time.Time) {
+	var limited []corianderwing.WorkspaceID
+	asked := map[corianderwing.WorkspaceID]float64{}
+	for _, n := range p.divider.Others(reserveName, now) {
+		limited = append(limited, n.Workspace)
+		asked[n.Workspace] = n.Asked
+	}
+	needs := p.reserve.Needs(reserveName, limited, now)
+	for i := range needs {
+		needs[i].Asked = max(needs[i].Asked, reservePart*asked[needs[i].Workspace])
+	}
+	p.reserve.Lend(reserveName, p.divider.Ask(reserveName, needs, now), until, now)
+}
+
+// borrow hands out tokens of the reserve.
+func (p *Plane) borrow(b *Borrow) *Borrowed {
+	now := clock.Boot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &Borrowed{}
+	for r.Tokens < b.Tokens && p.reserve.Take(b.Workspace, now) {
+		r.Tokens++
+	}
+	if r.Tokens == 0 {
+		r.After = corianderwing.Millis(p.reserve.After(b.Workspace, now).Milliseconds())
+	}
+	return r
+}
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -13,6 +13,7 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/quorum"
@@ -25,6 +26,7 @@
 	Beat time.Duration
 	// Lookup is for how long callers may cache the answer of Locate.
 	Lookup time.Duration
+	Excess Excess
 	Log    *log.Logger
 }
 
@@ -39,6 +41,7 @@
 	seen    *seen
 	rounds  *rounds
 	lead    *lead
+	life    corianderwing.Incarnation
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,8 +51,11 @@
 	beats    map[corianderwing.InstanceID]beaten // entries that beat here
 	entries  []corianderwing.Instance            // all live ones, as the leader last said
 	controls []Control
-	version  uint64    // of entries
-	confirm  time.Time // boot time at which revision was confirmed
+	version  uint64         // of entries
+	divider  *quota.Divider // of this instance's shares
+	reserve  *quota.Buckets // the part of the shares from which entry instances borrow
+	lent     time.Time      // boot time until which the shares of the divider are valid
+	confirm  time.Time      // boot time at which revision was confirmed
 	revision corianderwing.Revision
 }
 
@@ -71,9 +77,15 @@
 		peer:    pc,
 		seen:    newSeen(),
 		beats:   map[corianderwing.InstanceID]beaten{},
+		// Entry instances may still use what an earlier life of this process
+		// lent them.
+		divider: quota.New(corianderwing.GrantorDeadline(clock.Boot(), quota.Lease)),
+		reserve: quota.NewBuckets(),
+		life:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.lead = newLead(cfg.Beat)
+	p.lead.excess = cfg.Excess
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
@@ -92,6 +104,9 @@
 	peer.Handle(ps, BeatMethod, func(_ context.Context, b *Beat) (*BeatReply, error) {
 		return p.beat(b), nil
 	})
+	peer.Handle(ps, BorrowMethod, func(_ context.Context, b *Borrow) (*Borrowed, error) {
+		return p.borrow(b), nil
+	})
 	peer.Handle(ps, pulseMethod, func(ctx context.Context, q *pulse) (*pulseReply, error) {
 		return p.pulsed(ctx, q)
 	})
@@ -162,9 +177,13 @@
 			r.Neighbors = append(r.Neighbors, e)
 		}
 	}
+	p.lend(b, r, now)
 	return r
 }
 
+// SetSeeds replaces the control instances that are asked for the group.
+func (p *Plane) SetSeeds(seeds []string) { p.replica.SetSeeds(seeds) }
+
 // Close hands leadership over and stops the instance.
 func (p *Plane) Close(ctx context.Context) error {
 	err := p.replica.Close(ctx)
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/quorum"
@@ -114,6 +116,8 @@
 		Region:  p.cfg.Quorum.Region,
 		Seen:    p.seen.take(),
 		Known:   p.version,
+		Life:    p.life,
+		Needs:   p.divider.Needs(now),
 	}
 	for id, b := range p.beats {
 		age := now.Sub(b.at)
@@ -147,6 +151,14 @@
 	if r.Version != p.version {
 		p.version, p.entries, p.controls = r.Version, r.Entries, r.Controls
 	}
+	if until := corianderwing.HolderDeadline(asked, quota.Lease); until.After(p.lent) {
+		p.lent = until
+		limits := make(map[corianderwing.WorkspaceID]quota.Limit, len(r.Shares))
+		for _, s := range r.Shares {
+			limits[s.Workspace] = s.Limit
+		}
+		p.divider.SetLimits(limits)
+	}
 }
 
 // pulsed takes a pulse at the leader. It answers once a majority has confirmed
@@ -165,7 +177,8 @@
 	if err := p.applied(ctx, index); err != nil {
 		return nil, err
 	}
-	reply := &pulseReply{Revision: p.machine.View().Revision()}
+	view := p.machine.View()
+	reply := &pulseReply{Revision: view.Revision(), Shares: p.lead.divide(term, q, view, clock.Boot())}
 	reply.Version, reply.Entries, reply.Controls = p.lead.live(term, clock.Boot())
 	if reply.Version == q.Known {
 		reply.Entries, reply.Controls = nil, nil
@@ -206,6 +219,10 @@
 	version uint64
 	list    []corianderwing.Instance // of version
 	others  []Control                // of version
+
+	divider *quota.Divider
+	limited corianderwing.Revision // of the divider's limits
+	excess  Excess
 }
 
 // pulsed is a control instance that sends pulses.
@@ -225,6 +242,55 @@
 	l.entries = map[corianderwing.InstanceID]beaten{}
 	l.control = map[corianderwing.InstanceID]pulsed{}
 	l.seen = map[uint32]time.Time{}
+	// An earlier leader may have handed out shares until now.
+	l.divider = quota.New(corianderwing.GrantorDeadline(now, quota.Lease))
+	l.limited = 0
+}
+
+// Excess is what a bound on the requests of a workspace allows beyond its rate
+// and burst: in any time of Window, a part Over of both and Slack requests.
+type Excess struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+const (
+	// boundPart is the part of a bound that is handed out. The rest covers
+	// requests that wait between their admission and an upstream.
+	boundPart = 0.93
+	// burstPart is the part of burst and slack that may be admitted at once.
+	// Requests come unevenly at each entry instance, so a smaller one refuses
+	// more of them.
+	burstPart = 0.6
+)
+
+// limit returns the rate and burst that just keep a workspace's bound in any
+// window. What the bound allows beyond the burst becomes rate: a workspace that
+// always sends more than its rate gets all that the bound allows.
+func (x Excess) limit(t *corianderwing.Tenure) quota.Limit {
+	w := x.Window.Seconds()
+	bound := boundPart * ((float64(t.Rate)*w+float64(t.Burst))*(1+x.Over) + x.Slack)
+	burst := burstPart * (float64(t.Burst) + x.Slack)
+	return quota.Limit{Rate: max((bound-burst)/w, boundPart*float64(t.Rate)), Burst: burst}
+}
+
+// divide returns a control instance's shares of the limits of workspaces.
+func (l *lead) divide(term corianderwing.Term, q *pulse, v *model.View, now time.Time) []quota.Share {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begin(term, now)
+	if l.limited != v.Revision() {
+		l.limited = v.Revision()
+		limits := map[corianderwing.WorkspaceID]quota.Limit{}
+		v.Items().Tenures(func(t *corianderwing.Tenure) {
+			if t.Rate > 0 {
+				limits[t.Name] = l.excess.limit(t)
+			}
+		})
+		l.divider.SetLimits(limits)
+	}
+	return l.divider.Ask(string(q.Replica)+"/"+strconv.FormatUint(uint64(q.Life), 36), q.Needs, now)
 }
 
 // take notes what a control instance reports.
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -3,6 +3,7 @@
 import (
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/quota"
 	"corianderwing/io/peer"
 )
 
@@ -10,6 +11,7 @@
 // second.
 type Beat struct {
 	Entry corianderwing.Instance `json:"entry"`
+	Needs []quota.Need           `json:"needs,omitempty"`
 }
 
 // BeatReply tells an entry instance how current the control instance is.
@@ -23,6 +25,23 @@
 	Controls []Control `json:"controls,omitempty"`
 	// Neighbors are the live entry instances of the same failure domain.
 	Neighbors []corianderwing.Instance `json:"neighbors,omitempty"`
+	// Shares of the limits of workspaces. They are valid for Left after the
+	// beat was sent.
+	Shares []quota.Share        `json:"shares,omitempty"`
+	Left   corianderwing.Millis `json:"left,omitempty"`
+}
+
+// Borrow asks a control instance for tokens of its own share of a workspace's
+// limit, for requests that wait.
+type Borrow struct {
+	Workspace corianderwing.WorkspaceID `json:"workspace"`
+	Tokens    int                       `json:"tokens"`
+}
+
+// Borrowed answers a Borrow. After tells when there may be more.
+type Borrowed struct {
+	Tokens int                  `json:"tokens,omitempty"`
+	After  corianderwing.Millis `json:"after,omitempty"`
 }
 
 // Control is a control instance as others know it.
@@ -39,12 +58,14 @@
 
 // pulse is what a control instance tells the leader several times a second.
 type pulse struct {
-	Replica corianderwing.InstanceID `json:"replica"`
-	Domain  corianderwing.DomainID   `json:"domain"`
-	Region  corianderwing.RegionID   `json:"region"`
-	Seen    []uint32                 `json:"seen,omitempty"` // numbers of upstreams that sent heartbeats
-	Entries []reported               `json:"entries,omitempty"`
-	Known   uint64                   `json:"known"` // version of the entries that the sender knows
+	Replica corianderwing.InstanceID  `json:"replica"`
+	Domain  corianderwing.DomainID    `json:"domain"`
+	Region  corianderwing.RegionID    `json:"region"`
+	Seen    []uint32                  `json:"seen,omitempty"` // numbers of upstreams that sent heartbeats
+	Entries []reported                `json:"entries,omitempty"`
+	Known   uint64                    `json:"known"` // version of the entries that the sender knows
+	Life    corianderwing.Incarnation `json:"life"`
+	Needs   []quota.Need              `json:"needs,omitempty"`
 }
 
 // reported is an entry instance with the age of its last beat.
@@ -58,14 +79,16 @@
 	Revision corianderwing.Revision   `json:"revision"`
 	Version  uint64                   `json:"version"` // of Entries and Controls
 	Controls []Control                `json:"controls,omitempty"`
+	Shares   []quota.Share            `json:"shares,omitempty"`  // valid for quota.Lease after the pulse was sent
 	Entries  []corianderwing.Instance `json:"entries,omitempty"` // all live ones, if the sender does not know them
 }
 
 // The calls between entry and control instances, and among the latter.
 var (
-	BeatMethod  = peer.Method[Beat, BeatReply]{Name: "SiteBeat"}
-	WatchMethod = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
-	pulseMethod = peer.Method[pulse, pulseReply]{Name: "SitePulse"}
+	BorrowMethod = peer.Method[Borrow, Borrowed]{Name: "SiteBorrow"}
+	BeatMethod   = peer.Method[Beat, BeatReply]{Name: "SiteBeat"}
+	WatchMethod  = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
+	pulseMethod  = peer.Method[pulse, pulseReply]{Name: "SitePulse"}
 )
 
 // Watch returns the request for the updates after a revision.
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -72,6 +72,7 @@
 	changed func()                      // called after each change of role
 
 	mu      sync.Mutex
+	seeds   []string
 	members map[corianderwing.InstanceID]place // where replicas are, as far as known
 	closed  bool
 }
@@ -89,7 +90,7 @@
 	if cfg.Broken == nil {
 		cfg.Broken = func(string, string) {}
 	}
-	r := &Replica{cfg: cfg, peer: pc, machine: m, changed: changed, members: map[corianderwing.InstanceID]place{}}
+	r := &Replica{cfg: cfg, peer: pc, machine: m, changed: changed, seeds: cfg.Seeds, members: map[corianderwing.InstanceID]place{}}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.sender = newSender(r.ctx, pc)
 	r.register(ps)
@@ -208,12 +209,21 @@
 			add(AddrOf(id))
 		}
 	}
-	for _, seed := range r.cfg.Seeds {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, seed := range r.seeds {
 		add(seed)
 	}
 	return all
 }
 
+// SetSeeds replaces the instances that are asked for the group.
+func (r *Replica) SetSeeds(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeds = seeds
+}
+
 // Note remembers where a replica is, so that voters can be spread.
 func (r *Replica) Note(id corianderwing.InstanceID, d corianderwing.DomainID, region corianderwing.RegionID) {
 	r.note(id, place{d, region})
