Let the guard of a move ignore what is bad at both versions

A frozen leader that woke up asked to remove all upstreams, because it had heard no pulses. Change: the guard trips only while few answers of the old version are bad; a leader that stood still counts silence anew.

--- a/core/shift/guard.go
+++ b/core/shift/guard.go
@@ -10,6 +10,11 @@
 	// route must be bad for a Guard to trip. Of a version without a fault, about
 	// one answer in forty is bad.
 	guardBad = 3
+	// guardOld is the part of bad answers of the old version from which on a
+	// Guard does not trip: then it is the load that makes answers bad.
+	guardOld = 0.12
+	// guardFade is the weight of a new answer of the old version.
+	guardFade = 1.0 / 16
 	// guardTime is how long a Guard that tripped keeps requests away: the time
 	// in which the leader learns of the same answers and decides, with a margin.
 	guardTime = 4 * time.Second
@@ -20,9 +25,19 @@
 // what a fault costs at each entry instance, whatever the delay of samples.
 type Guard struct {
 	recent map[string]uint8 // by route: the last eight answers, a bit is set for a bad one
+	old    float64          // part of the old version's answers that were bad lately
 	until  time.Time
 }
 
+// ObserveOld takes an answer of the old version.
+func (g *Guard) ObserveOld(bad bool) {
+	v := 0.0
+	if bad {
+		v = 1
+	}
+	g.old += (v - g.old) * guardFade
+}
+
 // Observe takes an answer of the new version. It reports whether the Guard
 // tripped.
 func (g *Guard) Observe(route string, bad bool, now time.Time) bool {
@@ -34,7 +49,7 @@
 		last |= 1
 	}
 	g.recent[route] = last
-	if bits.OnesCount8(last) < guardBad {
+	if bits.OnesCount8(last) < guardBad || g.old >= guardOld {
 		return false
 	}
 	g.until = now.Add(guardTime)
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -228,6 +228,7 @@
 	mu      sync.Mutex
 	term    corianderwing.Term
 	since   time.Time
+	looked  time.Time // when silent upstreams were looked for
 	entries map[corianderwing.InstanceID]beaten
 	control map[corianderwing.InstanceID]pulsed
 	seen    map[uint32]time.Time // last heartbeat of an upstream
@@ -374,6 +375,12 @@
 	defer l.mu.Unlock()
 	l.begin(term, now)
 	after := time.Duration(silentBeats) * l.beat
+	if now.Sub(l.looked) > after/2 {
+		// This instance stood still, and so did the pulses to it.
+		l.since = now
+		clear(l.seen)
+	}
+	l.looked = now
 	if now.Sub(l.since) < after {
 		return nil
 	}
