--- a/io/gate/record.go
+++ b/io/gate/record.go
@@ -36,6 +36,7 @@
 	if v.pool != nil {
 		e = e.Str("pool", string(v.pool.name))
 	}
+	e = e.Str("object", v.ask.Object)
 	if len(v.attempts) > 0 {
 		e = e.Any("attempts", v.attempts)
 	}
