--- a/core/place/place.go
+++ b/core/place/place.go
@@ -1,42 +1,62 @@
-// Package place chooses the upstream for a request. An upstream that has
-// handled the object of a request recently serves it several times faster, so
-// the requests for an object go to the same few upstreams, in an order that all
-// entry instances share, as long as these have room.
+// Package place decides which upstream runs a request of a pool, which requests
+// wait for one, and which are refused.
 //
-// It answers a load of many objects over upstreams with few slots: balancing
-// by load alone would make every upstream handle every object slowly once, and
-// again whenever its cache is too small for all of them.
+// An upstream that has handled the object of a request lately runs it several
+// times faster, and remembers few objects. So each object has its upstreams, by
+// weighted rendezvous hashing, and a request rather waits a moment for one of
+// them than go to a free one that does not know its object: there it would
+// answer too late, take the place of several others, and push another object
+// out. Without that, a burst makes every upstream handle every object, all of
+// them answer slowly, and nothing is in time until the load has fallen far
+// below what the pool can bear.
+//
+// Slots are counted exactly: one Pool sees all requests of a failure domain.
+// Slots of upstreams elsewhere are lent, see core/steer.
 package place
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"corianderwing"
 	"corianderwing/core/model"
 )
 
+// ID names a request at a Pool.
+type ID uint64
+
 // Request is a request that needs an upstream.
 type Request struct {
-	Object   uint64 // hash of the object; 0 for none
+	ID       ID
+	Object   uint64 // hash of what it is about; 0 for nothing in particular
 	Class    corianderwing.RouteID
-	Rank     int
-	Goal     time.Time // an answer after it is worth less
+	Rank     int  // 0 is the most urgent
+	Again    bool // its caller was refused before
+	Goal     time.Time
 	Deadline time.Time
-	Homes    []corianderwing.RegionID // empty for all
+	Homes    []corianderwing.RegionID // regions that may run it; empty for all
 	Tried    []corianderwing.UpstreamID
-	Once     bool
+	Steady   bool // not to the new version of a move
 }
 
-// Choice is an upstream on which the request holds a place until Done.
-type Choice struct {
+// Grant is a slot of an upstream that a request holds until Done.
+type Grant struct {
 	Upstream *model.Upstream
-	Wait     time.Duration // expected until the upstream begins
-	Work     time.Duration // expected from then on
-	Warm     bool          // the upstream has handled the object
+	Work     time.Duration // expected until the first byte of the answer
+	Known    bool          // the upstream is expected to know the object
 	Cold     bool          // the upstream still starts
 	Next     bool          // it is of the version that a move leads to
 }
 
+// Effect tells what becomes of a request: Err is nil if it has the Grant.
+// Otherwise it is refused, and may come back After.
+type Effect struct {
+	ID    ID
+	Grant Grant
+	Err   *corianderwing.Error
+	After time.Duration
+}
+
 // Result tells how an attempt ended.
 type Result uint8
 
@@ -51,96 +71,244 @@
 	Dropped               // the caller left; says nothing about the upstream
 )
 
+// Outcome ends a Grant.
+type Outcome struct {
+	ID     ID
+	Result Result
+	Took   time.Duration // until the first byte of the answer
+	Dial   time.Duration // to open a connection for it; 0 if there was one
+	Load   Report
+}
+
 // Report is the load that an upstream tells with an answer.
 type Report struct {
-	Running int
-	Waiting int
-	Known   bool
+	Running int  `json:"running,omitempty"`
+	Waiting int  `json:"waiting,omitempty"`
+	Known   bool `json:"known,omitempty"`
 }
 
-// Config tells where the entry instance is.
+// Config tells where the requests of a Pool come from.
 type Config struct {
+	Name   corianderwing.PoolID
 	Domain corianderwing.DomainID
-	Region corianderwing.RegionID
 	// RegionOf returns the region of a failure domain.
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
+	// Sharers is the number of Pools that use the upstreams of the failure
+	// domain at the same time. It is 1 where one Pool decides for all.
+	Sharers int
+	Seed    uint64
 }
 
-// Pool chooses among the upstreams of one pool. It owns what this entry
-// instance has observed of them. It is not safe for concurrent use.
+// Setup is what a Pool decides with, besides what it has observed.
+type Setup struct {
+	Upstreams []*model.Upstream
+	Evacuated func(corianderwing.DomainID) bool
+	// Lent are slots of this failure domain's upstreams that others use, and
+	// Borrowed slots of upstreams elsewhere, by upstream.
+	Lent     map[corianderwing.UpstreamID]int
+	Borrowed map[corianderwing.UpstreamID]int
+	ColdRate float64 // requests a second that a starting upstream bears
+	Version  corianderwing.VersionID
+	Next     corianderwing.VersionID // that a move leads to; empty without a move
+	Share    float64                 // of the requests that Next gets
+}
+
+// Pool places the requests of one failure domain on the upstreams of one pool.
+// It owns the slots in use, the waiting requests and what was observed of the
+// upstreams. It is not safe for concurrent use.
 type Pool struct {
 	cfg     Config
-	name    corianderwing.PoolID
-	settled map[corianderwing.UpstreamID]*server
+	rng     *rand.Rand
+	set     Setup
+	servers map[corianderwing.UpstreamID]*server
 	list    []*server // by id
+	held    map[ID]*hold
+	queue   []*waiter // by precedence
 	work    map[corianderwing.RouteID]*work
-	sharers int // entry instances that use the upstreams of this failure domain
-	rate    float64
-	version corianderwing.VersionID // that serves
-	next    corianderwing.VersionID // that a move leads to; empty without a move
-	share   float64                 // of the requests that next gets
-	credit  float64                 // requests that next may still get
+	credit  float64                                  // requests that the new version of a move may still get
+	delays  map[corianderwing.DomainID]time.Duration // there and back, as measured
+	demand  average                                  // slots that the arriving requests need
+	arrived average                                  // requests per second
+	keep    int                                      // objects that an upstream is thought to remember
+	out     []Effect
+}
+
+// hold is a granted request.
+type hold struct {
+	Request
+	server *server
+	grant  Grant
+	at     time.Time
 }
 
-// New returns a pool without upstreams.
-func New(name corianderwing.PoolID, cfg Config) *Pool {
+// New returns a Pool without upstreams.
+func New(cfg Config) *Pool {
+	cfg.Sharers = max(1, cfg.Sharers)
 	return &Pool{
 		cfg:     cfg,
-		name:    name,
-		settled: map[corianderwing.UpstreamID]*server{},
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+		servers: map[corianderwing.UpstreamID]*server{},
+		held:    map[ID]*hold{},
 		work:    map[corianderwing.RouteID]*work{},
-		sharers: 1,
+		delays:  map[corianderwing.DomainID]time.Duration{},
+		keep:    firstKeep,
 	}
 }
 
-// Sync takes over the announced upstreams, those of evacuated failure domains
-// left out, the request rate that a cold upstream bears, and the number of
-// entry instances that share those of this failure domain.
-func (p *Pool) Sync(list []*model.Upstream, evacuated func(corianderwing.DomainID) bool, coldRate float64, sharers int) {
-	p.rate, p.sharers = coldRate, max(1, sharers)
-	for _, s := range p.list {
+// SetSharers changes Config.Sharers.
+func (p *Pool) SetSharers(n int) { p.cfg.Sharers = max(1, n) }
+
+// Sync takes a new setup over.
+func (p *Pool) Sync(set Setup, now time.Time) []Effect {
+	p.out = p.out[:0]
+	if set.Next != p.set.Next {
+		p.credit = 0
+	}
+	p.set = set
+	for _, s := range p.servers {
 		s.open = false
+		s.room = 0
 	}
-	for _, u := range list {
-		s, ok := p.settled[u.ID]
-		if !ok || s.up.Incarnation != u.Incarnation {
-			held := 0
-			if ok {
-				held = s.own
-			}
-			s = newServer(u)
-			s.own = held
-			p.settled[u.ID] = s
-		}
-		s.up = u
-		s.open = u.Phase == corianderwing.Ready && u.Slots > 0 && !evacuated(u.Domain)
+	for _, u := range set.Upstreams {
+		p.update(u)
 	}
 	p.list = p.list[:0]
-	for id, s := range p.settled {
-		if !s.open && s.own == 0 && !announced(list, id) {
-			delete(p.settled, id)
+	for id, s := range p.servers {
+		if !s.open && s.busy == 0 {
+			delete(p.servers, id)
 			continue
 		}
 		p.list = append(p.list, s)
 	}
 	sortServers(p.list)
+	p.pump(now)
+	return p.out
 }
 
-func announced(list []*model.Upstream, id corianderwing.UpstreamID) bool {
-	for _, u := range list {
-		if u.ID == id {
-			return true
+// update takes an announced upstream over.
+func (p *Pool) update(u *model.Upstream) {
+	slots, remote := int(u.Slots)-p.set.Lent[u.ID], false
+	if u.Domain != p.cfg.Domain {
+		slots, remote = p.set.Borrowed[u.ID], true
+	}
+	s, ok := p.servers[u.ID]
+	if !ok && slots <= 0 {
+		return
+	}
+	if !ok || s.up.Incarnation != u.Incarnation {
+		fresh := newServer(u)
+		if ok {
+			fresh.busy = s.busy
 		}
+		s = fresh
+		p.servers[u.ID] = s
 	}
-	return false
+	s.up, s.remote = u, remote
+	s.open = true
+	s.ready = u.Phase == corianderwing.Ready && !p.set.Evacuated(u.Domain)
+	s.room = max(0, slots)
+	s.lent = p.set.Lent[u.ID]
 }
 
-// SetVersions tells which version of the upstreams serves, and which one gets
-// a share of the requests because of a move. Upstreams of any other version get
-// none.
-func (p *Pool) SetVersions(version, next corianderwing.VersionID, share float64) {
-	if next != p.next {
-		p.credit = 0
+// Ask takes a request. Its Effect follows now or later.
+func (p *Pool) Ask(r Request, now time.Time) []Effect {
+	p.out = p.out[:0]
+	w := p.workOf(r.Class)
+	p.arrived.add(1, now)
+	p.demand.add(max(w.mean, w.of(true)), now)
+	p.place(&r, now)
+	return p.out
+}
+
+// Leave ends the wait of a request whose caller left.
+func (p *Pool) Leave(id ID, now time.Time) []Effect {
+	p.out = p.out[:0]
+	p.unqueue(id)
+	p.pump(now)
+	return p.out
+}
+
+// Done ends a Grant.
+func (p *Pool) Done(o Outcome, now time.Time) []Effect {
+	p.out = p.out[:0]
+	h, ok := p.held[o.ID]
+	if !ok {
+		return nil
+	}
+	delete(p.held, o.ID)
+	h.server.busy--
+	if s := p.servers[h.server.up.ID]; s == h.server {
+		p.observe(h, o, now)
 	}
-	p.version, p.next, p.share = version, next, share
+	p.pump(now)
+	return p.out
 }
+
+// Tick refuses what has waited in vain, and ends grants whose holder is gone.
+func (p *Pool) Tick(now time.Time) []Effect {
+	p.out = p.out[:0]
+	for id, h := range p.held {
+		if now.Sub(h.Deadline) > holdSlack {
+			delete(p.held, id)
+			h.server.busy--
+		}
+	}
+	p.pump(now)
+	p.expire(now)
+	return p.out
+}
+
+// holdSlack is how long after its deadline a request gives its slot back at
+// the latest, whether or not its entry instance says so.
+const holdSlack = time.Second
+
+// Load returns the slots for this Pool's requests, how many are in use, and how
+// many the arriving requests need.
+func (p *Pool) Load(now time.Time) (slots, own, busy int, demand, arrived float64) {
+	for _, s := range p.list {
+		busy += s.busy
+		if !s.usable(now) || s.up.Version != p.set.Version && s.up.Version != p.set.Next {
+			continue
+		}
+		slots += s.room
+		if !s.remote {
+			own += s.room + s.lent
+		}
+	}
+	return slots, own, busy, p.demand.rate(now), p.arrived.rate(now)
+}
+
+// Waiting returns the number of waiting requests.
+func (p *Pool) Waiting() int { return len(p.queue) }
+
+func (p *Pool) grant(r *Request, s *server, now time.Time) {
+	known := s.knows(r.Object, p.keep)
+	s.busy++
+	s.touch(r.Object)
+	next := p.set.Next != "" && s.up.Version == p.set.Next
+	if p.set.Next != "" {
+		p.credit = min(p.credit+p.set.Share, 2)
+		if next {
+			p.credit--
+		}
+	}
+	cold := s.isCold(now)
+	if cold {
+		s.tokens--
+	}
+	g := Grant{
+		Upstream: s.up,
+		Work:     seconds(p.workOf(r.Class).of(known)*s.slow) + p.delay(s),
+		Known:    known,
+		Cold:     cold,
+		Next:     next,
+	}
+	p.held[r.ID] = &hold{Request: *r, server: s, grant: g, at: now}
+	p.out = append(p.out, Effect{ID: r.ID, Grant: g})
+}
+
+func (p *Pool) refuse(r *Request, after time.Duration, code corianderwing.Code, format string, args ...any) {
+	p.out = append(p.out, Effect{ID: r.ID, Err: corianderwing.Errorf(code, format, args...), After: after})
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/core/place/queue.go
@@ -0,0 +1,157 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"corianderwing"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	Request
+	target *server // where it is expected to run
+	late   bool    // it can no longer be in time for its goal
+}
+
+const (
+	// latePart is how many late requests may wait, as a part of the slots. They
+	// get what those in time leave.
+	latePart = 1.5
+	// lateSpan is the part of the time until its deadline that a late request
+	// may wait.
+	lateSpan = 0.5
+)
+
+// before reports whether a goes before b: what can still be in time first, then
+// the more urgent, then whose caller was refused before, then what is due
+// first.
+func before(a, b *Request) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if a.Again != b.Again {
+		return a.Again
+	}
+	return a.Goal.Before(b.Goal)
+}
+
+func (a *waiter) before(b *waiter) bool {
+	if a.late != b.late {
+		return b.late
+	}
+	return before(&a.Request, &b.Request)
+}
+
+// enqueue lets the request wait if it will be served: in time for its goal, or
+// among a few late ones.
+func (p *Pool) enqueue(r *Request, order []scored, now time.Time) bool {
+	target := p.target(r, order, now)
+	work := seconds(p.workOf(r.Class).of(true)*target.slow) + p.delay(target)
+	wait := p.waitAt(r, target, now)
+	late := !now.Add(wait + work).Before(r.Goal)
+	if late && !p.lateFits(r, wait+work, now) {
+		return false
+	}
+	w := &waiter{Request: *r, target: target, late: late}
+	i, _ := slices.BinarySearchFunc(p.queue, w, func(a, b *waiter) int {
+		if b.before(a) {
+			return 1
+		}
+		return -1
+	})
+	p.queue = slices.Insert(p.queue, i, w)
+	return true
+}
+
+// lateFits reports whether a late request may wait: it will be served well
+// before its deadline, and few others wait like it.
+func (p *Pool) lateFits(r *Request, takes time.Duration, now time.Time) bool {
+	n, room := 0, 0
+	for _, w := range p.queue {
+		if w.late {
+			n++
+		}
+	}
+	for _, s := range p.list {
+		if s.usable(now) {
+			room += s.room
+		}
+	}
+	left := r.Deadline.Sub(now)
+	return float64(n) < latePart*float64(room) && takes < time.Duration(lateSpan*float64(left))
+}
+
+// target returns the upstream that will have room first among those that know
+// the object, or else the first of the object's order.
+func (p *Pool) target(r *Request, order []scored, now time.Time) *server {
+	best := order[0].server
+	found := false
+	for _, s := range order {
+		if r.Object != 0 && !s.knows(r.Object, p.keep) {
+			continue
+		}
+		if !found || p.waitAt(r, s.server, now) < p.waitAt(r, best, now) {
+			best, found = s.server, true
+		}
+	}
+	return best
+}
+
+func (p *Pool) unqueue(id ID) {
+	if i := slices.IndexFunc(p.queue, func(w *waiter) bool { return w.ID == id }); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
+}
+
+// pump gives free slots to waiting requests, in their order.
+func (p *Pool) pump(now time.Time) {
+	for i := 0; i < len(p.queue); {
+		w := p.queue[i]
+		s := p.ready(w, now)
+		if s == nil {
+			i++
+			continue
+		}
+		p.queue = slices.Delete(p.queue, i, i+1)
+		p.grant(&w.Request, s, now)
+	}
+}
+
+// ready returns the upstream that can take a waiting request now.
+func (p *Pool) ready(w *waiter, now time.Time) *server {
+	for _, v := range p.turn(&w.Request) {
+		order := p.order(&w.Request, v, now)
+		if len(order) == 0 {
+			continue
+		}
+		if s := p.best(&w.Request, order, now); s != nil {
+			return s
+		}
+		w.target = p.target(&w.Request, order, now)
+	}
+	return nil
+}
+
+// expire looks again at the requests that wait: one that has become late is
+// kept or refused like one that arrives late.
+func (p *Pool) expire(now time.Time) {
+	kept := p.queue[:0]
+	var late []*waiter
+	for _, w := range p.queue {
+		work := seconds(p.workOf(w.Class).of(true)*w.target.slow) + p.delay(w.target)
+		switch {
+		case !now.Add(work).Before(w.Deadline):
+			p.refuse(&w.Request, 0, corianderwing.TooLate, "pool %s had no room in time", p.cfg.Name)
+		case !w.late && !now.Add(work).Before(w.Goal):
+			late = append(late, w)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+	for _, w := range late {
+		p.place(&w.Request, now)
+	}
+}
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -2,100 +2,131 @@
 
 import (
 	"cmp"
+	"container/list"
 	"math"
 	"slices"
 	"time"
 
-	"corianderwing"
 	"corianderwing/core/model"
 )
 
 const (
-	// fadeTime is the time in which the reported load of others fades to a
-	// third: requests take about that long.
+	// fadeTime is the time in which the told load of others fades to a third:
+	// about as long as a request takes.
 	fadeTime = 400 * time.Millisecond
 	// firstEject is how long an upstream gets no request after it failed, and
 	// mostEject the longest after it failed again and again.
-	firstEject = 300 * time.Millisecond
-	mostEject  = 5 * time.Second
-	// mostKept is the number of objects of an upstream that are remembered.
-	mostKept = 256
-	// coldBurst is the number of requests that a cold upstream may get at once
-	// from one entry instance.
-	coldBurst = 1.0
+	firstEject = 250 * time.Millisecond
+	mostEject  = 4 * time.Second
+	// firstKeep is the number of objects that an upstream is thought to remember
+	// until its answers tell, and leastKeep and mostKeep bound that number.
+	firstKeep = 48
+	leastKeep = 6
+	mostKeep  = 512
+	// coldBurst is the number of requests that a starting upstream may get at
+	// once.
+	coldBurst = 2.0
 )
 
-// server is what this entry instance knows of an upstream.
+// server is what a Pool knows of an upstream.
 type server struct {
-	up   *model.Upstream
-	open bool
-	own  int // requests of this entry instance in flight
-
-	foreign  float64 // requests of others, as of told
-	told     time.Time
-	until    time.Time // gets no request before
-	streak   int       // failures in a row
-	objects  map[uint64]time.Time
-	tokens   float64 // requests that it may get while it is cold
-	filled   time.Time
-	faults   float64 // recent part of answers that were errors, 0 to 1
-	slowness float64 // recent time of answers in units of the usual, 1 is usual
+	up     *model.Upstream
+	open   bool // announced
+	ready  bool // may get requests
+	remote bool // in another failure domain: its slots are borrowed
+	room   int  // slots for this Pool
+	lent   int  // slots of it that others use
+	busy   int  // requests of this Pool in flight
+
+	foreign float64 // requests of others beyond the lent slots, as of told
+	told    time.Time
+	until   time.Time // gets no request before
+	streak  int       // failures in a row
+	objects *list.List
+	index   map[uint64]*list.Element // of objects, the latest at the front
+	tokens  float64                  // requests that it may get while it starts
+	filled  time.Time
+	faults  float64 // recent part of answers that were errors or refusals, 0 to 1
+	slow    float64 // recent time of answers in units of the usual one
 }
 
 func newServer(u *model.Upstream) *server {
-	return &server{up: u, objects: map[uint64]time.Time{}, tokens: coldBurst, slowness: 1}
+	return &server{up: u, objects: list.New(), index: map[uint64]*list.Element{}, tokens: coldBurst, slow: 1}
 }
 
 func sortServers(list []*server) {
 	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.up.ID, b.up.ID) })
 }
 
-// load returns how many requests the upstream is thought to have.
-func (s *server) load(now time.Time) float64 {
-	fade := math.Exp(-float64(now.Sub(s.told)) / float64(fadeTime))
-	return float64(s.own) + s.foreign*fade
+// usable reports whether the upstream may get a request, if it has room.
+func (s *server) usable(now time.Time) bool { return s.open && s.ready && !now.Before(s.until) }
+
+// isCold reports whether the upstream still starts.
+func (s *server) isCold(now time.Time) bool { return now.Before(s.up.Cold) }
+
+// others returns how many requests of others the upstream is thought to have
+// beyond the slots that were lent to them.
+func (s *server) others(now time.Time) float64 {
+	return s.foreign * math.Exp(-float64(now.Sub(s.told))/float64(fadeTime))
 }
 
-// report takes the load over that the upstream told.
+// report takes the load over that the upstream told with an answer, after the
+// answered request had given its slot back.
 func (s *server) report(r Report, now time.Time) {
 	if !r.Known {
 		return
 	}
-	s.foreign = max(0, float64(r.Running+r.Waiting-s.own))
+	s.foreign = max(0, float64(r.Running+r.Waiting-s.busy-s.lent))
 	s.told = now
 }
 
-// remember notes that the upstream has handled an object.
-func (s *server) remember(object uint64, now time.Time) {
+// knows reports whether the upstream is thought to remember an object, if it
+// remembers the given number of them.
+func (s *server) knows(object uint64, keep int) bool {
+	e, ok := s.index[object]
+	if !ok || object == 0 {
+		return false
+	}
+	if s.objects.Len() <= keep {
+		return true
+	}
+	// The list holds mostKeep objects at the most, but only the first ones
+	// count.
+	n := 0
+	for x := s.objects.Front(); x != nil && n < keep; x = x.Next() {
+		if x == e {
+			return true
+		}
+		n++
+	}
+	return false
+}
+
+// touch notes that the upstream gets a request for an object.
+func (s *server) touch(object uint64) {
 	if object == 0 {
 		return
 	}
-	s.objects[object] = now
-	if len(s.objects) <= mostKept {
+	if e, ok := s.index[object]; ok {
+		s.objects.MoveToFront(e)
 		return
 	}
-	var oldest uint64
-	at := now
-	for o, t := range s.objects {
-		if !t.After(at) {
-			oldest, at = o, t
-		}
+	s.index[object] = s.objects.PushFront(object)
+	if s.objects.Len() > mostKeep {
+		oldest := s.objects.Back()
+		delete(s.index, s.objects.Remove(oldest).(uint64))
 	}
-	delete(s.objects, oldest)
 }
 
-func (s *server) knows(object uint64) bool {
-	_, ok := s.objects[object]
-	return ok
+// forget notes that the upstream turned out not to know an object.
+func (s *server) forget(object uint64) {
+	if e, ok := s.index[object]; ok {
+		s.objects.Remove(e)
+		delete(s.index, object)
+	}
 }
 
-// usable reports whether the upstream may get a request.
-func (s *server) usable(now time.Time) bool { return s.open && !now.Before(s.until) }
-
-// isCold reports whether the upstream still starts.
-func (s *server) isCold(now time.Time) bool { return now.Before(s.up.Cold) }
-
-// fill adds the tokens that a cold upstream gained.
+// fill adds the tokens that a starting upstream gained.
 func (s *server) fill(rate float64, now time.Time) {
 	if s.filled.IsZero() {
 		s.filled = now
@@ -111,50 +142,48 @@
 	s.until = now.Add(d)
 }
 
-// work is how long the requests of a class take, learned from answers.
-type work struct {
-	warm float64 // seconds
-	cold float64
-}
-
-// smoothing is the weight of a new observation.
-const smoothing = 0.1
-
-func smooth(old, v float64) float64 {
-	if old == 0 {
-		return v
+// free returns how many more requests the upstream can take now.
+func (p *Pool) free(s *server, now time.Time) float64 {
+	room := float64(s.room)
+	if s.remote {
+		// A borrowed slot is idle while answer and next request are on their way.
+		room = math.Ceil(room * p.stretch(s))
+	}
+	if p.cfg.Sharers > 1 && !s.remote && s.told.IsZero() {
+		room = math.Ceil(room / float64(p.cfg.Sharers))
+	}
+	if s.streak > 0 {
+		room = min(room, 1) // one request shows whether it works again
 	}
-	return old + (v-old)*smoothing
+	if s.isCold(now) {
+		if s.remote {
+			return 0
+		}
+		s.fill(p.set.ColdRate/float64(p.cfg.Sharers), now)
+		room = min(room, float64(s.busy)+math.Floor(s.tokens))
+	}
+	return room - float64(s.busy) - math.Floor(s.others(now)+0.5)
 }
 
-// Work estimates before anything was observed, and the ratio between objects
-// that an upstream knows and others.
-const (
-	firstWork = 0.3
-	warmPart  = 0.35
-)
-
-func (w *work) of(warm bool) float64 {
-	switch {
-	case warm && w.warm > 0:
-		return w.warm
-	case warm && w.cold > 0:
-		return w.cold * warmPart
-	case w.cold > 0:
-		return w.cold
-	case w.warm > 0:
-		return w.warm / warmPart
-	case warm:
-		return firstWork * warmPart
-	}
-	return firstWork
+// stretch returns how many requests must be in flight for one borrowed slot.
+func (p *Pool) stretch(s *server) float64 {
+	usual := p.usual()
+	if usual <= 0 {
+		return 1
+	}
+	return 1 + p.delay(s).Seconds()/usual
 }
 
-func (p *Pool) workOf(class corianderwing.RouteID) *work {
-	w, ok := p.work[class]
-	if !ok {
-		w = &work{}
-		p.work[class] = w
+// weight returns the upstream's part of the objects. One that fails or is slow
+// gets fewer; small differences count for nothing, because an object that moves
+// is unknown at its new place.
+func (s *server) weight(usualSlow float64) float64 {
+	w := float64(s.room)
+	if s.faults > 0.1 {
+		w *= (1 - s.faults) * (1 - s.faults)
+	}
+	if s.slow > slowFrom*usualSlow {
+		w *= usualSlow / s.slow
 	}
 	return w
 }
--- /dev/null
+++ b/core/steer/assign.go
@@ -0,0 +1,52 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"corianderwing"
+)
+
+// Lot is a number of slots of one upstream that a failure domain borrows.
+type Lot struct {
+	Upstream corianderwing.UpstreamID `json:"upstream"`
+	Borrower corianderwing.DomainID   `json:"borrower"`
+	Slots    int                      `json:"slots"`
+}
+
+// Assign turns loans into slots of upstreams. Each loan takes whole upstreams as
+// far as possible, always the same ones, so that the objects of borrower and
+// lender do not push each other out. Usable returns the usable upstreams of a
+// pool.
+func Assign(loans []Loan, usable func(corianderwing.PoolID) []corianderwing.Upstream) []Lot {
+	taken := map[corianderwing.UpstreamID]int{}
+	var lots []Lot
+	for _, l := range loans {
+		var list []corianderwing.Upstream
+		for _, u := range usable(l.Pool) {
+			if u.Domain == l.Lender {
+				list = append(list, u)
+			}
+		}
+		slices.SortFunc(list, func(a, b corianderwing.Upstream) int {
+			return cmp.Compare(weight(l.Borrower, b.ID), weight(l.Borrower, a.ID))
+		})
+		left := l.Slots
+		for _, u := range list {
+			n := min(left, int(u.Slots)-taken[u.ID])
+			if n <= 0 {
+				continue
+			}
+			taken[u.ID] += n
+			left -= n
+			lots = append(lots, Lot{u.ID, l.Borrower, n})
+		}
+	}
+	return lots
+}
+
+func weight(d corianderwing.DomainID, id corianderwing.UpstreamID) uint64 {
+	return xxhash.Sum64String(string(d) + "/" + string(id))
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -84,6 +84,8 @@
 	seeds    []string // peer addresses of control instances to try first
 	controls []plane.Control
 	current  string        // peer address of the followed control instance
+	answered time.Time     // last answer to a beat
+	mute     time.Time     // the desk of current is not asked before
 	moved    chan struct{} // closed when current changes
 	misses   int
 	lagging  time.Time // since when the state lacks a confirmed revision
@@ -230,6 +232,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses = 0
+	f.answered = now
 	if !s.lags() {
 		f.lagging = time.Time{}
 	} else if f.lagging.IsZero() {
@@ -288,6 +291,7 @@
 		return
 	}
 	f.current = next
+	f.answered = time.Time{}
 	close(f.moved)
 	f.moved = make(chan struct{})
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -15,39 +15,40 @@
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/clock"
+	"corianderwing/io/desk"
 	"corianderwing/io/meter"
+	"corianderwing/io/plane"
 	"corianderwing/io/relay"
 )
 
-// State is what the request path needs of the control role.
-type State interface {
+// Control is what the request path needs of the control role.
+type Control interface {
 	// View returns the state of the site, and whether it is known at all.
 	View() (*model.View, bool)
 	// IsFresh reports whether the state may be relied on now.
 	IsFresh() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
-	// Borrow asks the control role for tokens of a workspace's limit. It
-	// returns how many there are, and when there may be more.
+	// Borrow asks for tokens of a workspace's limit. It returns how many there
+	// are, and when there may be more.
 	Borrow(ctx context.Context, w corianderwing.WorkspaceID, tokens int) (int, time.Duration, error)
+	// Acquire asks for a slot of an upstream, and tells who handed it out. It
+	// returns false if nobody can be asked.
+	Acquire(ctx context.Context, q *plane.Acquire) (*plane.Acquired, string, bool)
+	// Release gives a slot back to the one who handed it out.
+	Release(addr string, pool corianderwing.PoolID, o place.Outcome)
 }
 
 // Config describes an entry instance.
 type Config struct {
 	Domain   corianderwing.DomainID
-	Region   corianderwing.RegionID
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
-	State    State
+	Control  Control
 	Limits   *Limits
 	Dialect  corianderwing.Dialect
 	Dial     relay.Dial // default: TCP
 	Log      *log.Logger
 	Meter    *meter.Meter // default: a new one
-	Tuning   Tuning
-}
-
-// Tuning holds the bounds that a deployment sets.
-type Tuning struct {
 	// RetryRatio is the part of a pool's requests that may be sent once more.
 	RetryRatio float64
 }
@@ -57,14 +58,16 @@
 	cfg   Config
 	log   *log.Logger
 	meter *meter.Meter
+	desk  *desk.Desk // decides while the control instance cannot be asked
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   chan struct{}
+	wg     sync.WaitGroup
 
 	mu    sync.Mutex
 	pools map[corianderwing.PoolID]*pool
 	split map[corianderwing.RouteID]*splitter
+	usual map[corianderwing.RouteID]time.Duration // time that callers of a rule allow at first
 
 	changed  chan struct{} // has room for one: the state changed
 	leaving  atomic.Bool   // answers end their connections
@@ -88,13 +91,15 @@
 		cfg:     cfg,
 		log:     cfg.Log,
 		meter:   cfg.Meter,
-		done:    make(chan struct{}),
+		desk:    desk.New(desk.Config{Domain: cfg.Domain, RegionOf: cfg.RegionOf}),
 		pools:   map[corianderwing.PoolID]*pool{},
 		split:   map[corianderwing.RouteID]*splitter{},
+		usual:   map[corianderwing.RouteID]time.Duration{},
 		changed: make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	go s.run()
+	s.wg.Go(s.run)
+	s.wg.Go(func() { s.desk.Run(s.ctx) })
 	return s
 }
 
@@ -107,7 +112,6 @@
 }
 
 func (s *Server) run() {
-	defer close(s.done)
 	tick := time.NewTicker(syncEvery)
 	defer tick.Stop()
 	for {
@@ -122,16 +126,9 @@
 	}
 }
 
-// sync brings every pool up to date with the state.
+// sync brings limits, pools and desk up to date with the state.
 func (s *Server) sync() {
-	view, _ := s.cfg.State.View()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name := range view.Pools() {
-		if s.pools[name] == nil {
-			s.pools[name] = s.newPool(name)
-		}
-	}
+	view, _ := s.cfg.Control.View()
 	limited := map[corianderwing.WorkspaceID]bool{}
 	view.Items().Tenures(func(t *corianderwing.Tenure) {
 		if t.Rate > 0 {
@@ -139,10 +136,43 @@
 		}
 	})
 	s.cfg.Limits.set(limited)
-	sharers := 1 + len(s.cfg.State.Neighbors())
+	now := time.Now()
+	s.mu.Lock()
+	for name := range view.Pools() {
+		if s.pools[name] == nil {
+			s.pools[name] = newPool(name, s.cfg.Dial, s.cfg.RetryRatio)
+		}
+	}
+	shares := map[corianderwing.RequestID]float64{}
 	for _, p := range s.pools {
-		p.sync(view, sharers)
+		move, share := p.sync(view, now)
+		shares[move] = share
 	}
+	s.mu.Unlock()
+	s.desk.Sync(view, desk.Terms{
+		Sharers:  1 + len(s.cfg.Control.Neighbors()),
+		Share:    func(m corianderwing.Move) float64 { return shares[m.ID] },
+		Borrowed: s.elsewhere(view),
+	})
+}
+
+// elsewhere returns one slot of every upstream in another failure domain, for
+// the pools that have none in the own one.
+func (s *Server) elsewhere(v *model.View) map[corianderwing.UpstreamID]int {
+	slots := map[corianderwing.UpstreamID]int{}
+	for _, list := range v.Pools() {
+		own := false
+		for _, u := range list {
+			own = own || u.Domain == s.cfg.Domain && u.Phase == corianderwing.Ready && !v.Evacuated(u.Domain)
+		}
+		if own {
+			continue
+		}
+		for _, u := range list {
+			slots[u.ID] = 1
+		}
+	}
+	return slots
 }
 
 // pool returns a pool, or nil if nothing is known of it.
@@ -152,27 +182,13 @@
 	return s.pools[name]
 }
 
-func (s *Server) newPool(name corianderwing.PoolID) *pool {
-	return &pool{
-		server: s,
-		name:   name,
-		hosts:  map[corianderwing.UpstreamID]*host{},
-		place: place.New(name, place.Config{
-			Domain:   s.cfg.Domain,
-			Region:   s.cfg.Region,
-			RegionOf: s.cfg.RegionOf,
-		}),
-		budget: newBudget(s.cfg.Tuning.RetryRatio),
-	}
-}
-
 // Ready reports whether the instance should get new callers.
-func (s *Server) Ready() bool { return s.Open() && s.cfg.State.IsFresh() }
+func (s *Server) Ready() bool { return s.Open() && s.cfg.Control.IsFresh() }
 
 // Open reports whether the instance takes part: it knows the settings and its
 // shares, and is not about to stop.
 func (s *Server) Open() bool {
-	view, known := s.cfg.State.View()
+	view, known := s.cfg.Control.View()
 	return known && view.Revision() > 0 && !s.draining.Load() && s.cfg.Limits.ready()
 }
 
@@ -189,11 +205,11 @@
 // Close ends all connections to upstreams.
 func (s *Server) Close() {
 	s.cancel()
-	<-s.done
+	s.wg.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.reset()
+		p.each(func(h *host) { h.Reset() })
 	}
 }
 
@@ -202,7 +218,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.trim()
+		p.each(func(h *host) { h.Trim(idleFor) })
 	}
 }
 
--- a/io/gate/pool.go
+++ b/io/gate/pool.go
@@ -6,23 +6,19 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
-	"corianderwing/core/place"
 	"corianderwing/io/relay"
 )
 
-// pool holds the choice among the upstreams of a pool and the connections to
-// them.
+// pool holds the connections to the upstreams of a pool, the budget of retries
+// there, and what the entry instance counts for a move.
 type pool struct {
-	server *Server
-	name   corianderwing.PoolID
-
-	mu      sync.Mutex
-	place   *place.Pool
-	view    *model.View
-	version corianderwing.VersionID // that serves
-	trial   trial
-	hosts   map[corianderwing.UpstreamID]*host
-	budget  *budget
+	name corianderwing.PoolID
+	dial relay.Dial
+
+	mu     sync.Mutex
+	hosts  map[corianderwing.UpstreamID]*host
+	budget budget
+	trial  trial
 }
 
 // host is the connections to one life of an upstream.
@@ -37,56 +33,33 @@
 // idleFor is how long an unused connection is kept.
 const idleFor = 8 * time.Second
 
-// sync brings the pool up to date with the state.
-func (p *pool) sync(v *model.View, sharers int) {
-	rate := 0.0
-	if item, ok := v.Items().Pool(p.name); ok {
-		rate = float64(item.ColdRate)
+func newPool(name corianderwing.PoolID, dial relay.Dial, ratio float64) *pool {
+	return &pool{
+		name:   name,
+		dial:   dial,
+		hosts:  map[corianderwing.UpstreamID]*host{},
+		budget: newBudget(ratio),
 	}
-	list := v.Pool(p.name)
+}
+
+// sync brings the pool up to date with the state. It returns the move that is
+// under way, if any, and the share of its new version.
+func (p *pool) sync(v *model.View, now time.Time) (corianderwing.RequestID, float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place.Sync(list, v.Evacuated, rate, sharers)
-	p.version = v.Version(p.name)
-	p.view = v
-	known := make(map[corianderwing.UpstreamID]bool, len(list))
-	for _, u := range list {
-		known[u.ID] = true
-	}
 	for id, h := range p.hosts {
-		if !known[id] {
+		if u, ok := v.Upstream(id); !ok || u.Pool != p.name || u.Incarnation != h.incarnation {
 			delete(p.hosts, id)
 			h.Reset()
 		}
 	}
+	return p.trial.follow(v, p.name, now)
 }
 
-// pick chooses an upstream and takes a place there.
-func (p *pool) pick(r *place.Request, now time.Time) (place.Choice, *host, *corianderwing.Error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.view == nil {
-		return place.Choice{}, nil, corianderwing.Errorf(corianderwing.NoUpstream, "pool %s is not known yet", p.name)
-	}
-	next, share := p.trial.follow(p.view, p.name, now)
-	p.place.SetVersions(p.version, next, share)
-	c, err := p.place.Pick(r, now)
-	if err != nil {
-		return c, nil, err
-	}
-	return c, p.host(c.Upstream), nil
-}
-
-// begin counts an attempt that is sent now.
-func (p *pool) begin(r *place.Request, c place.Choice, now time.Time) *attempt {
+// host returns the connections to an upstream.
+func (p *pool) host(u *model.Upstream) *host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.trial.begin(r, c, now)
-}
-
-// host returns the connections to an upstream. A new life of it gets new ones.
-// The lock is held.
-func (p *pool) host(u *model.Upstream) *host {
 	h, ok := p.hosts[u.ID]
 	if ok && h.Addr == u.Addr && h.incarnation == u.Incarnation {
 		return h
@@ -95,22 +68,11 @@
 		h.Reset()
 	}
 	h = &host{incarnation: u.Incarnation}
-	h.Addr, h.Dial, h.Most = u.Addr, p.server.cfg.Dial, mostIdle
+	h.Addr, h.Dial, h.Most = u.Addr, p.dial, mostIdle
 	p.hosts[u.ID] = h
 	return h
 }
 
-// done gives a place back.
-func (p *pool) done(r *place.Request, c place.Choice, a *attempt, result place.Result, took time.Duration, load place.Report) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.place.Done(c.Upstream.ID, c.Upstream.Incarnation, r, c, result, took, load, now)
-	if a != nil {
-		p.trial.end(a, result, now)
-	}
-}
-
 // first counts the first attempt of a request, which earns retries.
 func (p *pool) first() {
 	p.mu.Lock()
@@ -119,16 +81,12 @@
 }
 
 // again takes a retry from the budget.
-func (p *pool) again(now time.Time) bool {
+func (p *pool) again() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.spend(now)
+	return p.budget.spend()
 }
 
-func (p *pool) trim() { p.each(func(h *host) { h.Trim(idleFor) }) }
-
-func (p *pool) reset() { p.each(func(h *host) { h.Reset() }) }
-
 func (p *pool) each(f func(*host)) {
 	p.mu.Lock()
 	hosts := make([]*host, 0, len(p.hosts))
@@ -154,11 +112,11 @@
 	budgetMost = 20.0
 )
 
-func newBudget(ratio float64) *budget { return &budget{ratio: ratio * earnPart, level: 1} }
+func newBudget(ratio float64) budget { return budget{ratio: ratio * earnPart, level: 1} }
 
 func (b *budget) earn() { b.level = min(b.level+b.ratio, budgetMost) }
 
-func (b *budget) spend(time.Time) bool {
+func (b *budget) spend() bool {
 	if b.level < 1 {
 		return false
 	}
--- a/io/gate/record.go
+++ b/io/gate/record.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"corianderwing"
-	"corianderwing/core/place"
 )
 
 // record writes the log line of a request and counts it.
@@ -36,7 +35,7 @@
 	if v.pool != nil {
 		e = e.Str("pool", string(v.pool.name))
 	}
-	e = e.Str("object", v.ask.Object)
+	e = e.Str("object", v.ask.Object).Int64("waited", v.waited.Milliseconds())
 	if len(v.attempts) > 0 {
 		e = e.Any("attempts", v.attempts)
 	}
@@ -45,16 +44,31 @@
 }
 
 // note keeps an attempt for the log line of the request.
-func (v *visit) note(c place.Choice, err *corianderwing.Error, took time.Duration) {
+func (v *visit) note(t *slot, err *corianderwing.Error, took time.Duration) {
 	code := corianderwing.OK
 	if err != nil {
 		code = err.Code
 	}
-	v.attempts = append(v.attempts, corianderwing.Attempt{
-		Upstream: c.Upstream.ID,
-		Version:  c.Upstream.Version,
+	v.attempts = append(v.attempts, attempted{
+		Upstream: t.upstream.ID,
+		Version:  t.upstream.Version,
+		Domain:   t.upstream.Domain,
 		Code:     code,
-		Wait:     corianderwing.Millis(c.Wait.Milliseconds()),
+		From:     t.from,
+		Expected: corianderwing.Millis(t.work.Milliseconds()),
 		First:    corianderwing.Millis(took.Milliseconds()),
+		Known:    t.known,
 	})
 }
+
+// attempted is an attempt in the log line of a request.
+type attempted struct {
+	Upstream corianderwing.UpstreamID `json:"upstream"`
+	Version  corianderwing.VersionID  `json:"version"`
+	Domain   corianderwing.DomainID   `json:"domain"`
+	Code     corianderwing.Code       `json:"code"`
+	From     string                   `json:"from,omitempty"` // who handed the slot out; empty for the instance itself
+	Expected corianderwing.Millis     `json:"expected"`       // until the first byte
+	First    corianderwing.Millis     `json:"first"`
+	Known    bool                     `json:"known,omitempty"` // the upstream was expected to know the object
+}
--- a/io/gate/trial.go
+++ b/io/gate/trial.go
@@ -43,9 +43,9 @@
 	shareFor = 3 * time.Second
 )
 
-// follow takes over the pool's move. It returns the version that the move leads
-// to, if it is under way, and its share.
-func (t *trial) follow(v *model.View, name corianderwing.PoolID, now time.Time) (corianderwing.VersionID, float64) {
+// follow takes over the pool's move. It returns the move, if one is under way,
+// and the share of its new version.
+func (t *trial) follow(v *model.View, name corianderwing.PoolID, now time.Time) (corianderwing.RequestID, float64) {
 	m, ok := v.Move(name)
 	if !ok || m.Outcome != corianderwing.Moving {
 		if t.move.ID != "" {
@@ -63,15 +63,15 @@
 	if t.guard.Blocks(now) {
 		share = 0
 	}
-	return m.To, share
+	return m.ID, share
 }
 
 // begin counts an attempt that is sent now. It returns nil without a move.
-func (t *trial) begin(r *place.Request, c place.Choice, now time.Time) *attempt {
+func (t *trial) begin(class corianderwing.RouteID, s *slot, now time.Time) *attempt {
 	if t.move.ID == "" {
 		return nil
 	}
-	a := &attempt{route: r.Class, next: c.Next, late: now.Add(lateFactor*(c.Wait+c.Work) + lateSlack), told: c.Cold}
+	a := &attempt{route: class, next: s.next, late: now.Add(lateFactor*s.work + lateSlack), told: s.cold}
 	t.running[a] = struct{}{}
 	return a
 }
--- a/io/gate/visit.go
+++ b/io/gate/visit.go
@@ -31,13 +31,14 @@
 	body     *relay.Body
 	header   []relay.Field
 	request  place.Request
-	attempts []corianderwing.Attempt
+	attempts []attempted
 	ctx      context.Context
 	err      *corianderwing.Error // why the system itself answered
 	status   int
 	begun    bool
 	counted  bool          // a token of the workspace's limit was taken
 	comeBack time.Duration // when the caller should try again; 0 if unknown
+	waited   time.Duration // for slots
 }
 
 // serve answers the request.
@@ -71,12 +72,12 @@
 
 // admit checks the request against the settings.
 func (v *visit) admit() *corianderwing.Error {
-	view, known := v.s.cfg.State.View()
+	view, known := v.s.cfg.Control.View()
 	if !known || view.Revision() == 0 {
 		return corianderwing.Errorf(corianderwing.NotFresh, "no settings are known yet")
 	}
 	v.view = view
-	fresh := v.s.cfg.State.IsFresh()
+	fresh := v.s.cfg.Control.IsFresh()
 	set := view.Items()
 	rule, ok := set.Rule(v.r.Host, items.PathOf(v.r.RequestURI))
 	if !ok && !fresh {
@@ -102,7 +103,7 @@
 	if v.pool == nil {
 		return corianderwing.Errorf(corianderwing.NoUpstream, "pool %s has no upstream", name)
 	}
-	v.place()
+	v.prepare()
 	return v.takeToken()
 }
 
@@ -113,7 +114,7 @@
 	}
 	ok, borrow, wait := v.s.cfg.Limits.take(v.tenure)
 	if !ok && borrow {
-		n, after, err := v.s.cfg.State.Borrow(v.r.Context(), v.tenure.Name, borrowTokens)
+		n, after, err := v.s.cfg.Control.Borrow(v.r.Context(), v.tenure.Name, borrowTokens)
 		if err != nil {
 			v.s.log.Debug().Str("request", string(v.ask.ID)).Err(err).Msg("no tokens could be borrowed")
 		}
@@ -152,15 +153,15 @@
 	return nil
 }
 
-// place prepares the choice of an upstream.
-func (v *visit) place() {
+// prepare describes the request for the choice of an upstream.
+func (v *visit) prepare() {
 	v.request = place.Request{
 		Class:    v.rule.Name,
 		Rank:     v.rule.Rank,
 		Goal:     v.rule.Goal.After(v.start),
 		Deadline: v.deadline,
 		Homes:    v.rule.Homes,
-		Once:     v.rule.Once,
+		Again:    v.s.again(v.rule.Name, v.ask.Deadline, v.start),
 	}
 	if v.tenure != nil {
 		if v.tenure.Rank != nil {
@@ -173,6 +174,27 @@
 	}
 }
 
+// againSlack is how much less time than usual a caller must allow to count as
+// one that comes back after a refusal. Clocks of callers do not matter: the
+// time is told in the request.
+const againSlack = 10 * time.Millisecond
+
+// again reports whether the request of a caller comes back after a refusal: it
+// allows less time than the first requests to the same rule.
+func (s *Server) again(rule corianderwing.RouteID, deadline, now time.Time) bool {
+	if deadline.IsZero() {
+		return false
+	}
+	left := deadline.Sub(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if left > s.usual[rule] {
+		s.usual[rule] = left
+		return false
+	}
+	return left < s.usual[rule]-againSlack
+}
+
 // both returns the regions that are in both lists, where an empty list stands
 // for all regions. If none is in both, it returns a region that does not exist.
 func both(a, b []corianderwing.RegionID) []corianderwing.RegionID {
@@ -216,282 +238,3 @@
 	}
 	return nil
 }
-
-// run brings the request to an upstream, with retries at others.
-func (v *visit) run() (*reply, *corianderwing.Error) {
-	var last *corianderwing.Error
-	sent := 0
-	v.pool.first()
-	for {
-		now := time.Now()
-		if !now.Before(v.deadline) {
-			return nil, after(last, corianderwing.TooLate, "the request's time was up")
-		}
-		c, h, err := v.pool.pick(&v.request, now)
-		if err != nil {
-			if last != nil && last.Run != corianderwing.RanNo {
-				return nil, last
-			}
-			return nil, err
-		}
-		if last != nil && sent > 0 && !v.pool.again(now) {
-			v.pool.done(&v.request, c, nil, place.Dropped, 0, place.Report{})
-			return nil, last
-		}
-		rep, err := v.attempt(c, h, now)
-		if err == nil && !v.worse(rep, sent) {
-			return rep, nil
-		}
-		if err == nil {
-			err = corianderwing.Errorf(corianderwing.Shed, "upstream %s answered %d", c.Upstream.ID, rep.StatusCode)
-			rep.close()
-		}
-		v.request.Tried = append(v.request.Tried, c.Upstream.ID)
-		if err.Code != corianderwing.ConnFail {
-			sent++
-		}
-		last = worst(last, err)
-		if !v.again(err, sent) {
-			return nil, last
-		}
-	}
-}
-
-// after returns the refusal with the given code, unless an earlier attempt may
-// have run.
-func after(last *corianderwing.Error, c corianderwing.Code, text string) *corianderwing.Error {
-	if last != nil && last.Run != corianderwing.RanNo {
-		return last
-	}
-	return corianderwing.Errorf(c, "%s", text)
-}
-
-// worst returns err, as one that may have run if an earlier attempt may have.
-func worst(last, err *corianderwing.Error) *corianderwing.Error {
-	if last == nil || last.Run == corianderwing.RanNo || err.Run != corianderwing.RanNo {
-		return err
-	}
-	return last
-}
-
-// worse reports whether another upstream should be tried because of a server
-// error.
-func (v *visit) worse(rep *reply, sent int) bool {
-	return rep.StatusCode >= http.StatusInternalServerError && !v.rule.Once && sent+1 < v.tries() && v.body.Replay() &&
-		time.Until(v.request.Goal) > 0
-}
-
-func (v *visit) tries() int { return max(1, v.rule.Tries) }
-
-// mostDials is the number of upstreams to which a connection is tried.
-const mostDials = 4
-
-// again reports whether the request may be tried at another upstream.
-func (v *visit) again(err *corianderwing.Error, sent int) bool {
-	if v.ctx.Err() != nil || !v.body.Replay() || sent >= v.tries() || len(v.request.Tried) >= mostDials {
-		return false
-	}
-	if err.Run != corianderwing.RanNo && v.rule.Once {
-		return false
-	}
-	switch err.Code {
-	case corianderwing.ConnFail, corianderwing.Shed, corianderwing.SendFail, corianderwing.FirstByte,
-		corianderwing.ShortBody, corianderwing.Crossed:
-		return true
-	}
-	return false
-}
-
-// freshFor is how long a connection may have been idle when a request that
-// must not run twice is sent on it: if the upstream closes it meanwhile, nobody
-// knows whether the request ran.
-const freshFor = 3 * time.Second
-
-// attempt sends the request to one upstream.
-func (v *visit) attempt(c place.Choice, h *host, now time.Time) (*reply, *corianderwing.Error) {
-	d := v.s.cfg.Dialect
-	call := relay.Call{
-		Host:     &h.Host,
-		Method:   v.r.Method,
-		URI:      v.r.RequestURI,
-		Name:     v.r.Host,
-		Header:   v.header,
-		Body:     v.body,
-		ID:       v.ask.ID,
-		Echo:     d.Echo(),
-		First:    v.deadline,
-		Foreign:  foreignAnswers,
-		Unframed: true,
-	}
-	if v.rule.Once {
-		call.Recent = now.Add(-freshFor)
-	}
-	a := corianderwing.Outgoing{Ask: v.ask, Upstream: c.Upstream.ID, Deadline: v.deadline}
-	if v.tenure != nil {
-		a.Workspace = v.tenure.Name
-	}
-	d.Outgoing(a, now, func(name, value string) {
-		call.Extra = append(call.Extra, relay.Field{Name: name, Value: value})
-	})
-	trial := v.pool.begin(&v.request, c, now)
-	ans, err := relay.Send(v.ctx, call)
-	took := time.Since(now)
-	rep := &reply{Answer: ans, v: v, choice: c, trial: trial}
-	if err == nil {
-		verdict := d.Verdict(ans.StatusCode, ans.Header)
-		rep.load = place.Report{Known: verdict.Load, Running: verdict.Running, Waiting: verdict.Waiting}
-		rep.took = took
-		if verdict.NotRun {
-			ans.Drain()
-			result := place.Shed
-			if verdict.Moved {
-				result = place.Moved
-			}
-			v.pool.done(&v.request, c, trial, result, took, rep.load)
-			err = corianderwing.Errorf(corianderwing.Shed, "upstream %s answered %d", c.Upstream.ID, ans.StatusCode)
-		}
-	} else {
-		v.pool.done(&v.request, c, trial, resultOf(err), took, place.Report{})
-		if err.Code == corianderwing.FirstByte || err.Code == corianderwing.SendFail {
-			h.Reset()
-		}
-	}
-	v.note(c, err, took)
-	if err != nil {
-		return nil, err
-	}
-	return rep, nil
-}
-
-// foreignAnswers is how many answers to other requests are skipped on a
-// connection: an upstream sends at most one extra answer to a request.
-const foreignAnswers = 2
-
-// resultOf returns what a failed attempt says about the upstream.
-func resultOf(e *corianderwing.Error) place.Result {
-	switch e.Code {
-	case corianderwing.FirstByte:
-		return place.Silent
-	case corianderwing.Deadline, corianderwing.CallerGone, corianderwing.Stopping,
-		corianderwing.CutBody, corianderwing.BigBody:
-		return place.Dropped
-	}
-	return place.Broken
-}
-
-// refuse answers in the system's own name.
-func (v *visit) refuse(err *corianderwing.Error) {
-	v.err = err
-	if v.begun {
-		return
-	}
-	v.begun = true
-	if v.counted && err.Run == corianderwing.RanNo {
-		v.s.cfg.Limits.give(v.tenure)
-	}
-	v.s.cfg.Dialect.Refuse(v.w, v.ask.ID, err, v.retryAfter(err))
-}
-
-// retryAfter returns when the caller should come back, 0 to say nothing.
-func (v *visit) retryAfter(err *corianderwing.Error) time.Duration {
-	if err.Run != corianderwing.RanNo {
-		return 0
-	}
-	if v.comeBack > 0 {
-		return v.comeBack
-	}
-	switch err.Code {
-	case corianderwing.NoCapacity, corianderwing.TooLate, corianderwing.NoUpstream, corianderwing.Shed,
-		corianderwing.ConnFail, corianderwing.NotFresh, corianderwing.OverRate, corianderwing.NoShare:
-		return 100 * time.Millisecond
-	}
-	return 0
-}
-
-// reply is an upstream's answer on its way to the caller.
-type reply struct {
-	*relay.Answer
-	v      *visit
-	choice place.Choice
-	trial  *attempt
-	load   place.Report
-	took   time.Duration
-	over   bool
-}
-
-// end gives the upstream's place back once.
-func (r *reply) end(result place.Result) {
-	if r.over {
-		return
-	}
-	r.over = true
-	r.v.pool.done(&r.v.request, r.choice, r.trial, result, r.took, r.load)
-}
-
-// close ends a reply that is not passed on.
-func (r *reply) close() {
-	r.Drain()
-	r.end(r.result())
-}
-
-// result returns what a complete answer says about the upstream.
-func (r *reply) result() place.Result {
-	if r.StatusCode >= http.StatusInternalServerError {
-		return place.Faulty
-	}
-	return place.Good
-}
-
-// pass sends an upstream's answer to the caller. An answer that ends early ends
-// the caller's connection, so that it cannot be taken for complete.
-func (v *visit) pass(rep *reply) {
-	v.begun, v.status = true, rep.StatusCode
-	out := v.w.Header()
-	relay.EndToEnd(out, rep.Header, nil)
-	if n := rep.Header["Content-Length"]; len(n) == 1 {
-		out["Content-Length"] = n
-	}
-	if _, ok := out["Content-Type"]; !ok {
-		out["Content-Type"] = nil // keep net/http from guessing one
-	}
-	v.w.WriteHeader(rep.StatusCode)
-	rc := http.NewResponseController(v.w)
-	var flush func() error
-	if rep.ContentLength < 0 {
-		flush = rc.Flush
-	}
-	readErr, writeErr := relay.Copy(v.w, rep, flush)
-	switch {
-	case writeErr != nil:
-		rep.Discard()
-		rep.end(place.Dropped)
-		v.err = corianderwing.Errorf(corianderwing.CallerGone, "%v", writeErr)
-	case readErr != nil:
-		rep.Discard()
-		rep.end(place.Broken)
-		v.err = corianderwing.Errorf(corianderwing.ShortBody, "%v", readErr)
-		if v.ctx.Err() != nil {
-			v.err = relay.Ended(v.ctx, corianderwing.RanYes)
-		}
-	default:
-		rep.end(rep.result())
-		return
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// finish logs and counts the request, also one that was cut off.
-func (v *visit) finish() {
-	failure := recover()
-	if failure != nil && failure != http.ErrAbortHandler {
-		v.s.log.Error().Str("request", string(v.ask.ID)).Any("panic", failure).Msg("panic while a request was served")
-		if !v.begun {
-			v.refuse(corianderwing.Errorf(corianderwing.Internal, "the request met a fault"))
-			failure = nil
-		}
-	}
-	v.record()
-	if failure != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -110,8 +110,9 @@
 			Voters: 2*max(1, set.Losses) + 1,
 			Log:    n.log,
 		},
-		Beat:   time.Duration(set.Beat),
-		Lookup: min(time.Duration(set.Bounds.Lookup), lookupFor),
+		RegionOf: set.regionOf,
+		Beat:     time.Duration(set.Beat),
+		Lookup:   min(time.Duration(set.Bounds.Lookup), lookupFor),
 		Excess: plane.Excess{
 			Window: time.Duration(set.Bounds.Window),
 			Over:   set.Bounds.Over,
@@ -182,14 +183,14 @@
 	}, n.client)
 	g := gate.New(gate.Config{
 		Domain:   set.Domain,
-		Region:   set.Region,
-		RegionOf: func(d corianderwing.DomainID) corianderwing.RegionID { return set.Domains[d] },
-		State:    n.follow,
+		RegionOf: set.regionOf,
+		Control:  n.follow,
 		Limits:   limits,
 		Dialect:  n.adapter,
 		Log:      n.log,
 		Meter:    n.meter,
-		Tuning:   gate.Tuning{RetryRatio: set.Bounds.Retry},
+
+		RetryRatio: set.Bounds.Retry,
 	})
 	n.gate.Store(g)
 	if err := n.servePeers(set.peerAddr()); err != nil {
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -199,3 +199,5 @@
 	slices.Sort(list)
 	return slices.Compact(list)
 }
+
+func (s *Settings) regionOf(d corianderwing.DomainID) corianderwing.RegionID { return s.Domains[d] }
--- a/io/plane/lend.go
+++ b/io/plane/lend.go
@@ -21,7 +21,7 @@
 // lend divides this instance's shares of the limits of workspaces. The lock is
 // held.
 func (p *Plane) lend(b *Beat, r *BeatReply, now time.Time) {
-	left := min(quota.Lease, p.lent.Sub(now))
+	left := min(quota.Lease, p.until.Sub(now))
 	if left <= 0 {
 		p.divider.SetLimits(nil)
 	}
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -13,8 +13,11 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/place"
 	"corianderwing/core/quota"
+	"corianderwing/core/steer"
 	"corianderwing/io/clock"
+	"corianderwing/io/desk"
 	"corianderwing/io/peer"
 	"corianderwing/io/quorum"
 )
@@ -27,7 +30,9 @@
 	// Lookup is for how long callers may cache the answer of Locate.
 	Lookup time.Duration
 	Excess Excess
-	Log    *log.Logger
+	// RegionOf returns the region of a failure domain.
+	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
+	Log      *log.Logger
 }
 
 // Plane is a running control instance. It implements corianderwing.Site.
@@ -42,23 +47,29 @@
 	rounds  *rounds
 	lead    *lead
 	life    corianderwing.Incarnation
+	desk    *desk.Desk
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu       sync.Mutex
-	beats    map[corianderwing.InstanceID]beaten // entries that beat here
-	entries  []corianderwing.Instance            // all live ones, as the leader last said
-	controls []Control
-	version  uint64         // of entries
-	divider  *quota.Divider // of this instance's shares
-	reserve  *quota.Buckets // the part of the shares from which entry instances borrow
-	trials   []Trial        // of entry instances since the last pulse
-	shares   []MoveShare    // that the leader told
-	lent     time.Time      // boot time until which the shares of the divider are valid
-	confirm  time.Time      // boot time at which revision was confirmed
-	revision corianderwing.Revision
+	askMu sync.Mutex
+	asked map[place.ID]asked // requests that wait between two calls
+
+	mu          sync.Mutex
+	beats       map[corianderwing.InstanceID]beaten // entries that beat here
+	entries     []corianderwing.Instance            // all live ones, as the leader last said
+	controls    []Control
+	version     uint64         // of entries
+	divider     *quota.Divider // of this instance's shares
+	reserve     *quota.Buckets // the part of the shares from which entry instances borrow
+	lots        []steer.Lot    // slots that failure domains lend each other
+	lotsVersion uint64
+	trials      []Trial     // of entry instances since the last pulse
+	shares      []MoveShare // that the leader told
+	until       time.Time   // boot time until which the shares of the divider are valid
+	confirm     time.Time   // boot time at which revision was confirmed
+	revision    corianderwing.Revision
 }
 
 var _ corianderwing.Site = (*Plane)(nil)
@@ -84,9 +95,11 @@
 		// lent them.
 		divider: quota.New(corianderwing.GrantorDeadline(clock.Boot(), quota.Lease)),
 		reserve: quota.NewBuckets(),
+		asked:   map[place.ID]asked{},
 		life:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.desk = desk.New(desk.Config{Domain: cfg.Quorum.Domain, RegionOf: cfg.RegionOf})
 	p.lead = newLead(cfg.Beat)
 	p.lead.excess = cfg.Excess
 	p.register(ps)
@@ -101,6 +114,8 @@
 	p.wg.Go(p.keepPulse)
 	p.wg.Go(p.keepExpiring)
 	p.wg.Go(p.keepMoving)
+	p.wg.Go(p.keepDesk)
+	p.wg.Go(func() { p.desk.Run(p.ctx) })
 	return p, nil
 }
 
@@ -108,6 +123,11 @@
 	peer.Handle(ps, BeatMethod, func(_ context.Context, b *Beat) (*BeatReply, error) {
 		return p.beat(b), nil
 	})
+	peer.Handle(ps, AcquireMethod, p.acquire)
+	peer.Handle(ps, ReleaseMethod, func(_ context.Context, q *Release) (*empty, error) {
+		p.release(q)
+		return &empty{}, nil
+	})
 	peer.Handle(ps, BorrowMethod, func(_ context.Context, b *Borrow) (*Borrowed, error) {
 		return p.borrow(b), nil
 	})
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -12,6 +12,7 @@
 	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
+	"corianderwing/core/steer"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/quorum"
@@ -119,14 +120,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := &pulse{
-		Replica: p.replica.Self(),
-		Domain:  p.cfg.Quorum.Domain,
-		Region:  p.cfg.Quorum.Region,
-		Seen:    p.seen.take(),
-		Known:   p.version,
-		Life:    p.life,
-		Needs:   p.divider.Needs(now),
-		Trials:  merge(p.trials, p.runningOf),
+		Replica:   p.replica.Self(),
+		Domain:    p.cfg.Quorum.Domain,
+		Region:    p.cfg.Quorum.Region,
+		Seen:      p.seen.take(),
+		Known:     p.version,
+		Life:      p.life,
+		Needs:     p.divider.Needs(now),
+		Trials:    merge(p.trials, p.runningOf),
+		Loads:     p.desk.Loads(),
+		KnownLots: p.lotsVersion,
 	}
 	p.trials = nil
 	for id, b := range p.beats {
@@ -156,14 +159,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shares = r.Moves
+	if r.LotsVersion != p.lotsVersion {
+		p.lotsVersion, p.lots = r.LotsVersion, r.Lots
+		p.logLots()
+	}
 	if asked.After(p.confirm) {
 		p.confirm, p.revision = asked, r.Revision
 	}
 	if r.Version != p.version {
 		p.version, p.entries, p.controls = r.Version, r.Entries, r.Controls
 	}
-	if until := corianderwing.HolderDeadline(asked, quota.Lease); until.After(p.lent) {
-		p.lent = until
+	if until := corianderwing.HolderDeadline(asked, quota.Lease); until.After(p.until) {
+		p.until = until
 		limits := make(map[corianderwing.WorkspaceID]quota.Limit, len(r.Shares))
 		for _, s := range r.Shares {
 			limits[s.Workspace] = s.Limit
@@ -194,6 +201,10 @@
 		Shares:   p.lead.divide(term, q, view, clock.Boot()),
 		Moves:    p.lead.observe(term, string(q.Replica), q.Trials, view, time.Now()),
 	}
+	reply.LotsVersion, reply.Lots = p.lead.lend(term, view, clock.Boot())
+	if reply.LotsVersion == q.KnownLots {
+		reply.Lots = nil
+	}
 	reply.Version, reply.Entries, reply.Controls = p.lead.live(term, clock.Boot())
 	if reply.Version == q.Known {
 		reply.Entries, reply.Controls = nil, nil
@@ -237,6 +248,7 @@
 	others  []Control                // of version
 
 	moves   moves
+	steer   steering
 	divider *quota.Divider
 	limited corianderwing.Revision // of the divider's limits
 	excess  Excess
@@ -262,6 +274,7 @@
 	// An earlier leader may have handed out shares until now.
 	l.divider = quota.New(corianderwing.GrantorDeadline(now, quota.Lease))
 	l.limited = 0
+	l.steer = steering{planner: steer.New(), loads: map[corianderwing.DomainID]loaded{}}
 	l.moves = moves{
 		plans:   map[corianderwing.RequestID]*shift.Plan{},
 		running: map[corianderwing.RequestID]map[string]int{},
@@ -320,6 +333,7 @@
 	defer l.mu.Unlock()
 	l.begin(term, now)
 	l.control[q.Replica] = pulsed{Control{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
+	l.steer.loads[q.Domain] = loaded{q.Region, q.Loads, now}
 	for _, no := range q.Seen {
 		l.seen[no] = now
 	}
--- /dev/null
+++ b/io/plane/slot.go
@@ -0,0 +1,165 @@
+package plane
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/place"
+	"corianderwing/core/shift"
+	"corianderwing/io/clock"
+	"corianderwing/io/desk"
+)
+
+// syncEvery is how often the desk is brought up to date without a change of the
+// state.
+const syncEvery = 250 * time.Millisecond
+
+// shareFor is how long the share of a move counts without news from the leader.
+const shareFor = 3 * time.Second
+
+// keepDesk brings the desk up to date.
+func (p *Plane) keepDesk() {
+	tick := time.NewTicker(syncEvery)
+	defer tick.Stop()
+	for {
+		changed := p.machine.Changed()
+		p.desk.Sync(p.machine.View(), p.terms())
+		p.forgetAsked()
+		select {
+		case <-changed:
+		case <-tick.C:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// terms returns what the leader last said about moves and lent slots.
+func (p *Plane) terms() desk.Terms {
+	now := clock.Boot()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shares := map[corianderwing.RequestID]float64{}
+	stale := now.Sub(p.confirm) > shareFor
+	for _, m := range p.shares {
+		shares[m.Move] = m.Share
+		if stale {
+			shares[m.Move] = min(m.Share, shift.Quick.Small)
+		}
+	}
+	lent, borrowed := p.lent(now)
+	return desk.Terms{
+		Sharers:  1,
+		Share:    func(m corianderwing.Move) float64 { return shares[m.ID] },
+		Lent:     lent,
+		Borrowed: borrowed,
+	}
+}
+
+const (
+	// askWait is the longest time for which a call for a slot waits. A request
+	// that waits longer calls again, so that an entry instance soon notices a
+	// control instance that does not answer any more.
+	askWait = 100 * time.Millisecond
+	// askAgain is how soon it must call again.
+	askAgain = 300 * time.Millisecond
+)
+
+// asked is a request that waits between two calls.
+type asked struct {
+	waiting *desk.Waiting
+	until   time.Time
+}
+
+// acquire hands out a slot, or lets the request wait for one.
+func (p *Plane) acquire(ctx context.Context, q *Acquire) (*Acquired, error) {
+	if q.ID != 0 {
+		return p.await(ctx, q.ID), nil
+	}
+	now := time.Now()
+	w, err := p.desk.Ask(q.Pool, place.Request{
+		Object:   q.Object,
+		Class:    q.Class,
+		Rank:     q.Rank,
+		Again:    q.Again,
+		Goal:     q.Goal.After(now),
+		Deadline: q.Left.After(now),
+		Homes:    q.Homes,
+		Tried:    q.Tried,
+		Steady:   q.Steady,
+	})
+	if err != nil {
+		return &Acquired{Error: err}, nil
+	}
+	return p.wait(ctx, w), nil
+}
+
+// await goes on with the wait of a request that called before.
+func (p *Plane) await(ctx context.Context, id place.ID) *Acquired {
+	p.askMu.Lock()
+	a, ok := p.asked[id]
+	delete(p.asked, id)
+	p.askMu.Unlock()
+	if !ok {
+		return &Acquired{Error: corianderwing.Errorf(corianderwing.TooLate, "the request called again too late")}
+	}
+	return p.wait(ctx, a.waiting)
+}
+
+// wait waits for a slot for a moment.
+func (p *Plane) wait(ctx context.Context, w *desk.Waiting) *Acquired {
+	t, after, err, ok := w.Wait(ctx, askWait)
+	if !ok && ctx.Err() != nil {
+		p.desk.Leave(w)
+		return &Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}
+	}
+	if !ok {
+		p.askMu.Lock()
+		defer p.askMu.Unlock()
+		p.asked[w.ID] = asked{w, time.Now().Add(askAgain)}
+		return &Acquired{ID: w.ID, Waiting: true}
+	}
+	if err != nil {
+		return &Acquired{Error: err, After: corianderwing.Millis(after.Milliseconds())}
+	}
+	return &Acquired{
+		ID:          t.ID,
+		Upstream:    t.Upstream.ID,
+		Incarnation: t.Upstream.Incarnation,
+		Work:        corianderwing.Millis(t.Work.Milliseconds()),
+		Known:       t.Known,
+		Cold:        t.Cold,
+		Next:        t.Next,
+	}
+}
+
+// forgetAsked ends the wait of requests that did not call again.
+func (p *Plane) forgetAsked() {
+	now := time.Now()
+	var gone []*desk.Waiting
+	p.askMu.Lock()
+	for id, a := range p.asked {
+		if now.After(a.until) {
+			delete(p.asked, id)
+			gone = append(gone, a.waiting)
+		}
+	}
+	p.askMu.Unlock()
+	for _, w := range gone {
+		p.desk.Leave(w)
+	}
+}
+
+// release takes slots back.
+func (p *Plane) release(q *Release) {
+	for _, e := range q.Ended {
+		p.desk.Release(e.Pool, place.Outcome{
+			ID:     e.ID,
+			Result: e.Result,
+			Took:   time.Duration(e.Micros) * time.Microsecond,
+			Dial:   time.Duration(e.Dial) * time.Microsecond,
+			Load:   e.Load,
+		})
+	}
+}
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -3,8 +3,11 @@
 import (
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/core/place"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
+	"corianderwing/core/steer"
+	"corianderwing/io/desk"
 	"corianderwing/io/peer"
 )
 
@@ -64,6 +67,54 @@
 	After  corianderwing.Millis `json:"after,omitempty"`
 }
 
+// Acquire asks the control instance of the own failure domain for a slot of an
+// upstream. It is answered once there is one, or none in time.
+type Acquire struct {
+	ID     place.ID                   `json:"id,omitempty"` // of a request that waits already; nothing else is set then
+	Pool   corianderwing.PoolID       `json:"pool"`
+	Object uint64                     `json:"object,omitempty"`
+	Class  corianderwing.RouteID      `json:"class"`
+	Rank   int                        `json:"rank,omitempty"`
+	Again  bool                       `json:"again,omitempty"`
+	Goal   corianderwing.Millis       `json:"goal"` // time left until it
+	Left   corianderwing.Millis       `json:"left"` // time left until the deadline
+	Homes  []corianderwing.RegionID   `json:"homes,omitempty"`
+	Tried  []corianderwing.UpstreamID `json:"tried,omitempty"`
+	Steady bool                       `json:"steady,omitempty"`
+}
+
+// Acquired is the answer: a slot, a refusal, or that the request waits and has
+// to call again with its ID.
+type Acquired struct {
+	Waiting     bool                      `json:"waiting,omitempty"`
+	ID          place.ID                  `json:"id,omitempty"`
+	Upstream    corianderwing.UpstreamID  `json:"upstream,omitempty"`
+	Incarnation corianderwing.Incarnation `json:"incarnation,omitempty"`
+	Work        corianderwing.Millis      `json:"work,omitempty"` // expected until the first byte
+	Known       bool                      `json:"known,omitempty"`
+	Cold        bool                      `json:"cold,omitempty"`
+	Next        bool                      `json:"next,omitempty"`
+	Error       *corianderwing.Error      `json:"error,omitempty"`
+	After       corianderwing.Millis      `json:"after,omitempty"`
+}
+
+// Release gives slots back.
+type Release struct {
+	Ended []Ended `json:"ended"`
+}
+
+// Ended is a slot that is given back.
+type Ended struct {
+	Pool   corianderwing.PoolID `json:"pool"`
+	ID     place.ID             `json:"id"`
+	Result place.Result         `json:"result,omitempty"`
+	Micros int64                `json:"us,omitempty"`   // until the first byte
+	Dial   int64                `json:"dial,omitempty"` // µs to open a connection
+	Load   place.Report         `json:"load,omitzero"`
+}
+
+type empty struct{}
+
 // Control is a control instance as others know it.
 type Control struct {
 	Peer   string                 `json:"peer"`
@@ -78,15 +129,17 @@
 
 // pulse is what a control instance tells the leader several times a second.
 type pulse struct {
-	Replica corianderwing.InstanceID  `json:"replica"`
-	Domain  corianderwing.DomainID    `json:"domain"`
-	Region  corianderwing.RegionID    `json:"region"`
-	Seen    []uint32                  `json:"seen,omitempty"` // numbers of upstreams that sent heartbeats
-	Entries []reported                `json:"entries,omitempty"`
-	Known   uint64                    `json:"known"` // version of the entries that the sender knows
-	Life    corianderwing.Incarnation `json:"life"`
-	Needs   []quota.Need              `json:"needs,omitempty"`
-	Trials  []Trial                   `json:"trials,omitempty"`
+	Replica   corianderwing.InstanceID  `json:"replica"`
+	Domain    corianderwing.DomainID    `json:"domain"`
+	Region    corianderwing.RegionID    `json:"region"`
+	Seen      []uint32                  `json:"seen,omitempty"` // numbers of upstreams that sent heartbeats
+	Entries   []reported                `json:"entries,omitempty"`
+	Known     uint64                    `json:"known"` // version of the entries that the sender knows
+	Life      corianderwing.Incarnation `json:"life"`
+	Needs     []quota.Need              `json:"needs,omitempty"`
+	Trials    []Trial                   `json:"trials,omitempty"`
+	Loads     []desk.Load               `json:"loads,omitempty"`
+	KnownLots uint64                    `json:"knownlots,omitempty"`
 }
 
 // reported is an entry instance with the age of its last beat.
@@ -97,20 +150,24 @@
 
 // pulseReply answers a pulse once the leader has confirmed that it leads.
 type pulseReply struct {
-	Moves    []MoveShare              `json:"moves,omitempty"`
-	Revision corianderwing.Revision   `json:"revision"`
-	Version  uint64                   `json:"version"` // of Entries and Controls
-	Controls []Control                `json:"controls,omitempty"`
-	Shares   []quota.Share            `json:"shares,omitempty"`  // valid for quota.Lease after the pulse was sent
-	Entries  []corianderwing.Instance `json:"entries,omitempty"` // all live ones, if the sender does not know them
+	Moves       []MoveShare              `json:"moves,omitempty"`
+	Revision    corianderwing.Revision   `json:"revision"`
+	Version     uint64                   `json:"version"` // of Entries and Controls
+	Controls    []Control                `json:"controls,omitempty"`
+	Shares      []quota.Share            `json:"shares,omitempty"`  // valid for quota.Lease after the pulse was sent
+	Entries     []corianderwing.Instance `json:"entries,omitempty"` // all live ones, if the sender does not know them
+	Lots        []steer.Lot              `json:"lots,omitempty"`    // all of them, if the sender does not know them
+	LotsVersion uint64                   `json:"lotsversion,omitempty"`
 }
 
 // The calls between entry and control instances, and among the latter.
 var (
-	BorrowMethod = peer.Method[Borrow, Borrowed]{Name: "SiteBorrow"}
-	BeatMethod   = peer.Method[Beat, BeatReply]{Name: "SiteBeat"}
-	WatchMethod  = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
-	pulseMethod  = peer.Method[pulse, pulseReply]{Name: "SitePulse"}
+	BorrowMethod  = peer.Method[Borrow, Borrowed]{Name: "SiteBorrow"}
+	AcquireMethod = peer.Method[Acquire, Acquired]{Name: "SiteAcquire"}
+	ReleaseMethod = peer.Method[Release, empty]{Name: "SiteRelease"}
+	BeatMethod    = peer.Method[Beat, BeatReply]{Name: "SiteBeat"}
+	WatchMethod   = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
+	pulseMethod   = peer.Method[pulse, pulseReply]{Name: "SitePulse"}
 )
 
 // Watch returns the request for the updates after a revision.
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -116,24 +116,25 @@
 }
 
 // get returns an idle connection that suits c, or a new one. No byte has been
-// sent when it fails.
-func (h *Host) get(ctx context.Context, c Call) (_ *conn, dialled bool, _ error) {
+// sent when it fails. Dial is the time that it took to open a new one.
+func (h *Host) get(ctx context.Context, c Call) (_ *conn, dial time.Duration, _ error) {
 	if !c.Fresh {
 		if cn := h.pop(c.Recent); cn != nil {
-			return cn, false, nil
+			return cn, 0, nil
 		}
 	}
 	if h.Allow != nil && !h.Allow() {
 		h.Trim(0)
 		if !h.Allow() {
-			return nil, false, corianderwing.Errorf(corianderwing.NoCapacity, "connection budget of %s is used up", h.Addr)
+			return nil, 0, corianderwing.Errorf(corianderwing.NoCapacity, "connection budget of %s is used up", h.Addr)
 		}
 	}
+	start := time.Now()
 	cn, err := h.open(ctx, c.First)
 	if err != nil && h.Gone != nil {
 		h.Gone()
 	}
-	return cn, true, err
+	return cn, time.Since(start), err
 }
 
 // open dials. The answer is due at first.
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -55,7 +55,7 @@
 // closed with Discard.
 type Answer struct {
 	*http.Response
-	Dialled bool // the connection was opened for this call
+	Dial time.Duration // to open the connection; 0 if there was one
 
 	ctx     context.Context
 	conn    *conn
@@ -69,13 +69,13 @@
 // answer is complete, and never repeats the request. The returned error tells
 // whether the request may have reached the peer.
 func Send(ctx context.Context, c Call) (*Answer, *corianderwing.Error) {
-	cn, dialled, err := c.Host.get(ctx, c)
+	cn, dial, err := c.Host.get(ctx, c)
 	if err != nil {
 		return nil, unsent(ctx, err)
 	}
 	// Closing the connection on cancellation ends every read and write on it,
 	// and tells the peer to stop.
-	a := &Answer{ctx: ctx, conn: cn, Dialled: dialled}
+	a := &Answer{ctx: ctx, conn: cn, Dial: dial}
 	a.stop = context.AfterFunc(ctx, func() { cn.Close() })
 	// Setting a deadline fails only on a closed connection, which the next
 	// read or write reports; what was received before can still be read.
