Let near control instances hand out slots for domains that lost theirs

Change: an entry instance leaves its control instance only for one that is more current, asks others for confirmations meanwhile, and comes back to the nearest; a control instance hands out slots for every near domain that asks; a new leader adopts the loans that it knows of.

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -79,8 +79,8 @@
 	at    time.Time
 }
 
-// Planner holds the loans. The leader of a term owns it; a new leader begins
-// without loans.
+// Planner holds the loans. The leader of a term owns it; a new leader adopts
+// those that it knows of.
 type Planner struct {
 	loans map[pair]float64
 	peaks map[spot]peak
@@ -93,6 +93,13 @@
 	return &Planner{loans: map[pair]float64{}, peaks: map[spot]peak{}, first: map[corianderwing.RegionID]time.Time{}}
 }
 
+// Adopt takes over the loans of an earlier Planner.
+func (p *Planner) Adopt(loans []Loan) {
+	for _, l := range loans {
+		p.loans[pair{l.Pool, l.Lender, l.Borrower}] += float64(l.Slots)
+	}
+}
+
 // Update moves the loans towards what the loads ask for, and returns them,
 // sorted.
 func (p *Planner) Update(loads []Load, now time.Time) []Loan {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,9 +28,6 @@
 	moveBeat = 150 * time.Millisecond
 	// beatTimeout bounds one beat.
 	beatTimeout = 600 * time.Millisecond
-	// maxAge is the age of a confirmation above which another control instance
-	// is tried: the present one is out of touch itself.
-	maxAge = 1800 * time.Millisecond
 	// watchPause is the pause before a broken watch is opened again.
 	watchPause = 50 * time.Millisecond
 	// lagTimeout is how long the state may lack a confirmed revision before the
@@ -88,7 +84,10 @@
 	mute     time.Time     // the desk of current is not asked before
 	moved    chan struct{} // closed when current changes
 	misses   int
-	lagging  time.Time // since when the state lacks a confirmed revision
+	stale    time.Duration // age of what current last confirmed
+	scouted  time.Time     // when another control instance was last asked
+	scout    int           // which one
+	lagging  time.Time     // since when the state lacks a confirmed revision
 	watching context.CancelFunc
 }
 
@@ -127,7 +126,7 @@
 	for _, s := range cfg.Seeds {
 		f.controls = append(f.controls, plane.Control{Peer: s})
 	}
-	f.choose("")
+	f.current = f.controls[0].Peer
 	f.wg.Go(f.keepBeating)
 	f.wg.Go(f.keepWatching)
 	return f
@@ -185,148 +184,6 @@
 	f.wg.Wait()
 }
 
-func (f *Follower) keepBeating() {
-	for {
-		f.beat(f.ctx)
-		every := beatEvery
-		if len(f.info.Load().Moves) > 0 {
-			every = moveBeat
-		}
-		if !clock.Sleep(f.ctx, every) {
-			return
-		}
-	}
-}
-
-// beat sends one beat and takes over the reply.
-func (f *Follower) beat(ctx context.Context) {
-	f.mu.Lock()
-	addr := f.current
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	sent := f.cfg.Now()
-	reply, err := peer.Call(ctx, f.peer, addr, plane.BeatMethod, &plane.Beat{Entry: f.cfg.Self(), Needs: f.cfg.Limits.Needs(addr), Trials: f.cfg.Trials()})
-	if err != nil {
-		f.missed(addr, err)
-		return
-	}
-	f.info.Store(reply)
-	f.cfg.Shares(reply.Moves)
-	f.cfg.Limits.Lend(addr, reply.Shares, corianderwing.HolderDeadline(sent, time.Duration(reply.Left)*time.Millisecond))
-	f.learn(reply.Controls)
-	if !reply.Fresh {
-		f.missed(addr, nil)
-		return
-	}
-	age := time.Duration(reply.Age) * time.Millisecond
-	f.extend(reply.Revision, corianderwing.HolderDeadline(sent.Add(-age), f.cfg.Lease))
-	f.heard(addr, age)
-}
-
-// heard notes that a control instance answered, and leaves it if it is out of
-// touch itself or does not send what it confirmed.
-func (f *Follower) heard(addr string, age time.Duration) {
-	now := f.cfg.Now()
-	s := f.state.Load()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.misses = 0
-	f.answered = now
-	if !s.lags() {
-		f.lagging = time.Time{}
-	} else if f.lagging.IsZero() {
-		f.lagging = now
-	}
-	if !f.lagging.IsZero() && now.Sub(f.lagging) > lagTimeout {
-		f.lagging = time.Time{}
-		if f.watching != nil {
-			f.watching()
-		}
-	}
-	if age > maxAge {
-		f.leave(addr, "out of touch")
-	}
-}
-
-// maxMisses is how many beats in a row may fail before another control
-// instance is tried.
-const maxMisses = 2
-
-func (f *Follower) missed(addr string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.misses++
-	_, known := f.View()
-	if f.misses >= maxMisses || !known {
-		reason := "knows no leader"
-		if err != nil {
-			reason = err.Error()
-		}
-		f.leave(addr, reason)
-	}
-}
-
-// leave follows the next control instance. The lock is held.
-func (f *Follower) leave(addr, reason string) {
-	if f.current != addr {
-		return
-	}
-	f.misses = 0
-	f.choose(addr)
-	if f.current != addr {
-		f.cfg.Log.Info().Str("control", addr).Str("next", f.current).Str("reason", reason).Msg("control instance changed")
-	}
-}
-
-// choose takes the control instance after the given one, or the nearest.
-// The lock is held, or nobody else runs yet.
-func (f *Follower) choose(after string) {
-	if len(f.controls) == 0 {
-		return
-	}
-	i := slices.IndexFunc(f.controls, func(c plane.Control) bool { return c.Peer == after })
-	next := f.controls[(i+1)%len(f.controls)].Peer
-	if next == f.current {
-		return
-	}
-	f.current = next
-	f.answered = time.Time{}
-	close(f.moved)
-	f.moved = make(chan struct{})
-}
-
-// learn takes over which control instances there are, the nearest first.
-func (f *Follower) learn(list []plane.Control) {
-	if len(list) == 0 {
-		return
-	}
-	self := f.cfg.Self()
-	rank := func(c plane.Control) int {
-		switch {
-		case c.Domain == self.Domain:
-			return 0
-		case c.Region == self.Region:
-			return 1
-		}
-		return 2
-	}
-	list = slices.Clone(list)
-	slices.SortStableFunc(list, func(a, b plane.Control) int { return rank(a) - rank(b) })
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	nearest := len(f.controls) == 0 || f.controls[0] != list[0]
-	f.controls = list
-	for _, s := range f.seeds {
-		if !slices.ContainsFunc(f.controls, func(c plane.Control) bool { return c.Peer == s }) {
-			f.controls = append(f.controls, plane.Control{Peer: s})
-		}
-	}
-	if nearest {
-		f.choose("")
-	}
-}
-
 // extend takes a confirmation over: the state may be relied on until then once
 // it has the revision.
 func (f *Follower) extend(r corianderwing.Revision, until time.Time) {
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -25,8 +25,9 @@
 	releaseTimeout = 500 * time.Millisecond
 )
 
-// deskAt returns the peer address of the control instance that hands out the
-// slots of the own failure domain, if it can be asked.
+// deskAt returns the peer address of the followed control instance, if it can
+// be asked for slots: it answers, and it is near. All entry instances of a
+// failure domain follow the same one, but for moments.
 func (f *Follower) deskAt() (string, bool) {
 	now := f.cfg.Now()
 	self := f.cfg.Self()
@@ -36,7 +37,7 @@
 		return "", false
 	}
 	near := slices.ContainsFunc(f.controls, func(c plane.Control) bool {
-		return c.Peer == f.current && c.Domain == self.Domain
+		return c.Peer == f.current && c.Region == self.Region
 	})
 	return f.current, near
 }
@@ -49,6 +50,7 @@
 	if !ok {
 		return nil, "", false
 	}
+	q.Domain = f.cfg.Self().Domain
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, slotTimeout)
 		a, err := peer.Call(callCtx, f.peer, addr, plane.AcquireMethod, q)
@@ -78,10 +80,11 @@
 
 // Release gives a slot back to the control instance that handed it out.
 func (f *Follower) Release(addr string, pool corianderwing.PoolID, o place.Outcome) {
+	domain := f.cfg.Self().Domain
 	go func() {
 		ctx, cancel := context.WithTimeout(f.ctx, releaseTimeout)
 		defer cancel()
-		_, err := peer.Call(ctx, f.peer, addr, plane.ReleaseMethod, &plane.Release{Ended: []plane.Ended{{
+		_, err := peer.Call(ctx, f.peer, addr, plane.ReleaseMethod, &plane.Release{Domain: domain, Ended: []plane.Ended{{
 			Pool:   pool,
 			ID:     o.ID,
 			Result: o.Result,
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -17,7 +17,6 @@
 	"corianderwing/core/quota"
 	"corianderwing/core/steer"
 	"corianderwing/io/clock"
-	"corianderwing/io/desk"
 	"corianderwing/io/peer"
 	"corianderwing/io/quorum"
 )
@@ -47,7 +46,7 @@
 	rounds  *rounds
 	lead    *lead
 	life    corianderwing.Incarnation
-	desk    *desk.Desk
+	desks   *desks
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -99,9 +98,14 @@
 		life:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.desk = desk.New(desk.Config{Domain: cfg.Quorum.Domain, RegionOf: cfg.RegionOf})
+	p.desks = newDesks(p.ctx, cfg.Quorum.Domain, cfg.RegionOf)
 	p.lead = newLead(cfg.Beat)
-	p.lead.excess = cfg.Excess
+	p.lead.excess, p.lead.regionOf = cfg.Excess, cfg.RegionOf
+	p.lead.known = func() []steer.Lot {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.lots
+	}
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
@@ -114,8 +118,7 @@
 	p.wg.Go(p.keepPulse)
 	p.wg.Go(p.keepExpiring)
 	p.wg.Go(p.keepMoving)
-	p.wg.Go(p.keepDesk)
-	p.wg.Go(func() { p.desk.Run(p.ctx) })
+	p.wg.Go(p.keepDesks)
 	return p, nil
 }
 
@@ -215,5 +218,6 @@
 	err := p.replica.Close(ctx)
 	p.cancel()
 	p.wg.Wait()
+	p.desks.close()
 	return err
 }
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -128,7 +128,7 @@
 		Life:      p.life,
 		Needs:     p.divider.Needs(now),
 		Trials:    merge(p.trials, p.runningOf),
-		Loads:     p.desk.Loads(),
+		Loads:     p.desks.loads(),
 		KnownLots: p.lotsVersion,
 	}
 	p.trials = nil
@@ -247,11 +247,13 @@
 	list    []corianderwing.Instance // of version
 	others  []Control                // of version
 
-	moves   moves
-	steer   steering
-	divider *quota.Divider
-	limited corianderwing.Revision // of the divider's limits
-	excess  Excess
+	moves    moves
+	steer    steering
+	divider  *quota.Divider
+	limited  corianderwing.Revision // of the divider's limits
+	excess   Excess
+	known    func() []steer.Lot // of an earlier leader
+	regionOf func(corianderwing.DomainID) corianderwing.RegionID
 }
 
 // pulsed is a control instance that sends pulses.
@@ -333,7 +335,9 @@
 	defer l.mu.Unlock()
 	l.begin(term, now)
 	l.control[q.Replica] = pulsed{Control{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
-	l.steer.loads[q.Domain] = loaded{q.Region, q.Loads, now}
+	for _, d := range q.Loads {
+		l.steer.loads[d.Domain] = loaded{l.regionOf(d.Domain), d.Loads, now}
+	}
 	for _, no := range q.Seen {
 		l.seen[no] = now
 	}
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -18,13 +18,15 @@
 // shareFor is how long the share of a move counts without news from the leader.
 const shareFor = 3 * time.Second
 
-// keepDesk brings the desk up to date.
-func (p *Plane) keepDesk() {
+// keepDesks brings the desks up to date.
+func (p *Plane) keepDesks() {
 	tick := time.NewTicker(syncEvery)
 	defer tick.Stop()
+	p.desks.of(p.cfg.Quorum.Domain)
 	for {
 		changed := p.machine.Changed()
-		p.desk.Sync(p.machine.View(), p.terms())
+		view := p.machine.View()
+		p.desks.each(func(domain corianderwing.DomainID, d *desk.Desk) { d.Sync(view, p.terms(domain)) })
 		p.forgetAsked()
 		select {
 		case <-changed:
@@ -35,8 +37,18 @@
 	}
 }
 
+// desk returns the desk of a failure domain. A new one knows the state at once.
+func (p *Plane) desk(domain corianderwing.DomainID) *desk.Desk {
+	d, fresh := p.desks.of(domain)
+	if fresh {
+		p.log.Info().Str("domain", string(domain)).Msg("handing out slots for another failure domain")
+		d.Sync(p.machine.View(), p.terms(domain))
+	}
+	return d
+}
+
 // terms returns what the leader last said about moves and lent slots.
-func (p *Plane) terms() desk.Terms {
+func (p *Plane) terms(domain corianderwing.DomainID) desk.Terms {
 	now := clock.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -48,7 +60,7 @@
 			shares[m.Move] = min(m.Share, shift.Quick.Small)
 		}
 	}
-	lent, borrowed := p.lent(now)
+	lent, borrowed := p.lent(domain, now)
 	return desk.Terms{
 		Sharers:  1,
 		Share:    func(m corianderwing.Move) float64 { return shares[m.ID] },
@@ -68,6 +80,7 @@
 
 // asked is a request that waits between two calls.
 type asked struct {
+	desk    *desk.Desk
 	waiting *desk.Waiting
 	until   time.Time
 }
@@ -78,7 +91,8 @@
 		return p.await(ctx, q.ID), nil
 	}
 	now := time.Now()
-	w, err := p.desk.Ask(q.Pool, place.Request{
+	d := p.desk(q.Domain)
+	w, err := d.Ask(q.Pool, place.Request{
 		Object:   q.Object,
 		Class:    q.Class,
 		Rank:     q.Rank,
@@ -92,7 +106,7 @@
 	if err != nil {
 		return &Acquired{Error: err}, nil
 	}
-	return p.wait(ctx, w), nil
+	return p.wait(ctx, d, w), nil
 }
 
 // await goes on with the wait of a request that called before.
@@ -104,20 +118,20 @@
 	if !ok {
 		return &Acquired{Error: corianderwing.Errorf(corianderwing.TooLate, "the request called again too late")}
 	}
-	return p.wait(ctx, a.waiting)
+	return p.wait(ctx, a.desk, a.waiting)
 }
 
 // wait waits for a slot for a moment.
-func (p *Plane) wait(ctx context.Context, w *desk.Waiting) *Acquired {
+func (p *Plane) wait(ctx context.Context, d *desk.Desk, w *desk.Waiting) *Acquired {
 	t, after, err, ok := w.Wait(ctx, askWait)
 	if !ok && ctx.Err() != nil {
-		p.desk.Leave(w)
+		d.Leave(w)
 		return &Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}
 	}
 	if !ok {
 		p.askMu.Lock()
 		defer p.askMu.Unlock()
-		p.asked[w.ID] = asked{w, time.Now().Add(askAgain)}
+		p.asked[w.ID] = asked{d, w, time.Now().Add(askAgain)}
 		return &Acquired{ID: w.ID, Waiting: true}
 	}
 	if err != nil {
@@ -137,24 +151,25 @@
 // forgetAsked ends the wait of requests that did not call again.
 func (p *Plane) forgetAsked() {
 	now := time.Now()
-	var gone []*desk.Waiting
+	var gone []asked
 	p.askMu.Lock()
 	for id, a := range p.asked {
 		if now.After(a.until) {
 			delete(p.asked, id)
-			gone = append(gone, a.waiting)
+			gone = append(gone, a)
 		}
 	}
 	p.askMu.Unlock()
-	for _, w := range gone {
-		p.desk.Leave(w)
+	for _, a := range gone {
+		a.desk.Leave(a.waiting)
 	}
 }
 
 // release takes slots back.
 func (p *Plane) release(q *Release) {
+	d := p.desk(q.Domain)
 	for _, e := range q.Ended {
-		p.desk.Release(e.Pool, place.Outcome{
+		d.Release(e.Pool, place.Outcome{
 			ID:     e.ID,
 			Result: e.Result,
 			Took:   time.Duration(e.Micros) * time.Microsecond,
--- a/io/plane/steer.go
+++ b/io/plane/steer.go
@@ -44,6 +44,9 @@
 	if now.Sub(s.at) < steerEvery {
 		return s.version, s.lots
 	}
+	if s.at.IsZero() {
+		s.planner.Adopt(loansOf(l.known(), v))
+	}
 	s.at = now
 	lots := steer.Assign(s.planner.Update(s.reported(now), now), func(p corianderwing.PoolID) []corianderwing.Upstream {
 		var list []corianderwing.Upstream
@@ -83,15 +86,15 @@
 	return list
 }
 
-// lent returns the slots that this failure domain lends and borrows, by
+// lent returns the slots that a failure domain lends and borrows, by
 // upstream. The lock is held.
-func (p *Plane) lent(now time.Time) (lent, borrowed map[corianderwing.UpstreamID]int) {
+func (p *Plane) lent(domain corianderwing.DomainID, now time.Time) (lent, borrowed map[corianderwing.UpstreamID]int) {
 	lent, borrowed = map[corianderwing.UpstreamID]int{}, map[corianderwing.UpstreamID]int{}
 	if now.Sub(p.confirm) > lotsFor {
 		return lent, borrowed
 	}
 	for _, l := range p.lots {
-		if l.Borrower == p.cfg.Quorum.Domain {
+		if l.Borrower == domain {
 			borrowed[l.Upstream] += l.Slots
 		} else {
 			lent[l.Upstream] += l.Slots
@@ -111,5 +114,16 @@
 		}
 	}
 	p.log.Info().Uint64("plan", p.lotsVersion).Int("lent", lent).Int("borrowed", borrowed).
-		Any("loads", p.desk.Loads()).Msg("slots lent between failure domains")
+		Any("loads", p.desks.loads()).Msg("slots lent between failure domains")
+}
+
+// loansOf returns the loans behind the lots that an earlier leader assigned.
+func loansOf(lots []steer.Lot, v *model.View) []steer.Loan {
+	var list []steer.Loan
+	for _, l := range lots {
+		if u, ok := v.Upstream(l.Upstream); ok {
+			list = append(list, steer.Loan{Pool: u.Pool, Lender: u.Domain, Borrower: l.Borrower, Slots: l.Slots})
+		}
+	}
+	return list
 }
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -67,9 +67,10 @@
 	After  corianderwing.Millis `json:"after,omitempty"`
 }
 
-// Acquire asks the control instance of the own failure domain for a slot of an
-// upstream. It is answered once there is one, or none in time.
+// Acquire asks a control instance for a slot of an upstream, for a request of a
+// failure domain.
 type Acquire struct {
+	Domain corianderwing.DomainID     `json:"domain,omitempty"`
 	ID     place.ID                   `json:"id,omitempty"` // of a request that waits already; nothing else is set then
 	Pool   corianderwing.PoolID       `json:"pool"`
 	Object uint64                     `json:"object,omitempty"`
@@ -100,7 +101,8 @@
 
 // Release gives slots back.
 type Release struct {
-	Ended []Ended `json:"ended"`
+	Domain corianderwing.DomainID `json:"domain"`
+	Ended  []Ended                `json:"ended"`
 }
 
 // Ended is a slot that is given back.
@@ -138,10 +140,17 @@
 	Life      corianderwing.Incarnation `json:"life"`
 	Needs     []quota.Need              `json:"needs,omitempty"`
 	Trials    []Trial                   `json:"trials,omitempty"`
-	Loads     []desk.Load               `json:"loads,omitempty"`
+	Loads     []domainLoads             `json:"loads,omitempty"`
 	KnownLots uint64                    `json:"knownlots,omitempty"`
 }
 
+// domainLoads are the loads of a failure domain whose slots the sender hands
+// out.
+type domainLoads struct {
+	Domain corianderwing.DomainID `json:"domain"`
+	Loads  []desk.Load            `json:"loads"`
+}
+
 // reported is an entry instance with the age of its last beat.
 type reported struct {
 	corianderwing.Instance
