--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -82,33 +82,35 @@
 	return list
 }
 
-// score is that of weighted rendezvous hashing: an upstream gets objects in
-// proportion to its weight, and few of them move when weights change.
+// score ranks an upstream for a request.
 func (p *Pool) score(r *Request, s *server, slow float64, now time.Time) float64 {
 	w := s.weight(slow)
 	if r.Object == 0 {
 		far := p.delay(s).Seconds()
 		return p.free(s, now)/max(1, float64(s.room)) - far*10 + p.rng.Float64()*0.01
 	}
-	u := (float64(hash(r.Object, s.up.ID)>>11) + 0.5) / (1 << 53)
-	return -w / math.Log(u)
+	return rendezvous(r.Object, s.up.ID, w)
 }
 
-func hash(object uint64, id corianderwing.UpstreamID) uint64 {
+// rendezvous returns the score of a place for an object. Of all places the one
+// with the highest score gets the object: each gets objects in proportion to
+// its weight, and few of them move when weights change.
+func rendezvous[T ~string](object uint64, place T, weight float64) float64 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], object)
 	var d xxhash.Digest
 	d.Reset()
 	d.Write(b[:])
-	d.WriteString(string(id))
-	return d.Sum64()
+	d.WriteString(string(place))
+	u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
 }
 
 // best returns the upstream that should run the request now, or nil if it
 // should wait or there is none.
 func (p *Pool) best(r *Request, order []scored, now time.Time) *server {
 	for _, s := range order {
-		if (r.Object == 0 || s.knows(r.Object, p.keep)) && p.fits(r, s.server, now) {
+		if (r.Object == 0 || p.knows(s.server, r)) && p.fits(r, s.server, now) {
 			return s.server
 		}
 	}
@@ -131,13 +133,19 @@
 	return nil
 }
 
+// knows reports whether the upstream is thought to know the request's object.
+func (p *Pool) knows(s *server, r *Request) bool {
+	known, _ := s.knows(r.Object, p.keep)
+	return known
+}
+
 // fits reports whether the upstream has room for the request and would answer
 // before its deadline.
 func (p *Pool) fits(r *Request, s *server, now time.Time) bool {
 	if p.free(s, now) < 1 {
 		return false
 	}
-	work := seconds(p.workOf(r.Class).of(s.knows(r.Object, p.keep)) * s.slow)
+	work := seconds(p.workOf(r.Class).of(p.knows(s, r)) * s.slow)
 	return now.Add(work + p.delay(s)).Before(r.Deadline)
 }
 
@@ -145,7 +153,7 @@
 // for the request's goal.
 func (p *Pool) soon(r *Request, order []scored, now time.Time) bool {
 	for _, s := range order {
-		if !s.knows(r.Object, p.keep) {
+		if !p.knows(s.server, r) {
 			continue
 		}
 		work := seconds(p.workOf(r.Class).of(true) * s.slow)
@@ -158,7 +166,7 @@
 
 // pressedAt is the part of the slots in use from which on no further upstream
 // learns an object: requests for it wait or are refused instead.
-const pressedAt = 0.8
+const pressedAt = 0.5
 
 // pressed reports whether the pool is so loaded that slow requests would take
 // the slots of those that can be in time.
@@ -197,7 +205,7 @@
 func (p *Pool) wait(r *Request, order []scored, now time.Time) time.Duration {
 	shortest := p.waitAt(r, order[0].server, now)
 	for _, s := range order[1:] {
-		if s.knows(r.Object, p.keep) {
+		if p.knows(s.server, r) {
 			shortest = min(shortest, p.waitAt(r, s.server, now))
 		}
 	}
--- /dev/null
+++ b/core/place/home.go
@@ -0,0 +1,187 @@
+package place
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/model"
+)
+
+const (
+	// sharePerKB is the mean time between two requests for an object, for each
+	// KB that a request and its answer have, from which on the object has one
+	// home in the region instead of one in each failure domain. A second home
+	// costs a slow answer once, one home costs the bytes between domains again
+	// and again.
+	sharePerKB = 0.0
+	// shareBand is the part by which the time must be shorter for the object to
+	// have its own home again.
+	shareBand = 0.75
+	// fullPart is the part of what the domain's upstreams remember that its
+	// objects must exceed to be shared for that reason.
+	fullPart = 0.95
+	// censusTime is how long an object counts after its last request.
+	censusTime = 20 * time.Second
+	// censusMost bounds the number of objects that are counted.
+	censusMost = 4096
+	// firstSize is the assumed size of a request and its answer, in KB.
+	firstSize = 2.0
+)
+
+// census counts the objects of a class that are requested.
+type census struct {
+	objects map[uint64]*counted
+	arrived average
+	purged  time.Time
+	size    float64 // of a request and its answer, in KB
+}
+
+func (c *census) kilobytes() float64 {
+	if c.size == 0 {
+		return firstSize
+	}
+	return c.size
+}
+
+// counted is an object with its requests.
+type counted struct {
+	n    int
+	last time.Time
+}
+
+// count adds a request to the census of its class.
+func (p *Pool) count(r *Request, now time.Time) {
+	if r.Object == 0 || r.Stay {
+		return
+	}
+	c, ok := p.seen[r.Class]
+	if !ok {
+		c = &census{objects: map[uint64]*counted{}, purged: now}
+		p.seen[r.Class] = c
+		p.shared[r.Class] = true // until the census tells otherwise
+	}
+	c.arrived.add(1, now)
+	x, ok := c.objects[r.Object]
+	if !ok && len(c.objects) < censusMost {
+		x = &counted{}
+		c.objects[r.Object] = x
+	}
+	if x != nil {
+		x.n++
+		x.last = now
+	}
+}
+
+// estimate returns how many objects there are, those that were not requested
+// yet included (Chao's estimator: many objects that were seen once, and few
+// that were seen twice, mean that many were not seen).
+func (c *census) estimate(now time.Time) float64 {
+	if now.Sub(c.purged) > time.Second {
+		c.purged = now
+		for o, x := range c.objects {
+			if now.Sub(x.last) > censusTime {
+				delete(c.objects, o)
+			}
+		}
+	}
+	once, twice := 0.0, 0.0
+	for _, x := range c.objects {
+		switch x.n {
+		case 1:
+			once++
+		case 2:
+			twice++
+		}
+	}
+	return float64(len(c.objects)) + once*(once-1)/(2*(twice+1))
+}
+
+// look brings up to date what the choice of homes depends on.
+func (p *Pool) look(now time.Time) {
+	p.near = map[corianderwing.DomainID]float64{}
+	region := p.cfg.RegionOf(p.cfg.Domain)
+	remembered := 0.0
+	for _, u := range p.set.Upstreams {
+		if p.cfg.RegionOf(u.Domain) != region || !p.serves(u) {
+			continue
+		}
+		p.near[u.Domain] += float64(u.Slots)
+		if u.Domain == p.cfg.Domain {
+			remembered += p.keep
+		}
+	}
+	p.share(remembered, now)
+}
+
+// share decides which classes have shared objects: those whose objects are
+// requested too seldom for more than one home, and then, the smallest answers
+// first, those that the own upstreams cannot remember.
+func (p *Pool) share(remembered float64, now time.Time) {
+	classes := slices.SortedFunc(maps.Keys(p.seen), func(a, b corianderwing.RouteID) int {
+		return cmp.Or(cmp.Compare(p.seen[a].kilobytes(), p.seen[b].kilobytes()), cmp.Compare(a, b))
+	})
+	total := 0.0
+	estimates := map[corianderwing.RouteID]float64{}
+	for _, class := range classes {
+		c := p.seen[class]
+		estimates[class] = c.estimate(now)
+		interval := estimates[class] / max(c.arrived.rate(now), 0.01)
+		limit := sharePerKB * c.kilobytes()
+		if p.shared[class] {
+			limit *= shareBand
+		}
+		p.shared[class] = interval > limit
+		if !p.shared[class] {
+			total += estimates[class]
+		}
+	}
+	for _, class := range classes {
+		if total <= fullPart*remembered {
+			return
+		}
+		if !p.shared[class] {
+			p.shared[class] = true
+			total -= estimates[class]
+		}
+	}
+}
+
+// serves reports whether an announced upstream may get requests at all.
+func (p *Pool) serves(u *model.Upstream) bool {
+	return u.Phase == corianderwing.Ready && !p.set.Evacuated(u.Domain) && u.Version == p.set.Version
+}
+
+// home returns the failure domain whose desk should place the request: that of
+// the object, if its class is shared, and another one of the region if this one
+// has no upstreams.
+func (p *Pool) home(r *Request) corianderwing.DomainID {
+	own := p.cfg.Domain
+	if r.Stay || p.set.Next != "" || len(p.near) == 0 || len(p.near) == 1 && p.near[own] > 0 {
+		return own
+	}
+	if p.near[own] > 0 && (r.Object == 0 || !p.shared[r.Class] || p.knownHere(r)) {
+		return own
+	}
+	best, high := own, math.Inf(-1)
+	for d, slots := range p.near {
+		if score := rendezvous(r.Object, d, slots); score > high {
+			best, high = d, score
+		}
+	}
+	return best
+}
+
+// knownHere reports whether an upstream of the own failure domain knows the
+// request's object: then it stays here, also when its class begins to be shared.
+func (p *Pool) knownHere(r *Request) bool {
+	for _, s := range p.list {
+		if !s.remote && s.ready && p.knows(s, r) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -106,6 +106,9 @@
 	s := h.server
 	s.report(o.Load, now)
 	p.measure(s, o.Dial)
+	if c, ok := p.seen[h.Class]; ok && o.Bytes > 0 {
+		c.size = smooth(c.size, float64(o.Bytes)/1000)
+	}
 	switch o.Result {
 	case Good, Faulty:
 		s.streak = 0
@@ -145,20 +148,32 @@
 	if s.slow > slowFrom*p.usualSlow(now) || h.grant.Cold {
 		return // it says something about the upstream, not about the class
 	}
-	if known && w.known > 0 && w.unknown > 0 && sec > math.Sqrt(w.known*w.unknown) {
-		// It did not know the object after all.
-		p.keep = max(leastKeep, p.keep-p.keep/16)
-		w.unknown = smooth(w.unknown, sec)
-		return
+	knew := known
+	if w.known > 0 && w.unknown > 0 {
+		knew = sec < math.Sqrt(w.known*w.unknown)
 	}
-	if known {
-		if p.rng.IntN(4) == 0 {
-			p.keep = min(mostKeep, p.keep+1)
-		}
+	p.learnKeep(h, knew)
+	if knew {
 		w.known = smooth(w.known, sec)
-		return
+	} else {
+		w.unknown = smooth(w.unknown, sec)
 	}
-	w.unknown = smooth(w.unknown, sec)
+}
+
+// learnKeep corrects the number of objects that an upstream remembers, by an
+// answer for an object that was the depth-th latest there.
+func (p *Pool) learnKeep(h *hold, knew bool) {
+	depth := float64(h.depth)
+	switch {
+	case h.depth < 0:
+	case knew && depth >= p.keep:
+		p.keep += (depth + 1 - p.keep) / 2
+	case knew && depth > 0.8*p.keep:
+		p.keep += 0.2
+	case !knew && depth < p.keep:
+		p.keep -= max(0.5, (p.keep-depth)/8)
+	}
+	p.keep = min(max(p.keep, leastKeep), mostKeep)
 }
 
 // slowFrom is how many times slower than the others an upstream must be to
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -37,6 +37,7 @@
 	Homes    []corianderwing.RegionID // regions that may run it; empty for all
 	Tried    []corianderwing.UpstreamID
 	Steady   bool // not to the new version of a move
+	Stay     bool // not to another failure domain's desk
 }
 
 // Grant is a slot of an upstream that a request holds until Done.
@@ -48,13 +49,15 @@
 	Next     bool          // it is of the version that a move leads to
 }
 
-// Effect tells what becomes of a request: Err is nil if it has the Grant.
-// Otherwise it is refused, and may come back After.
+// Effect tells what becomes of a request. With Err it is refused, and may come
+// back After; with Elsewhere it is to ask the desk of that failure domain;
+// otherwise it has the Grant.
 type Effect struct {
-	ID    ID
-	Grant Grant
-	Err   *corianderwing.Error
-	After time.Duration
+	ID        ID
+	Grant     Grant
+	Elsewhere corianderwing.DomainID
+	Err       *corianderwing.Error
+	After     time.Duration
 }
 
 // Result tells how an attempt ended.
@@ -77,6 +80,7 @@
 	Result Result
 	Took   time.Duration // until the first byte of the answer
 	Dial   time.Duration // to open a connection for it; 0 if there was one
+	Bytes  int           // of the request and its answer; 0 if unknown
 	Load   Report
 }
 
@@ -129,7 +133,10 @@
 	delays  map[corianderwing.DomainID]time.Duration // there and back, as measured
 	demand  average                                  // slots that the arriving requests need
 	arrived average                                  // requests per second
-	keep    int                                      // objects that an upstream is thought to remember
+	keep    float64                                  // objects that an upstream is thought to remember
+	near    map[corianderwing.DomainID]float64       // slots in the failure domains of the region
+	seen    map[corianderwing.RouteID]*census        // objects of each class
+	shared  map[corianderwing.RouteID]bool           // classes whose objects live anywhere in the region
 	out     []Effect
 }
 
@@ -138,6 +145,7 @@
 	Request
 	server *server
 	grant  Grant
+	depth  int // place of the object among those of the upstream, the latest first; -1 for none
 	at     time.Time
 }
 
@@ -152,6 +160,8 @@
 		work:    map[corianderwing.RouteID]*work{},
 		delays:  map[corianderwing.DomainID]time.Duration{},
 		keep:    firstKeep,
+		seen:    map[corianderwing.RouteID]*census{},
+		shared:  map[corianderwing.RouteID]bool{},
 	}
 }
 
@@ -181,6 +191,7 @@
 		p.list = append(p.list, s)
 	}
 	sortServers(p.list)
+	p.look(now)
 	p.pump(now)
 	return p.out
 }
@@ -215,6 +226,11 @@
 	p.out = p.out[:0]
 	w := p.workOf(r.Class)
 	p.arrived.add(1, now)
+	p.count(&r, now)
+	if d := p.home(&r); d != p.cfg.Domain {
+		p.out = append(p.out, Effect{ID: r.ID, Elsewhere: d})
+		return p.out
+	}
 	p.demand.add(max(w.mean, w.of(true)), now)
 	p.place(&r, now)
 	return p.out
@@ -282,7 +298,7 @@
 func (p *Pool) Waiting() int { return len(p.queue) }
 
 func (p *Pool) grant(r *Request, s *server, now time.Time) {
-	known := s.knows(r.Object, p.keep)
+	known, depth := s.knows(r.Object, p.keep)
 	s.busy++
 	s.touch(r.Object)
 	next := p.set.Next != "" && s.up.Version == p.set.Next
@@ -303,7 +319,7 @@
 		Cold:     cold,
 		Next:     next,
 	}
-	p.held[r.ID] = &hold{Request: *r, server: s, grant: g, at: now}
+	p.held[r.ID] = &hold{Request: *r, server: s, grant: g, depth: depth, at: now}
 	p.out = append(p.out, Effect{ID: r.ID, Grant: g})
 }
 
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -88,7 +88,7 @@
 	best := order[0].server
 	found := false
 	for _, s := range order {
-		if r.Object != 0 && !s.knows(r.Object, p.keep) {
+		if r.Object != 0 && !p.knows(s.server, r) {
 			continue
 		}
 		if !found || p.waitAt(r, s.server, now) < p.waitAt(r, best, now) {
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -20,9 +20,9 @@
 	mostEject  = 4 * time.Second
 	// firstKeep is the number of objects that an upstream is thought to remember
 	// until its answers tell, and leastKeep and mostKeep bound that number.
-	firstKeep = 48
-	leastKeep = 6
-	mostKeep  = 512
+	firstKeep = 32.0
+	leastKeep = 4.0
+	mostKeep  = 256
 	// coldBurst is the number of requests that a starting upstream may get at
 	// once.
 	coldBurst = 2.0
@@ -81,25 +81,18 @@
 }
 
 // knows reports whether the upstream is thought to remember an object, if it
-// remembers the given number of them.
-func (s *server) knows(object uint64, keep int) bool {
+// remembers the given number of them, and how many came after it: -1 if it has
+// had no request for it.
+func (s *server) knows(object uint64, keep float64) (bool, int) {
 	e, ok := s.index[object]
 	if !ok || object == 0 {
-		return false
+		return false, -1
 	}
-	if s.objects.Len() <= keep {
-		return true
+	depth := 0
+	for x := s.objects.Front(); x != e; x = x.Next() {
+		depth++
 	}
-	// The list holds mostKeep objects at the most, but only the first ones
-	// count.
-	n := 0
-	for x := s.objects.Front(); x != nil && n < keep; x = x.Next() {
-		if x == e {
-			return true
-		}
-		n++
-	}
-	return false
+	return float64(depth) < keep, depth
 }
 
 // touch notes that the upstream gets a request for an object.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,16 +1,23 @@
-// Package quota divides the request rate of each workspace over the instances
-// that admit its requests. A Divider hands out shares that expire; together
-// they never exceed the limit, whatever messages are lost. Dividers form a
-// tree: the leader divides a limit over the control instances, and each of
-// them divides its share over the entry instances that it serves.
+// Package quota divides the bound on the requests of each workspace over the
+// instances that admit them. The bound is a number of tokens: a request uses
+// one, and the token can be used again a window of time later, so that in no
+// window more requests are admitted than there are tokens. A Divider hands out
+// shares of the tokens that expire; together they never exceed the bound,
+// whatever messages are lost. Dividers form a tree: the leader divides a bound
+// over the control instances, and each of them divides its share over the entry
+// instances that it serves.
 //
 // It answers a workspace that sends several times its rate, unevenly over the
-// entry instances, beside others whose demand moves from region to region:
-// shares follow the demand within a second, and no message is on the path of a
-// request.
+// entry instances, beside small ones whose few requests move from region to
+// region: tokens that are not in use follow the demand within a second, and a
+// small workspace may use all of its tokens at once.
 package quota
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -20,28 +27,41 @@
 // spans several lost messages and an election.
 const Lease = 2500 * time.Millisecond
 
-// idlePart is the part of a limit that is divided equally, whatever the
+// idlePart is the part of a bound that is divided equally, whatever the
 // demand, so that a holder can admit the first requests of a workspace.
 const idlePart = 0.25
 
-// Limit bounds a workspace's requests: in any time of w seconds at most
-// Rate·w + Burst are admitted.
-type Limit struct {
-	Rate  float64 `json:"rate"`
-	Burst float64 `json:"burst"`
-}
+// ReservePart is the demand of a reserve, from which holders borrow, as a part of
+// that of the holders. Few requests a second come unevenly at each of them, and
+// evenly at all together.
+const ReservePart = 0.5
+
+// leastShare is the smallest share beside a reserve, in tokens. The holder of
+// fewer would refuse requests that come together: it borrows each token
+// instead.
+const leastShare = 8
 
 // Need is what a holder says of one workspace.
 type Need struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
 	Asked     float64                   `json:"asked"`          // requests per second lately, refused ones included
-	Held      float64                   `json:"held,omitempty"` // part of the limit's rate that is in use below
+	Held      int                       `json:"held,omitempty"` // tokens that it has, or has used within the window
 }
 
-// Share is the part of one workspace's limit that a holder may use.
+// Share is the part of one workspace's tokens that a holder may use.
 type Share struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
-	Limit
+	Tokens    int                       `json:"tokens,omitempty"`
+}
+
+// Divider divides tokens over holders. It owns what is handed out, and is not
+// safe for concurrent use.
+type Divider struct {
+	window  time.Duration
+	quiet   time.Time // nothing is known yet of what was handed out before
+	bounds  map[corianderwing.WorkspaceID]int
+	holders map[string]*holder
+	reserve string // holder from which the others borrow; "" for none
 }
 
 // holder is one that asks.
@@ -52,84 +72,113 @@
 
 type need struct {
 	asked float64
-	out   float64 // rate that it may be using
+	out   int // tokens that it may be using
 }
 
-// Divider divides limits over holders. It owns what is handed out, and is not
-// safe for concurrent use.
-type Divider struct {
-	quiet   time.Time // nothing is known yet of what was handed out before
-	limits  map[corianderwing.WorkspaceID]Limit
-	holders map[string]*holder
-}
-
-// New returns a Divider without limits. Before quiet it hands out only what a
-// holder already has: an earlier one may have handed out the rest.
-func New(quiet time.Time) *Divider {
+// New returns a Divider without bounds, for tokens that can be used again after
+// a window. Before quiet it hands out only what a holder already has: an
+// earlier one may have handed out the rest.
+func New(window time.Duration, quiet time.Time) *Divider {
 	return &Divider{
+		window:  window,
 		quiet:   quiet,
-		limits:  map[corianderwing.WorkspaceID]Limit{},
+		bounds:  map[corianderwing.WorkspaceID]int{},
 		holders: map[string]*holder{},
 	}
 }
 
-// SetLimits replaces the limits. What is handed out beyond a lower limit comes
-// back when its holders ask again.
-func (d *Divider) SetLimits(l map[corianderwing.WorkspaceID]Limit) { d.limits = l }
+// SetReserve names the holder that gets what the others leave, and from which
+// they borrow.
+func (d *Divider) SetReserve(name string) { d.reserve = name }
+
+// SetBounds replaces the numbers of tokens. What is handed out beyond a lower
+// bound comes back when its holders ask again.
+func (d *Divider) SetBounds(b map[corianderwing.WorkspaceID]int) { d.bounds = b }
 
 // Ask takes a holder's needs and returns its shares. They are valid for Lease
 // after the holder sent them, as far as the Divider's own shares are. A new
 // life of a holder needs a new name.
 func (d *Divider) Ask(name string, needs []Need, now time.Time) []Share {
 	d.expire(now)
-	h := &holder{until: corianderwing.GrantorDeadline(now, Lease), needs: make(map[corianderwing.WorkspaceID]need, len(needs))}
+	// A token that is used just before the share expires is in use for a
+	// window.
+	h := &holder{
+		until: corianderwing.GrantorDeadline(now, Lease).Add(d.window),
+		needs: make(map[corianderwing.WorkspaceID]need, len(needs)),
+	}
 	d.holders[name] = h
 	for _, n := range needs {
 		h.needs[n.Workspace] = need{asked: max(0, n.Asked), out: max(0, n.Held)}
 	}
 	var shares []Share
 	for _, n := range needs {
-		l, ok := d.limits[n.Workspace]
-		if !ok || l.Rate <= 0 {
+		bound, ok := d.bounds[n.Workspace]
+		if !ok {
 			continue
 		}
-		rate := d.share(h, n.Workspace, l, now)
-		if rate <= 0 {
+		k := h.needs[n.Workspace]
+		tokens := d.share(name, n.Workspace, bound, now)
+		if d.reserve != "" && name != d.reserve && tokens < leastShare || tokens == 0 && now.Before(d.quiet) {
 			continue
 		}
-		k := h.needs[n.Workspace]
-		k.out = max(k.out, rate)
+		k.out = max(k.out, tokens)
 		h.needs[n.Workspace] = k
-		shares = append(shares, Share{n.Workspace, Limit{Rate: rate, Burst: l.Burst * rate / l.Rate}})
+		shares = append(shares, Share{n.Workspace, tokens})
 	}
 	return shares
 }
 
-// share returns the rate that a holder gets: its part by demand, as far as the
-// others do not use it.
-func (d *Divider) share(h *holder, w corianderwing.WorkspaceID, l Limit, now time.Time) float64 {
-	total, others, count := 0.0, 0.0, 0.0
-	for _, other := range d.holders {
-		n, ok := other.needs[w]
-		if !ok {
-			continue
-		}
-		total += n.asked
-		count++
-		if other != h {
-			others += n.out
+// share returns the tokens that a holder gets: its part by demand, as far as
+// the others do not use it.
+func (d *Divider) share(name string, w corianderwing.WorkspaceID, bound int, now time.Time) int {
+	others := 0
+	for other, h := range d.holders {
+		if other != name {
+			others += h.needs[w].out
 		}
 	}
-	part := l.Rate / count
-	if total > 0 {
-		part = l.Rate * (idlePart/count + (1-idlePart)*h.needs[w].asked/total)
-	}
+	out := d.holders[name].needs[w].out
 	if now.Before(d.quiet) {
-		part = min(part, h.needs[w].out)
+		return min(out, bound)
+	}
+	part := bound
+	if name != d.reserve {
+		part = d.part(name, w, bound)
 	}
-	// After the limit was lowered, the others still use more than is left. This
+	// After the bound was lowered, the others still use more than is left. This
 	// holder then keeps what it has, up to its part.
-	return min(part, max(l.Rate-others, h.needs[w].out))
+	return max(0, min(part, max(bound-others, out)))
+}
+
+// part returns a holder's part of the bound by demand. The parts of all holders
+// together are the bound.
+func (d *Divider) part(name string, w corianderwing.WorkspaceID, bound int) int {
+	total, count := 0.0, 0.0
+	for _, h := range d.holders {
+		if n, ok := h.needs[w]; ok {
+			total += n.asked
+			count++
+		}
+	}
+	// The rounded sums of the holders in order differ by whole parts.
+	sum, before := 0.0, 0
+	for _, other := range slices.SortedFunc(maps.Keys(d.holders), cmp.Compare[string]) {
+		n, ok := d.holders[other].needs[w]
+		if !ok {
+			continue
+		}
+		part := 1 / count
+		if total > 0 {
+			part = idlePart/count + (1-idlePart)*n.asked/total
+		}
+		sum += part * float64(bound)
+		upTo := int(math.Round(sum))
+		if other == name {
+			return upTo - before
+		}
+		before = upTo
+	}
+	return 0
 }
 
 func (d *Divider) expire(now time.Time) {
--- /dev/null
+++ b/core/quota/uneven_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// fleet is a leader, its control instances and their entry instances.
+type fleet struct {
+	leader   *Divider
+	controls []*control
+}
+
+type control struct {
+	name    string
+	divider *Divider
+	reserve *Purses
+	entries []*Purses
+}
+
+func newFleet(most int, entries []int) *fleet {
+	f := &fleet{leader: New(window, begin)}
+	f.leader.SetBounds(bounds(most))
+	for i, n := range entries {
+		c := &control{name: fmt.Sprint("c", i), divider: New(window, begin), reserve: NewPurses(window)}
+		c.divider.SetReserve("reserve")
+		for range n {
+			c.entries = append(c.entries, NewPurses(window))
+		}
+		f.controls = append(f.controls, c)
+	}
+	return f
+}
+
+// round lets all instances report and take their shares over.
+func (f *fleet) round(now time.Time) {
+	until := corianderwing.HolderDeadline(now, Lease)
+	for _, c := range f.controls {
+		shares := map[corianderwing.WorkspaceID]int{}
+		for _, s := range f.leader.Ask(c.name, c.divider.Needs(now), now) {
+			shares[s.Workspace] = s.Tokens
+		}
+		c.divider.SetBounds(shares)
+		for i, b := range c.entries {
+			b.Lend("c", c.divider.Ask(fmt.Sprint(i), b.Needs("c", []corianderwing.WorkspaceID{shop}, now), now), until, now)
+		}
+		needs := c.reserve.Needs("reserve", []corianderwing.WorkspaceID{shop}, now)
+		for _, n := range c.divider.Others("reserve", now) {
+			needs[0].Asked = max(needs[0].Asked, ReservePart*n.Asked)
+		}
+		c.reserve.Lend("reserve", c.divider.Ask("reserve", needs, now), until, now)
+	}
+}
+
+// admit reports whether a request at an entry instance is admitted.
+func (f *fleet) admit(c *control, i int, now time.Time) bool {
+	return c.entries[i].Take(shop, now) || c.reserve.Take(shop, now)
+}
+
+// Guards against refusals of a small workspace whose few requests come unevenly
+// over many entry instances and move between regions, although it stays far
+// within its bound.
+func TestUnevenDemand(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	f := newFleet(86, []int{2, 2, 2, 1, 1, 1})
+	weights := []float64{1, 1, 1, 1, 1, 1}
+	asked, refused := 0, 0
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < 60*time.Second; at += step {
+		now := begin.Add(at)
+		if at%(400*time.Millisecond) == 0 {
+			f.round(now)
+		}
+		if at%(8*time.Second) == 0 {
+			from, to := r.IntN(6), r.IntN(6)
+			weights[to] += weights[from] * 0.7
+			weights[from] *= 0.3
+		}
+		if at < 2*time.Second || r.Float64() >= 7*step.Seconds() {
+			continue
+		}
+		x := r.Float64() * 6
+		k := 0
+		for k < 5 && x > weights[k] {
+			x -= weights[k]
+			k++
+		}
+		c := f.controls[k]
+		asked++
+		if !f.admit(c, r.IntN(len(c.entries)), now) {
+			refused++
+		}
+	}
+	t.Logf("%d of %d refused", refused, asked)
+	is.True(float64(refused) < 0.01*float64(asked))
+}
+
+// Guards against a workspace that sends more than its bound and gets much less
+// than the bound allows.
+func TestSaturatedWorkspace(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	f := newFleet(86, []int{2, 2, 2, 1, 1, 1})
+	var admitted []time.Duration
+	const step = 20 * time.Millisecond
+	for at := time.Duration(0); at < 40*time.Second; at += step {
+		now := begin.Add(at)
+		if at%(400*time.Millisecond) == 0 {
+			f.round(now)
+		}
+		if at < 2*time.Second || r.Float64() >= 45*step.Seconds() {
+			continue
+		}
+		c := f.controls[r.IntN(6)]
+		if f.admit(c, r.IntN(len(c.entries)), now) {
+			admitted = append(admitted, at)
+		}
+	}
+	late := 0
+	for i, from := range admitted {
+		n := 0
+		for _, at := range admitted[i:] {
+			if at-from < 5*time.Second {
+				n++
+			}
+		}
+		is.True(n <= 86)
+		if from >= 20*time.Second {
+			late++
+		}
+	}
+	t.Logf("%d admitted in 20 s", late)
+	is.True(float64(late) > 0.8*86*4)
+}
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -24,11 +24,13 @@
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 }
 
-// Ticket is a granted slot. Release gives it back.
+// Ticket is a granted slot, which Release gives back. With Elsewhere it is none:
+// the desk of that failure domain is to be asked.
 type Ticket struct {
 	Pool corianderwing.PoolID
 	ID   place.ID
 	place.Grant
+	Elsewhere corianderwing.DomainID
 }
 
 // Terms are what a desk decides with, besides the state of the site.
@@ -185,7 +187,7 @@
 }
 
 func (w *Waiting) ticket(e place.Effect) (Ticket, time.Duration, *corianderwing.Error) {
-	return Ticket{w.pool, e.ID, e.Grant}, e.After, e.Err
+	return Ticket{w.pool, e.ID, e.Grant, e.Elsewhere}, e.After, e.Err
 }
 
 // Leave ends a wait. A slot that it got meanwhile is given back.
@@ -198,7 +200,7 @@
 	d.deliver(p.Leave(w.ID, now))
 	select {
 	case e := <-w.effect:
-		if e.Err == nil {
+		if e.Err == nil && e.Elsewhere == "" {
 			d.deliver(p.Done(place.Outcome{ID: w.ID, Result: place.Dropped}, now))
 		}
 	default:
--- /dev/null
+++ b/io/follow/borrow.go
@@ -0,0 +1,64 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/io/peer"
+	"corianderwing/io/plane"
+)
+
+// borrowTimeout bounds a Borrow, for which a request waits. A control instance
+// of the failure domain answers within 2 ms.
+const borrowTimeout = 60 * time.Millisecond
+
+// Borrow asks for a token of a workspace's bound: the followed control instance
+// first, then the others of the region, whose tokens may lie idle. It returns
+// who lent one, or without one when there may be one; no time means that nobody
+// has a share of the bound.
+func (f *Follower) Borrow(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error) {
+	for _, addr := range f.lenders() {
+		var r *plane.Borrowed
+		if r, err = f.borrowAt(ctx, addr, &plane.Borrow{Workspace: w}); err != nil {
+			continue
+		}
+		if r.OK {
+			return addr, 0, nil
+		}
+		if d := time.Duration(r.After) * time.Millisecond; after == 0 || d > 0 && d < after {
+			after = d
+		}
+	}
+	return "", after, err
+}
+
+// Repay gives a token back whose request did not run.
+func (f *Follower) Repay(lender string, w corianderwing.WorkspaceID) {
+	go func() {
+		if _, err := f.borrowAt(f.ctx, lender, &plane.Borrow{Workspace: w, Back: true}); err != nil {
+			// The token can be used again after its window all the same.
+			f.cfg.Log.Debug().Str("control", lender).Err(err).Msg("token not given back")
+		}
+	}()
+}
+
+func (f *Follower) borrowAt(ctx context.Context, addr string, b *plane.Borrow) (*plane.Borrowed, error) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	return peer.Call(ctx, f.peer, addr, plane.BorrowMethod, b)
+}
+
+// lenders returns the control instances of the region, the followed one first.
+func (f *Follower) lenders() []string {
+	region := f.cfg.Self().Region
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []string{f.current}
+	for _, c := range f.controls {
+		if c.Region == region && c.Peer != f.current {
+			list = append(list, c.Peer)
+		}
+	}
+	return list
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -79,10 +79,10 @@
 	mu       sync.Mutex
 	seeds    []string // peer addresses of control instances to try first
 	controls []plane.Control
-	current  string        // peer address of the followed control instance
-	answered time.Time     // last answer to a beat
-	mute     time.Time     // the desk of current is not asked before
-	moved    chan struct{} // closed when current changes
+	current  string               // peer address of the followed control instance
+	answered time.Time            // last answer to a beat
+	mute     map[string]time.Time // by peer address: it is not asked for slots before
+	moved    chan struct{}        // closed when current changes
 	misses   int
 	stale    time.Duration // age of what current last confirmed
 	scouted  time.Time     // when another control instance was last asked
@@ -119,7 +119,7 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Boot
 	}
-	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{}), seeds: cfg.Seeds}
+	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{}), seeds: cfg.Seeds, mute: map[string]time.Time{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.state.Store(&state{view: model.New()})
 	f.info.Store(&plane.BeatReply{})
@@ -151,25 +151,6 @@
 // Beat sends a beat at once, for example before a planned stop.
 func (f *Follower) Beat(ctx context.Context) { f.beat(ctx) }
 
-// Borrow asks the control instance for tokens of a workspace's limit. It
-// returns how many there are, and when there may be more.
-func (f *Follower) Borrow(ctx context.Context, w corianderwing.WorkspaceID, tokens int) (int, time.Duration, error) {
-	f.mu.Lock()
-	addr := f.current
-	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	r, err := peer.Call(ctx, f.peer, addr, plane.BorrowMethod, &plane.Borrow{Workspace: w, Tokens: tokens})
-	if err != nil {
-		return 0, 0, err
-	}
-	return r.Tokens, time.Duration(r.After) * time.Millisecond, nil
-}
-
-// borrowTimeout bounds a Borrow, for which a request waits. A control instance
-// of the failure domain answers within 2 ms.
-const borrowTimeout = 60 * time.Millisecond
-
 // SetSeeds replaces the control instances that are tried when no other one
 // answers.
 func (f *Follower) SetSeeds(seeds []string) {
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -33,7 +33,7 @@
 	self := f.cfg.Self()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.answered) > answerFor || now.Before(f.mute) {
+	if now.Sub(f.answered) > answerFor || now.Before(f.mute[f.current]) {
 		return "", false
 	}
 	near := slices.ContainsFunc(f.controls, func(c plane.Control) bool {
@@ -42,28 +42,69 @@
 	return f.current, near
 }
 
-// Acquire asks the control instance of the failure domain for a slot. It
-// returns false if that instance cannot be asked or does not answer; the caller
-// then decides by itself.
-func (f *Follower) Acquire(ctx context.Context, q *plane.Acquire) (*plane.Acquired, string, bool) {
+// deskOf returns the peer address of the control instance of another failure
+// domain.
+func (f *Follower) deskOf(d corianderwing.DomainID) (string, bool) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.controls {
+		if c.Domain == d {
+			return c.Peer, !now.Before(f.mute[c.Peer])
+		}
+	}
+	return "", false
+}
+
+// Acquire asks the control instance of the failure domain for a slot, or the
+// one that it names instead. It returns false if that instance cannot be asked
+// or does not answer; the caller then decides by itself.
+func (f *Follower) Acquire(ctx context.Context, q *plane.Acquire) (*plane.Acquired, Slot, bool) {
 	addr, ok := f.deskAt()
 	if !ok {
-		return nil, "", false
+		return nil, Slot{}, false
 	}
 	q.Domain = f.cfg.Self().Domain
+	a, ok := f.acquireAt(ctx, addr, q)
+	if !ok {
+		return nil, Slot{}, false
+	}
+	if a.Elsewhere == "" {
+		return a, Slot{addr, q.Domain}, true
+	}
+	there := *q
+	there.Domain, there.Stay = a.Elsewhere, true
+	if other, ok := f.deskOf(a.Elsewhere); ok {
+		if a, ok := f.acquireAt(ctx, other, &there); ok {
+			return a, Slot{other, there.Domain}, true
+		}
+	}
+	q.Stay = true
+	a, ok = f.acquireAt(ctx, addr, q)
+	return a, Slot{addr, q.Domain}, ok
+}
+
+// Slot tells who handed out a slot: a control instance, for a failure domain.
+type Slot struct {
+	Peer   string
+	Domain corianderwing.DomainID
+}
+
+// acquireAt asks one control instance, until it has an answer.
+func (f *Follower) acquireAt(ctx context.Context, addr string, q *plane.Acquire) (*plane.Acquired, bool) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, slotTimeout)
 		a, err := peer.Call(callCtx, f.peer, addr, plane.AcquireMethod, q)
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			f.muteDesk(addr, err)
-			return nil, "", false
+			return nil, false
 		}
 		if err != nil {
-			return &plane.Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}, addr, true
+			return &plane.Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}, true
 		}
 		if !a.Waiting {
-			return a, addr, true
+			return a, true
 		}
 		q = &plane.Acquire{ID: a.ID}
 	}
@@ -75,26 +116,29 @@
 	f.cfg.Log.Warn().Str("control", addr).Err(err).Msg("no answer to a request for a slot")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mute = f.cfg.Now().Add(muteFor)
+	f.mute[addr] = f.cfg.Now().Add(muteFor)
 }
 
 // Release gives a slot back to the control instance that handed it out.
-func (f *Follower) Release(addr string, pool corianderwing.PoolID, o place.Outcome) {
-	domain := f.cfg.Self().Domain
+func (f *Follower) Release(slot Slot, pool corianderwing.PoolID, o place.Outcome) {
 	go func() {
 		ctx, cancel := context.WithTimeout(f.ctx, releaseTimeout)
 		defer cancel()
-		_, err := peer.Call(ctx, f.peer, addr, plane.ReleaseMethod, &plane.Release{Domain: domain, Ended: []plane.Ended{{
-			Pool:   pool,
-			ID:     o.ID,
-			Result: o.Result,
-			Micros: o.Took.Microseconds(),
-			Dial:   o.Dial.Microseconds(),
-			Load:   o.Load,
-		}}})
+		_, err := peer.Call(ctx, f.peer, slot.Peer, plane.ReleaseMethod, &plane.Release{
+			Domain: slot.Domain,
+			Ended: []plane.Ended{{
+				Pool:   pool,
+				ID:     o.ID,
+				Result: o.Result,
+				Micros: o.Took.Microseconds(),
+				Dial:   o.Dial.Microseconds(),
+				Bytes:  o.Bytes,
+				Load:   o.Load,
+			}},
+		})
 		if err != nil {
 			// The slot is free again when the request's deadline has passed.
-			f.cfg.Log.Debug().Str("control", addr).Err(err).Msg("slot not given back")
+			f.cfg.Log.Debug().Str("control", slot.Peer).Err(err).Msg("slot not given back")
 		}
 	}()
 }
--- a/io/gate/answer.go
+++ b/io/gate/answer.go
@@ -17,7 +17,7 @@
 	}
 	v.begun = true
 	if v.counted && err.Run == corianderwing.RanNo {
-		v.s.cfg.Limits.give(v.tenure)
+		v.giveToken()
 	}
 	v.s.cfg.Dialect.Refuse(v.w, v.ask.ID, err, v.retryAfter(err))
 }
@@ -60,7 +60,20 @@
 		return
 	}
 	r.over = true
-	r.v.s.release(r.slot, r.trial, place.Outcome{Result: result, Took: r.took - r.Dial, Dial: r.Dial, Load: r.load})
+	r.v.s.release(r.slot, r.trial, place.Outcome{Result: result, Took: r.took - r.Dial, Dial: r.Dial, Bytes: r.size(), Load: r.load})
+}
+
+// headBytes is what the headers of a request and of its answer have together,
+// about.
+const headBytes = 700
+
+// size returns the bytes of the request and of its answer, 0 if the length of
+// the answer is not known.
+func (r *reply) size() int {
+	if r.ContentLength < 0 {
+		return 0
+	}
+	return headBytes + int(r.ContentLength) + int(max(0, r.v.body.Total))
 }
 
 // close ends a reply that is not passed on.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -14,8 +14,8 @@
 	"corianderwing"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
-	"corianderwing/io/clock"
 	"corianderwing/io/desk"
+	"corianderwing/io/follow"
 	"corianderwing/io/meter"
 	"corianderwing/io/plane"
 	"corianderwing/io/relay"
@@ -29,14 +29,16 @@
 	IsFresh() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
-	// Borrow asks for tokens of a workspace's limit. It returns how many there
-	// are, and when there may be more.
-	Borrow(ctx context.Context, w corianderwing.WorkspaceID, tokens int) (int, time.Duration, error)
+	// Borrow asks for a token of a workspace's bound. It returns who lent one, or
+	// when there may be one; no time means that nobody has a share.
+	Borrow(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error)
+	// Repay gives a token back whose request did not run.
+	Repay(lender string, w corianderwing.WorkspaceID)
 	// Acquire asks for a slot of an upstream, and tells who handed it out. It
 	// returns false if nobody can be asked.
-	Acquire(ctx context.Context, q *plane.Acquire) (*plane.Acquired, string, bool)
+	Acquire(ctx context.Context, q *plane.Acquire) (*plane.Acquired, follow.Slot, bool)
 	// Release gives a slot back to the one who handed it out.
-	Release(addr string, pool corianderwing.PoolID, o place.Outcome)
+	Release(slot follow.Slot, pool corianderwing.PoolID, o place.Outcome)
 }
 
 // Config describes an entry instance.
@@ -229,7 +231,7 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	v := &visit{s: s, w: w, r: r, start: time.Now(), boot: clock.Boot()}
+	v := &visit{s: s, w: w, r: r, start: time.Now()}
 	defer v.finish()
 	v.serve()
 }
--- a/io/gate/limit.go
+++ b/io/gate/limit.go
@@ -13,15 +13,16 @@
 // by the request path, which takes tokens, and the control role's follower.
 type Limits struct {
 	mu      sync.Mutex
-	buckets *quota.Buckets
+	purses  *quota.Purses
 	limited map[corianderwing.WorkspaceID]bool      // workspaces with a limit
-	lent    bool                                    // shares have arrived
+	lent    bool                                    // a control instance has shares to lend
 	dry     map[corianderwing.WorkspaceID]time.Time // nobody borrows before
 }
 
-// NewLimits returns Limits without shares.
-func NewLimits() *Limits {
-	return &Limits{buckets: quota.NewBuckets(), limited: map[corianderwing.WorkspaceID]bool{}, dry: map[corianderwing.WorkspaceID]time.Time{}}
+// NewLimits returns Limits without shares, for bounds on the requests in any
+// time of a window.
+func NewLimits(window time.Duration) *Limits {
+	return &Limits{purses: quota.NewPurses(window), limited: map[corianderwing.WorkspaceID]bool{}, dry: map[corianderwing.WorkspaceID]time.Time{}}
 }
 
 // Needs implements follow.Limits.
@@ -32,15 +33,15 @@
 	for w := range l.limited {
 		list = append(list, w)
 	}
-	return l.buckets.Needs(from, list, clock.Boot())
+	return l.purses.Needs(from, list, clock.Boot())
 }
 
 // Lend implements follow.Limits.
 func (l *Limits) Lend(from string, shares []quota.Share, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.buckets.Lend(from, shares, until, clock.Boot())
-	l.lent = l.lent || len(shares) > 0
+	l.purses.Lend(from, shares, until, clock.Boot())
+	l.lent = l.lent || until.After(clock.Boot())
 }
 
 // ready reports whether requests of workspaces with a limit can be admitted.
@@ -66,34 +67,26 @@
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.buckets.Take(t.Name, now) {
+	if l.purses.Take(t.Name, now) {
 		return true, false, 0
 	}
-	after = l.buckets.After(t.Name, now)
-	if now.Before(l.dry[t.Name]) {
-		return false, false, after
+	after = l.purses.After(t.Name, now)
+	if dry := l.dry[t.Name]; now.Before(dry) {
+		return false, false, max(after, dry.Sub(now))
 	}
-	// Until the answer is there, other requests do not ask as well.
-	l.dry[t.Name] = now.Add(borrowPause)
 	return false, true, after
 }
 
-// borrowPause is how long nobody asks again for tokens of a workspace after
-// there were none.
+// borrowPause is how long nobody asks again at the least for tokens of a
+// workspace after there were none.
 const borrowPause = 60 * time.Millisecond
 
-// borrowTokens is the number of tokens that are asked for at once.
-const borrowTokens = 2
-
-// borrowed takes over what a Borrow brought, one token of which is used.
-func (l *Limits) borrowed(w corianderwing.WorkspaceID, tokens int, after time.Duration) {
+// borrowed notes what a Borrow brought.
+func (l *Limits) borrowed(w corianderwing.WorkspaceID, got bool, after time.Duration) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for range tokens - 1 {
-		l.buckets.Give(w, now)
-	}
-	if tokens > 0 {
+	if got {
 		delete(l.dry, w)
 		return
 	}
@@ -107,5 +100,5 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.buckets.Give(t.Name, clock.Boot())
+	l.purses.Give(t.Name, clock.Boot())
 }
--- a/io/gate/record.go
+++ b/io/gate/record.go
@@ -54,7 +54,7 @@
 		Version:  t.upstream.Version,
 		Domain:   t.upstream.Domain,
 		Code:     code,
-		From:     t.from,
+		From:     t.from.Domain,
 		Expected: corianderwing.Millis(t.work.Milliseconds()),
 		First:    corianderwing.Millis(took.Milliseconds()),
 		Known:    t.known,
@@ -67,7 +67,7 @@
 	Version  corianderwing.VersionID  `json:"version"`
 	Domain   corianderwing.DomainID   `json:"domain"`
 	Code     corianderwing.Code       `json:"code"`
-	From     string                   `json:"from,omitempty"` // who handed the slot out; empty for the instance itself
+	From     corianderwing.DomainID   `json:"from,omitempty"` // whose desk handed the slot out; empty for that of the instance itself
 	Expected corianderwing.Millis     `json:"expected"`       // until the first byte
 	First    corianderwing.Millis     `json:"first"`
 	Known    bool                     `json:"known,omitempty"` // the upstream was expected to know the object
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -7,6 +7,7 @@
 	"corianderwing"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/io/follow"
 	"corianderwing/io/plane"
 )
 
@@ -15,7 +16,7 @@
 	pool     *pool
 	upstream *model.Upstream
 	id       place.ID
-	from     string // who handed it out; "" for this instance itself
+	from     follow.Slot // who handed it out; empty for this instance itself
 	work     time.Duration
 	known    bool
 	cold     bool
@@ -74,6 +75,7 @@
 
 // ownSlot gets a slot from the own desk.
 func (s *Server) ownSlot(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
+	r.Stay = true
 	t, after, err := s.desk.Acquire(ctx, p.name, r)
 	if err != nil {
 		return nil, after, err
@@ -98,7 +100,7 @@
 		t.pool.trial.end(trial, o.Result, time.Now())
 		t.pool.mu.Unlock()
 	}
-	if t.from == "" {
+	if t.from.Peer == "" {
 		s.desk.Release(t.pool.name, o)
 		return
 	}
--- a/io/gate/visit.go
+++ b/io/gate/visit.go
@@ -20,7 +20,6 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	start time.Time
-	boot  time.Time // boot time at start
 	ask   corianderwing.Ask
 
 	view     *model.View
@@ -36,7 +35,8 @@
 	err      *corianderwing.Error // why the system itself answered
 	status   int
 	begun    bool
-	counted  bool          // a token of the workspace's limit was taken
+	counted  bool          // a token of the workspace's bound was taken
+	lender   string        // who lent it, empty for the own share
 	comeBack time.Duration // when the caller should try again; 0 if unknown
 	waited   time.Duration // for slots
 }
@@ -114,12 +114,13 @@
 	}
 	ok, borrow, wait := v.s.cfg.Limits.take(v.tenure)
 	if !ok && borrow {
-		n, after, err := v.s.cfg.Control.Borrow(v.r.Context(), v.tenure.Name, borrowTokens)
+		lender, after, err := v.s.cfg.Control.Borrow(v.r.Context(), v.tenure.Name)
 		if err != nil {
-			v.s.log.Debug().Str("request", string(v.ask.ID)).Err(err).Msg("no tokens could be borrowed")
+			v.s.log.Warn().Str("request", string(v.ask.ID)).Err(err).Msg("no token could be borrowed")
 		}
-		v.s.cfg.Limits.borrowed(v.tenure.Name, n, after)
-		ok = n > 0
+		v.lender, ok = lender, lender != ""
+		v.s.cfg.Limits.borrowed(v.tenure.Name, ok, after)
+		wait = max(wait, after)
 	}
 	if !ok && wait == 0 {
 		return corianderwing.Errorf(corianderwing.NoShare, "no share of the limit of workspace %s has arrived", v.tenure.Name)
@@ -132,6 +133,15 @@
 	return nil
 }
 
+// giveToken gives the token of a request that did not run back.
+func (v *visit) giveToken() {
+	if v.lender != "" {
+		v.s.cfg.Control.Repay(v.lender, v.tenure.Name)
+		return
+	}
+	v.s.cfg.Limits.give(v.tenure)
+}
+
 // checkKey finds the workspace of the request's key.
 func (v *visit) checkKey(set *items.Set, fresh bool) *corianderwing.Error {
 	if v.ask.Key != "" {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -154,7 +154,7 @@
 		Public:      set.Listen.Public,
 		Peer:        set.peerAddr(),
 	}
-	limits := gate.NewLimits()
+	limits := gate.NewLimits(time.Duration(set.Bounds.Window))
 	n.follow = follow.New(follow.Config{
 		Self: func() corianderwing.Instance {
 			self := self
--- a/io/plane/lend.go
+++ b/io/plane/lend.go
@@ -9,21 +9,15 @@
 	"corianderwing/io/clock"
 )
 
-const (
-	// reserveName is the control instance as a holder of its own shares.
-	reserveName = "reserve"
-	// reservePart is the demand of the reserve as a part of that of the entry
-	// instances. Few requests a second come unevenly at each of them, and
-	// evenly at all together.
-	reservePart = 0.5
-)
+// reserveName is the control instance as a holder of its own shares.
+const reserveName = "reserve"
 
 // lend divides this instance's shares of the limits of workspaces. The lock is
 // held.
 func (p *Plane) lend(b *Beat, r *BeatReply, now time.Time) {
 	left := min(quota.Lease, p.until.Sub(now))
 	if left <= 0 {
-		p.divider.SetLimits(nil)
+		p.divider.SetBounds(nil)
 	}
 	p.keepReserve(now.Add(left), now)
 	name := string(b.Entry.ID) + "/" + strconv.FormatUint(uint64(b.Entry.Incarnation), 36)
@@ -42,21 +36,22 @@
 	}
 	needs := p.reserve.Needs(reserveName, limited, now)
 	for i := range needs {
-		needs[i].Asked = max(needs[i].Asked, reservePart*asked[needs[i].Workspace])
+		needs[i].Asked = max(needs[i].Asked, quota.ReservePart*asked[needs[i].Workspace])
 	}
 	p.reserve.Lend(reserveName, p.divider.Ask(reserveName, needs, now), until, now)
 }
 
-// borrow hands out tokens of the reserve.
+// borrow hands out a token of the reserve, or takes one back.
 func (p *Plane) borrow(b *Borrow) *Borrowed {
 	now := clock.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := &Borrowed{}
-	for r.Tokens < b.Tokens && p.reserve.Take(b.Workspace, now) {
-		r.Tokens++
+	if b.Back {
+		p.reserve.Give(b.Workspace, now)
+		return r
 	}
-	if r.Tokens == 0 {
+	if r.OK = p.reserve.Take(b.Workspace, now); !r.OK {
 		r.After = corianderwing.Millis(p.reserve.After(b.Workspace, now).Milliseconds())
 	}
 	return r
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -61,7 +61,7 @@
 	controls    []Control
 	version     uint64         // of entries
 	divider     *quota.Divider // of this instance's shares
-	reserve     *quota.Buckets // the part of the shares from which entry instances borrow
+	reserve     *quota.Purses  // the part of the shares from which entry instances borrow
 	lots        []steer.Lot    // slots that failure domains lend each other
 	lotsVersion uint64
 	trials      []Trial     // of entry instances since the last pulse
@@ -90,17 +90,19 @@
 		peer:    pc,
 		seen:    newSeen(),
 		beats:   map[corianderwing.InstanceID]beaten{},
-		// Entry instances may still use what an earlier life of this process
-		// lent them.
-		divider: quota.New(corianderwing.GrantorDeadline(clock.Boot(), quota.Lease)),
-		reserve: quota.NewBuckets(),
+		// What an earlier life of this process lent is not part of the shares
+		// of this one.
+		divider: quota.New(cfg.Excess.Window, time.Time{}),
+		reserve: quota.NewPurses(cfg.Excess.Window),
 		asked:   map[place.ID]asked{},
 		life:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
+	p.divider.SetReserve(reserveName)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.desks = newDesks(p.ctx, cfg.Quorum.Domain, cfg.RegionOf)
 	p.lead = newLead(cfg.Beat)
 	p.lead.excess, p.lead.regionOf = cfg.Excess, cfg.RegionOf
+	p.lead.revision = func() corianderwing.Revision { return p.machine.View().Revision() }
 	p.lead.known = func() []steer.Lot {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -171,11 +171,11 @@
 	}
 	if until := corianderwing.HolderDeadline(asked, quota.Lease); until.After(p.until) {
 		p.until = until
-		limits := make(map[corianderwing.WorkspaceID]quota.Limit, len(r.Shares))
+		bounds := make(map[corianderwing.WorkspaceID]int, len(r.Shares))
 		for _, s := range r.Shares {
-			limits[s.Workspace] = s.Limit
+			bounds[s.Workspace] = s.Tokens
 		}
-		p.divider.SetLimits(limits)
+		p.divider.SetBounds(bounds)
 	}
 }
 
@@ -250,9 +250,10 @@
 	moves    moves
 	steer    steering
 	divider  *quota.Divider
-	limited  corianderwing.Revision // of the divider's limits
+	bounded  corianderwing.Revision // of the divider's bounds
 	excess   Excess
 	known    func() []steer.Lot // of an earlier leader
+	revision func() corianderwing.Revision
 	regionOf func(corianderwing.DomainID) corianderwing.RegionID
 }
 
@@ -273,9 +274,13 @@
 	l.entries = map[corianderwing.InstanceID]beaten{}
 	l.control = map[corianderwing.InstanceID]pulsed{}
 	l.seen = map[uint32]time.Time{}
-	// An earlier leader may have handed out shares until now.
-	l.divider = quota.New(corianderwing.GrantorDeadline(now, quota.Lease))
-	l.limited = 0
+	quiet := time.Time{}
+	if l.revision() > 0 {
+		// An earlier leader may have handed out shares until now.
+		quiet = corianderwing.GrantorDeadline(now, quota.Lease).Add(l.excess.Window)
+	}
+	l.divider = quota.New(l.excess.Window, quiet)
+	l.bounded = 0
 	l.steer = steering{planner: steer.New(), loads: map[corianderwing.DomainID]loaded{}}
 	l.moves = moves{
 		plans:   map[corianderwing.RequestID]*shift.Plan{},
@@ -291,40 +296,30 @@
 	Slack  float64
 }
 
-const (
-	// boundPart is the part of a bound that is handed out. The rest covers
-	// requests that wait between their admission and an upstream.
-	boundPart = 0.93
-	// burstPart is the part of burst and slack that may be admitted at once.
-	// Requests come unevenly at each entry instance, so a smaller one refuses
-	// more of them.
-	burstPart = 0.6
-)
+// boundPart is the part of a bound that is handed out. The rest covers clocks
+// that run apart.
+const boundPart = 0.97
 
-// limit returns the rate and burst that just keep a workspace's bound in any
-// window. What the bound allows beyond the burst becomes rate: a workspace that
-// always sends more than its rate gets all that the bound allows.
-func (x Excess) limit(t *corianderwing.Tenure) quota.Limit {
+// tokens returns the most requests of a workspace in any time of Window.
+func (x Excess) tokens(t *corianderwing.Tenure) int {
 	w := x.Window.Seconds()
-	bound := boundPart * ((float64(t.Rate)*w+float64(t.Burst))*(1+x.Over) + x.Slack)
-	burst := burstPart * (float64(t.Burst) + x.Slack)
-	return quota.Limit{Rate: max((bound-burst)/w, boundPart*float64(t.Rate)), Burst: burst}
+	return int(boundPart * ((float64(t.Rate)*w+float64(t.Burst))*(1+x.Over) + x.Slack))
 }
 
-// divide returns a control instance's shares of the limits of workspaces.
+// divide returns a control instance's shares of the bounds of workspaces.
 func (l *lead) divide(term corianderwing.Term, q *pulse, v *model.View, now time.Time) []quota.Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begin(term, now)
-	if l.limited != v.Revision() {
-		l.limited = v.Revision()
-		limits := map[corianderwing.WorkspaceID]quota.Limit{}
+	if l.bounded != v.Revision() {
+		l.bounded = v.Revision()
+		bounds := map[corianderwing.WorkspaceID]int{}
 		v.Items().Tenures(func(t *corianderwing.Tenure) {
 			if t.Rate > 0 {
-				limits[t.Name] = l.excess.limit(t)
+				bounds[t.Name] = l.excess.tokens(t)
 			}
 		})
-		l.divider.SetLimits(limits)
+		l.divider.SetBounds(bounds)
 	}
 	return l.divider.Ask(string(q.Replica)+"/"+strconv.FormatUint(uint64(q.Life), 36), q.Needs, now)
 }
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -102,6 +102,7 @@
 		Homes:    q.Homes,
 		Tried:    q.Tried,
 		Steady:   q.Steady,
+		Stay:     q.Stay,
 	})
 	if err != nil {
 		return &Acquired{Error: err}, nil
@@ -137,6 +138,9 @@
 	if err != nil {
 		return &Acquired{Error: err, After: corianderwing.Millis(after.Milliseconds())}
 	}
+	if t.Elsewhere != "" {
+		return &Acquired{Elsewhere: t.Elsewhere}
+	}
 	return &Acquired{
 		ID:          t.ID,
 		Upstream:    t.Upstream.ID,
@@ -174,6 +178,7 @@
 			Result: e.Result,
 			Took:   time.Duration(e.Micros) * time.Microsecond,
 			Dial:   time.Duration(e.Dial) * time.Microsecond,
+			Bytes:  e.Bytes,
 			Load:   e.Load,
 		})
 	}
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -54,17 +54,17 @@
 	Moves []MoveShare `json:"moves,omitempty"`
 }
 
-// Borrow asks a control instance for tokens of its own share of a workspace's
-// limit, for requests that wait.
+// Borrow asks a control instance for a token of its own share of a workspace's
+// bound, for a request that waits, or gives one back.
 type Borrow struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
-	Tokens    int                       `json:"tokens"`
+	Back      bool                      `json:"back,omitempty"`
 }
 
-// Borrowed answers a Borrow. After tells when there may be more.
+// Borrowed answers a Borrow. Without a token, After tells when there may be one.
 type Borrowed struct {
-	Tokens int                  `json:"tokens,omitempty"`
-	After  corianderwing.Millis `json:"after,omitempty"`
+	OK    bool                 `json:"ok,omitempty"`
+	After corianderwing.Millis `json:"after,omitempty"`
 }
 
 // Acquire asks a control instance for a slot of an upstream, for a request of a
@@ -82,6 +82,7 @@
 	Homes  []corianderwing.RegionID   `json:"homes,omitempty"`
 	Tried  []corianderwing.UpstreamID `json:"tried,omitempty"`
 	Steady bool                       `json:"steady,omitempty"`
+	Stay   bool                       `json:"stay,omitempty"` // do not send it to another desk
 }
 
 // Acquired is the answer: a slot, a refusal, or that the request waits and has
@@ -95,6 +96,7 @@
 	Known       bool                      `json:"known,omitempty"`
 	Cold        bool                      `json:"cold,omitempty"`
 	Next        bool                      `json:"next,omitempty"`
+	Elsewhere   corianderwing.DomainID    `json:"elsewhere,omitempty"` // whose desk is to be asked instead
 	Error       *corianderwing.Error      `json:"error,omitempty"`
 	After       corianderwing.Millis      `json:"after,omitempty"`
 }
@@ -110,8 +112,9 @@
 	Pool   corianderwing.PoolID `json:"pool"`
 	ID     place.ID             `json:"id"`
 	Result place.Result         `json:"result,omitempty"`
-	Micros int64                `json:"us,omitempty"`   // until the first byte
-	Dial   int64                `json:"dial,omitempty"` // µs to open a connection
+	Micros int64                `json:"us,omitempty"`    // until the first byte
+	Dial   int64                `json:"dial,omitempty"`  // µs to open a connection
+	Bytes  int                  `json:"bytes,omitempty"` // of the request and its answer
 	Load   place.Report         `json:"load,omitzero"`
 }
 
