Keep loans and tokens through the loss of a leader

A test of core/steer that fails without the change showed that a domain which had never borrowed was held to the slow ramp after it lost its upstreams: its peak was looked at only once a loan was wanted.

Ruled out: handing out nothing until what an earlier leader lent has expired (tokens missing for 9 s after each start of the whole group); shares that only shrink until then.

Change: loans whose lender or borrower is not reported stay for 5 s, and a new leader keeps the known ones until all have reported. core/quota leaves half of the idle tokens with the giver; a holder gets what it used plus what it will need within 1.2 s, and a new leader holds back only as many tokens of unknown holders as the demand can have used. Shares last 4 s, elections begin after 0.7 s (1 s), and each change of the leader is logged.

--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -175,6 +175,7 @@
 				n.Held += s.tokens
 			}
 		}
+		n.Used = k.count
 		n.Held = max(n.Held, k.count)
 		list = append(list, n)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -14,7 +14,6 @@
 package quota
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -24,12 +23,8 @@
 )
 
 // Lease is for how long a share is valid after its holder asked for it. It
-// spans several lost messages and an election.
-const Lease = 2500 * time.Millisecond
-
-// idlePart is the part of a bound that is divided equally, whatever the
-// demand, so that a holder can admit the first requests of a workspace.
-const idlePart = 0.25
+// spans the loss of the leader and an election.
+const Lease = 4 * time.Second
 
 // ReservePart is the demand of a reserve, from which holders borrow, as a part of
 // that of the holders. Few requests a second come unevenly at each of them, and
@@ -45,7 +40,8 @@
 type Need struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
 	Asked     float64                   `json:"asked"`          // requests per second lately, refused ones included
-	Held      int                       `json:"held,omitempty"` // tokens that it has, or has used within the window
+	Used      int                       `json:"used,omitempty"` // tokens that it used within the window
+	Held      int                       `json:"held,omitempty"` // tokens that it has, used or not
 }
 
 // Share is the part of one workspace's tokens that a holder may use.
@@ -58,7 +54,8 @@
 // safe for concurrent use.
 type Divider struct {
 	window  time.Duration
-	quiet   time.Time // nothing is known yet of what was handed out before
+	quiet   time.Time                         // until which tokens handed out before may be in use
+	missing map[corianderwing.WorkspaceID]int // tokens that no known holder has
 	bounds  map[corianderwing.WorkspaceID]int
 	holders map[string]*holder
 	reserve string // holder from which the others borrow; "" for none
@@ -72,16 +69,18 @@
 
 type need struct {
 	asked float64
+	used  int
 	out   int // tokens that it may be using
 }
 
 // New returns a Divider without bounds, for tokens that can be used again after
-// a window. Before quiet it hands out only what a holder already has: an
-// earlier one may have handed out the rest.
+// a window. Until quiet, which is Quiet after now for the successor of another
+// Divider, holders of which this one knows nothing may use some.
 func New(window time.Duration, quiet time.Time) *Divider {
 	return &Divider{
 		window:  window,
 		quiet:   quiet,
+		missing: map[corianderwing.WorkspaceID]int{},
 		bounds:  map[corianderwing.WorkspaceID]int{},
 		holders: map[string]*holder{},
 	}
@@ -108,7 +107,7 @@
 	}
 	d.holders[name] = h
 	for _, n := range needs {
-		h.needs[n.Workspace] = need{asked: max(0, n.Asked), out: max(0, n.Held)}
+		h.needs[n.Workspace] = need{asked: max(0, n.Asked), used: max(0, n.Used), out: max(0, n.Held, n.Used)}
 	}
 	var shares []Share
 	for _, n := range needs {
@@ -118,7 +117,7 @@
 		}
 		k := h.needs[n.Workspace]
 		tokens := d.share(name, n.Workspace, bound, now)
-		if d.reserve != "" && name != d.reserve && tokens < leastShare || tokens == 0 && now.Before(d.quiet) {
+		if d.reserve != "" && name != d.reserve && tokens < leastShare || tokens == 0 {
 			continue
 		}
 		k.out = max(k.out, tokens)
@@ -138,40 +137,113 @@
 		}
 	}
 	out := d.holders[name].needs[w].out
-	if now.Before(d.quiet) {
-		return min(out, bound)
-	}
 	part := bound
 	if name != d.reserve {
 		part = d.part(name, w, bound)
 	}
+	if now.Before(d.quiet) {
+		bound -= d.unknown(w, bound-others-out, now)
+	}
 	// After the bound was lowered, the others still use more than is left. This
 	// holder then keeps what it has, up to its part.
 	return max(0, min(part, max(bound-others, out)))
 }
 
-// part returns a holder's part of the bound by demand. The parts of all holders
-// together are the bound.
+// unknown returns how many of the tokens that no known holder has may be in use
+// by holders of an earlier Divider. Those that are gone used about as many as
+// the demand takes now; those that are cut off may go on until their shares
+// expire. In the first moments neither is known.
+func (d *Divider) unknown(w corianderwing.WorkspaceID, missing int, now time.Time) int {
+	// What known holders give back was not missing before.
+	if m, ok := d.missing[w]; ok {
+		missing = min(missing, m)
+	}
+	missing = max(0, missing)
+	d.missing[w] = missing
+	start := d.quiet.Add(-Quiet(d.window))
+	if now.Sub(start) < demandKnown {
+		return missing
+	}
+	asked := 0.0
+	for _, h := range d.holders {
+		asked += h.needs[w].asked
+	}
+	used := pastFactor * asked * start.Add(d.window).Sub(now).Seconds()
+	if now.Sub(start) < Lease {
+		used = max(used, cutPart*float64(missing))
+	}
+	return min(missing, int(math.Ceil(max(0, used))))
+}
+
+// Quiet is how long tokens may be in use of which a new Divider does not know.
+func Quiet(window time.Duration) time.Duration {
+	return corianderwing.GrantorDeadline(time.Time{}, Lease).Sub(time.Time{}) + window
+}
+
+const (
+	// demandKnown is how long a new Divider waits for the needs of its holders.
+	demandKnown = 600 * time.Millisecond
+	// pastFactor is by how much the demand may have been higher than it is after
+	// the loss of the instances that would know.
+	pastFactor = 1.25
+	// cutPart is the part of the tokens that nobody reported which may be those of
+	// holders that are cut off.
+	cutPart = 0.5
+)
+
+const (
+	// ahead is the time for whose requests a holder gets tokens: that until the
+	// next Ask is answered, and one lost message.
+	ahead = 1200 * time.Millisecond
+	// spareTokens is what a holder gets beyond that.
+	spareTokens = 2
+	// idlePart is the part of a bound that is divided equally, whatever the
+	// demand, where there are not enough tokens for all.
+	idlePart = 0.25
+	// lentIdle is the part of the tokens that nobody needs now which is handed
+	// out all the same. The rest is there at once for a demand that rises.
+	lentIdle = 0.5
+)
+
+// part returns a holder's part of the bound. The parts of all holders together
+// are not above the bound.
 func (d *Divider) part(name string, w corianderwing.WorkspaceID, bound int) int {
-	total, count := 0.0, 0.0
+	total, wanted, count := 0.0, 0.0, 0.0
 	for _, h := range d.holders {
 		if n, ok := h.needs[w]; ok {
 			total += n.asked
+			wanted += n.wanted()
 			count++
 		}
 	}
-	// The rounded sums of the holders in order differ by whole parts.
+	idle := float64(bound) - wanted
+	return d.round(name, w, func(n need) float64 {
+		byDemand := 1 / count
+		if total > 0 {
+			byDemand = idlePart/count + (1-idlePart)*n.asked/total
+		}
+		if idle > 0 {
+			return n.wanted() + lentIdle*idle*byDemand
+		}
+		return float64(bound) * byDemand
+	})
+}
+
+// wanted returns the tokens that the holder will use soon.
+func (n need) wanted() float64 {
+	return float64(n.used) + n.asked*ahead.Seconds() + spareTokens
+}
+
+// round returns the whole tokens of a holder where each gets a part: the sums
+// over the holders in order are rounded, so that no token is lost.
+func (d *Divider) round(name string, w corianderwing.WorkspaceID, part func(need) float64) int {
 	sum, before := 0.0, 0
-	for _, other := range slices.SortedFunc(maps.Keys(d.holders), cmp.Compare[string]) {
+	for _, other := range slices.Sorted(maps.Keys(d.holders)) {
 		n, ok := d.holders[other].needs[w]
 		if !ok {
 			continue
 		}
-		part := 1 / count
-		if total > 0 {
-			part = idlePart/count + (1-idlePart)*n.asked/total
-		}
-		sum += part * float64(bound)
+		sum += part(n)
 		upTo := int(math.Round(sum))
 		if other == name {
 			return upTo - before
@@ -205,6 +277,7 @@
 			s := sums[w]
 			s.Workspace = w
 			s.Asked += n.asked
+			s.Used += n.used
 			s.Held += n.out
 			sums[w] = s
 		}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 	lostPart = 0.3
 	// lostFor is how long a loss counts as recent.
 	lostFor = 6 * time.Second
+	// silentFor is how long the loans of a domain stay as they are while nothing
+	// is reported of it: another control instance reports it soon.
+	silentFor = 5 * time.Second
 	// leastLoan is the smallest loan, in slots.
 	leastLoan = 0.5
 )
@@ -84,13 +88,14 @@
 type Planner struct {
 	loans map[pair]float64
 	peaks map[spot]peak
+	heard map[spot]time.Time                   // last report
 	first map[corianderwing.RegionID]time.Time // when a region's requests began
 	last  time.Time
 }
 
 // New returns a Planner without loans.
 func New() *Planner {
-	return &Planner{loans: map[pair]float64{}, peaks: map[spot]peak{}, first: map[corianderwing.RegionID]time.Time{}}
+	return &Planner{loans: map[pair]float64{}, peaks: map[spot]peak{}, heard: map[spot]time.Time{}, first: map[corianderwing.RegionID]time.Time{}}
 }
 
 // Adopt takes over the loans of an earlier Planner.
@@ -108,35 +113,71 @@
 		step = 0
 	}
 	p.last = now
-	wanted := p.wanted(loads)
+	for _, l := range loads {
+		k := spot{l.Pool, l.Domain}
+		p.heard[k] = now
+		if top := p.peaks[k]; l.Slots >= top.slots || now.Sub(top.at) > lostFor {
+			p.peaks[k] = peak{l.Slots, now}
+		}
+	}
+	held := p.held(now)
+	wanted := p.wanted(loads, held)
 	p.follow(loads, wanted, step, now)
 	return p.list()
 }
 
-// wanted returns the loans that would serve all loads.
-func (p *Planner) wanted(loads []Load) map[pair]float64 {
+// held returns the loans that stay as they are, because nothing is known of the
+// lender or the borrower.
+func (p *Planner) held(now time.Time) map[pair]float64 {
 	out := map[pair]float64{}
+	for k, n := range p.loans {
+		for _, s := range []spot{{k.pool, k.lender}, {k.pool, k.borrower}} {
+			at, ok := p.heard[s]
+			if !ok {
+				p.heard[s] = now // an adopted loan
+				out[k] = n
+			} else if age := now.Sub(at); age > 0 && age < silentFor {
+				out[k] = n
+			}
+		}
+	}
+	return out
+}
+
+// wanted returns the loans that would serve all loads, besides those that are
+// held.
+func (p *Planner) wanted(loads []Load, held map[pair]float64) map[pair]float64 {
+	out := maps.Clone(held)
 	byPool := map[corianderwing.PoolID][]Load{}
 	for _, l := range loads {
 		byPool[l.Pool] = append(byPool[l.Pool], l)
 	}
 	for pool, list := range byPool {
 		slices.SortFunc(list, func(a, b Load) int { return cmp.Compare(a.Domain, b.Domain) })
-		p.match(pool, list, out)
+		p.match(pool, list, held, out)
 	}
 	return out
 }
 
 // match divides the slots that domains can spare of one pool over those that
 // need some.
-func (p *Planner) match(pool corianderwing.PoolID, list []Load, out map[pair]float64) {
+func (p *Planner) match(pool corianderwing.PoolID, list []Load, held, out map[pair]float64) {
 	need := make([]float64, len(list))
 	spare := make([]float64, len(list))
 	total, all := 0.0, 0.0
 	for i, l := range list {
 		need[i] = p.need(pool, l)
+		lent := 0.0
+		for k, n := range held {
+			if k.pool == pool && k.borrower == l.Domain {
+				need[i] = max(0, need[i]-n)
+			}
+			if k.pool == pool && k.lender == l.Domain {
+				lent += n
+			}
+		}
 		if need[i] == 0 {
-			spare[i] = max(0, l.Slots-l.Demand/lendAt)
+			spare[i] = max(0, l.Slots-lent-l.Demand/lendAt)
 		}
 		total += need[i]
 		all += spare[i]
@@ -154,7 +195,7 @@
 			n := min(left, spare[j])
 			spare[j] -= n
 			left -= n
-			out[pair{pool, list[j].Domain, l.Domain}] = n
+			out[pair{pool, list[j].Domain, l.Domain}] += n
 		}
 	}
 }
@@ -228,14 +269,14 @@
 	}
 	for k := range wanted {
 		r, e := effect(k)
-		if !p.lost(at[spot{k.pool, k.borrower}], now) {
+		if !p.lost(at[spot{k.pool, k.borrower}]) {
 			change[r] += e
 		}
 	}
 	for k, target := range wanted {
 		r, e := effect(k)
 		part := 1.0
-		if e > 0 && change[r] > mostChange*step && !p.lost(at[spot{k.pool, k.borrower}], now) {
+		if e > 0 && change[r] > mostChange*step && !p.lost(at[spot{k.pool, k.borrower}]) {
 			part = mostChange * step / change[r]
 		}
 		n := p.loans[k] + (target-p.loans[k])*part
@@ -248,14 +289,8 @@
 }
 
 // lost reports whether a domain has lost a good part of its slots lately.
-func (p *Planner) lost(l Load, now time.Time) bool {
-	k := spot{l.Pool, l.Domain}
-	top := p.peaks[k]
-	if l.Slots >= top.slots || now.Sub(top.at) > lostFor {
-		top = peak{l.Slots, now}
-		p.peaks[k] = top
-	}
-	return l.Slots < (1-lostPart)*top.slots
+func (p *Planner) lost(l Load) bool {
+	return l.Slots < (1-lostPart)*p.peaks[spot{l.Pool, l.Domain}].slots
 }
 
 // list returns the loans in whole slots.
--- /dev/null
+++ b/core/steer/steer_test.go
@@ -0,0 +1,112 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+var begin = time.Unix(1000, 0)
+
+// load returns the load of a failure domain named like its region and a number.
+func load(domain string, slots, demand float64) Load {
+	return Load{
+		Pool: "files", Domain: corianderwing.DomainID(domain), Region: corianderwing.RegionID(domain[:1]),
+		Slots: slots, Demand: demand, Arrived: 10 * demand,
+	}
+}
+
+// settle updates a planner with the same loads for some seconds.
+func settle(p *Planner, from time.Time, seconds int, loads ...Load) (loans []Loan, now time.Time) {
+	now = from
+	for range seconds * 5 {
+		now = now.Add(200 * time.Millisecond)
+		loans = p.Update(loads, now)
+	}
+	return loans, now
+}
+
+func total(loans []Loan, borrower corianderwing.DomainID) int {
+	n := 0
+	for _, l := range loans {
+		if l.Borrower == borrower {
+			n += l.Slots
+		}
+	}
+	return n
+}
+
+// Guards against a domain that refuses requests while another one has idle
+// slots.
+func TestBorrowsWhatIsSpare(t *testing.T) {
+	is := is.New(t)
+	loans, _ := settle(New(), begin, 20, load("a1", 10, 15.6), load("b1", 20, 3))
+	is.Equal(loans, []Loan{{"files", "b1", "a1", 10}})
+}
+
+// Guards against loans that end because a new leader, or another control
+// instance for a domain, has not yet reported the loads of all domains.
+func TestKeepsLoansOfSilentDomains(t *testing.T) {
+	is := is.New(t)
+	full, room := load("a1", 10, 15.6), load("b1", 20, 3)
+	loans, now := settle(New(), begin, 20, full, room)
+
+	next := New()
+	next.Adopt(loans)
+	is.Equal(next.Update([]Load{room}, now), loans)
+	is.Equal(next.Update([]Load{full}, now.Add(200*time.Millisecond)), loans)
+	is.Equal(next.Update([]Load{full, room}, now.Add(400*time.Millisecond)), loans)
+
+	loans, _ = settle(next, now, 30, room)
+	is.Equal(len(loans), 0) // in the end nobody uses them
+}
+
+// Guards against caches and links elsewhere that are hit at once: the part of a
+// region's requests that runs elsewhere changes slowly.
+func TestShiftsSlowly(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	_, now := settle(p, begin, 10, load("a1", 10, 5), load("b1", 20, 3))
+	before := 0
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		n := total(p.Update([]Load{load("a1", 10, 20), load("b1", 20, 3)}, now), "a1")
+		is.True(float64(n-before)/20 <= mostChange*0.2+0.05) // whole slots of 20
+		before = n
+	}
+	is.True(before >= 10)
+}
+
+// Guards against a ramp for requests whose own upstreams are gone.
+func TestLostDomainBorrowsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	_, now := settle(p, begin, 10, load("a1", 10, 5), load("b1", 20, 3))
+	loans := p.Update([]Load{load("a1", 2, 5), load("b1", 20, 3)}, now.Add(200*time.Millisecond))
+	is.True(total(loans, "a1") >= 4)
+}
+
+// Guards against more lots than an upstream has slots, and against lots that
+// move while the loans stay.
+func TestAssignIsStable(t *testing.T) {
+	is := is.New(t)
+	ups := []corianderwing.Upstream{
+		{ID: "u1", Pool: "files", Domain: "b1", Slots: 4},
+		{ID: "u2", Pool: "files", Domain: "b1", Slots: 4},
+		{ID: "u3", Pool: "files", Domain: "c1", Slots: 4},
+	}
+	usable := func(corianderwing.PoolID) []corianderwing.Upstream { return ups }
+	loans := []Loan{{"files", "b1", "a1", 5}, {"files", "b1", "a2", 6}}
+	lots := Assign(loans, usable)
+	slots := map[corianderwing.UpstreamID]int{}
+	for _, l := range lots {
+		slots[l.Upstream] += l.Slots
+	}
+	is.Equal(slots, map[corianderwing.UpstreamID]int{"u1": 4, "u2": 4})
+	for range 10 {
+		is.Equal(Assign(loans, usable), lots)
+	}
+}
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -277,7 +277,7 @@
 	quiet := time.Time{}
 	if l.revision() > 0 {
 		// An earlier leader may have handed out shares until now.
-		quiet = corianderwing.GrantorDeadline(now, quota.Lease).Add(l.excess.Window)
+		quiet = now.Add(quota.Quiet(l.excess.Window))
 	}
 	l.divider = quota.New(l.excess.Window, quiet)
 	l.bounded = 0
--- a/io/plane/steer.go
+++ b/io/plane/steer.go
@@ -45,9 +45,14 @@
 		return s.version, s.lots
 	}
 	if s.at.IsZero() {
-		s.planner.Adopt(loansOf(l.known(), v))
+		s.lots = l.known()
+		s.planner.Adopt(loansOf(s.lots, v))
+		s.version = uint64(term) << 32
 	}
 	s.at = now
+	if now.Sub(l.since) < 2*pulseEvery {
+		return s.version, s.lots // not all loads are known yet
+	}
 	lots := steer.Assign(s.planner.Update(s.reported(now), now), func(p corianderwing.PoolID) []corianderwing.Upstream {
 		var list []corianderwing.Upstream
 		for _, u := range v.Pool(p) {
@@ -57,7 +62,7 @@
 		}
 		return list
 	})
-	if !slices.Equal(lots, s.lots) || s.version == 0 {
+	if !slices.Equal(lots, s.lots) {
 		s.lots = lots
 		s.version = uint64(term)<<32 | (s.version+1)&(1<<32-1)
 	}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -33,8 +33,8 @@
 	reopenPause = 300 * time.Millisecond
 	// heartbeat and election are the timing of consensus. Between regions a
 	// heartbeat and its answer take 70 ms and cost about 300 bytes.
-	heartbeat = 250 * time.Millisecond
-	election  = 1000 * time.Millisecond
+	heartbeat = 150 * time.Millisecond
+	election  = 700 * time.Millisecond
 	// snapshotEvery is the number of commands between snapshots. Restoring a
 	// snapshot takes less time than applying so many commands.
 	snapshotEvery = 400
@@ -121,7 +121,7 @@
 	}, loaded{st, stored}, r.machine, r.sender,
 		group.WithTiming(election, heartbeat),
 		group.WithSnapshotEvery(snapshotEvery),
-		group.WithRoleChange(func(raft.RoleChange) { r.changed() }))
+		group.WithRoleChange(r.roleChanged))
 	if err != nil {
 		return errors.Join(err, st.Close())
 	}
@@ -135,6 +135,12 @@
 	return nil
 }
 
+// roleChanged logs who leads.
+func (r *Replica) roleChanged(c raft.RoleChange) {
+	r.cfg.Log.Info().Str("role", c.Role.String()).Str("leader", string(c.Leader)).Uint64("term", uint64(c.Term)).Msg("role changed")
+	r.changed()
+}
+
 // loaded is a store that has been loaded, so that its identity could be read
 // before the replica starts.
 type loaded struct {
