Expect of an upstream what it knows, and lend no more than seven tenths

Requests waited for an upstream that did not know their object as if it did, and took slots of those that could be in time. In ksm-b 55 of 156 requests met no usable upstream: all four of its slots had been lent in the first second, before its own requests had come.

Change: waiting and refusal use the time that the target takes, known or not; a domain keeps three tenths of its slots.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -145,8 +145,12 @@
 	if p.free(s, now) < 1 {
 		return false
 	}
-	work := seconds(p.workOf(r.Class).of(p.knows(s, r)) * s.slow)
-	return now.Add(work + p.delay(s)).Before(r.Deadline)
+	return now.Add(p.takes(r, s)).Before(r.Deadline)
+}
+
+// takes returns the time from the grant to the answer.
+func (p *Pool) takes(r *Request, s *server) time.Duration {
+	return seconds(p.workOf(r.Class).of(p.knows(s, r))*s.slow) + p.delay(s)
 }
 
 // soon reports whether an upstream that knows the object will have room in time
@@ -156,8 +160,7 @@
 		if !p.knows(s.server, r) {
 			continue
 		}
-		work := seconds(p.workOf(r.Class).of(true) * s.slow)
-		if now.Add(p.waitAt(r, s.server, now) + work + p.delay(s.server)).Before(r.Goal) {
+		if now.Add(p.waitAt(r, s.server, now) + p.takes(r, s.server)).Before(r.Goal) {
 			return true
 		}
 	}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -143,7 +143,7 @@
 	known := h.grant.Known
 	w.mean = smooth(w.mean, sec)
 	if !h.grant.Cold {
-		s.slow = min(20, max(0.5, s.slow+(sec/w.of(known)-s.slow)*smoothing))
+		s.slow = min(mostSlow, max(leastSlow, s.slow+(sec/w.of(known)-s.slow)*smoothing))
 	}
 	if s.slow > slowFrom*p.usualSlow(now) || h.grant.Cold {
 		return // it says something about the upstream, not about the class
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -47,10 +47,9 @@
 // among a few late ones.
 func (p *Pool) enqueue(r *Request, order []scored, now time.Time) bool {
 	target := p.target(r, order, now)
-	work := seconds(p.workOf(r.Class).of(true)*target.slow) + p.delay(target)
-	wait := p.waitAt(r, target, now)
-	late := !now.Add(wait + work).Before(r.Goal)
-	if late && !p.lateFits(r, wait+work, now) {
+	takes := p.waitAt(r, target, now) + p.takes(r, target)
+	late := !now.Add(takes).Before(r.Goal)
+	if late && !p.lateFits(r, takes, now) {
 		return false
 	}
 	w := &waiter{Request: *r, target: target, late: late}
@@ -139,11 +138,11 @@
 	kept := p.queue[:0]
 	var late []*waiter
 	for _, w := range p.queue {
-		work := seconds(p.workOf(w.Class).of(true)*w.target.slow) + p.delay(w.target)
+		takes := p.takes(&w.Request, w.target)
 		switch {
-		case !now.Add(work).Before(w.Deadline):
+		case !now.Add(takes).Before(w.Deadline):
 			p.refuse(&w.Request, 0, corianderwing.TooLate, "pool %s had no room in time", p.cfg.Name)
-		case !w.late && !now.Add(work).Before(w.Goal):
+		case !w.late && !now.Add(takes).Before(w.Goal):
 			late = append(late, w)
 		default:
 			kept = append(kept, w)
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -23,6 +23,10 @@
 	firstKeep = 32.0
 	leastKeep = 4.0
 	mostKeep  = 256
+	// leastSlow and mostSlow bound the measured slowness of an upstream, in units
+	// of the usual time.
+	leastSlow = 0.5
+	mostSlow  = 20.0
 	// coldBurst is the number of requests that a starting upstream may get at
 	// once.
 	coldBurst = 2.0
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -26,6 +26,9 @@
 	// them requests wait for a moment now and then.
 	borrowAt = 0.78
 	lendAt   = 0.70
+	// mostLent is the part of its slots that a domain lends at the most: its
+	// demand may come back at any moment.
+	mostLent = 0.7
 	// returnAt is the part in use below which a domain gives slots back.
 	returnAt = 0.62
 	// mostChange is the part of a region's requests that may begin or end to run
@@ -177,7 +180,7 @@
 			}
 		}
 		if need[i] == 0 {
-			spare[i] = max(0, l.Slots-lent-l.Demand/lendAt)
+			spare[i] = max(0, min(mostLent*l.Slots, l.Slots-l.Demand/lendAt)-lent)
 		}
 		total += need[i]
 		all += spare[i]
--- a/io/gate/visit.go
+++ b/io/gate/visit.go
@@ -165,13 +165,14 @@
 
 // prepare describes the request for the choice of an upstream.
 func (v *visit) prepare() {
+	since := v.s.since(v.rule.Name, v.ask.Deadline, v.start)
 	v.request = place.Request{
 		Class:    v.rule.Name,
 		Rank:     v.rule.Rank,
 		Goal:     v.rule.Goal.After(v.start),
 		Deadline: v.deadline,
 		Homes:    v.rule.Homes,
-		Again:    v.s.again(v.rule.Name, v.ask.Deadline, v.start),
+		Again:    since > 0,
 	}
 	if v.tenure != nil {
 		if v.tenure.Rank != nil {
@@ -189,20 +190,24 @@
 // time is told in the request.
 const againSlack = 10 * time.Millisecond
 
-// again reports whether the request of a caller comes back after a refusal: it
-// allows less time than the first requests to the same rule.
-func (s *Server) again(rule corianderwing.RouteID, deadline, now time.Time) bool {
+// since returns how long ago the caller sent the request for the first time: it
+// then allowed as much time as first requests to the same rule do. It returns 0
+// for a first request.
+func (s *Server) since(rule corianderwing.RouteID, deadline, now time.Time) time.Duration {
 	if deadline.IsZero() {
-		return false
+		return 0
 	}
 	left := deadline.Sub(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if left > s.usual[rule] {
+	gone := s.usual[rule] - left
+	if gone < 0 {
 		s.usual[rule] = left
-		return false
 	}
-	return left < s.usual[rule]-againSlack
+	if gone < againSlack {
+		return 0
+	}
+	return gone
 }
 
 // both returns the regions that are in both lists, where an empty list stands
