Ask other domains where no upstream is usable, and for homes elsewhere

Ruled out: an exception in the refusal of the race detector; the flag is atomic.

Change: a desk names the domain that may place a request (of its homes, or the nearest with usable upstreams); two broken connections in a row eject, one failure to connect does.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -34,6 +34,10 @@
 		p.refuse(r, wait, corianderwing.NoCapacity, "pool %s has no room for %v, %d wait", p.cfg.Name, wait, len(p.queue))
 		return
 	}
+	if d := p.instead(r); d != p.cfg.Domain {
+		p.out = append(p.out, Effect{ID: r.ID, Elsewhere: d})
+		return
+	}
 	p.refuse(r, noUpstreamAfter, corianderwing.NoUpstream, "pool %s has no usable upstream in %s", p.cfg.Name, p.cfg.Domain)
 }
 
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -102,14 +102,13 @@
 
 // look brings up to date what the choice of homes depends on.
 func (p *Pool) look(now time.Time) {
-	p.near = map[corianderwing.DomainID]float64{}
-	region := p.cfg.RegionOf(p.cfg.Domain)
+	p.slots = map[corianderwing.DomainID]float64{}
 	remembered := 0.0
 	for _, u := range p.set.Upstreams {
-		if p.cfg.RegionOf(u.Domain) != region || !p.serves(u) {
+		if !p.serves(u) {
 			continue
 		}
-		p.near[u.Domain] += float64(u.Slots)
+		p.slots[u.Domain] += float64(u.Slots)
 		if u.Domain == p.cfg.Domain {
 			remembered += p.keep
 		}
@@ -152,22 +151,53 @@
 
 // serves reports whether an announced upstream may get requests at all.
 func (p *Pool) serves(u *model.Upstream) bool {
-	return u.Phase == corianderwing.Ready && !p.set.Evacuated(u.Domain) && u.Version == p.set.Version
+	return u.Phase == corianderwing.Ready && !p.set.Evacuated(u.Domain) && (u.Version == p.set.Version || p.set.Next != "" && u.Version == p.set.Next)
 }
 
-// home returns the failure domain whose desk should place the request: that of
-// the object, if its class is shared, and another one of the region if this one
-// has no upstreams.
+// home returns the failure domain whose desk should place the request: one of
+// the regions that may run it, if this one may not; that of the object, if its
+// class is shared; and another one of the region if this one has no upstreams.
 func (p *Pool) home(r *Request) corianderwing.DomainID {
 	own := p.cfg.Domain
-	if r.Stay || p.set.Next != "" || len(p.near) == 0 || len(p.near) == 1 && p.near[own] > 0 {
+	region := p.cfg.RegionOf(own)
+	if r.Stay {
 		return own
 	}
-	if p.near[own] > 0 && (r.Object == 0 || !p.shared[r.Class] || p.knownHere(r)) {
+	if len(r.Homes) > 0 && !slices.Contains(r.Homes, region) {
+		return p.nearest(r, func(d corianderwing.DomainID) bool { return slices.Contains(r.Homes, p.cfg.RegionOf(d)) })
+	}
+	if p.slots[own] > 0 && (p.set.Next != "" || r.Object == 0 || !p.shared[r.Class] || p.knownHere(r)) {
+		return own
+	}
+	return p.nearest(r, func(d corianderwing.DomainID) bool { return p.cfg.RegionOf(d) == region })
+}
+
+// instead returns the failure domain whose desk should be asked because none of
+// the upstreams here is usable: one of the region, or else of another region.
+func (p *Pool) instead(r *Request) corianderwing.DomainID {
+	own := p.cfg.Domain
+	if r.Stay {
 		return own
 	}
-	best, high := own, math.Inf(-1)
-	for d, slots := range p.near {
+	allowed := func(d corianderwing.DomainID) bool {
+		return d != own && (len(r.Homes) == 0 || slices.Contains(r.Homes, p.cfg.RegionOf(d)))
+	}
+	region := p.cfg.RegionOf(own)
+	near := p.nearest(r, func(d corianderwing.DomainID) bool { return allowed(d) && p.cfg.RegionOf(d) == region })
+	if near != own {
+		return near
+	}
+	return p.nearest(r, allowed)
+}
+
+// nearest returns the domain of those that may place the request to which its
+// object belongs. Without one it stays here.
+func (p *Pool) nearest(r *Request, may func(corianderwing.DomainID) bool) corianderwing.DomainID {
+	best, high := p.cfg.Domain, math.Inf(-1)
+	for d, slots := range p.slots {
+		if !may(d) {
+			continue
+		}
 		if score := rendezvous(r.Object, d, slots); score > high {
 			best, high = d, score
 		}
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -111,7 +111,7 @@
 	}
 	switch o.Result {
 	case Good, Faulty:
-		s.streak = 0
+		s.streak, s.broken = 0, 0
 		s.fault(o.Result == Faulty)
 		p.learn(h, o.Took, now)
 	case Shed:
@@ -121,9 +121,12 @@
 		s.foreign, s.told = max(s.others(now), float64(s.room-s.busy)), now
 	case Moved:
 		s.until = now.Add(mostEject)
-	case Broken, Silent:
+	case Closed, Silent:
 		s.fault(true)
 		s.failed(now)
+	case Broken:
+		s.fault(true)
+		s.broke(now)
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -69,6 +69,7 @@
 	Faulty                // complete answer with a server error
 	Shed                  // refused unrun: full
 	Moved                 // another upstream has the address
+	Closed                // no connection could be opened
 	Broken                // the connection failed
 	Silent                // no answer in time
 	Dropped               // the caller left; says nothing about the upstream
@@ -134,7 +135,7 @@
 	demand  average                                  // slots that the arriving requests need
 	arrived average                                  // requests per second
 	keep    float64                                  // objects that an upstream is thought to remember
-	near    map[corianderwing.DomainID]float64       // slots in the failure domains of the region
+	slots   map[corianderwing.DomainID]float64       // of the usable upstreams in each failure domain
 	seen    map[corianderwing.RouteID]*census        // objects of each class
 	shared  map[corianderwing.RouteID]bool           // classes whose objects live anywhere in the region
 	out     []Effect
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -46,6 +46,7 @@
 	told    time.Time
 	until   time.Time // gets no request before
 	streak  int       // failures in a row
+	broken  int       // broken connections in a row
 	objects *list.List
 	index   map[uint64]*list.Element // of objects, the latest at the front
 	tokens  float64                  // requests that it may get while it starts
@@ -139,6 +140,19 @@
 	s.until = now.Add(d)
 }
 
+// broke notes a broken connection. One may be the fault of the way; several in a
+// row mean that the upstream is gone.
+func (s *server) broke(now time.Time) {
+	s.broken++
+	if s.broken >= brokenMost || s.streak > 0 {
+		s.failed(now)
+	}
+}
+
+// brokenMost is the number of broken connections in a row that eject an
+// upstream.
+const brokenMost = 2
+
 // free returns how many more requests the upstream can take now.
 func (p *Pool) free(s *server, now time.Time) float64 {
 	room := float64(s.room)
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -39,6 +39,8 @@
 type Config struct {
 	Self  func() corianderwing.Instance // as it is to be announced
 	Seeds []string                      // peer addresses of control instances to try first
+	// RegionOf returns the region of a failure domain.
+	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 	// Lease is for how long a confirmed state may be relied on.
 	Lease time.Duration
 	Log   *log.Logger
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -42,18 +42,26 @@
 	return f.current, near
 }
 
-// deskOf returns the peer address of the control instance of another failure
-// domain.
+// deskOf returns the peer address of the control instance that hands out the
+// slots of another failure domain: its own one, or else one of its region.
 func (f *Follower) deskOf(d corianderwing.DomainID) (string, bool) {
 	now := f.cfg.Now()
+	region := f.cfg.RegionOf(d)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	near := ""
 	for _, c := range f.controls {
+		if now.Before(f.mute[c.Peer]) {
+			continue
+		}
 		if c.Domain == d {
-			return c.Peer, !now.Before(f.mute[c.Peer])
+			return c.Peer, true
+		}
+		if near == "" && c.Region == region {
+			near = c.Peer
 		}
 	}
-	return "", false
+	return near, near != ""
 }
 
 // Acquire asks the control instance of the failure domain for a slot, or the
@@ -75,7 +83,7 @@
 	there := *q
 	there.Domain, there.Stay = a.Elsewhere, true
 	if other, ok := f.deskOf(a.Elsewhere); ok {
-		if a, ok := f.acquireAt(ctx, other, &there); ok {
+		if a, ok := f.acquireAt(ctx, other, &there); ok && (a.Error == nil || a.Error.Code != corianderwing.NoUpstream) {
 			return a, Slot{other, there.Domain}, true
 		}
 	}
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -224,6 +224,8 @@
 	switch e.Code {
 	case corianderwing.FirstByte:
 		return place.Silent
+	case corianderwing.ConnFail:
+		return place.Closed
 	case corianderwing.Deadline, corianderwing.CallerGone, corianderwing.Stopping,
 		corianderwing.CutBody, corianderwing.BigBody:
 		return place.Dropped
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -156,6 +156,7 @@
 	}
 	limits := gate.NewLimits(time.Duration(set.Bounds.Window))
 	n.follow = follow.New(follow.Config{
+		RegionOf: set.regionOf,
 		Self: func() corianderwing.Instance {
 			self := self
 			self.Phase = corianderwing.Draining
--- a/io/relay/send_test.go
+++ b/io/relay/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,7 +84,7 @@
 	is := is.New(t)
 	is.NoErr(err)
 	defer l.Close()
-	reset := false
+	var reset atomic.Bool
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -92,7 +93,7 @@
 			}
 			http.ReadRequest(bufio.NewReader(c))
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbytes")
-			if reset {
+			if reset.Load() {
 				c.(*net.TCPConn).SetLinger(0)
 			}
 			c.Close()
@@ -105,7 +106,7 @@
 	c.Unframed, c.First = true, time.Now().Add(time.Minute)
 	a, e = Send(t.Context(), c)
 	is.Equal(text(t, a, e), "bytes")
-	reset = true
+	reset.Store(true)
 	c.First = time.Now().Add(time.Minute)
 	a, e = Send(t.Context(), c)
 	got := text(t, a, e)
