--- a/dialect.go
+++ b/dialect.go
@@ -26,7 +26,7 @@
 	NotRun  bool // the upstream did not run the request
 	Moved   bool // another upstream has the address
 	Load    bool // Running and Waiting are known
-	Running int
+	Running int  // requests in progress there, without the answered one
 	Waiting int
 	Cold    Millis // for how much longer the upstream is slow
 }
