Let entry instances hold the tokens that they use

Entry instances had no tokens of their own: shares under eight tokens were not handed out, and the reserve of a control instance, once it had lent tokens, kept them, so that nearly all requests borrowed. After the restart the first answers named no shares, and the valid ones of before were dropped.

--- /dev/null
+++ b/core/quota/outage_test.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lose replaces the leader and all control instances by others that know
+// nothing, while the entry instances go on.
+func (f *fleet) lose(most int, now time.Time) {
+	f.leader = New(window, now.Add(Quiet(window)))
+	f.leader.SetBounds(bounds(most))
+	for _, c := range f.controls {
+		c.divider = New(window, time.Time{})
+		c.divider.SetReserve("reserve")
+		c.reserve = NewPurses(window)
+	}
+}
+
+// Guards against entry instances that refuse the requests of a workspace inside
+// its bound while no control instance runs, and after all of them started anew:
+// the tokens must lie where the requests come in.
+func TestLossOfAllControls(t *testing.T) {
+	is := is.New(t)
+	const (
+		rate  = 16  // requests a second: the mean workspace of the smaller site
+		most  = 200 // two and a half times what it uses in a window
+		lost  = 20 * time.Second
+		back  = 23 * time.Second
+		step  = 20 * time.Millisecond
+		count = 20
+	)
+	asked, refused := [2]int{}, [2]int{} // while they are lost, and after it
+	for seed := range uint64(count) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		f := newFleet(most, []int{2, 2, 2, 1, 1, 1})
+		for at := time.Duration(0); at < 28*time.Second; at += step {
+			now := begin.Add(at)
+			if at == back {
+				f.lose(most, now)
+			}
+			gone := at >= lost && at < back
+			if !gone && at%(400*time.Millisecond) == 0 {
+				f.round(now)
+			}
+			if r.Float64() >= rate*step.Seconds() {
+				continue
+			}
+			c := f.controls[r.IntN(6)]
+			i := r.IntN(len(c.entries))
+			ok := false
+			if gone {
+				ok = c.entries[i].Take(shop, now)
+			} else {
+				ok = f.admit(c, i, now)
+			}
+			if at < lost {
+				continue
+			}
+			phase := 0
+			if !gone {
+				phase = 1
+			}
+			asked[phase]++
+			if !ok {
+				refused[phase]++
+			}
+		}
+	}
+	t.Logf("%d of %d refused without control instances, %d of %d after it", refused[0], asked[0], refused[1], asked[1])
+	is.True(float64(refused[0]) < 0.05*float64(asked[0]))
+	is.True(float64(refused[1]) < 0.05*float64(asked[1]))
+}
+
+// Guards against refusals at the beginning of the day: the first requests come
+// anywhere, and a few of them must not draw the tokens away from where the next
+// ones come.
+func TestDemandBegins(t *testing.T) {
+	is := is.New(t)
+	const (
+		rate = 16
+		most = 184 // the bound of a workspace whose rate is 1.6 times that
+		step = 20 * time.Millisecond
+	)
+	asked, refused := 0, 0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		f := newFleet(most, []int{2, 2, 2, 1, 1, 1})
+		weights := []float64{1.7, 1, 1.5, 1, 0.3, 0.5}
+		for at := -4 * time.Second; at < 5*time.Second; at += step {
+			now := begin.Add(at)
+			if at%(400*time.Millisecond) == 0 {
+				f.round(now)
+			}
+			if at < 0 || r.Float64() >= rate*step.Seconds() {
+				continue
+			}
+			x := r.Float64() * 6
+			k := 0
+			for k < 5 && x > weights[k] {
+				x -= weights[k]
+				k++
+			}
+			c := f.controls[k]
+			asked++
+			if !f.admit(c, r.IntN(len(c.entries)), now) {
+				refused++
+			}
+		}
+	}
+	t.Logf("%d of %d refused", refused, asked)
+	is.True(float64(refused) < 0.01*float64(asked))
+}
--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -149,16 +149,17 @@
 	k.shares = kept
 }
 
-// Lend replaces the shares from one control instance by others that are valid
-// until a deadline. Tokens that are in use stay so: with a smaller share, new
-// requests wait for them.
+// Lend replaces shares from one control instance by others that are valid until
+// a deadline. Tokens that are in use stay so: with a smaller share, new requests
+// wait for them. Shares of workspaces that are not named stay until they expire:
+// a control instance that has just started knows nothing of them yet.
 func (p *Purses) Lend(from string, shares []Share, until, now time.Time) {
-	for _, k := range p.known {
-		k.drop(from, now)
-	}
 	for _, s := range shares {
 		k := p.purse(s.Workspace, now)
-		k.shares = append(k.shares, lent{from, s.Tokens, until})
+		k.drop(from, now)
+		if s.Tokens > 0 {
+			k.shares = append(k.shares, lent{from, s.Tokens, until})
+		}
 	}
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -31,11 +31,6 @@
 // evenly at all together.
 const ReservePart = 0.5
 
-// leastShare is the smallest share beside a reserve, in tokens. The holder of
-// fewer would refuse requests that come together: it borrows each token
-// instead.
-const leastShare = 8
-
 // Need is what a holder says of one workspace.
 type Need struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
@@ -95,8 +90,9 @@
 func (d *Divider) SetBounds(b map[corianderwing.WorkspaceID]int) { d.bounds = b }
 
 // Ask takes a holder's needs and returns its shares. They are valid for Lease
-// after the holder sent them, as far as the Divider's own shares are. A new
-// life of a holder needs a new name.
+// after the holder sent them, as far as the Divider's own shares are. Workspaces
+// of which no bound is known are left out: what the holder has of them stays
+// valid until it expires. A new life of a holder needs a new name.
 func (d *Divider) Ask(name string, needs []Need, now time.Time) []Share {
 	d.expire(now)
 	// A token that is used just before the share expires is in use for a
@@ -117,9 +113,6 @@
 		}
 		k := h.needs[n.Workspace]
 		tokens := d.share(name, n.Workspace, bound, now)
-		if d.reserve != "" && name != d.reserve && tokens < leastShare || tokens == 0 {
-			continue
-		}
 		k.out = max(k.out, tokens)
 		h.needs[n.Workspace] = k
 		shares = append(shares, Share{n.Workspace, tokens})
@@ -137,10 +130,7 @@
 		}
 	}
 	out := d.holders[name].needs[w].out
-	part := bound
-	if name != d.reserve {
-		part = d.part(name, w, bound)
-	}
+	part := d.part(name, w, bound)
 	if now.Before(d.quiet) {
 		bound -= d.unknown(w, bound-others-out, now)
 	}
@@ -197,38 +187,72 @@
 	ahead = 1200 * time.Millisecond
 	// spareTokens is what a holder gets beyond that.
 	spareTokens = 2
-	// idlePart is the part of a bound that is divided equally, whatever the
+	// evenScarce is the part of a bound that is divided equally, whatever the
 	// demand, where there are not enough tokens for all.
-	idlePart = 0.25
-	// lentIdle is the part of the tokens that nobody needs now which is handed
-	// out all the same. The rest is there at once for a demand that rises.
-	lentIdle = 0.5
+	evenScarce = 0.25
+	// evenIdle is the same part of the tokens that nobody needs now: the first few
+	// requests say little about where the next ones come.
+	evenIdle = 0.5
+	// lentIdle is the part of the tokens that nobody needs now which the leader
+	// hands out all the same, so that they are there while it is not. The rest is
+	// there at once for a demand that rises.
+	lentIdle = 0.8
+	// lentReserve is the same part at a Divider with a reserve, whose holders
+	// can borrow the rest one by one.
+	lentReserve = 0.5
 )
 
 // part returns a holder's part of the bound. The parts of all holders together
-// are not above the bound.
+// are not above the bound. The holders come before the reserve, so that they can
+// go on by themselves: it has what it lent already, a few more tokens, and what
+// the holders leave.
 func (d *Divider) part(name string, w corianderwing.WorkspaceID, bound int) int {
 	total, wanted, count := 0.0, 0.0, 0.0
-	for _, h := range d.holders {
-		if n, ok := h.needs[w]; ok {
+	for other, h := range d.holders {
+		n, ok := h.needs[w]
+		switch {
+		case !ok:
+		case other == d.reserve:
+			bound -= n.used + spareTokens
+		default:
 			total += n.asked
 			wanted += n.wanted()
 			count++
 		}
 	}
+	bound = max(0, bound)
 	idle := float64(bound) - wanted
+	even := evenScarce
+	if idle > 0 {
+		even = evenIdle
+	}
+	if name == d.reserve {
+		left := max(0, (1-d.idle())*idle)
+		if count == 0 {
+			left = float64(bound)
+		}
+		return d.holders[name].needs[w].used + spareTokens + int(left)
+	}
 	return d.round(name, w, func(n need) float64 {
 		byDemand := 1 / count
 		if total > 0 {
-			byDemand = idlePart/count + (1-idlePart)*n.asked/total
+			byDemand = even/count + (1-even)*n.asked/total
 		}
 		if idle > 0 {
-			return n.wanted() + lentIdle*idle*byDemand
+			return n.wanted() + d.idle()*idle*byDemand
 		}
 		return float64(bound) * byDemand
 	})
 }
 
+// idle returns the part of the tokens that nobody needs now which is handed out.
+func (d *Divider) idle() float64 {
+	if d.reserve != "" {
+		return lentReserve
+	}
+	return lentIdle
+}
+
 // wanted returns the tokens that the holder will use soon.
 func (n need) wanted() float64 {
 	return float64(n.used) + n.asked*ahead.Seconds() + spareTokens
@@ -240,7 +264,7 @@
 	sum, before := 0.0, 0
 	for _, other := range slices.Sorted(maps.Keys(d.holders)) {
 		n, ok := d.holders[other].needs[w]
-		if !ok {
+		if !ok || other == d.reserve {
 			continue
 		}
 		sum += part(n)
--- a/io/follow/beat.go
+++ b/io/follow/beat.go
@@ -15,7 +15,9 @@
 	// maxMisses is how many beats in a row may fail before another control
 	// instance is followed.
 	maxMisses = 2
-	// firstPause is the pause between two beats while nothing is known yet.
+	// firstPause is the pause between two beats while nothing is known yet, or
+	// while the control instance has no shares to give because it has just started
+	// or knows no leader.
 	firstPause = 80 * time.Millisecond
 	// maxAge is the age of a confirmation above which other control instances
 	// are asked as well: the followed one may be out of touch itself.
@@ -41,10 +43,11 @@
 
 // pause returns the time until the next beat.
 func (f *Follower) pause() time.Duration {
-	if _, known := f.View(); !known {
+	info := f.info.Load()
+	if _, known := f.View(); !known || info.Left <= 0 {
 		return firstPause
 	}
-	if len(f.info.Load().Moves) > 0 {
+	if len(info.Moves) > 0 {
 		return moveBeat
 	}
 	return beatEvery
