Lend at once after everything was lost, and ramp from the first moments

Ruled out: a ramp from the first request on (th-north needs a third elsewhere).

Change: at will for 0.7 s after the first requests; a leader that started less than 5 s ago, on an existing state and without any loans, lends at will for 5 s.

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -36,7 +36,7 @@
 	mostChange = 0.06
 	// firstFor is how long after its first requests a region may change at will:
 	// there is nothing yet that could be hit by the change.
-	firstFor = 1500 * time.Millisecond
+	firstFor = 700 * time.Millisecond
 	// lostPart is the part of its slots that a domain must have lost lately to
 	// borrow at once: requests that have nowhere to go do not wait for a ramp.
 	lostPart = 0.3
@@ -93,6 +93,7 @@
 	peaks map[spot]peak
 	heard map[spot]time.Time                   // last report
 	first map[corianderwing.RegionID]time.Time // when a region's requests began
+	free  time.Time                            // until which regions may change at will
 	last  time.Time
 }
 
@@ -101,6 +102,11 @@
 	return &Planner{loans: map[pair]float64{}, peaks: map[spot]peak{}, heard: map[spot]time.Time{}, first: map[corianderwing.RegionID]time.Time{}}
 }
 
+// Free lets all regions change at will until a deadline. It answers the loss of
+// everything at once, loans and requests included: what comes back meets caches
+// that nobody uses.
+func (p *Planner) Free(until time.Time) { p.free = until }
+
 // Adopt takes over the loans of an earlier Planner.
 func (p *Planner) Adopt(loans []Loan) {
 	for _, l := range loans {
@@ -264,7 +270,8 @@
 	change := map[corianderwing.RegionID]float64{}
 	effect := func(k pair) (corianderwing.RegionID, float64) {
 		l := at[spot{k.pool, k.borrower}]
-		if l.Region == at[spot{k.pool, k.lender}].Region || region[l.Region] == 0 || now.Sub(p.first[l.Region]) < firstFor {
+		begins := now.Before(p.free) || now.Sub(p.first[l.Region]) < firstFor
+		if l.Region == at[spot{k.pool, k.lender}].Region || region[l.Region] == 0 || begins {
 			return l.Region, 0
 		}
 		slots := max(l.Slots, l.Demand, 1)
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -110,3 +110,35 @@
 		is.Equal(Assign(loans, usable), lots)
 	}
 }
+
+// Guards against a region without upstreams of its own size that refuses a part
+// of its requests for seconds after everything was lost, because its first few
+// requests used up the time in which loans may follow at once.
+func TestFreeAfterLossOfAll(t *testing.T) {
+	is := is.New(t)
+	borrowed := func(free bool) int {
+		p := New()
+		now := time.Unix(1000, 0)
+		if free {
+			p.Free(now.Add(5 * time.Second))
+		}
+		n := 0
+		for i := range 10 {
+			demand := 1.0 // most requests are still refused for other reasons
+			if i >= 8 {
+				demand = 10
+			}
+			n = 0
+			for _, l := range p.Update([]Load{
+				{Pool: "files", Domain: "a1", Region: "a", Slots: 4, Demand: demand, Arrived: 10 * demand},
+				{Pool: "files", Domain: "b1", Region: "b", Slots: 16, Demand: 2, Arrived: 20},
+			}, now) {
+				n += l.Slots
+			}
+			now = now.Add(400 * time.Millisecond)
+		}
+		return n
+	}
+	is.True(borrowed(false) < 4)
+	is.True(borrowed(true) >= 8)
+}
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -22,6 +22,9 @@
 	// pulseEvery is the interval at which control instances report to the
 	// leader. It adds to the age of what entry instances are told.
 	pulseEvery = 400 * time.Millisecond
+	// firstPulse is the interval while this instance has no valid shares of
+	// bounds: entry instances refuse requests meanwhile.
+	firstPulse = 100 * time.Millisecond
 	// pulseTimeout bounds one report: a round of the leader and the way there
 	// and back.
 	pulseTimeout = 900 * time.Millisecond
@@ -83,7 +86,10 @@
 func (p *Plane) keepPulse() {
 	for {
 		every := pulseEvery
-		if moving(p.machine.View()) {
+		switch {
+		case !p.sharing():
+			every = firstPulse
+		case moving(p.machine.View()):
 			every = movePulse
 		}
 		if !clock.Sleep(p.ctx, every) {
@@ -101,6 +107,13 @@
 	}
 }
 
+// sharing reports whether this instance has valid shares of bounds to give.
+func (p *Plane) sharing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Boot().Before(p.until)
+}
+
 // pulse sends one report.
 func (p *Plane) pulse(ctx context.Context) (*pulseReply, error) {
 	q := p.report()
@@ -237,6 +250,7 @@
 	beat time.Duration
 
 	mu      sync.Mutex
+	started time.Time // this instance
 	term    corianderwing.Term
 	since   time.Time
 	looked  time.Time // when silent upstreams were looked for
@@ -263,7 +277,7 @@
 	at      time.Time
 }
 
-func newLead(beat time.Duration) *lead { return &lead{beat: beat} }
+func newLead(beat time.Duration) *lead { return &lead{beat: beat, started: clock.Boot()} }
 
 // begin starts a new term. The lock is held.
 func (l *lead) begin(term corianderwing.Term, now time.Time) {
--- a/io/plane/steer.go
+++ b/io/plane/steer.go
@@ -15,6 +15,11 @@
 	steerEvery = 300 * time.Millisecond
 	// loadFor is how long a report of loads counts.
 	loadFor = 1500 * time.Millisecond
+	// startedFor is how soon after its own start a leader without any loans takes
+	// it that all instances have started anew, and freeFor how long loans then
+	// follow the demand at once: entry instances have their shares by then.
+	startedFor = 5 * time.Second
+	freeFor    = 5 * time.Second
 	// lotsFor is how long lots count without a confirmation by the leader.
 	lotsFor = 4 * time.Second
 )
@@ -47,6 +52,9 @@
 	if s.at.IsZero() {
 		s.lots = l.known()
 		s.planner.Adopt(loansOf(s.lots, v))
+		if l.revision() > 0 && len(s.lots) == 0 && now.Sub(l.started) < startedFor {
+			s.planner.Free(now.Add(freeFor))
+		}
 		s.version = uint64(term) << 32
 	}
 	s.at = now
