Leave upstreams alone that work, and say what does not exist only when sure

LOST at 1.07 s: a request for a stitch file was taken from its upstream after 700 ms, because its class had not been measured and 300 ms were assumed; no retry was left in the budget, so it ended with 504, after SIGTERM. CONFIG at 19.96 s: an entry instance followed a control instance that had come back with an empty disk and had not joined the group; it heard of no leader from 18.7 to 20.3 s, and the entry instance answered 404 for a new route from a state confirmed 2.1 s before.

Ruled out: a longer shortest silence (the time is not known at the beginning, how long it may be); a shorter lease for all requests (they may run on the old state).

Change: no first-byte limit where the class was not measured, no retry is left or the instance stops, and never under 2.5 times the time of an unknown object; 404 and 401 only within the time in which changes come into force (new setting bounds.apply), else 503; entry instances look for a more current control instance after 1.1 s (1.5 s); a control instance asks the last known leader.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -44,6 +44,7 @@
 type Grant struct {
 	Upstream *model.Upstream
 	Work     time.Duration // expected until the first byte of the answer
+	Longest  time.Duration // the same if the upstream does not know the object; 0 if that was never measured
 	Known    bool          // the upstream is expected to know the object
 	Cold     bool          // the upstream still starts
 	Next     bool          // it is of the version that a move leads to
@@ -320,6 +321,9 @@
 		Cold:     cold,
 		Next:     next,
 	}
+	if w := p.workOf(r.Class); w.unknown > 0 {
+		g.Longest = seconds(w.unknown*s.slow) + p.delay(s)
+	}
 	p.held[r.ID] = &hold{Request: *r, server: s, grant: g, depth: depth, at: now}
 	p.out = append(p.out, Effect{ID: r.ID, Grant: g})
 }
--- a/io/follow/beat.go
+++ b/io/follow/beat.go
@@ -21,10 +21,10 @@
 	firstPause = 80 * time.Millisecond
 	// maxAge is the age of a confirmation above which other control instances
 	// are asked as well: the followed one may be out of touch itself.
-	maxAge = 1500 * time.Millisecond
+	maxAge = 1100 * time.Millisecond
 	// fresher is by how much another one must be more current to be followed
 	// instead. While no leader is known, all of them are as old.
-	fresher = 600 * time.Millisecond
+	fresher = 400 * time.Millisecond
 	// scoutEvery is the interval at which another control instance is asked,
 	// and homeEvery that at which the nearest one is, if another is followed.
 	scoutEvery = 400 * time.Millisecond
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -43,7 +43,10 @@
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 	// Lease is for how long a confirmed state may be relied on.
 	Lease time.Duration
-	Log   *log.Logger
+	// Current is for how long after its confirmation a state is taken to have all
+	// that there is.
+	Current time.Duration
+	Log     *log.Logger
 	// Now returns the boot time. Default: clock.Boot.
 	Now func() time.Time
 	// Changed is called after each change of the state. It must not block.
@@ -146,6 +149,12 @@
 // IsFresh reports whether the state may be relied on now.
 func (f *Follower) IsFresh() bool { return f.cfg.Now().Before(f.Fresh()) }
 
+// IsCurrent reports whether the state was confirmed so lately that what it lacks
+// does not exist.
+func (f *Follower) IsCurrent() bool {
+	return f.cfg.Now().Before(f.Fresh().Add(f.cfg.Current - f.cfg.Lease))
+}
+
 // Neighbors returns the other live entry instances of the failure domain, as
 // the control role last said.
 func (f *Follower) Neighbors() []corianderwing.Instance { return f.info.Load().Neighbors }
--- /dev/null
+++ b/io/follow/follow_test.go
@@ -0,0 +1,42 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
+)
+
+// Guards against an instance that says of a new route that it does not exist: its
+// state may be relied on for longer than changes take to be in force, while it is
+// out of touch or follows a control instance that is.
+func TestCurrentIsShorterThanFresh(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	now := start
+	f := &Follower{cfg: Config{Lease: 4 * time.Second, Current: 1500 * time.Millisecond, Now: func() time.Time { return now }}}
+	f.state.Store(&state{view: model.New(), known: true})
+	is.True(!f.IsCurrent())
+	f.extend(0, start.Add(f.cfg.Lease))
+	for _, c := range []struct {
+		after          time.Duration
+		current, fresh bool
+	}{
+		{0, true, true},
+		{1400 * time.Millisecond, true, true},
+		{1600 * time.Millisecond, false, true},
+		{4100 * time.Millisecond, false, false},
+	} {
+		now = start.Add(c.after)
+		is.Equal(f.IsCurrent(), c.current)
+		is.Equal(f.IsFresh(), c.fresh)
+	}
+	// A confirmation of a revision that the view lacks does not count.
+	now = start
+	f.extend(corianderwing.Revision(7), start.Add(time.Hour))
+	now = start.Add(2 * time.Second)
+	is.True(!f.IsCurrent())
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -27,6 +27,9 @@
 	View() (*model.View, bool)
 	// IsFresh reports whether the state may be relied on now.
 	IsFresh() bool
+	// IsCurrent reports whether the state is so recent that what it lacks does
+	// not exist.
+	IsCurrent() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
 	// Borrow asks for a token of a workspace's bound. It returns who lent one, or
--- a/io/gate/pool.go
+++ b/io/gate/pool.go
@@ -87,6 +87,13 @@
 	return p.budget.spend()
 }
 
+// mayRetry reports whether the budget has a retry left.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.level >= 1
+}
+
 func (p *pool) each(f func(*host)) {
 	p.mu.Lock()
 	hosts := make([]*host, 0, len(p.hosts))
--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -20,10 +20,11 @@
 	// mostDials is the number of upstreams to which a connection is tried.
 	mostDials = 4
 	// silentFactor is how many times longer than expected an upstream may be
-	// silent before another one is tried, and silentLeast the shortest such
-	// time.
-	silentFactor = 6
-	silentLeast  = 700 * time.Millisecond
+	// silent before another one is tried, longestFactor how many times longer than
+	// where the object is unknown, and silentLeast the shortest such time.
+	silentFactor  = 6
+	longestFactor = 2.5
+	silentLeast   = 700 * time.Millisecond
 )
 
 // run brings the request to an upstream, with retries at others.
@@ -204,12 +205,16 @@
 
 // firstByte returns until when the upstream's answer must begin. A request that
 // may run again leaves an upstream that is silent for far longer than expected:
-// its connection may have lost its way.
+// its connection may have lost its way. It stays where it could not be sent
+// again, where nobody knows how long it takes, and while this instance stops.
 func (v *visit) firstByte(t *slot, now time.Time) time.Time {
 	if v.rule.Once || !v.body.Replay() || len(v.request.Tried)+1 >= v.tries() {
 		return v.deadline
 	}
-	d := max(silentFactor*t.work, silentLeast)
+	if t.longest == 0 || v.s.leaving.Load() || !t.pool.mayRetry() {
+		return v.deadline
+	}
+	d := max(silentFactor*t.work, time.Duration(longestFactor*float64(t.longest)), silentLeast)
 	if t.cold {
 		d *= 2
 	}
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -18,6 +18,7 @@
 	id       place.ID
 	from     follow.Slot // who handed it out; empty for this instance itself
 	work     time.Duration
+	longest  time.Duration // 0 if not known
 	known    bool
 	cold     bool
 	next     bool
@@ -66,6 +67,7 @@
 		id:       a.ID,
 		from:     from,
 		work:     time.Duration(a.Work) * time.Millisecond,
+		longest:  time.Duration(a.Longest) * time.Millisecond,
 		known:    a.Known,
 		cold:     a.Cold,
 		next:     a.Next,
@@ -85,6 +87,7 @@
 		upstream: t.Upstream,
 		id:       t.ID,
 		work:     t.Work,
+		longest:  t.Longest,
 		known:    t.Known,
 		cold:     t.Cold,
 		next:     t.Next,
--- a/io/gate/visit.go
+++ b/io/gate/visit.go
@@ -80,7 +80,7 @@
 	fresh := v.s.cfg.Control.IsFresh()
 	set := view.Items()
 	rule, ok := set.Rule(v.r.Host, items.PathOf(v.r.RequestURI))
-	if !ok && !fresh {
+	if !ok && !v.s.cfg.Control.IsCurrent() {
 		return corianderwing.Errorf(corianderwing.NotFresh, "the settings may have changed")
 	}
 	if !ok {
@@ -157,6 +157,8 @@
 		return corianderwing.Errorf(corianderwing.NotFresh, "keys cannot be confirmed")
 	case v.ask.Key == "":
 		return corianderwing.Errorf(corianderwing.NoKey, "rule %s needs a key", v.rule.Name)
+	case v.tenure == nil && !v.s.cfg.Control.IsCurrent():
+		return corianderwing.Errorf(corianderwing.NotFresh, "the keys may have changed")
 	case v.tenure == nil:
 		return corianderwing.Errorf(corianderwing.BadKey, "the key is unknown")
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -167,6 +167,7 @@
 		},
 		Seeds:   set.seedPeers(),
 		Lease:   time.Duration(set.Bounds.Revoke) - leaseMargin,
+		Current: min(time.Duration(set.Bounds.Apply), time.Duration(set.Bounds.Revoke)) - leaseMargin,
 		Log:     n.log,
 		Changed: func() { n.changed() },
 		Limits:  limits,
--- /dev/null
+++ b/io/node/path_test.go
@@ -0,0 +1,226 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing/io/node"
+	"corianderwing/platform"
+)
+
+// The stand-in plays the platform: it writes the settings of instances, and it
+// is the operator, an upstream and a caller, all over loopback addresses.
+
+// settings returns the settings of an instance on an address of its own, as the
+// templates in deploy/ would render them.
+func settings(t *testing.T, role, ip, dir string, ports int) *node.Settings {
+	t.Helper()
+	text := fmt.Sprintf(`
+name: %[1]s
+role: %[1]s
+ip: %[2]s
+domain: a-1
+region: a
+ports: [%[4]d, %[5]d]
+seeds: ["127.0.0.1:%[6]d"]
+found: true
+beat: 500ms
+domains: {"a-1": "a"}
+losses: 0
+data: %[3]s
+log: error
+listen:
+  admin: 127.0.0.1:%[6]d
+  lookup: 127.0.0.1:%[7]d
+  public: 127.0.0.1:%[8]d
+  ready: 127.0.0.1:%[9]d
+`, role, ip, filepath.Join(dir, role), ports, ports+3, ports+10, ports+11, ports+12, ports+13)
+	set, err := node.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if role == node.Entry {
+		set.Listen.Admin, set.Listen.Lookup = "", ""
+	} else {
+		set.Listen.Public, set.Listen.Ready = "", ""
+	}
+	return set
+}
+
+// freePorts returns the first of 20 ports that are free now.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for base := 21000; base < 60000; base += 20 {
+		free := true
+		for p := base; p < base+20 && free; p++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			if err != nil {
+				free = false
+				continue
+			}
+			l.Close()
+		}
+		if free {
+			return base
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// call sends a request and returns status, header and body of the answer.
+func call(method, url, body string, header map[string]string) (int, http.Header, string) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	if h := header["Host"]; h != "" {
+		req.Host = h
+	}
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// eventually calls f until it returns true.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	end := time.Now().Add(30 * time.Second)
+	for !f() {
+		if time.Now().After(end) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// serve starts an upstream that says what it was asked.
+func serve(t *testing.T, id string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Load", "1,0,4")
+		if e := r.Header.Get("X-Expect-Instance"); e != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var body bytes.Buffer
+		io.Copy(&body, r.Body)
+		fmt.Fprintf(w, "%s %s key=%q tenant=%q body=%q", r.Method, r.RequestURI, r.Header.Get("X-Key"), r.Header.Get("X-Tenant"), body.String())
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+const firstItems = `{"upsert":{
+"routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency","priority","maxAttempts","public","sticky","version","service"],
+"rows":[["r-1","shop.example","/files/","safe","1500ms","600ms",2,2,false,true,"r1","files"]]},
+"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst","version"],"rows":[["mvule",["k-1"],1,60,60,"r1"]]},
+"services":{"columns":["name","healthPath","maxConns","protocol","tls","coldStart","coldPerS","version"],"rows":[["files","/health",330,"h1",false,"3s",3.2,"r1"]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms","version":"r1"}},
+"remove":{"routes":[]}}`
+
+// Guards against a break anywhere on the whole path of the users' platform: the
+// first settings, an upstream that announces itself, a lookup, a request with a
+// key, a refused change, a withdrawn key and a planned stop.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ports := freePorts(t)
+	control, err := node.Start(settings(t, node.Control, "127.0.0.1", dir, ports), &platform.Adapter{})
+	is.NoErr(err)
+	entry, err := node.Start(settings(t, node.Entry, "127.0.0.1", dir, ports), &platform.Adapter{})
+	is.NoErr(err)
+	admin := fmt.Sprintf("http://127.0.0.1:%d", ports+10)
+	lookup := fmt.Sprintf("http://127.0.0.1:%d/resolve?name=shop.example&region=a&zone=a-1", ports+11)
+	public := fmt.Sprintf("http://127.0.0.1:%d", ports+12)
+	ready := fmt.Sprintf("http://127.0.0.1:%d/ready", ports+13)
+	ask := func(path, key string) (int, string) {
+		status, _, body := call("GET", public+path, "", map[string]string{
+			"Host": "shop.example", "X-Request-Id": "q1", "X-Key": key, "X-Deadline-Ms": "1000", "Cookie": "X-Affinity-Key=7",
+		})
+		return status, body
+	}
+
+	status, _ := ask("/files/1", "k-1")
+	is.Equal(status, http.StatusServiceUnavailable) // no settings are known: not 404
+	eventually(t, "the first settings are accepted", func() bool {
+		status, _, _ := call("POST", admin+"/Config.Patch", firstItems, nil)
+		return status == http.StatusOK
+	})
+	beat := fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"files","version":"v1","zone":"a-1","slots":4},"status":{"state":"ready","callSeq":1,"coldLeft":"0ms"}}`, serve(t, "i-1"))
+	eventually(t, "the heartbeat is acknowledged", func() bool {
+		status, _, _ := call("POST", admin+"/Instances.Heartbeat/i-1", beat, nil)
+		return status == http.StatusOK
+	})
+	eventually(t, "a request is served", func() bool {
+		status, body := ask("/files/1?x=2", "k-1")
+		return status == http.StatusOK && body == `GET /files/1?x=2 key="" tenant="mvule" body=""`
+	})
+	eventually(t, "the lookup names the entry instance", func() bool {
+		status, _, body := call("GET", lookup, "", nil)
+		return status == http.StatusOK && strings.Contains(body, fmt.Sprintf(`"127.0.0.1:%d"`, ports+12))
+	})
+	status, _, _ = call("GET", ready, "", nil)
+	is.Equal(status, http.StatusOK)
+	status, _ = ask("/other/", "k-1")
+	is.Equal(status, http.StatusNotFound)
+	status, _ = ask("/files/1", "k-2")
+	is.Equal(status, http.StatusUnauthorized)
+
+	// A change that is refused as a whole, with the reason.
+	bad := strings.ReplaceAll(strings.Replace(strings.Replace(firstItems, `"files"]]`, `"nothing"]]`, 1), `"k-1"`, `"k-3"`, 1), `"r1"`, `"r2"`)
+	status, _, body := call("POST", admin+"/Config.Patch", bad, nil)
+	is.Equal(status, http.StatusBadRequest)
+	is.True(strings.Contains(body, "nothing"))
+	status, _ = ask("/files/1", "k-1")
+	is.Equal(status, http.StatusOK)
+
+	// The key is withdrawn by the next version of its workspace.
+	next := `{"upsert":{"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst","version"],"rows":[["mvule",["k-2"],1,60,60,"r3"]]}},"remove":{"routes":[]}}`
+	status, _, _ = call("POST", admin+"/Config.Patch", next, nil)
+	is.Equal(status, http.StatusOK)
+	eventually(t, "the new key works", func() bool { status, _ := ask("/files/1", "k-2"); return status == http.StatusOK })
+	status, _ = ask("/files/1", "k-1")
+	is.Equal(status, http.StatusUnauthorized)
+
+	// A planned stop: not ready at once, and served until the end.
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	go func() { stopped <- entry.Close(ctx) }()
+	eventually(t, "the entry instance is not ready", func() bool {
+		status, _, _ := call("GET", ready, "", nil)
+		return status == http.StatusServiceUnavailable
+	})
+	status, _ = ask("/files/1", "k-2")
+	is.Equal(status, http.StatusOK)
+	is.NoErr(<-stopped)
+	is.NoErr(control.Close(ctx))
+}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -52,6 +52,7 @@
 // Bounds are what the site promises.
 type Bounds struct {
 	Lookup Span    `yaml:"lookup"` // longest time for which callers may cache a lookup
+	Apply  Span    `yaml:"apply"`  // after which an accepted change is in force
 	Revoke Span    `yaml:"revoke"` // after which no instance accepts a revoked key
 	Grace  Span    `yaml:"grace"`  // between the order to stop and the end
 	Window Span    `yaml:"window"` // in which the rate and burst of a workspace are counted
@@ -108,6 +109,7 @@
 const (
 	defaultBeat   = Span(1500 * time.Millisecond)
 	defaultLookup = Span(5 * time.Second)
+	defaultApply  = Span(2 * time.Second)
 	defaultRevoke = Span(5 * time.Second)
 	defaultGrace  = Span(6 * time.Second)
 	defaultWindow = Span(time.Second)
@@ -121,6 +123,7 @@
 	}{
 		{&s.Beat, defaultBeat},
 		{&s.Bounds.Lookup, defaultLookup},
+		{&s.Bounds.Apply, defaultApply},
 		{&s.Bounds.Revoke, defaultRevoke},
 		{&s.Bounds.Grace, defaultGrace},
 		{&s.Bounds.Window, defaultWindow},
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -60,6 +60,7 @@
 	entries     []corianderwing.Instance            // all live ones, as the leader last said
 	controls    []Control
 	version     uint64         // of entries
+	lastLeader  string         // its address
 	divider     *quota.Divider // of this instance's shares
 	reserve     *quota.Purses  // the part of the shares from which entry instances borrow
 	lots        []steer.Lot    // slots that failure domains lend each other
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -117,7 +117,7 @@
 // pulse sends one report.
 func (p *Plane) pulse(ctx context.Context) (*pulseReply, error) {
 	q := p.report()
-	addr := p.replica.Leader()
+	addr := p.leader()
 	switch addr {
 	case "":
 		return nil, errors.New("no leader is known")
@@ -127,6 +127,19 @@
 	return peer.Call(ctx, p.peer, addr, pulseMethod, q)
 }
 
+// leader returns the address of the leader, or of the last one that was known: a
+// replica that has not joined the group yet hears no heartbeats, but the leader
+// may answer it.
+func (p *Plane) leader() string {
+	addr := p.replica.Leader()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr != "" {
+		p.lastLeader = addr
+	}
+	return p.lastLeader
+}
+
 // report returns the next pulse.
 func (p *Plane) report() *pulse {
 	now := clock.Boot()
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -146,6 +146,7 @@
 		Upstream:    t.Upstream.ID,
 		Incarnation: t.Upstream.Incarnation,
 		Work:        corianderwing.Millis(t.Work.Milliseconds()),
+		Longest:     corianderwing.Millis(t.Longest.Milliseconds()),
 		Known:       t.Known,
 		Cold:        t.Cold,
 		Next:        t.Next,
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -92,7 +92,8 @@
 	ID          place.ID                  `json:"id,omitempty"`
 	Upstream    corianderwing.UpstreamID  `json:"upstream,omitempty"`
 	Incarnation corianderwing.Incarnation `json:"incarnation,omitempty"`
-	Work        corianderwing.Millis      `json:"work,omitempty"` // expected until the first byte
+	Work        corianderwing.Millis      `json:"work,omitempty"`    // expected until the first byte
+	Longest     corianderwing.Millis      `json:"longest,omitempty"` // the same if the upstream does not know the object
 	Known       bool                      `json:"known,omitempty"`
 	Cold        bool                      `json:"cold,omitempty"`
 	Next        bool                      `json:"next,omitempty"`
