Keep objects at home while there is room, and relieve within the region

Change: an object has its home in each domain if its requests follow each other soon, measured by bytes saved for the work of one more slow answer, and it is learned there only while the slots are less than half used. A request that cannot be in time goes to the other domain of the region, which takes it only if it can be in time there. An upstream that joined gets a first request.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -27,6 +27,10 @@
 			p.grant(r, s, now)
 			return
 		}
+		if d := p.relief(r, order, now); d != p.cfg.Domain {
+			p.out = append(p.out, Effect{ID: r.ID, Elsewhere: d, Timely: true})
+			return
+		}
 		if p.enqueue(r, order, now) {
 			return
 		}
@@ -113,6 +117,9 @@
 // best returns the upstream that should run the request now, or nil if it
 // should wait or there is none.
 func (p *Pool) best(r *Request, order []scored, now time.Time) *server {
+	if s := order[0].server; r.Object != 0 && s.isNew(now) && p.fits(r, s, now) {
+		return s
+	}
 	for _, s := range order {
 		if (r.Object == 0 || p.knows(s.server, r)) && p.fits(r, s.server, now) {
 			return s.server
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// sharePerKB is the mean time between two requests for an object, for each
-	// KB that a request and its answer have, from which on the object has one
-	// home in the region instead of one in each failure domain. A second home
-	// costs a slow answer once, one home costs the bytes between domains again
-	// and again.
-	sharePerKB = 0.0
+	// homePerKB decides which objects have a home in each failure domain instead
+	// of one in the region: those whose requests follow each other within this
+	// time for each KB of a request and its answer, and for each second of work
+	// where the object is unknown. A second home costs a slow answer once, one
+	// home costs the bytes between domains again and again.
+	homePerKB = 0.45
 	// shareBand is the part by which the time must be shorter for the object to
 	// have its own home again.
 	shareBand = 0.75
@@ -129,7 +129,7 @@
 		c := p.seen[class]
 		estimates[class] = c.estimate(now)
 		interval := estimates[class] / max(c.arrived.rate(now), 0.01)
-		limit := sharePerKB * c.kilobytes()
+		limit := homePerKB * c.kilobytes() / p.workOf(class).of(false)
 		if p.shared[class] {
 			limit *= shareBand
 		}
@@ -157,7 +157,7 @@
 // home returns the failure domain whose desk should place the request: one of
 // the regions that may run it, if this one may not; that of the object, if its
 // class is shared; and another one of the region if this one has no upstreams.
-func (p *Pool) home(r *Request) corianderwing.DomainID {
+func (p *Pool) home(r *Request, now time.Time) corianderwing.DomainID {
 	own := p.cfg.Domain
 	region := p.cfg.RegionOf(own)
 	if r.Stay {
@@ -166,12 +166,27 @@
 	if len(r.Homes) > 0 && !slices.Contains(r.Homes, region) {
 		return p.nearest(r, func(d corianderwing.DomainID) bool { return slices.Contains(r.Homes, p.cfg.RegionOf(d)) })
 	}
-	if p.slots[own] > 0 && (p.set.Next != "" || r.Object == 0 || !p.shared[r.Class] || p.knownHere(r)) {
+	if p.slots[own] > 0 && (p.set.Next != "" || r.Object == 0 || p.knownHere(r) || !p.shared[r.Class] && !p.pressed(now)) {
 		return own
 	}
 	return p.nearest(r, func(d corianderwing.DomainID) bool { return p.cfg.RegionOf(d) == region })
 }
 
+// relief returns another domain of the region that may run the request in time,
+// if this one cannot: its upstreams know the same objects.
+func (p *Pool) relief(r *Request, order []scored, now time.Time) corianderwing.DomainID {
+	own := p.cfg.Domain
+	if r.Stay || r.Object == 0 || p.set.Next != "" {
+		return own
+	}
+	target := p.target(r, order, now)
+	if now.Add(p.waitAt(r, target, now) + p.takes(r, target)).Before(r.Goal) {
+		return own
+	}
+	region := p.cfg.RegionOf(own)
+	return p.nearest(r, func(d corianderwing.DomainID) bool { return d != own && p.cfg.RegionOf(d) == region })
+}
+
 // instead returns the failure domain whose desk should be asked because none of
 // the upstreams here is usable: one of the region, or else of another region.
 func (p *Pool) instead(r *Request) corianderwing.DomainID {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -38,6 +38,7 @@
 	Tried    []corianderwing.UpstreamID
 	Steady   bool // not to the new version of a move
 	Stay     bool // not to another failure domain's desk
+	Timely   bool // only if it can be in time for its goal here
 }
 
 // Grant is a slot of an upstream that a request holds until Done.
@@ -57,6 +58,7 @@
 	ID        ID
 	Grant     Grant
 	Elsewhere corianderwing.DomainID
+	Timely    bool // elsewhere only if it can be in time there
 	Err       *corianderwing.Error
 	After     time.Duration
 }
@@ -229,11 +231,13 @@
 	w := p.workOf(r.Class)
 	p.arrived.add(1, now)
 	p.count(&r, now)
-	if d := p.home(&r); d != p.cfg.Domain {
+	if d := p.home(&r, now); d != p.cfg.Domain {
 		p.out = append(p.out, Effect{ID: r.ID, Elsewhere: d})
 		return p.out
 	}
-	p.demand.add(max(w.mean, w.of(true)), now)
+	if !r.Timely {
+		p.demand.add(max(w.mean, w.of(true)), now)
+	}
 	p.place(&r, now)
 	return p.out
 }
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -49,7 +49,7 @@
 	target := p.target(r, order, now)
 	takes := p.waitAt(r, target, now) + p.takes(r, target)
 	late := !now.Add(takes).Before(r.Goal)
-	if late && !p.lateFits(r, takes, now) {
+	if late && (r.Timely || !p.lateFits(r, takes, now)) {
 		return false
 	}
 	w := &waiter{Request: *r, target: target, late: late}
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -522,17 +522,17 @@
 const deskWay = time.Millisecond // from an entry instance to its desk and back
 
 func (d *desks) ask(q *request, done func(*upstream, place.ID, bool, time.Duration)) {
-	d.askAt(q, q.domain.id, false, deskWay/2, done)
+	d.askAt(q, q.domain.id, false, false, deskWay/2, done)
 }
 
-func (d *desks) askAt(q *request, at corianderwing.DomainID, stay bool, way time.Duration, done func(*upstream, place.ID, bool, time.Duration)) {
+func (d *desks) askAt(q *request, at corianderwing.DomainID, stay, timely bool, way time.Duration, done func(*upstream, place.ID, bool, time.Duration)) {
 	d.w.after(way, func() {
 		d.last++
-		d.waiting[d.last] = asking{q, done, at}
+		d.waiting[d.last] = asking{q, done, at, timely}
 		now := d.w.clock()
 		born := now.Add(q.born - d.w.now)
 		d.deliver(d.pools[q.class.pool][at].Ask(place.Request{
-			ID: d.last, Object: q.hash, Class: q.class.id, Rank: q.class.rank, Again: q.again, Stay: stay,
+			ID: d.last, Object: q.hash, Class: q.class.id, Rank: q.class.rank, Again: q.again, Stay: stay, Timely: timely,
 			Goal: born.Add(q.class.goal - 5*time.Millisecond), Deadline: born.Add(q.class.deadline),
 		}, now))
 	})
@@ -540,9 +540,10 @@
 
 // asking is a request that waits for a slot.
 type asking struct {
-	q    *request
-	done func(*upstream, place.ID, bool, time.Duration)
-	at   corianderwing.DomainID
+	q      *request
+	done   func(*upstream, place.ID, bool, time.Duration)
+	at     corianderwing.DomainID
+	timely bool
 }
 
 func (d *desks) deliver(list []place.Effect) {
@@ -553,7 +554,11 @@
 			continue
 		}
 		if e.Elsewhere != "" {
-			d.askAt(a.q, e.Elsewhere, true, deskWay/2+d.w.way(a.at, e.Elsewhere), a.done)
+			d.askAt(a.q, e.Elsewhere, true, e.Timely, deskWay/2+d.w.way(a.at, e.Elsewhere), a.done)
+			continue
+		}
+		if e.Err != nil && a.timely {
+			d.askAt(a.q, a.q.domain.id, true, false, deskWay+d.w.way(a.at, a.q.domain.id), a.done)
 			continue
 		}
 		a.q.desk = a.at
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -69,6 +69,13 @@
 // isCold reports whether the upstream still starts.
 func (s *server) isCold(now time.Time) bool { return now.Before(s.up.Cold) }
 
+// isNew reports whether the upstream has joined and had no request yet. It gets
+// the first one for which it is first in order, although others know the object:
+// else it would stay idle while they have room.
+func (s *server) isNew(now time.Time) bool {
+	return !s.remote && s.objects.Len() == 0 && !s.isCold(now)
+}
+
 // others returns how many requests of others the upstream is thought to have
 // beyond the slots that were lent to them.
 func (s *server) others(now time.Time) float64 {
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -31,6 +31,7 @@
 	ID   place.ID
 	place.Grant
 	Elsewhere corianderwing.DomainID
+	Timely    bool
 }
 
 // Terms are what a desk decides with, besides the state of the site.
@@ -187,7 +188,7 @@
 }
 
 func (w *Waiting) ticket(e place.Effect) (Ticket, time.Duration, *corianderwing.Error) {
-	return Ticket{w.pool, e.ID, e.Grant, e.Elsewhere}, e.After, e.Err
+	return Ticket{w.pool, e.ID, e.Grant, e.Elsewhere, e.Timely}, e.After, e.Err
 }
 
 // Leave ends a wait. A slot that it got meanwhile is given back.
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -81,9 +81,9 @@
 		return a, Slot{addr, q.Domain}, true
 	}
 	there := *q
-	there.Domain, there.Stay = a.Elsewhere, true
+	there.Domain, there.Stay, there.Timely = a.Elsewhere, true, a.Timely
 	if other, ok := f.deskOf(a.Elsewhere); ok {
-		if a, ok := f.acquireAt(ctx, other, &there); ok && (a.Error == nil || a.Error.Code != corianderwing.NoUpstream) {
+		if a, ok := f.acquireAt(ctx, other, &there); ok && !declined(a, there.Timely) {
 			return a, Slot{other, there.Domain}, true
 		}
 	}
@@ -92,6 +92,12 @@
 	return a, Slot{addr, q.Domain}, ok
 }
 
+// declined reports whether a desk that was asked instead of the own one leaves
+// the request to that one.
+func declined(a *plane.Acquired, timely bool) bool {
+	return a.Error != nil && (a.Error.Code == corianderwing.NoUpstream || timely)
+}
+
 // Slot tells who handed out a slot: a control instance, for a failure domain.
 type Slot struct {
 	Peer   string
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -103,6 +103,7 @@
 		Tried:    q.Tried,
 		Steady:   q.Steady,
 		Stay:     q.Stay,
+		Timely:   q.Timely,
 	})
 	if err != nil {
 		return &Acquired{Error: err}, nil
@@ -139,7 +140,7 @@
 		return &Acquired{Error: err, After: corianderwing.Millis(after.Milliseconds())}
 	}
 	if t.Elsewhere != "" {
-		return &Acquired{Elsewhere: t.Elsewhere}
+		return &Acquired{Elsewhere: t.Elsewhere, Timely: t.Timely}
 	}
 	return &Acquired{
 		ID:          t.ID,
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -82,7 +82,8 @@
 	Homes  []corianderwing.RegionID   `json:"homes,omitempty"`
 	Tried  []corianderwing.UpstreamID `json:"tried,omitempty"`
 	Steady bool                       `json:"steady,omitempty"`
-	Stay   bool                       `json:"stay,omitempty"` // do not send it to another desk
+	Stay   bool                       `json:"stay,omitempty"`   // do not send it to another desk
+	Timely bool                       `json:"timely,omitempty"` // only if it can be in time for its goal
 }
 
 // Acquired is the answer: a slot, a refusal, or that the request waits and has
@@ -98,6 +99,7 @@
 	Cold        bool                      `json:"cold,omitempty"`
 	Next        bool                      `json:"next,omitempty"`
 	Elsewhere   corianderwing.DomainID    `json:"elsewhere,omitempty"` // whose desk is to be asked instead
+	Timely      bool                      `json:"timely,omitempty"`    // elsewhere only if it can be in time there
 	Error       *corianderwing.Error      `json:"error,omitempty"`
 	After       corianderwing.Millis      `json:"after,omitempty"`
 }
