Serve counters, histograms and gauges of both roles

Cause: the settings had a metrics address that nothing served, so that an incident could be traced with logs only.

Before: nothing was fetched; after: the text of the report.

--- /dev/null
+++ b/io/node/metrics.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"io"
+	"net/http"
+
+	"corianderwing/io/clock"
+)
+
+// serveMetrics serves the counters and latency histograms of the instance, if
+// the settings name an address.
+func (n *Node) serveMetrics() error {
+	if n.set.Listen.Metrics == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.measure()
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = io.WriteString(w, n.meter.Report().Text()) // fails only if the reader is gone
+	})
+	_, err := n.serve(n.set.Listen.Metrics, mux)
+	return err
+}
+
+// measure brings the gauges up to date that are read only when somebody asks.
+func (n *Node) measure() {
+	gauge := func(name string, v int64) { n.meter.Gauge(name).Update(v) }
+	gauge("log.dropped", n.lines.Dropped())
+	if n.plane != nil {
+		n.plane.Measure(gauge)
+	}
+	if g := n.gate.Load(); g != nil {
+		view, _ := n.follow.View()
+		gauge("revision", int64(view.Revision()))
+		gauge("lease.ms", max(0, n.follow.Fresh().Sub(clock.Boot()).Milliseconds()))
+		gauge("requests", g.Active())
+		gauge("upstreams", int64(view.Upstreams()))
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -84,6 +84,9 @@
 	if err := start(); err != nil {
 		return nil, errors.Join(err, n.Close(context.Background()))
 	}
+	if err := n.serveMetrics(); err != nil {
+		return nil, errors.Join(err, n.Close(context.Background()))
+	}
 	n.log.Info().Str("role", set.Role).Str("domain", string(set.Domain)).Str("peer", set.peerAddr()).
 		Strs("seeds", set.Seeds).Bool("found", set.Found).Msg("instance started")
 	return n, nil
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -213,6 +213,31 @@
 	return r
 }
 
+// Measure reports the gauges of this instance.
+func (p *Plane) Measure(gauge func(name string, v int64)) {
+	gauge("revision", int64(p.machine.View().Revision()))
+	gauge("upstreams", int64(p.machine.View().Upstreams()))
+	leads := int64(0)
+	if _, ok := p.replica.Leads(); ok {
+		leads = 1
+	}
+	gauge("leader", leads)
+	now := clock.Boot()
+	p.mu.Lock()
+	gauge("confirmed.ms", now.Sub(p.confirm).Milliseconds())
+	gauge("shares.ms", max(0, p.until.Sub(now).Milliseconds()))
+	gauge("entries", int64(len(p.beats)))
+	p.mu.Unlock()
+	for _, d := range p.desks.loads() {
+		for _, l := range d.Loads {
+			name := string(d.Domain) + "." + string(l.Pool) + "."
+			gauge(name+"slots", int64(l.Slots))
+			gauge(name+"busy", int64(l.Busy))
+			gauge(name+"waiting", int64(l.Waiting))
+		}
+	}
+}
+
 // SetSeeds replaces the control instances that are asked for the group.
 func (p *Plane) SetSeeds(seeds []string) { p.replica.SetSeeds(seeds) }
 
