--- /dev/null
+++ b/cmd/corianderwing/explain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"corianderwing"
+	"corianderwing/io/logs"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "tell the story of one request from the logs of all instances",
+		UsageText: `corianderwing explain [--json] REQUEST FILE...
+
+Example:
+  corianderwing explain 9974d20a1b708545 logs/*.log`,
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print the lines as JSON"}},
+		Action: explain,
+	}
+}
+
+func explain(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	if len(args) < 2 {
+		return corianderwing.Errorf(corianderwing.BadInput, "a request's id and at least one log file are needed")
+	}
+	var files []io.Reader
+	for _, name := range args[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return corianderwing.Errorf(corianderwing.BadInput, "%v", err)
+		}
+		defer f.Close()
+		files = append(files, f)
+	}
+	story, err := logs.Story(args[0], files...)
+	if err != nil {
+		return corianderwing.Errorf(corianderwing.BadInput, "reading the logs: %v", err)
+	}
+	if !slices.ContainsFunc(story, func(l logs.Line) bool { return l.Fields["request"] == args[0] }) {
+		return corianderwing.Errorf(corianderwing.Unknown, "no line of request %s in %d files: look at other instances, and at log.dropped in their metrics", args[0], len(files))
+	}
+	if cmd.Bool("json") {
+		return json.NewEncoder(cmd.Root().Writer).Encode(story)
+	}
+	for _, l := range story {
+		fmt.Fprintln(cmd.Root().Writer, oneLine(l))
+	}
+	return nil
+}
+
+// oneLine renders a line for a terminal.
+func oneLine(l logs.Line) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-14s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		v := l.Fields[name]
+		if list, ok := v.([]any); ok {
+			for i, x := range list {
+				text, err := json.Marshal(x)
+				if err != nil {
+					continue // it came from JSON
+				}
+				fmt.Fprintf(&b, "\n    %s %d: %s", name, i+1, text)
+			}
+			continue
+		}
+		fmt.Fprintf(&b, " %s=%v", name, v)
+	}
+	return b.String()
+}
--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -32,6 +32,7 @@
 			demoCommand(),
 			serveCommand(),
 			nodeCommand(),
+			explainCommand(),
 			stubCommand(),
 			stubsCommand(),
 			loadCommand(),
--- /dev/null
+++ b/core/items/items_test.go
@@ -0,0 +1,136 @@
+package items
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"corianderwing"
+)
+
+func rule(name string, v corianderwing.Version, pool string) corianderwing.Rule {
+	return corianderwing.Rule{
+		Name: corianderwing.RouteID(name), Version: v, Host: "shop.example", Prefix: "/" + name + "/", Timeout: 1000,
+		Targets: []corianderwing.Target{{Pool: corianderwing.PoolID(pool), Weight: 1}},
+	}
+}
+
+func tenure(name string, v corianderwing.Version, keys ...string) corianderwing.Tenure {
+	return corianderwing.Tenure{Name: corianderwing.WorkspaceID(name), Version: v, Keys: keys}
+}
+
+// base returns a set with two pools, a rule and a workspace.
+func base(t *testing.T) *Set {
+	t.Helper()
+	s, err := New().Merge(corianderwing.Edit{
+		Rules:   []corianderwing.Rule{rule("r", 3, "files")},
+		Tenures: []corianderwing.Tenure{tenure("mvule", 3, "k1")},
+		Pools:   []corianderwing.Pool{{Name: "files", Version: 3}, {Name: "orders", Version: 3}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against an invalid change of which a part comes into force, and against
+// one that is refused without its reason.
+func TestInvalidEdits(t *testing.T) {
+	is := is.New(t)
+	s := base(t)
+	before := s.All()
+	change := func(f func(*corianderwing.Rule)) corianderwing.Edit {
+		r := rule("r", 4, "orders")
+		f(&r)
+		return corianderwing.Edit{Rules: []corianderwing.Rule{rule("ok", 4, "orders"), r}}
+	}
+	for name, c := range map[string]struct {
+		edit corianderwing.Edit
+		code corianderwing.Code
+	}{
+		"unknown pool":  {change(func(r *corianderwing.Rule) { r.Targets[0].Pool = "nothing" }), corianderwing.BadChange},
+		"no host":       {change(func(r *corianderwing.Rule) { r.Host = "" }), corianderwing.BadChange},
+		"no timeout":    {change(func(r *corianderwing.Rule) { r.Timeout = 0 }), corianderwing.BadChange},
+		"no slash":      {change(func(r *corianderwing.Rule) { r.Prefix = "x/" }), corianderwing.BadChange},
+		"below zero":    {change(func(r *corianderwing.Rule) { r.Targets[0].Weight = -1 }), corianderwing.BadChange},
+		"shared key":    {corianderwing.Edit{Tenures: []corianderwing.Tenure{tenure("other", 4, "k1")}}, corianderwing.BadChange},
+		"same version":  {corianderwing.Edit{Rules: []corianderwing.Rule{rule("r", 3, "orders")}}, corianderwing.Conflict},
+		"pool in use":   {corianderwing.Edit{Drops: []corianderwing.Drop{{Kind: corianderwing.PoolItem, Name: "files", Version: 9}}}, corianderwing.BadChange},
+		"drop, version": {corianderwing.Edit{Drops: []corianderwing.Drop{{Kind: corianderwing.RuleItem, Name: "r", Version: 3}}}, corianderwing.Conflict},
+	} {
+		next, err := s.Merge(c.edit)
+		is.True(next == nil) // name
+		if corianderwing.CodeOf(err) != c.code || err.Error() == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+		is.Equal(s.All(), before)
+	}
+}
+
+// Guards against items that come back: of all changes of an item, dropped ones
+// included, the highest version is in force, in whatever order and however often
+// they arrive.
+func TestOrderOfEdits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type state struct {
+			version corianderwing.Version
+			pool    string
+			dropped bool
+		}
+		newest := map[string]state{}
+		var edits []corianderwing.Edit
+		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			name := fmt.Sprint("r", rapid.IntRange(0, 2).Draw(t, "name"))
+			x := state{corianderwing.Version(i + 1), rapid.SampledFrom([]string{"files", "orders"}).Draw(t, "pool"), rapid.Bool().Draw(t, "drop")}
+			newest[name] = x
+			if x.dropped {
+				edits = append(edits, corianderwing.Edit{Drops: []corianderwing.Drop{{Kind: corianderwing.RuleItem, Name: name, Version: x.version}}})
+			} else {
+				edits = append(edits, corianderwing.Edit{Rules: []corianderwing.Rule{rule(name, x.version, x.pool)}})
+			}
+		}
+		edits = append(edits, edits...)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
+		r.Shuffle(len(edits), func(i, j int) { edits[i], edits[j] = edits[j], edits[i] })
+		s, err := New().Merge(corianderwing.Edit{Pools: []corianderwing.Pool{{Name: "files", Version: 1}, {Name: "orders", Version: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, e := range edits {
+			next, err := s.Merge(e)
+			if err != nil {
+				t.Fatalf("edit %d: %v", i, err)
+			}
+			s = next
+			if i%3 == 0 {
+				s = Load(s.Save()) // a restart
+			}
+		}
+		for name, x := range newest {
+			held, ok := s.Rule("shop.example", "/"+name+"/7")
+			if ok == x.dropped || ok && (held.Version != x.version || string(held.Targets[0].Pool) != x.pool) {
+				t.Fatalf("%s: %+v held, %+v newest", name, held, x)
+			}
+		}
+	})
+}
+
+// Guards against a request that goes to the rule of a shorter prefix, or of a
+// host that only looks alike.
+func TestLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	s, err := base(t).Merge(corianderwing.Edit{Rules: []corianderwing.Rule{rule("r/in", 4, "orders")}})
+	is.NoErr(err)
+	for path, want := range map[string]corianderwing.RouteID{"/r/x": "r", "/r/in/x": "r/in", "/r/in": "r", "/other/": ""} {
+		r, ok := s.Rule("shop.example", path)
+		is.Equal(ok, want != "")
+		if ok {
+			is.Equal(r.Name, want)
+		}
+	}
+	_, ok := s.Rule("shop.example.org", "/r/x")
+	is.True(!ok)
+}
--- a/dialect.go
+++ b/dialect.go
@@ -45,7 +45,7 @@
 	Outgoing(o Outgoing, now time.Time, add func(name, value string))
 	// Verdict reads an upstream's answer.
 	Verdict(status int, h http.Header) Verdict
-	// Refuse writes an answer of the system itself. A caller may come back
-	// after the given time; 0 says nothing about that.
-	Refuse(w http.ResponseWriter, id RequestID, e *Error, after time.Duration)
+	// Refuse writes an answer of the system itself and returns its status. A
+	// caller may come back after the given time; 0 says nothing about that.
+	Refuse(w http.ResponseWriter, id RequestID, e *Error, after time.Duration) (status int)
 }
--- /dev/null
+++ b/io/logs/logs_test.go
@@ -0,0 +1,84 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+)
+
+// stuck is an output that nobody reads.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// Guards against requests that wait because nobody reads the log, and against
+// failures that are lost before ordinary lines.
+func TestUnreadOutput(t *testing.T) {
+	is := is.New(t)
+	out := stuck{make(chan struct{})}
+	w := New(out)
+	l := log.Logger{Level: log.InfoLevel, Writer: w}
+	text := strings.Repeat("x", 1000)
+	for range 2000 {
+		l.Info().Str("text", text).Msg("request") // returns although nobody reads
+	}
+	dropped := w.Dropped()
+	is.True(dropped > 0)
+	for range 100 {
+		l.Warn().Str("text", text).Msg("request")
+	}
+	is.Equal(w.Dropped(), dropped) // there is room for failures
+	for range 2000 {
+		l.Warn().Str("text", text).Msg("request")
+	}
+	is.True(w.Dropped() > dropped) // and a bound for them too
+	close(out.release)
+	w.Close(time.Now().Add(time.Minute))
+}
+
+// Guards against a request whose cause cannot be found from its id: one that was
+// refused, one with an unknown outcome, and one that was slow.
+func TestStory(t *testing.T) {
+	is := is.New(t)
+	line := func(at, instance, rest string) string {
+		return fmt.Sprintf(`{"time":"2026-03-31T11:47:%s","level":"info","instance":"%s",%s}`, at, instance, rest)
+	}
+	entry := strings.Join([]string{
+		line("40.000", "front-1", `"message":"instance started"`),
+		line("49.900", "front-1", `"control":"c1","error":"deadline","message":"no answer to a request for a slot"`),
+		"   0.42 front-1 " + line("50.100", "front-1", `"request":"refused","code":303,"us":2000,"message":"request"`),
+		line("50.200", "front-1", `"request":"other","code":100,"us":100,"message":"request"`),
+		line("52.000", "front-1", `"request":"unknown","code":501,"us":349168,"attempts":[{"upstream":"i-1","first":347}],"message":"request"`),
+		line("53.000", "front-1", `"request":"slow","code":100,"us":2500000,"waited":1200,"message":"request"`),
+		"not a log line {",
+		line("54.000", "front-1", `"revision":7,"message":"state changed"`),
+	}, "\n")
+	control := line("51.900", "core-1", `"role":"leader","message":"role changed"`) + "\n"
+	tell := func(id string) string {
+		story, err := Story(id, strings.NewReader(entry), strings.NewReader(control))
+		is.NoErr(err)
+		var words []string
+		for _, l := range story {
+			words = append(words, l.Message)
+		}
+		return strings.Join(words, "; ")
+	}
+	is.Equal(tell("refused"), "no answer to a request for a slot; request")
+	is.Equal(tell("unknown"), "no answer to a request for a slot; request")
+	is.Equal(tell("slow"), "no answer to a request for a slot; request")
+	is.Equal(tell("nothing"), "")
+	_, err := Story("x", failing{})
+	is.True(err != nil)
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- /dev/null
+++ b/io/logs/story.go
@@ -0,0 +1,100 @@
+package logs
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a log, as an instance wrote it.
+type Line struct {
+	Time     time.Time      `json:"time"`
+	Instance string         `json:"instance"`
+	Message  string         `json:"message"`
+	Fields   map[string]any `json:"fields"`
+}
+
+// timeFormat is that of the lines.
+const timeFormat = "2006-01-02T15:04:05.000"
+
+// before is how long before a request what its instances came to believe belongs
+// to its story: as long as a state may be relied on.
+const before = 5 * time.Second
+
+// Story returns the lines of a request, oldest first, and what its instances
+// logged of themselves shortly before and during it. What stands before the
+// first brace of a line is skipped, and lines that are no log lines are too.
+func Story(id string, logs ...io.Reader) ([]Line, error) {
+	var all []Line
+	for _, r := range logs {
+		list, err := read(r)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	var first, last time.Time
+	instances := map[string]bool{}
+	for _, l := range all {
+		if l.Fields["request"] != id {
+			continue
+		}
+		instances[l.Instance] = true
+		if first.IsZero() || l.begin().Before(first) {
+			first = l.begin()
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	story := slices.DeleteFunc(all, func(l Line) bool {
+		if request, ok := l.Fields["request"]; ok {
+			return request != id
+		}
+		return !instances[l.Instance] || l.Time.Before(first.Add(-before)) || l.Time.After(last)
+	})
+	slices.SortStableFunc(story, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return story, nil
+}
+
+// begin returns when what the line tells began.
+func (l *Line) begin() time.Time {
+	us, _ := l.Fields["us"].(float64)
+	return l.Time.Add(-time.Duration(us) * time.Microsecond)
+}
+
+// mostLine bounds a line. Longer ones end the reading with an error.
+const mostLine = 1 << 20
+
+func read(r io.Reader) ([]Line, error) {
+	var list []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), mostLine)
+	for s.Scan() {
+		text := s.Text()
+		i := strings.IndexByte(text, '{')
+		if i < 0 {
+			continue
+		}
+		fields := map[string]any{}
+		if json.Unmarshal([]byte(text[i:]), &fields) != nil {
+			continue
+		}
+		l := Line{Fields: fields}
+		at, _ := fields["time"].(string)
+		var err error
+		if l.Time, err = time.Parse(timeFormat, at); err != nil {
+			continue
+		}
+		l.Instance, _ = fields["instance"].(string)
+		l.Message, _ = fields["message"].(string)
+		for _, name := range []string{"time", "instance", "message", "level"} {
+			delete(fields, name)
+		}
+		list = append(list, l)
+	}
+	return list, s.Err()
+}
