--- a/cmd/corianderwing/fleet_test.go
+++ b/cmd/corianderwing/fleet_test.go
@@ -99,6 +99,7 @@
 	Entries  []place
 	Stubs    []place
 	running  map[string]*exec.Cmd
+	log      string // a log file with a line of the request shop-1
 }
 
 func newProcesses(t *testing.T) *processes {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -159,9 +159,7 @@
 		asked += h.needs[w].asked
 	}
 	used := pastFactor * asked * start.Add(d.window).Sub(now).Seconds()
-	if now.Sub(start) < Lease {
-		used = max(used, cutPart*float64(missing))
-	}
+	used = max(used, cutPart*float64(missing))
 	return min(missing, int(math.Ceil(max(0, used))))
 }
 
