--- a/core/raft/off_test.go
+++ b/core/raft/off_test.go
@@ -255,6 +255,7 @@
 		s.run(5*time.Second, nil)
 		for _, r := range s.reps {
 			r.crash()
+			s.after(time.Second+s.some(300*time.Millisecond), r.start)
 		}
 		running := func() (n int) {
 			for _, r := range s.reps {
