Ask desks over slow links, and start upstreams from one desk only

Each of 15 entry instances that decided alone then gave a starting upstream up to two requests at once.

Ruled out: full control instances (0.14 of 0.48 cores at the most).

Change: a call for a slot is given the time that calls take there and back (mean and spread, 80 to 400 ms) besides its wait; a desk is muted only if nothing answered after the call was sent; entry instances that decide alone leave starting upstreams out.

--- /dev/null
+++ b/core/place/cold_test.go
@@ -0,0 +1,63 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/core/place"
+)
+
+// Guards against an upstream that starts, and crashes because it gets more
+// requests than it bears: from one desk, and from many entry instances that
+// decide alone while their control instance does not answer.
+func TestStartingUpstream(t *testing.T) {
+	is := is.New(t)
+	const rate = 3.2
+	most := func(sharers, pools int) int {
+		at := []time.Time{}
+		for range pools {
+			now := time.Unix(1000, 0)
+			p := place.New(place.Config{
+				Name: "files", Domain: "a1", Sharers: sharers,
+				RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "a" },
+			})
+			u := &model.Upstream{Cold: now.Add(10 * time.Second)}
+			u.ID, u.Pool, u.Domain, u.Slots = "u1", "files", "a1", 4
+			u.Phase, u.Version, u.Incarnation = corianderwing.Ready, "v1", 1
+			p.Sync(place.Setup{
+				Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: rate,
+				Evacuated: func(corianderwing.DomainID) bool { return false },
+			}, now)
+			for id := place.ID(1); id < 200; id++ {
+				now = now.Add(20 * time.Millisecond)
+				r := place.Request{ID: id, Class: "fetch", Object: uint64(id), Stay: true, Goal: now.Add(10 * time.Millisecond), Deadline: now.Add(11 * time.Millisecond)}
+				r.Deadline = now.Add(4 * time.Second)
+				for _, e := range p.Ask(r, now) {
+					if e.Grant.Upstream != nil {
+						at = append(at, now)
+					}
+				}
+				p.Done(place.Outcome{ID: id, Result: place.Good, Took: 10 * time.Millisecond}, now)
+			}
+		}
+		worst := 0
+		for _, from := range at {
+			n := 0
+			for _, x := range at {
+				if !x.Before(from) && x.Sub(from) < time.Second {
+					n++
+				}
+			}
+			worst = max(worst, n)
+		}
+		return worst
+	}
+	// Half more than the rate and five requests are allowed.
+	is.True(most(1, 1) > 0)
+	is.True(float64(most(1, 1)) <= 1.5*rate+5)
+	is.True(float64(most(15, 15)) <= 1.5*rate+5)
+}
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -174,10 +174,11 @@
 		room = min(room, 1) // one request shows whether it works again
 	}
 	if s.isCold(now) {
-		if s.remote {
+		// Many that decide alone would start it with one request each at once.
+		if s.remote || p.cfg.Sharers > 1 {
 			return 0
 		}
-		s.fill(p.set.ColdRate/float64(p.cfg.Sharers), now)
+		s.fill(p.set.ColdRate, now)
 		room = min(room, float64(s.busy)+math.Floor(s.tokens))
 	}
 	return room - float64(s.busy) - math.Floor(s.others(now)+0.5)
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -87,6 +87,7 @@
 	current  string               // peer address of the followed control instance
 	answered time.Time            // last answer to a beat
 	mute     map[string]time.Time // by peer address: it is not asked for slots before
+	ways     map[string]way       // by peer address
 	moved    chan struct{}        // closed when current changes
 	misses   int
 	stale    time.Duration // age of what current last confirmed
@@ -124,7 +125,7 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Boot
 	}
-	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{}), seeds: cfg.Seeds, mute: map[string]time.Time{}}
+	f := &Follower{cfg: cfg, peer: pc, moved: make(chan struct{}), seeds: cfg.Seeds, mute: map[string]time.Time{}, ways: map[string]way{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.state.Store(&state{view: model.New()})
 	f.info.Store(&plane.BeatReply{})
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -18,9 +18,9 @@
 	// muteFor is how long it is not asked after it left a request without an
 	// answer.
 	muteFor = 800 * time.Millisecond
-	// slotTimeout bounds one call for a slot. The control instance answers
-	// within 100 ms.
-	slotTimeout = 180 * time.Millisecond
+	// slotWait is how long a control instance keeps a call for a slot waiting at
+	// the most.
+	slotWait = 100 * time.Millisecond
 	// releaseTimeout bounds a Release.
 	releaseTimeout = 500 * time.Millisecond
 )
@@ -107,16 +107,18 @@
 // acquireAt asks one control instance, until it has an answer.
 func (f *Follower) acquireAt(ctx context.Context, addr string, q *plane.Acquire) (*plane.Acquired, bool) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, slotTimeout)
+		sent := f.cfg.Now()
+		callCtx, cancel := context.WithTimeout(ctx, slotWait+f.way(addr).timeout())
 		a, err := peer.Call(callCtx, f.peer, addr, plane.AcquireMethod, q)
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			f.muteDesk(addr, err)
+			f.unanswered(addr, sent, err)
 			return nil, false
 		}
 		if err != nil {
 			return &plane.Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}, true
 		}
+		f.answer(addr, f.cfg.Now().Sub(sent)-time.Duration(a.Waited)*time.Millisecond)
 		if !a.Waiting {
 			return a, true
 		}
@@ -124,13 +126,38 @@
 	}
 }
 
-// muteDesk stops asking a control instance that left a request without an
-// answer, for a while.
-func (f *Follower) muteDesk(addr string, err error) {
-	f.cfg.Log.Warn().Str("control", addr).Err(err).Msg("no answer to a request for a slot")
+// way returns what is known of the way to a control instance.
+func (f *Follower) way(addr string) way {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mute[addr] = f.cfg.Now().Add(muteFor)
+	return f.ways[addr]
+}
+
+// answer notes an answer to a call for a slot, and the time there and back.
+func (f *Follower) answer(addr string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.ways[addr]
+	w.answer(took, f.cfg.Now())
+	f.ways[addr] = w
+}
+
+// unanswered notes a call for a slot that got no answer. The control instance is
+// not asked for a while, unless it answered another call after this one was
+// sent: then the way was only slow.
+func (f *Follower) unanswered(addr string, sent time.Time, err error) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	w := f.ways[addr]
+	slow := w.answered.After(sent)
+	w.lose(now.Sub(sent))
+	f.ways[addr] = w
+	if !slow {
+		f.mute[addr] = now.Add(muteFor)
+	}
+	f.mu.Unlock()
+	f.cfg.Log.Warn().Str("control", addr).Bool("muted", !slow).Int64("timeout", w.timeout().Milliseconds()).Err(err).
+		Msg("no answer to a request for a slot")
 }
 
 // Release gives a slot back to the control instance that handed it out.
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -87,10 +87,10 @@
 
 // acquire hands out a slot, or lets the request wait for one.
 func (p *Plane) acquire(ctx context.Context, q *Acquire) (*Acquired, error) {
+	now := time.Now()
 	if q.ID != 0 {
-		return p.await(ctx, q.ID), nil
+		return waited(p.await(ctx, q.ID), now), nil
 	}
-	now := time.Now()
 	d := p.desk(q.Domain)
 	w, err := d.Ask(q.Pool, place.Request{
 		Object:   q.Object,
@@ -108,7 +108,14 @@
 	if err != nil {
 		return &Acquired{Error: err}, nil
 	}
-	return p.wait(ctx, d, w), nil
+	return waited(p.wait(ctx, d, w), now), nil
+}
+
+// waited tells the caller how much of the time until the answer was meant to
+// pass.
+func waited(a *Acquired, since time.Time) *Acquired {
+	a.Waited = corianderwing.Millis(time.Since(since).Milliseconds())
+	return a
 }
 
 // await goes on with the wait of a request that called before.
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -90,6 +90,7 @@
 // to call again with its ID.
 type Acquired struct {
 	Waiting     bool                      `json:"waiting,omitempty"`
+	Waited      corianderwing.Millis      `json:"waited,omitempty"` // in this call
 	ID          place.ID                  `json:"id,omitempty"`
 	Upstream    corianderwing.UpstreamID  `json:"upstream,omitempty"`
 	Incarnation corianderwing.Incarnation `json:"incarnation,omitempty"`
