Replace a connection between instances only when it is silent for a while

Ruled out: no replacement (silent connections are among the users' troubles).

Change: the first of the calls without an answer must have been sent 500 ms ago.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -24,13 +24,19 @@
 
 type conn struct {
 	*grpc.ClientConn
-	timeouts int // calls in a row that got no answer
+	timeouts int       // calls in a row that got no answer
+	silent   time.Time // start of the first of them
 }
 
-// maxTimeouts is how many calls in a row may time out before the connection
-// is replaced. A connection whose path has silently lost its state never
-// recovers by itself, while a new one works.
-const maxTimeouts = 2
+// A connection is replaced after maxTimeouts calls in a row without an answer,
+// if the first of them was sent silentFor ago. A connection whose path has
+// silently lost its state never recovers by itself, while a new one works. One
+// behind a large message answers late, and its other calls and streams would be
+// lost with it.
+const (
+	maxTimeouts = 2
+	silentFor   = 500 * time.Millisecond
+)
 
 // NewClient returns a client for the fleet with the given secret.
 func NewClient(secret []byte) *Client {
@@ -54,9 +60,10 @@
 		return nil, err
 	}
 	resp := new(Resp)
+	sent := time.Now()
 	err = cc.Invoke(c.outgoing(ctx), "/"+service+"/"+m.Name, req, resp)
 	err = fromStatus(err)
-	c.observe(addr, cc, err)
+	c.observe(addr, cc, sent, err)
 	if err != nil {
 		return nil, err
 	}
@@ -136,16 +143,20 @@
 	return cc, nil
 }
 
-// observe replaces a connection after maxTimeouts calls without an answer.
-func (c *Client) observe(addr string, cc *conn, err error) {
+// observe notes the end of a call that was sent at a time, and replaces a
+// connection that is silent.
+func (c *Client) observe(addr string, cc *conn, sent time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !errors.Is(err, context.DeadlineExceeded) {
 		cc.timeouts = 0
 		return
 	}
+	if cc.timeouts == 0 || sent.Before(cc.silent) {
+		cc.silent = sent
+	}
 	cc.timeouts++
-	if cc.timeouts < maxTimeouts || c.conns[addr] != cc {
+	if cc.timeouts < maxTimeouts || time.Since(cc.silent) < silentFor || c.conns[addr] != cc {
 		return
 	}
 	delete(c.conns, addr)
