Do not hand out tokens again that a lost control instance's shares cover

An entry instance told the next control instance that it uses tokens, which were those of shares of the lost one; a holder keeps what it uses, so it got as many again while the first ones were valid for up to 4 s.

Ruled out: shares that end with the control instance (its loss would refuse what nobody exceeds).

Change: what valid shares of other control instances cover is not told as used. TestHolderOfTwoControls fails without it.

--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -164,20 +164,27 @@
 }
 
 // Needs returns the demand and the tokens in use of the workspaces with a
-// bound, for the next Ask to the control instance from.
+// bound, for the next Ask to the control instance from. What valid shares of
+// other control instances cover is in use there and not here: it would be handed
+// out twice.
 func (p *Purses) Needs(from string, bound []corianderwing.WorkspaceID, now time.Time) []Need {
 	list := make([]Need, 0, len(bound))
 	for _, w := range bound {
 		k := p.purse(w, now)
 		k.wake(now)
 		n := Need{Workspace: w, Asked: max(k.short.rate(now), k.long.rate(now))}
+		elsewhere := 0
 		for _, s := range k.shares {
-			if s.from == from && now.Before(s.until) {
+			switch {
+			case !now.Before(s.until):
+			case s.from == from:
 				n.Held += s.tokens
+			default:
+				elsewhere += s.tokens
 			}
 		}
-		n.Used = k.count
-		n.Held = max(n.Held, k.count)
+		n.Used = max(0, k.count-elsewhere)
+		n.Held = max(n.Held, n.Used)
 		list = append(list, n)
 	}
 	return list
--- /dev/null
+++ b/core/quota/twice_test.go
@@ -0,0 +1,48 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// Guards against tokens that exist twice: a holder whose control instance was
+// lost has shares from it that are still valid, and another one must not give it
+// as many again because it uses them.
+func TestHolderOfTwoControls(t *testing.T) {
+	is := is.New(t)
+	const most = 100
+	leader := New(window, begin)
+	leader.SetBounds(bounds(most))
+	lost, next := New(window, begin), New(window, begin)
+	entry := NewPurses(window)
+	admitted := 0
+	ask := func(name string, d *Divider, now time.Time) {
+		list := []corianderwing.WorkspaceID{shop}
+		needs := entry.Needs(name, list, now)
+		d.Ask("entry", needs, now) // its need is known before the leader is asked
+		got := map[corianderwing.WorkspaceID]int{}
+		for _, s := range leader.Ask(name, d.Needs(now), now) {
+			got[s.Workspace] = s.Tokens
+		}
+		d.SetBounds(got)
+		entry.Lend(name, d.Ask("entry", needs, now), corianderwing.HolderDeadline(now, Lease), now)
+		for entry.Take(shop, now) {
+			admitted++
+		}
+	}
+	now := begin
+	for range 5 {
+		now = now.Add(200 * time.Millisecond)
+		ask("lost", lost, now)
+	}
+	is.True(admitted > most/2)
+	for range 5 {
+		now = now.Add(200 * time.Millisecond)
+		ask("next", next, now)
+	}
+	is.True(admitted <= most) // all within one window
+}
