--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -34,8 +34,7 @@
 			}, now)
 			for id := place.ID(1); id < 200; id++ {
 				now = now.Add(20 * time.Millisecond)
-				r := place.Request{ID: id, Class: "fetch", Object: uint64(id), Stay: true, Goal: now.Add(10 * time.Millisecond), Deadline: now.Add(11 * time.Millisecond)}
-				r.Deadline = now.Add(4 * time.Second)
+				r := place.Request{ID: id, Class: "fetch", Object: uint64(id), Stay: true, Goal: now.Add(10 * time.Millisecond), Deadline: now.Add(4 * time.Second)}
 				for _, e := range p.Ask(r, now) {
 					if e.Grant.Upstream != nil {
 						at = append(at, now)
--- a/core/quota/outage_test.go
+++ b/core/quota/outage_test.go
@@ -98,13 +98,7 @@
 			if at < 0 || r.Float64() >= rate*step.Seconds() {
 				continue
 			}
-			x := r.Float64() * 6
-			k := 0
-			for k < 5 && x > weights[k] {
-				x -= weights[k]
-				k++
-			}
-			c := f.controls[k]
+			c := f.pick(r, weights)
 			asked++
 			if !f.admit(c, r.IntN(len(c.entries)), now) {
 				refused++
--- a/core/quota/uneven_test.go
+++ b/core/quota/uneven_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// pick draws a control instance by weights, whose sum is their number.
+func (f *fleet) pick(r *rand.Rand, weights []float64) *control {
+	x := r.Float64() * float64(len(weights))
+	k := 0
+	for k < len(weights)-1 && x > weights[k] {
+		x -= weights[k]
+		k++
+	}
+	return f.controls[k]
+}
+
 // admit reports whether a request at an entry instance is admitted.
 func (f *fleet) admit(c *control, i int, now time.Time) bool {
 	return c.entries[i].Take(shop, now) || c.reserve.Take(shop, now)
@@ -86,13 +97,7 @@
 		if at < 2*time.Second || r.Float64() >= 7*step.Seconds() {
 			continue
 		}
-		x := r.Float64() * 6
-		k := 0
-		for k < 5 && x > weights[k] {
-			x -= weights[k]
-			k++
-		}
-		c := f.controls[k]
+		c := f.pick(r, weights)
 		asked++
 		if !f.admit(c, r.IntN(len(c.entries)), now) {
 			refused++
