Add a randomised fault soak of the real processes

`corianderwing soak` starts control and entry processes on loopback IPs. All of their connections go through a proxy that knows both ends: each process listens on and connects from a private IP (new setting bind) and is known to the others by another one. Faults: kill, planned stop, pause, SIGHUP, delay, cut, one-way cuts, reset, loss of all control processes, a lost disk, a torn record at the end of a log, upstreams that crash, drain, turn slow or lose their address to another one, evacuations; settings change meanwhile: keys come and go, storms, races, repeats, invalid changes.

Fifteen promises are checked from what callers and upstreams see; io/soak decides from times and facts alone (Ledger), and TestEachPromiseCanBreak breaks thirteen of them there. Not shown yet: a run of the processes with each mechanism switched off.

Ruled out: faults by source port or by packet filters; the first cannot tell processes apart, the second needs rights that nobody has here.

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -36,6 +36,7 @@
 			stubCommand(),
 			stubsCommand(),
 			loadCommand(),
+			soakCommand(),
 			slopesCommand(),
 			checkCommand(),
 			statusCommand(),
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -165,7 +165,7 @@
 		spread: time.Second,
 		header: 16 << 10,
 		answer: 1 << 20,
-		dial:   relay.TCP(),
+		dial:   relay.TCP(nil),
 		seed:   rand.Uint64(),
 		tick:   20 * time.Millisecond,
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	Limits   *Limits
 	Dialect  corianderwing.Dialect
 	Dial     relay.Dial // default: TCP
+	Source   net.IP     // from which TCP connections come; nil for any
 	Log      *log.Logger
 	Meter    *meter.Meter // default: a new one
 	// RetryRatio is the part of a pool's requests that may be sent once more.
@@ -87,7 +89,7 @@
 // New starts an entry role. Close stops it.
 func New(cfg Config) *Server {
 	if cfg.Dial == nil {
-		cfg.Dial = relay.TCP()
+		cfg.Dial = relay.TCP(cfg.Source)
 	}
 	if cfg.Meter == nil {
 		cfg.Meter = meter.New()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -72,7 +72,7 @@
 			Writer:     lines,
 		},
 		meter:  meter.New(),
-		client: peer.NewClient([]byte(set.Secret)),
+		client: peer.NewClient([]byte(set.Secret), peer.WithSource(set.source())),
 		peers:  peer.NewServer([]byte(set.Secret)),
 		failed: make(chan error, 8),
 	}
@@ -189,6 +189,7 @@
 	g := gate.New(gate.Config{
 		Domain:   set.Domain,
 		RegionOf: set.regionOf,
+		Source:   set.source(),
 		Control:  n.follow,
 		Limits:   limits,
 		Dialect:  n.adapter,
@@ -282,7 +283,7 @@
 
 // serve serves h on addr until the instance is closed.
 func (n *Node) serve(addr string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", n.set.local(addr))
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
@@ -312,7 +313,7 @@
 
 // servePeers serves other instances.
 func (n *Node) servePeers(addr string) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", n.set.local(addr))
 	if err != nil {
 		return eris.Wrap(err, "listening for peers")
 	}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -23,6 +23,7 @@
 	Name   string                 `yaml:"name"`
 	Role   string                 `yaml:"role"` // entry or control
 	IP     string                 `yaml:"ip"`
+	Bind   string                 `yaml:"bind"` // IP to listen on and to connect from, if it is not IP
 	Domain corianderwing.DomainID `yaml:"domain"`
 	Region corianderwing.RegionID `yaml:"region"`
 	Ports  []int                  `yaml:"ports"` // first and last port for other instances
@@ -157,6 +158,9 @@
 	if net.ParseIP(s.IP) == nil {
 		bad("ip is %q, allowed: an IP number", s.IP)
 	}
+	if s.Bind != "" && net.ParseIP(s.Bind) == nil {
+		bad("bind is %q, allowed: an IP number, or nothing", s.Bind)
+	}
 	if s.Domain == "" {
 		bad("domain is empty")
 	}
@@ -190,6 +194,19 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(port))
 }
 
+// local returns the address to listen on for an address that others use.
+func (s *Settings) local(addr string) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || s.Bind == "" || host != s.IP {
+		return addr
+	}
+	return net.JoinHostPort(s.Bind, port)
+}
+
+// source returns the IP from which connections come; nil leaves it to the
+// system.
+func (s *Settings) source() net.IP { return net.ParseIP(s.Bind) }
+
 // seedPeers returns the peer addresses of the seeds.
 func (s *Settings) seedPeers() []string {
 	var list []string
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 // Client holds one connection to each peer that it has called.
 type Client struct {
 	token string
+	opts  []grpc.DialOption
 	mu    sync.Mutex
 	conns map[string]*conn
 }
@@ -38,9 +41,30 @@
 	silentFor   = 500 * time.Millisecond
 )
 
+// ClientOption changes a Client.
+type ClientOption func(*Client)
+
+// WithSource makes connections come from a local IP; nil leaves that to the
+// system.
+func WithSource(ip net.IP) ClientOption {
+	return func(c *Client) {
+		if ip == nil {
+			return
+		}
+		d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: ip}}
+		c.opts = append(c.opts, grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", addr)
+		}))
+	}
+}
+
 // NewClient returns a client for the fleet with the given secret.
-func NewClient(secret []byte) *Client {
-	return &Client{token: fleetToken(secret), conns: map[string]*conn{}}
+func NewClient(secret []byte, opts ...ClientOption) *Client {
+	c := &Client{token: fleetToken(secret), conns: map[string]*conn{}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // Close closes all connections.
@@ -120,7 +144,7 @@
 		return cc, nil
 	}
 	// The passthrough scheme bypasses gRPC's resolvers: addr is dialled as it is.
-	gc, err := grpc.NewClient("passthrough:///"+addr,
+	gc, err := grpc.NewClient("passthrough:///"+addr, append(slices.Clone(c.opts),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(
 			grpc.CallContentSubtype(codecName),
@@ -134,7 +158,7 @@
 			MinConnectTimeout: time.Second,
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout, PermitWithoutStream: true}),
-	)
+	)...)
 	if err != nil {
 		return nil, eris.Wrapf(err, "open connection to peer %s", addr)
 	}
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -36,10 +36,16 @@
 // Dial opens a connection. It must end when ctx ends.
 type Dial func(ctx context.Context, addr string) (net.Conn, error)
 
-// TCP is the Dial that is used outside tests.
-func TCP() Dial {
+// TCP is the Dial that is used outside tests. Connections come from a local
+// IP; nil leaves that to the system.
+func TCP(from net.IP) Dial {
+	var local net.Addr
+	if from != nil {
+		local = &net.TCPAddr{IP: from}
+	}
 	d := &net.Dialer{
-		Control: setUserTimeout,
+		LocalAddr: local,
+		Control:   setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     5 * time.Second,
--- a/io/relay/send_test.go
+++ b/io/relay/send_test.go
@@ -99,7 +99,7 @@
 			c.Close()
 		}
 	}()
-	h := &Host{Addr: l.Addr().String(), Dial: TCP(), Most: 1}
+	h := &Host{Addr: l.Addr().String(), Dial: TCP(nil), Most: 1}
 	c := ask(h, "a")
 	a, e := Send(t.Context(), c)
 	is.Equal(text(t, a, e), "503") // refused unless asked for
--- /dev/null
+++ b/io/soak/upstream.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"corianderwing"
+)
+
+const (
+	pool        = "goods"
+	softVersion = "v1"
+	workSlots   = 4
+	// Work takes between workLeast and workMost.
+	workLeast = 15 * time.Millisecond
+	workMost  = 90 * time.Millisecond
+	// Parts of the requests that an upstream declines, answers with an error,
+	// or breaks off midway.
+	declinePart = 0.01
+	errorPart   = 0.01
+	breakPart   = 0.005
+	// orderTime bounds an order to a control process.
+	orderTime = time.Second
+)
+
+// Content returns the body with which every upstream answers a request.
+func Content(id corianderwing.RequestID) string {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := int(h.Sum32() % 20000)
+	return fmt.Sprintf("%s %d %s", id, n, strings.Repeat(string(rune('a'+n%26)), n))
+}
+
+// Upstream is a stand-in upstream. Its address goes through the Proxy.
+type Upstream struct {
+	ID     corianderwing.UpstreamID
+	Domain corianderwing.DomainID
+
+	run    *run
+	face   string
+	bind   string
+	mu     sync.Mutex
+	rng    *rand.Rand
+	server *http.Server
+	born   corianderwing.Incarnation
+	seq    uint64
+	phase  corianderwing.Phase
+	busy   map[corianderwing.RequestID]bool // requests in progress
+	slots  chan struct{}
+	slow   time.Duration // added to the work
+	taken  bool
+}
+
+// start serves, as a new life.
+func (u *Upstream) start() error {
+	l, err := net.Listen("tcp", u.bind)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.born = corianderwing.Incarnation(time.Now().UnixMilli())
+	u.phase = corianderwing.Ready
+	u.slots = make(chan struct{}, workSlots)
+	u.busy = map[corianderwing.RequestID]bool{}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve)}
+	go u.server.Serve(l)
+	return nil
+}
+
+// crash ends all connections.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.phase = ""
+	for id := range u.busy {
+		u.run.ledger.Broke(id)
+	}
+	if u.server != nil {
+		u.server.Close()
+	}
+}
+
+// beats announces the upstream until ctx ends.
+func (u *Upstream) beats(ctx context.Context) {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		u.beat(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// beat announces the upstream once, and reports whether that was confirmed.
+func (u *Upstream) beat(ctx context.Context) bool {
+	u.mu.Lock()
+	u.seq++
+	h := corianderwing.Heartbeat{Upstream: corianderwing.Upstream{
+		ID: u.ID, Incarnation: u.born, Seq: u.seq, Pool: pool, Version: softVersion,
+		Domain: u.Domain, Addr: u.face, Slots: workSlots, Phase: u.phase,
+	}}
+	u.mu.Unlock()
+	if h.Phase == "" {
+		return false
+	}
+	return u.run.order(ctx, func(ctx context.Context, addr string) error { return u.run.cfg.Wire.Beat(ctx, addr, h) }) == nil
+}
+
+func (u *Upstream) setPhase(p corianderwing.Phase) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.phase = p
+}
+
+func (u *Upstream) setSlow(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slow = d
+}
+
+// take makes the caller the only one that works on the upstream.
+func (u *Upstream) take() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.taken {
+		return false
+	}
+	u.taken = true
+	return true
+}
+
+func (u *Upstream) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.taken = false
+}
+
+func (u *Upstream) chance(p float64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.rng.Float64() < p
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	wire, ledger := u.run.cfg.Wire, u.run.ledger
+	a, err := wire.Arrival(r)
+	if err != nil {
+		return // the sender left before the whole request had come
+	}
+	mine := a.Expected == u.ID
+	if !mine || u.chance(declinePart) {
+		if mine {
+			ledger.Arrived(a, u.ID, u.Domain, false, time.Now())
+		}
+		wire.Decline(w, a, mine)
+		return
+	}
+	ledger.Arrived(a, u.ID, u.Domain, true, time.Now())
+	u.mu.Lock()
+	u.busy[a.ID] = true
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.busy, a.ID)
+	}()
+	u.slots <- struct{}{}
+	defer func() { <-u.slots }()
+	u.mu.Lock()
+	running := len(u.busy)
+	work := workLeast + time.Duration(u.rng.Int64N(int64(workMost-workLeast))) + u.slow
+	u.mu.Unlock()
+	time.Sleep(work)
+	wire.Answer(w.Header(), a, running, workSlots)
+	if u.chance(errorPart) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	body := Content(a.ID)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if u.chance(breakPart) {
+		ledger.Broke(a.ID)
+		w.Write([]byte(body[:len(body)/2]))
+		panic(http.ErrAbortHandler)
+	}
+	w.Write([]byte(body))
+}
--- /dev/null
+++ b/io/soak/wire.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"corianderwing"
+)
+
+// Query is a request that a caller sends.
+type Query struct {
+	ID       corianderwing.RequestID
+	Host     string
+	Path     string
+	Key      string // empty for none
+	Object   string
+	Body     string // of an order; a request without one is a GET
+	Deadline time.Time
+}
+
+// Arrival is a request as an upstream sees it.
+type Arrival struct {
+	ID        corianderwing.RequestID
+	Expected  corianderwing.UpstreamID // that is to run it
+	Workspace corianderwing.WorkspaceID
+	Key       string // must never arrive
+	Path      string
+	Body      string
+}
+
+// Wire is the language in which callers, upstreams and operators of a
+// deployment speak to the system. Its methods fail with an Error of kind
+// BadInput or Conflict if an order was refused for good.
+type Wire interface {
+	// Request returns the request of a query to an entry instance.
+	Request(ctx context.Context, addr string, q Query) (*http.Request, error)
+	// Arrival reads a request that an upstream got.
+	Arrival(r *http.Request) (Arrival, error)
+	// Answer sets the header of an upstream's answer that runs the request.
+	Answer(h http.Header, a Arrival, running, slots int)
+	// Decline answers that the upstream did not run the request: it has no
+	// room, or it is not the expected one.
+	Decline(w http.ResponseWriter, a Arrival, expected bool)
+
+	Beat(ctx context.Context, addr string, h corianderwing.Heartbeat) error
+	Leave(ctx context.Context, addr string, id corianderwing.UpstreamID, i corianderwing.Incarnation) error
+	Edit(ctx context.Context, addr string, e corianderwing.Edit) error
+	Items(ctx context.Context, addr string) (corianderwing.Edit, error)
+	Evacuate(ctx context.Context, addr string, d corianderwing.DomainID, on bool) error
+	Locate(ctx context.Context, addr string, r corianderwing.RegionID, d corianderwing.DomainID) ([]string, error)
+}
