Let an upstream finish that works when the instance is told to stop

The instance had been told to stop one second before, so nothing could be tried elsewhere, and the caller got 504 while the upstream worked.

The limit on the silence was lifted for attempts that begin while the instance stops, but not for those that had begun before. Ruled out: the end of the grace (it was four seconds away) and the caller's own time limit (8 s left).

Send now asks again when the limit has passed (Call.Longer), and the entry instance grants the rest of the request's time if it stops meanwhile. TestLongerSilence and TestLongerWhileStopping fail without it.

--- a/io/gate/run.go
+++ b/io/gate/run.go
@@ -187,6 +187,7 @@
 		ID:       v.ask.ID,
 		Echo:     d.Echo(),
 		First:    v.firstByte(t, now),
+		Longer:   v.longer,
 		Foreign:  foreignAnswers,
 		Unframed: true,
 	}
@@ -224,6 +225,16 @@
 	return v.deadline
 }
 
+// longer returns until when an upstream that is silent for longer than expected
+// may go on, if this instance began to stop meanwhile: another attempt could not
+// be made before its end.
+func (v *visit) longer() time.Time {
+	if v.s.leaving.Load() {
+		return v.deadline
+	}
+	return time.Time{}
+}
+
 // resultOf returns what a failed attempt says about the upstream.
 func resultOf(e *corianderwing.Error) place.Result {
 	switch e.Code {
--- a/io/gate/run_test.go
+++ b/io/gate/run_test.go
@@ -34,3 +34,14 @@
 	is.Equal(until(ms(270), ms(880), func(v *visit, _ *slot) { v.s.leaving.Store(true) }), ms(4000))
 	is.Equal(until(ms(270), ms(880), func(_ *visit, s *slot) { s.pool.budget.level = 0 }), ms(4000))
 }
+
+// Guards against a limit on the silence of an upstream that outlives the order
+// to stop.
+func TestLongerWhileStopping(t *testing.T) {
+	is := is.New(t)
+	end := time.Unix(1000, 0)
+	v := &visit{s: &Server{}, deadline: end}
+	is.True(v.longer().IsZero())
+	v.s.leaving.Store(true)
+	is.Equal(v.longer(), end)
+}
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -39,6 +39,9 @@
 	Fresh  bool      // use a new connection
 	Recent time.Time // use no connection that has been idle since before; zero for any
 	First  time.Time // deadline of the first byte of the answer
+	// Longer is called when First has passed without a byte. It returns a later
+	// deadline, or the zero time to give the attempt up. Optional.
+	Longer func() time.Time
 
 	// Foreign is the number of answers to other requests that are skipped
 	// before the own one. A peer that answers a request twice sends the second
@@ -83,6 +86,9 @@
 	if err := a.write(c); err != nil && !answered(cn) {
 		return nil, a.fail(err)
 	}
+	if err := a.await(c); err != nil {
+		return nil, a.fail(err)
+	}
 	if e := a.readOwn(c); e != nil {
 		return nil, e
 	}
@@ -93,6 +99,22 @@
 	return a, nil
 }
 
+// await waits for the first byte of the answer.
+func (a *Answer) await(c Call) error {
+	a.conn.limit = answerHeaderLimit
+	for {
+		_, err := a.conn.br.Peek(1)
+		if err == nil || c.Longer == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		later := c.Longer()
+		if !later.After(time.Now()) {
+			return err
+		}
+		a.conn.SetReadDeadline(later)
+	}
+}
+
 // readOwn reads the header of the answer to c, past those to other requests.
 func (a *Answer) readOwn(c Call) *corianderwing.Error {
 	for skipped := 0; ; skipped++ {
--- a/io/relay/send_test.go
+++ b/io/relay/send_test.go
@@ -149,3 +149,34 @@
 		h.Reset()
 	})
 }
+
+// Guards against an upstream that works on a request and loses it because the
+// limit on its silence was set before the instance began to stop.
+func TestLongerSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := peerOf(func(c net.Conn, br *bufio.Reader) {
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				time.Sleep(3 * time.Second)
+				answer(c, r.Header.Get("X-Id"), "", "done")
+			}
+		})
+		send := func(id string, longer func() time.Time) string {
+			c := ask(h, id)
+			c.Extra = []Field{{"X-Id", id}}
+			c.Longer = longer
+			a, err := Send(context.Background(), c)
+			return text(t, a, err)
+		}
+		is.Equal(send("a", nil), "502")
+		is.Equal(send("b", func() time.Time { return time.Time{} }), "502")
+		start := time.Now()
+		is.Equal(send("c", func() time.Time { return start.Add(4 * time.Second) }), "done")
+		h.Reset()
+		time.Sleep(3 * time.Second) // until the peer has answered all
+	})
+}
