Find the cause of requests whose process was killed; show it with processes

It now names the instances that were started again without a stop, with their last line. An instance writes its first line before it opens anything, so that the line before it is the last one of the life before; control instances wrote two others first.

--- a/cmd/corianderwing/explain.go
+++ b/cmd/corianderwing/explain.go
@@ -34,21 +34,12 @@
 	if len(args) < 2 {
 		return corianderwing.Errorf(corianderwing.BadInput, "a request's id and at least one log file are needed")
 	}
-	var files []io.Reader
-	for _, name := range args[1:] {
-		f, err := os.Open(name)
-		if err != nil {
-			return corianderwing.Errorf(corianderwing.BadInput, "%v", err)
-		}
-		defer f.Close()
-		files = append(files, f)
-	}
-	story, err := logs.Story(args[0], files...)
+	story, err := readAll(args[1:], func(files []io.Reader) ([]logs.Line, error) { return logs.Story(args[0], files...) })
 	if err != nil {
-		return corianderwing.Errorf(corianderwing.BadInput, "reading the logs: %v", err)
+		return err
 	}
 	if !slices.ContainsFunc(story, func(l logs.Line) bool { return l.Fields["request"] == args[0] }) {
-		return corianderwing.Errorf(corianderwing.Unknown, "no line of request %s in %d files: look at other instances, and at log.dropped in their metrics", args[0], len(files))
+		return noLine(args[0], args[1:])
 	}
 	if cmd.Bool("json") {
 		return json.NewEncoder(cmd.Root().Writer).Encode(story)
@@ -59,6 +50,39 @@
 	return nil
 }
 
+// readAll opens the files and calls f with them.
+func readAll[T any](names []string, f func([]io.Reader) (T, error)) (T, error) {
+	var none T
+	var files []io.Reader
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return none, corianderwing.Errorf(corianderwing.BadInput, "%v", err)
+		}
+		defer file.Close()
+		files = append(files, file)
+	}
+	v, err := f(files)
+	if err != nil {
+		return none, corianderwing.Errorf(corianderwing.BadInput, "reading the logs: %v", err)
+	}
+	return v, nil
+}
+
+// noLine tells what can be known of a request without a line: the instance may
+// have ended while it worked on it.
+func noLine(id string, names []string) error {
+	ended, err := readAll(names, func(files []io.Reader) ([]logs.Ended, error) { return logs.EndedEarly(files...) })
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("no line of request %s in %d files: look at other instances, and at log.dropped in their metrics", id, len(names))
+	for _, e := range ended {
+		text += fmt.Sprintf("; %s ended without a stop after %s, what it worked on has no line", e.Instance, e.Last.Format("15:04:05.000"))
+	}
+	return corianderwing.Errorf(corianderwing.Unknown, "%s", text)
+}
+
 // oneLine renders a line for a terminal.
 func oneLine(l logs.Line) string {
 	var b strings.Builder
--- a/io/logs/story.go
+++ b/io/logs/story.go
@@ -60,6 +60,38 @@
 	return story, nil
 }
 
+// Ended is an instance that was started again without having stopped.
+type Ended struct {
+	Instance string    `json:"instance"`
+	Last     time.Time `json:"last"` // its last line before
+}
+
+// Messages of the lines at the start and the end of an instance.
+const (
+	Started = "instance started"
+	Stopped = "instance stopped"
+)
+
+// EndedEarly returns the ends of instances that did not stop by themselves. What
+// they worked on then has no line.
+func EndedEarly(logs ...io.Reader) ([]Ended, error) {
+	var list []Ended
+	for _, r := range logs {
+		lines, err := read(r)
+		if err != nil {
+			return nil, err
+		}
+		last := map[string]Line{}
+		for _, l := range lines {
+			if before, ok := last[l.Instance]; ok && l.Message == Started && before.Message != Stopped {
+				list = append(list, Ended{l.Instance, before.Time})
+			}
+			last[l.Instance] = l
+		}
+	}
+	return list, nil
+}
+
 // begin returns when what the line tells began.
 func (l *Line) begin() time.Time {
 	us, _ := l.Fields["us"].(float64)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -76,6 +76,8 @@
 		peers:  peer.NewServer([]byte(set.Secret)),
 		failed: make(chan error, 8),
 	}
+	n.log.Info().Str("role", set.Role).Str("domain", string(set.Domain)).Str("peer", set.peerAddr()).
+		Strs("seeds", set.Seeds).Bool("found", set.Found).Msg(logs.Started)
 	limitMemory(set.Memory)
 	start := n.startEntry
 	if set.Role == Control {
@@ -87,8 +89,6 @@
 	if err := n.serveMetrics(); err != nil {
 		return nil, errors.Join(err, n.Close(context.Background()))
 	}
-	n.log.Info().Str("role", set.Role).Str("domain", string(set.Domain)).Str("peer", set.peerAddr()).
-		Strs("seeds", set.Seeds).Bool("found", set.Found).Msg("instance started")
 	return n, nil
 }
 
@@ -263,7 +263,7 @@
 	n.peers.Stop()
 	n.client.Close()
 	n.wg.Wait()
-	n.log.Info().Int64("dropped", n.lines.Dropped()).Msg("instance stopped")
+	n.log.Info().Int64("dropped", n.lines.Dropped()).Msg(logs.Stopped)
 	n.lines.Close(time.Now().Add(time.Second))
 	return errors.Join(all...)
 }
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -69,7 +69,7 @@
 	for i := range controls {
 		p := controls[(c.n+i)%len(controls)]
 		callCtx, cancel := context.WithTimeout(ctx, orderTime/2)
-		list, err := c.run.cfg.Wire.Locate(callCtx, fmt.Sprintf("%s:%d", p.Face, lookupPort), c.region, c.domain)
+		list, err := c.run.cfg.Wire.Locate(callCtx, p.Lookup(), c.region, c.domain)
 		cancel()
 		if err == nil && len(list) > 0 {
 			c.list, c.until = list, now.Add(lookFor)
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -163,18 +163,29 @@
 	return list
 }
 
+// Public returns the address for callers.
+func (p *Proc) Public() string { return p.addr(publicPort) }
+
+// Admin returns the address for upstreams and operators.
+func (p *Proc) Admin() string { return p.addr(adminPort) }
+
+// Lookup returns the address for callers that ask where to go.
+func (p *Proc) Lookup() string { return p.addr(lookupPort) }
+
+func (p *Proc) addr(port int) string { return fmt.Sprintf("%s:%d", p.Face, port) }
+
 // settings returns the settings file of a process.
 func (s *Site) settings(p *Proc) string {
 	var seeds, domains []string
 	for _, c := range s.Controls()[:min(3, len(s.Controls()))] {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", c.Face, adminPort))
+		seeds = append(seeds, c.Admin())
 	}
 	for d, r := range s.domains {
 		domains = append(domains, fmt.Sprintf("%s: %s", d, r))
 	}
-	listen := fmt.Sprintf("{admin: '%s:%d', lookup: '%s:%d'}", p.Face, adminPort, p.Face, lookupPort)
+	listen := fmt.Sprintf("{admin: '%s', lookup: '%s'}", p.Admin(), p.Lookup())
 	if p.Role == "entry" {
-		listen = fmt.Sprintf("{public: '%s:%d'}", p.Face, publicPort)
+		listen = fmt.Sprintf("{public: '%s'}", p.Public())
 	}
 	_, err := os.Stat(filepath.Join(s.Dir, p.Name, foundedFile))
 	return fmt.Sprintf(`name: %s
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -152,7 +152,7 @@
 	for range 2 * len(controls) {
 		p := controls[int(r.asked.Add(1))%len(controls)]
 		callCtx, cancel := context.WithTimeout(ctx, orderTime)
-		err = f(callCtx, fmt.Sprintf("%s:%d", p.Face, adminPort))
+		err = f(callCtx, p.Admin())
 		cancel()
 		if err == nil || final(err) {
 			return err
@@ -166,7 +166,7 @@
 
 func (r *run) entryAt(addr string) *Proc {
 	for _, p := range r.site.Entries() {
-		if strings.HasPrefix(addr, p.Face+":") {
+		if addr == p.Public() {
 			return p
 		}
 	}
