Do not end calls that are under way on a connection that is replaced

The control instance was short of processor time and answered a moment later.

Ruled out: the server's end of the connection (its process went on), the deadlines of the calls (those say "deadline exceeded").

A connection that is replaced stays open for a second more. TestLateCallsEndAlone fails without it.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
@@ -23,12 +24,14 @@
 	opts  []grpc.DialOption
 	mu    sync.Mutex
 	conns map[string]*conn
+	old   []*conn // that were replaced and may still be open
 }
 
 type conn struct {
 	*grpc.ClientConn
-	timeouts int       // calls in a row that got no answer
-	silent   time.Time // start of the first of them
+	timeouts int         // calls in a row that got no answer
+	silent   time.Time   // start of the first of them
+	ending   *time.Timer // closes a connection that was replaced
 }
 
 // A connection is replaced after maxTimeouts calls in a row without an answer,
@@ -39,6 +42,9 @@
 const (
 	maxTimeouts = 2
 	silentFor   = 500 * time.Millisecond
+	// endAfter is how long a connection that was replaced stays open for the
+	// calls that are under way on it. Most of them are bounded by less.
+	endAfter = time.Second
 )
 
 // ClientOption changes a Client.
@@ -75,6 +81,11 @@
 		cc.Close()
 		delete(c.conns, addr)
 	}
+	for _, cc := range c.old {
+		cc.ending.Stop()
+		cc.Close()
+	}
+	c.old = nil
 }
 
 // Call calls a method at addr. A refusal by the peer is a *corianderwing.Error.
@@ -184,5 +195,11 @@
 		return
 	}
 	delete(c.conns, addr)
-	go cc.Close()
+	// Calls that are under way may still get their answers: a peer that is short
+	// of processor time is silent too.
+	cc.ending = time.AfterFunc(endAfter, func() { cc.Close() })
+	c.old = append(slices.DeleteFunc(c.old, (*conn).ended), cc)
 }
+
+// ended reports whether the connection is closed by now.
+func (c *conn) ended() bool { return c.GetState() == connectivity.Shutdown }
--- a/io/peer/silent_test.go
+++ b/io/peer/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -32,3 +33,38 @@
 	c.observe("127.0.0.1:1", cc, time.Now().Add(-silentFor/2), late)
 	is.True(!kept()) // no answer to calls that were sent a second apart
 }
+
+// Guards against calls that are ended, although their answers come in time,
+// because other calls on the same connection were late.
+func TestLateCallsEndAlone(t *testing.T) {
+	is := is.New(t)
+	slow := Method[string, string]{Name: "slow"}
+	s := NewServer([]byte("s"))
+	Handle(s, slow, func(context.Context, *string) (*string, error) {
+		time.Sleep(900 * time.Millisecond)
+		answer := "late"
+		return &answer, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(l)
+	defer s.Stop()
+	c := NewClient([]byte("s"))
+	defer c.Close()
+	addr := l.Addr().String()
+	done := make(chan error)
+	call := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		q := ""
+		_, err := Call(ctx, c, addr, slow, &q)
+		return err
+	}
+	go func() { done <- call(5 * time.Second) }()
+	for range maxTimeouts + 1 {
+		go call(silentFor)
+	}
+	time.Sleep(20 * time.Millisecond)
+	is.True(call(silentFor+50*time.Millisecond) != nil)
+	is.NoErr(<-done)
+}
