Report all tokens that a control instance may still hand out

A control instance that divides its share reported only what its own holders have. Until it has the answer it goes on to hand out the whole of its share, so the leader gave what lay between to others. A new leader knows the shares from such reports only, and an answer that is lost does the same under an old one.

Ruled out: the part of unknown tokens that a new leader keeps back (all of them, at that demand), requests counted twice by the ledger.

Divider.Needs counts its own bounds as held while they are valid. TestLostAnswerToDivider hands out 140 of 70 tokens without the change.

--- /dev/null
+++ b/core/quota/late_test.go
@@ -0,0 +1,39 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+)
+
+// Guards against tokens that are handed out twice because a holder that divides
+// its share reported only what its own holders have: until the next answer has
+// come, it may still hand out all of the share that it has.
+func TestLostAnswerToDivider(t *testing.T) {
+	is := is.New(t)
+	const (
+		w     = corianderwing.WorkspaceID("w")
+		bound = 70
+	)
+	now := time.Unix(1000, 0)
+	need := func(asked float64) []Need { return []Need{{Workspace: w, Asked: asked}} }
+	tokens := func(list []Share) int {
+		is.Equal(len(list), 1)
+		return list[0].Tokens
+	}
+	leader := New(5*time.Second, time.Time{})
+	leader.SetBounds(map[corianderwing.WorkspaceID]int{w: bound})
+	first, second := New(5*time.Second, time.Time{}), New(5*time.Second, time.Time{})
+
+	first.SetBounds(map[corianderwing.WorkspaceID]int{w: tokens(leader.Ask("first", need(20), now))})
+	now = now.Add(100 * time.Millisecond)
+	leader.Ask("first", first.Needs(now), now) // the answer is lost
+	now = now.Add(100 * time.Millisecond)
+	second.SetBounds(map[corianderwing.WorkspaceID]int{w: tokens(leader.Ask("second", need(40), now))})
+	now = now.Add(100 * time.Millisecond)
+	all := tokens(first.Ask("a", need(40), now)) + tokens(second.Ask("b", need(40), now))
+	is.True(all <= bound)
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -86,7 +86,8 @@
 func (d *Divider) SetReserve(name string) { d.reserve = name }
 
 // SetBounds replaces the numbers of tokens. What is handed out beyond a lower
-// bound comes back when its holders ask again.
+// bound comes back when its holders ask again. A Divider whose own shares have
+// ended has no bounds.
 func (d *Divider) SetBounds(b map[corianderwing.WorkspaceID]int) { d.bounds = b }
 
 // Ask takes a holder's needs and returns its shares. They are valid for Lease
@@ -284,8 +285,20 @@
 }
 
 // Needs returns what all holders together ask for and may be using, for a
-// Divider that is a holder itself.
-func (d *Divider) Needs(now time.Time) []Need { return d.Others("", now) }
+// Divider that is a holder itself. Until it has the answer, it goes on to hand
+// out all that it has, so all of that is held.
+func (d *Divider) Needs(now time.Time) []Need {
+	list := d.Others("", now)
+	for w, bound := range d.bounds {
+		i := slices.IndexFunc(list, func(n Need) bool { return n.Workspace == w })
+		if i < 0 {
+			list = append(list, Need{Workspace: w, Held: bound})
+			continue
+		}
+		list[i].Held = max(list[i].Held, bound)
+	}
+	return list
+}
 
 // Others returns the same without the needs of one holder.
 func (d *Divider) Others(name string, now time.Time) []Need {
--- a/io/plane/pulse.go
+++ b/io/plane/pulse.go
@@ -140,6 +140,9 @@
 	now := clock.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !now.Before(p.until) {
+		p.divider.SetBounds(nil)
+	}
 	q := &pulse{
 		Replica:   p.replica.Self(),
 		Domain:    p.cfg.Quorum.Domain,
