--- a/cmd/corianderwing/soak.go
+++ b/cmd/corianderwing/soak.go
@@ -36,7 +36,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Usage: "seed `N` of the first run", Value: 1},
 			&cli.IntFlag{Name: "runs", Usage: "`N` runs, each with the next seed", Value: 1},
-			&cli.DurationFlag{Name: "for", Usage: "`TIME` that the traffic of a run lasts", Value: 34 * time.Second},
+			&cli.DurationFlag{Name: "for", Usage: "`TIME` that the traffic of a run lasts", Value: 40 * time.Second},
 			&cli.IntFlag{Name: "controls", Usage: "`N` control processes", Value: 3},
 			&cli.IntFlag{Name: "entries", Usage: "`N` entry processes", Value: 4},
 			&cli.StringFlag{Name: "dir", Usage: "`DIR` for logs, kept if a promise broke; default: a temporary one"},
--- a/cmd/corianderwing/soak_test.go
+++ b/cmd/corianderwing/soak_test.go
@@ -20,7 +20,7 @@
 	t.Parallel()
 	is := is.New(t)
 	dir := filepath.Join(t.TempDir(), "soak")
-	out, err := exec.Command(binary, "soak", "--seed", "302", "--for", "17s", "--dir", dir, "--json").Output()
+	out, err := exec.Command(binary, "soak", "--seed", "302", "--for", "20s", "--dir", dir, "--json").Output()
 	if err != nil {
 		t.Logf("%s", out)
 	}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -23,19 +23,24 @@
 
 const (
 	// Faults come in rounds, with a time without faults after each, in which
-	// bounds on time hold.
+	// bounds on time hold: planned work is done then, late enough for the last
+	// fault to have ended for the contact time.
 	roundFor  = 8 * time.Second
-	quietFor  = 9 * time.Second
+	quietFor  = 12 * time.Second
+	calmAfter = contact + 500*time.Millisecond
 	stepMost  = 5 // faults in a round
 	faultMost = 4 * time.Second
 )
 
 // kinds are the faults; those that stand twice come more often.
 var kinds = []string{
-	"kill", "kill", "term", "term", "pause", "hup", "delay", "cut", "in", "out", "reset",
+	"kill", "kill", "term", "term", "pause", "hup", "delay", "cut", "in", "out", "lone", "lone", "reset",
 	"controls", "wipe", "tear", "crash", "drain", "slow", "evacuate", "swap",
 }
 
+// planned are the kinds of work that disturb nobody.
+var planned = []string{"drain", "evacuate", "term", "hup"}
+
 // plan draws the faults of a run. The same seed gives the same plan.
 func plan(rng *rand.Rand, length time.Duration) (steps []Step) {
 	for round := time.Duration(0); round+roundFor <= length; round += roundFor + quietFor {
@@ -47,6 +52,9 @@
 				For:  faultMost/4 + time.Duration(rng.Int64N(int64(faultMost*3/4))),
 			})
 		}
+		for _, kind := range []string{planned[rng.IntN(len(planned))], planned[rng.IntN(len(planned))]} {
+			steps = append(steps, Step{At: round + roundFor + calmAfter, Kind: kind, On: rng.IntN(1000), For: faultMost})
+		}
 	}
 	return steps
 }
@@ -80,6 +88,10 @@
 		r.with(ctx, p, s, func() { r.links(p, Fault{Silent: true}, Fault{}) }, func() { r.links(p, Fault{}, Fault{}) })
 	case "out":
 		r.with(ctx, p, s, func() { r.links(p, Fault{}, Fault{Silent: true}) }, func() { r.links(p, Fault{}, Fault{}) })
+	case "lone":
+		s.For += revokeBound
+		silent := Fault{Silent: true}
+		r.with(ctx, entry, s, func() { r.peers(entry, silent) }, func() { r.peers(entry, Fault{}) })
 	case "reset":
 		r.with(ctx, p, s, func() {
 			r.site.Proxy.Reset(func(from, to string) bool { return from == p.Name || to == p.Name })
@@ -146,6 +158,17 @@
 	}
 }
 
+// peers sets the faults of the links between a process and all other processes;
+// callers and upstreams still reach it.
+func (r *run) peers(p *Proc, f Fault) {
+	for _, q := range r.site.Procs {
+		if q != p {
+			r.site.Proxy.Set(q.Name, p.Name, f)
+			r.site.Proxy.Set(p.Name, q.Name, f)
+		}
+	}
+}
+
 // down kills processes, does something while they are down, and starts them
 // again.
 func (r *run) down(ctx context.Context, list []*Proc, s Step, between func() error) {
