Let requests that wait for a slot call more seldom

A waiting request called its control instance every 100 ms. Each call may now wait twice as long as the one before, up to 400 ms; the first still tells soon whether the control instance answers at all. The copy of the constant in io/follow is gone.

Ruled out: one long call; an instance that is gone would be noticed late.

--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -18,9 +18,6 @@
 	// muteFor is how long it is not asked after it left a request without an
 	// answer.
 	muteFor = 800 * time.Millisecond
-	// slotWait is how long a control instance keeps a call for a slot waiting at
-	// the most.
-	slotWait = 100 * time.Millisecond
 	// releaseTimeout bounds a Release.
 	releaseTimeout = 500 * time.Millisecond
 )
@@ -106,9 +103,10 @@
 
 // acquireAt asks one control instance, until it has an answer.
 func (f *Follower) acquireAt(ctx context.Context, addr string, q *plane.Acquire) (*plane.Acquired, bool) {
-	for {
+	for wait := plane.LeastWait; ; wait = plane.NextWait(wait) {
+		q.Wait = corianderwing.Millis(wait.Milliseconds())
 		sent := f.cfg.Now()
-		callCtx, cancel := context.WithTimeout(ctx, slotWait+f.way(addr).timeout())
+		callCtx, cancel := context.WithTimeout(ctx, wait+f.way(addr).timeout())
 		a, err := peer.Call(callCtx, f.peer, addr, plane.AcquireMethod, q)
 		cancel()
 		if err != nil && ctx.Err() == nil {
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -70,14 +70,20 @@
 }
 
 const (
-	// askWait is the longest time for which a call for a slot waits. A request
-	// that waits longer calls again, so that an entry instance soon notices a
-	// control instance that does not answer any more.
-	askWait = 100 * time.Millisecond
-	// askAgain is how soon it must call again.
+	// LeastWait and MostWait bound the time for which a call for a slot waits. A
+	// request that waits longer calls again, so that an entry instance soon
+	// notices a control instance that does not answer any more. Each call may wait
+	// twice as long as the one before: where many wait for long, their calls would
+	// take the processor time that the answers need.
+	LeastWait = 100 * time.Millisecond
+	MostWait  = 400 * time.Millisecond
+	// askAgain is how soon a request must call again.
 	askAgain = 300 * time.Millisecond
 )
 
+// NextWait returns how long the next call of a request may wait.
+func NextWait(last time.Duration) time.Duration { return min(max(2*last, LeastWait), MostWait) }
+
 // asked is a request that waits between two calls.
 type asked struct {
 	desk    *desk.Desk
@@ -89,7 +95,7 @@
 func (p *Plane) acquire(ctx context.Context, q *Acquire) (*Acquired, error) {
 	now := time.Now()
 	if q.ID != 0 {
-		return waited(p.await(ctx, q.ID), now), nil
+		return waited(p.await(ctx, q), now), nil
 	}
 	d := p.desk(q.Domain)
 	w, err := d.Ask(q.Pool, place.Request{
@@ -108,7 +114,7 @@
 	if err != nil {
 		return &Acquired{Error: err}, nil
 	}
-	return waited(p.wait(ctx, d, w), now), nil
+	return waited(p.wait(ctx, d, w, q), now), nil
 }
 
 // waited tells the caller how much of the time until the answer was meant to
@@ -119,20 +125,21 @@
 }
 
 // await goes on with the wait of a request that called before.
-func (p *Plane) await(ctx context.Context, id place.ID) *Acquired {
+func (p *Plane) await(ctx context.Context, q *Acquire) *Acquired {
 	p.askMu.Lock()
-	a, ok := p.asked[id]
-	delete(p.asked, id)
+	a, ok := p.asked[q.ID]
+	delete(p.asked, q.ID)
 	p.askMu.Unlock()
 	if !ok {
 		return &Acquired{Error: corianderwing.Errorf(corianderwing.TooLate, "the request called again too late")}
 	}
-	return p.wait(ctx, a.desk, a.waiting)
+	return p.wait(ctx, a.desk, a.waiting, q)
 }
 
-// wait waits for a slot for a moment.
-func (p *Plane) wait(ctx context.Context, d *desk.Desk, w *desk.Waiting) *Acquired {
-	t, after, err, ok := w.Wait(ctx, askWait)
+// wait waits for a slot for as long as the call may wait.
+func (p *Plane) wait(ctx context.Context, d *desk.Desk, w *desk.Waiting, q *Acquire) *Acquired {
+	most := min(max(time.Duration(q.Wait)*time.Millisecond, LeastWait), MostWait)
+	t, after, err, ok := w.Wait(ctx, most)
 	if !ok && ctx.Err() != nil {
 		d.Leave(w)
 		return &Acquired{Error: corianderwing.Errorf(corianderwing.CallerGone, "the request was given up while it waited")}
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -71,7 +71,8 @@
 // failure domain.
 type Acquire struct {
 	Domain corianderwing.DomainID     `json:"domain,omitempty"`
-	ID     place.ID                   `json:"id,omitempty"` // of a request that waits already; nothing else is set then
+	ID     place.ID                   `json:"id,omitempty"`   // of a request that waits already; only Wait is set besides
+	Wait   corianderwing.Millis       `json:"wait,omitempty"` // longest time for which the call may wait
 	Pool   corianderwing.PoolID       `json:"pool"`
 	Object uint64                     `json:"object,omitempty"`
 	Class  corianderwing.RouteID      `json:"class"`
