Divide scarce slots by demand between failure domains

A domain lent only what it did not need up to 70% of its own slots, so that at a load of 75% everywhere nobody had anything to spare, and the domains with few upstreams refused half of their requests while others refused a tenth.

The planner now works out which part of all slots all domains together need. Above 70% a lender keeps no more than that part free, and above 78% a borrower gets no more than that part: every domain then has slots for the same part of its requests. TestScarceSlotsAreDividedByDemand fails without it.

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -174,8 +174,9 @@
 	need := make([]float64, len(list))
 	spare := make([]float64, len(list))
 	total, all := 0.0, 0.0
+	scarce := usage(list)
 	for i, l := range list {
-		need[i] = p.need(pool, l)
+		need[i] = p.need(pool, l, scarce)
 		lent := 0.0
 		for k, n := range held {
 			if k.pool == pool && k.borrower == l.Domain {
@@ -186,7 +187,7 @@
 			}
 		}
 		if need[i] == 0 {
-			spare[i] = max(0, min(mostLent*l.Slots, l.Slots-l.Demand/lendAt)-lent)
+			spare[i] = max(0, min(mostLent*l.Slots, l.Slots-l.Demand/max(lendAt, scarce))-lent)
 		}
 		total += need[i]
 		all += spare[i]
@@ -209,10 +210,26 @@
 	}
 }
 
-// need returns how many slots a domain should borrow. One that borrows goes on
-// until it clearly does with less.
-func (p *Planner) need(pool corianderwing.PoolID, l Load) float64 {
-	more := max(0, l.Demand/borrowAt-l.Slots)
+// usage returns the part of all slots of a pool that the requests of all domains
+// need. Where that is much, there is not enough for everybody to have slots to
+// spare, and each domain gets its part of what there is: otherwise the domains
+// with few upstreams would be served far worse than the others.
+func usage(list []Load) float64 {
+	slots, demand := 0.0, 0.0
+	for _, l := range list {
+		slots += l.Slots
+		demand += l.Demand
+	}
+	if slots == 0 {
+		return 0
+	}
+	return demand / slots
+}
+
+// need returns how many slots a domain should borrow if all together use the
+// given part of theirs. One that borrows goes on until it clearly does with less.
+func (p *Planner) need(pool corianderwing.PoolID, l Load, scarce float64) float64 {
+	more := max(0, l.Demand/max(borrowAt, scarce)-l.Slots)
 	has := 0.0
 	for k, n := range p.loans {
 		if k.pool == pool && k.borrower == l.Domain {
@@ -220,7 +237,7 @@
 		}
 	}
 	if has > more {
-		return max(more, min(has, l.Demand/returnAt-l.Slots))
+		return max(more, min(has, l.Demand/max(returnAt, scarce-borrowAt+returnAt)-l.Slots))
 	}
 	return more
 }
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -142,3 +142,30 @@
 	is.True(borrowed(false) < 4)
 	is.True(borrowed(true) >= 8)
 }
+
+// Guards against a domain with few upstreams and many requests that is served far
+// worse than the others when there is not enough for all: nobody has slots to
+// spare then, and it got none.
+func TestScarceSlotsAreDividedByDemand(t *testing.T) {
+	is := is.New(t)
+	loads := []Load{
+		load("a1", 40, 90), load("a2", 40, 85),
+		load("b1", 160, 140), load("b2", 165, 145),
+		load("c1", 190, 165), load("c2", 190, 160),
+	}
+	loans, _ := settle(New(), begin, 60, loads...)
+	least, most := 10.0, 0.0
+	for _, l := range loads {
+		slots := l.Slots
+		for _, n := range loans {
+			if n.Borrower == l.Domain {
+				slots += float64(n.Slots)
+			}
+			if n.Lender == l.Domain {
+				slots -= float64(n.Slots)
+			}
+		}
+		least, most = min(least, slots/l.Demand), max(most, slots/l.Demand)
+	}
+	is.True(least >= 0.9*most)
+}
