Let some callers of the soak keep their connections

With leases that never end, on a copy, an entry process that was cut off from the others went on to accept revoked keys, and the soak did not see it: its callers had left it with their next lookup, two seconds later. One in four now goes on with its connections until one fails, as callers do.

--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -20,11 +20,14 @@
 	callTime = 3 * time.Second
 	// thinkMost is the longest pause between two requests of a caller.
 	thinkMost = 120 * time.Millisecond
-	// lookFor is how long a caller uses the answer to a lookup.
-	lookFor   = 2 * time.Second
-	orderPart = 0.3
-	openPart  = 0.1 // of requests without a key
-	objects   = 40
+	// lookFor is how long a caller uses the answer to a lookup. One in lastingEach
+	// goes on with its connections until one fails.
+	lookFor     = 2 * time.Second
+	lastingFor  = time.Minute
+	lastingEach = 4
+	orderPart   = 0.3
+	openPart    = 0.1 // of requests without a key
+	objects     = 40
 )
 
 // caller sends one request after the other. It keeps its connections open until
@@ -73,6 +76,9 @@
 		cancel()
 		if err == nil && len(list) > 0 {
 			c.list, c.until = list, now.Add(lookFor)
+			if c.n%lastingEach == 0 {
+				c.until = now.Add(lastingFor)
+			}
 			return
 		}
 	}
