--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -13,10 +13,35 @@
 	"corianderwing"
 )
 
+// Kind names a fault, or a piece of planned work.
+type Kind string
+
+// The kinds.
+const (
+	Kill     Kind = "kill"     // a process
+	Term     Kind = "term"     // a planned stop of an entry process
+	Pause    Kind = "pause"    // a process, by a signal
+	Hup      Kind = "hup"      // a process reads its settings again
+	Delay    Kind = "delay"    // all connections of a process
+	Cut      Kind = "cut"      // all connections of a process, both ways
+	CutIn    Kind = "in"       // what is sent to a process
+	CutOut   Kind = "out"      // what a process sends
+	Alone    Kind = "alone"    // an entry process from all other processes only
+	Reset    Kind = "reset"    // the connections of a process
+	Controls Kind = "controls" // all control processes are killed at once
+	Wipe     Kind = "wipe"     // the disk of a control process is lost
+	Tear     Kind = "tear"     // the beginning of a record stands at the end of its log
+	Crash    Kind = "crash"    // an upstream
+	Swap     Kind = "swap"     // another upstream takes the address of one that crashed
+	Drain    Kind = "drain"    // an upstream, as planned
+	Slow     Kind = "slow"     // an upstream
+	Evacuate Kind = "evacuate" // a failure domain, as planned
+)
+
 // Step is a fault of a plan.
 type Step struct {
 	At   time.Duration `json:"at"` // since the start of the traffic
-	Kind string        `json:"kind"`
+	Kind Kind          `json:"kind"`
 	On   int           `json:"on"` // which process or upstream
 	For  time.Duration `json:"for"`
 }
@@ -32,14 +57,14 @@
 	faultMost = 4 * time.Second
 )
 
-// kinds are the faults; those that stand twice come more often.
-var kinds = []string{
-	"kill", "kill", "term", "term", "pause", "hup", "delay", "cut", "in", "out", "lone", "lone", "reset",
-	"controls", "wipe", "tear", "crash", "drain", "slow", "evacuate", "swap",
+// kinds are drawn with the same chance; those that stand twice come more often.
+var kinds = []Kind{
+	Kill, Kill, Term, Term, Pause, Hup, Delay, Cut, CutIn, CutOut, Alone, Alone, Reset,
+	Controls, Wipe, Tear, Crash, Drain, Slow, Evacuate, Swap,
 }
 
 // planned are the kinds of work that disturb nobody.
-var planned = []string{"drain", "evacuate", "term", "hup"}
+var planned = []Kind{Drain, Evacuate, Term, Hup}
 
 // plan draws the faults of a run. The same seed gives the same plan.
 func plan(rng *rand.Rand, length time.Duration) (steps []Step) {
@@ -52,7 +77,7 @@
 				For:  faultMost/4 + time.Duration(rng.Int64N(int64(faultMost*3/4))),
 			})
 		}
-		for _, kind := range []string{planned[rng.IntN(len(planned))], planned[rng.IntN(len(planned))]} {
+		for _, kind := range []Kind{planned[rng.IntN(len(planned))], planned[rng.IntN(len(planned))]} {
 			steps = append(steps, Step{At: round + roundFor + calmAfter, Kind: kind, On: rng.IntN(1000), For: faultMost})
 		}
 	}
@@ -61,61 +86,95 @@
 
 // do carries one step out and returns when its fault has ended.
 func (r *run) do(ctx context.Context, s Step) {
-	procs := r.site.Procs
-	p := procs[s.On%len(procs)]
-	u := r.upstreams[s.On%len(r.upstreams)]
-	control := r.site.Controls()[s.On%len(r.site.Controls())]
-	entry := r.site.Entries()[s.On%len(r.site.Entries())]
+	p := r.site.Procs[s.On%len(r.site.Procs)]
 	switch s.Kind {
-	case "kill":
-		r.down(ctx, []*Proc{p}, s, func() error { return nil })
-	case "term":
-		r.term(ctx, entry)
-	case "pause":
+	case Kill:
+		r.down(ctx, []*Proc{p}, s, nil)
+	case Controls:
+		r.down(ctx, r.site.Controls(), s, nil)
+	case Term:
+		r.term(ctx, r.entry(s))
+	case Pause:
 		r.with(ctx, p, s, func() { p.Signal(syscall.SIGSTOP) }, func() { p.Signal(syscall.SIGCONT) })
-	case "hup":
-		if p.take() {
-			defer p.release()
-			p.Signal(syscall.SIGHUP)
-			r.note(s.Kind, p.Name)
-		}
-	case "delay":
-		f := Fault{Delay: time.Duration(20+s.On%400) * time.Millisecond}
-		r.with(ctx, p, s, func() { r.links(p, f, f) }, func() { r.links(p, Fault{}, Fault{}) })
-	case "cut":
-		r.with(ctx, p, s, func() { r.links(p, Fault{Silent: true}, Fault{Silent: true}) }, func() { r.links(p, Fault{}, Fault{}) })
-	case "in":
-		r.with(ctx, p, s, func() { r.links(p, Fault{Silent: true}, Fault{}) }, func() { r.links(p, Fault{}, Fault{}) })
-	case "out":
-		r.with(ctx, p, s, func() { r.links(p, Fault{}, Fault{Silent: true}) }, func() { r.links(p, Fault{}, Fault{}) })
-	case "lone":
+	case Hup:
+		r.hup(p)
+	case Wipe:
+		r.storage(ctx, s, wipe)
+	case Tear:
+		r.storage(ctx, s, tear)
+	case Evacuate:
+		r.evacuate(ctx, siteDomains[s.On%4].domain)
+	case Crash, Swap, Drain, Slow:
+		r.doUpstream(ctx, r.upstreams[s.On%len(r.upstreams)], s)
+	default:
+		r.doLinks(ctx, p, s)
+	}
+}
+
+// doUpstream carries out a step that concerns an upstream.
+func (r *run) doUpstream(ctx context.Context, u *Upstream, s Step) {
+	if !u.take() {
+		return
+	}
+	defer u.release()
+	r.note(s.Kind, string(u.ID))
+	switch s.Kind {
+	case Crash:
+		r.crash(ctx, u, s)
+	case Swap:
+		r.swap(ctx, u, s)
+	case Drain:
+		r.drain(ctx, u, s)
+	case Slow:
+		u.setSlow(time.Duration(s.On) * time.Millisecond)
+		r.pause(ctx, s.For)
+		u.setSlow(0)
+	}
+}
+
+// doLinks carries out a step that concerns the connections of a process.
+func (r *run) doLinks(ctx context.Context, p *Proc, s Step) {
+	silent, none := Fault{Silent: true}, Fault{}
+	late := Fault{Delay: time.Duration(20+s.On%400) * time.Millisecond}
+	while := func(in, out Fault) {
+		r.with(ctx, p, s, func() { r.links(p, in, out) }, func() { r.links(p, none, none) })
+	}
+	switch s.Kind {
+	case Delay:
+		while(late, late)
+	case Cut:
+		while(silent, silent)
+	case CutIn:
+		while(silent, none)
+	case CutOut:
+		while(none, silent)
+	case Alone:
+		p = r.entry(s)
 		s.For += revokeBound
-		silent := Fault{Silent: true}
-		r.with(ctx, entry, s, func() { r.peers(entry, silent) }, func() { r.peers(entry, Fault{}) })
-	case "reset":
+		r.with(ctx, p, s, func() { r.peers(p, silent) }, func() { r.peers(p, none) })
+	case Reset:
 		r.with(ctx, p, s, func() {
 			r.site.Proxy.Reset(func(from, to string) bool { return from == p.Name || to == p.Name })
 		}, func() {})
-	case "controls":
-		r.down(ctx, r.site.Controls(), s, func() error { return nil })
-	case "wipe":
-		r.storage(ctx, control, s, wipe)
-	case "tear":
-		r.storage(ctx, control, s, tear)
-	case "crash":
-		r.crash(ctx, u, s, false)
-	case "swap":
-		r.crash(ctx, u, s, true)
-	case "drain":
-		r.drain(ctx, u, s)
-	case "slow":
-		r.slow(ctx, u, s)
-	case "evacuate":
-		r.evacuate(ctx, siteDomains[s.On%4].domain)
 	}
 }
 
-func (r *run) note(kind, on string) {
+// entry returns the entry process that a step concerns.
+func (r *run) entry(s Step) *Proc {
+	list := r.site.Entries()
+	return list[s.On%len(list)]
+}
+
+func (r *run) hup(p *Proc) {
+	if !p.take() {
+		return
+	}
+	defer p.release()
+	r.note(Hup, p.Name)
+	p.Signal(syscall.SIGHUP)
+}
+
+func (r *run) note(kind Kind, on string) {
 	r.say("%s on %s", kind, on)
 }
 
@@ -188,8 +247,10 @@
 		r.note(s.Kind, p.Name)
 		p.Kill()
 	}
-	if err := between(); err != nil {
-		r.say("%s: %v", s.Kind, err)
+	if between != nil {
+		if err := between(); err != nil {
+			r.say("%s: %v", s.Kind, err)
+		}
 	}
 	r.pause(ctx, s.For)
 	for _, p := range mine {
@@ -209,7 +270,7 @@
 		return
 	}
 	defer p.release()
-	r.note("term", p.Name)
+	r.note(Term, p.Name)
 	p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.Exited():
@@ -222,7 +283,9 @@
 
 // storage kills a control process, damages its files and starts it again. Only
 // one disk may be lost at a time, and its replica needs time to catch up.
-func (r *run) storage(ctx context.Context, p *Proc, s Step, damage func(dir string) error) {
+func (r *run) storage(ctx context.Context, s Step, damage func(dir string) error) {
+	list := r.site.Controls()
+	p := list[s.On%len(list)]
 	if !r.disk.TryLock() {
 		return
 	}
@@ -264,37 +327,32 @@
 // tornRecord is shorter than the head of any record.
 var tornRecord = []byte{0, 0, 1}
 
-// crash ends an upstream and lets it come back, or lets another one take its
-// address in between.
-func (r *run) crash(ctx context.Context, u *Upstream, s Step, swap bool) {
-	if !u.take() {
-		return
-	}
-	defer u.release()
-	r.note(s.Kind, string(u.ID))
+// crash ends an upstream and lets it come back.
+func (r *run) crash(ctx context.Context, u *Upstream, s Step) {
 	u.crash()
-	if swap {
-		other := r.upstream(fmt.Sprintf("%s-x%d", u.ID, s.On), u.Domain, u.face, u.bind)
-		if err := other.start(); err != nil {
-			r.say("swap: %v", err)
-			return
-		}
-		r.pause(ctx, s.For)
-		other.crash()
-	}
 	r.pause(ctx, s.For)
+	r.revive(u)
+}
+
+// swap ends an upstream and lets another one take its address for a while.
+func (r *run) swap(ctx context.Context, u *Upstream, s Step) {
+	u.crash()
+	other := r.upstream(fmt.Sprintf("%s-x%d", u.ID, s.On), u.Domain, u.face, u.bind)
+	r.revive(other)
+	r.pause(ctx, s.For)
+	other.crash()
+	r.pause(ctx, s.For)
+	r.revive(u)
+}
+
+func (r *run) revive(u *Upstream) {
 	if err := u.start(); err != nil {
-		r.say("crash: %v", err)
+		r.say("%s cannot be started: %v", u.ID, err)
 	}
 }
 
 // drain empties an upstream as its operator does, and lets it come back.
 func (r *run) drain(ctx context.Context, u *Upstream, s Step) {
-	if !u.take() {
-		return
-	}
-	defer u.release()
-	r.note("drain", string(u.ID))
 	u.setPhase(corianderwing.Draining)
 	for !u.beat(ctx) && ctx.Err() == nil {
 		r.pause(ctx, beatEvery/5)
@@ -304,20 +362,7 @@
 	u.crash()
 	r.pause(ctx, s.For)
 	r.ledger.Undrain(u.ID)
-	if err := u.start(); err != nil {
-		r.say("drain: %v", err)
-	}
-}
-
-func (r *run) slow(ctx context.Context, u *Upstream, s Step) {
-	if !u.take() {
-		return
-	}
-	defer u.release()
-	r.note("slow", string(u.ID))
-	u.setSlow(time.Duration(s.On) * time.Millisecond)
-	r.pause(ctx, s.For)
-	u.setSlow(0)
+	r.revive(u)
 }
 
 // evacuate empties a failure domain and takes that back.
@@ -334,7 +379,7 @@
 			}
 		}
 	}
-	r.note("evacuate", string(d))
+	r.note(Evacuate, string(d))
 	order(true)
 	r.ledger.Empty(d, true, time.Now())
 	r.pause(ctx, emptyBound+2*time.Second)
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -25,7 +25,7 @@
 	faults map[link]Fault
 	conns  map[*pipe]struct{}
 	names  map[string]string // process of a private IP
-	lists  []net.Listener
+	listen []net.Listener
 	wg     sync.WaitGroup
 }
 
@@ -59,7 +59,7 @@
 		return err
 	}
 	p.mu.Lock()
-	p.lists = append(p.lists, l)
+	p.listen = append(p.listen, l)
 	p.mu.Unlock()
 	p.wg.Go(func() {
 		for {
@@ -76,7 +76,7 @@
 // Close ends all listeners and connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
-	for _, l := range p.lists {
+	for _, l := range p.listen {
 		l.Close()
 	}
 	p.mu.Unlock()
@@ -84,8 +84,7 @@
 	p.wg.Wait()
 }
 
-// Set replaces the faults of both directions between a process and all others
-// that match.
+// Set replaces the fault of the bytes from one process to another.
 func (p *Proxy) Set(from, to string, f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -115,7 +115,7 @@
 		l.Close()
 		if owner, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", o, peerPort)); err == nil {
 			// Held until the site is closed: it marks the octet as taken.
-			s.Proxy.lists = append(s.Proxy.lists, owner)
+			s.Proxy.listen = append(s.Proxy.listen, owner)
 			s.octet = o
 			return nil
 		}
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	pool        = "goods"
-	softVersion = "v1"
-	workSlots   = 4
+	pool            = "goods"
+	upstreamVersion = "v1"
+	workSlots       = 4
 	// Work takes between workLeast and workMost.
 	workLeast = 15 * time.Millisecond
 	workMost  = 90 * time.Millisecond
@@ -107,7 +107,7 @@
 	u.mu.Lock()
 	u.seq++
 	h := corianderwing.Heartbeat{Upstream: corianderwing.Upstream{
-		ID: u.ID, Incarnation: u.born, Seq: u.seq, Pool: pool, Version: softVersion,
+		ID: u.ID, Incarnation: u.born, Seq: u.seq, Pool: pool, Version: upstreamVersion,
 		Domain: u.Domain, Addr: u.face, Slots: workSlots, Phase: u.phase,
 	}}
 	u.mu.Unlock()
