--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -20,11 +20,11 @@
 	callTime = 3 * time.Second
 	// thinkMost is the longest pause between two requests of a caller.
 	thinkMost = 120 * time.Millisecond
-	// lookFor is how long a caller uses the answer to a lookup. One in lastingEach
-	// goes on with its connections until one fails.
+	// lookFor is how long a caller uses the answer to a lookup. One in lastingEach,
+	// in every failure domain, goes on with its connections until one fails.
 	lookFor     = 2 * time.Second
 	lastingFor  = time.Minute
-	lastingEach = 4
+	lastingEach = 3
 	orderPart   = 0.3
 	openPart    = 0.1 // of requests without a key
 	objects     = 40
