Refuse a directory with files of another run in the soak

A run with a mechanism switched off, started again in the directory of a run that had been given up, failed after 20 s with 'the first settings were not accepted: context deadline exceeded': its processes went on with the data of the old run, whose addresses were others. TestSoakKeepsOldFiles.

--- a/cmd/corianderwing/soak_test.go
+++ b/cmd/corianderwing/soak_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -40,3 +42,17 @@
 	is.True(err != nil)
 	is.Equal(string(out), "209 badinput: --for is 1s, allowed: 5s to 24h0m0s\n")
 }
+
+// Guards against a run that goes on with the data of another one.
+func TestSoakKeepsOldFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	old := filepath.Join(dir, "seed-7", "entry-1.log")
+	is.NoErr(os.MkdirAll(filepath.Dir(old), 0o755))
+	is.NoErr(os.WriteFile(old, []byte("x"), 0o600))
+	out, err := exec.Command(binary, "soak", "--seed", "7", "--dir", dir).CombinedOutput()
+	is.True(err != nil)
+	is.True(strings.Contains(string(out), "holds files of another run"))
+	_, err = os.Stat(old)
+	is.NoErr(err)
+}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderwing"
 )
 
@@ -105,7 +107,7 @@
 	r := &run{cfg: cfg, start: time.Now()}
 	limit := int((boundRate*windowBound.Seconds()+boundBurst)*(1+overBound) + slackBound)
 	r.ledger = NewLedger(r.start, map[corianderwing.WorkspaceID]int{boundWorkspace: limit})
-	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+	if err := emptyDir(cfg.Dir); err != nil {
 		return nil, err
 	}
 	var err error
@@ -126,6 +128,22 @@
 	return &Report{Seed: cfg.Seed, Plan: cfg.Plan, Counts: r.ledger.Counts(), Breaches: breaches, More: more, Dir: cfg.Dir}, nil
 }
 
+// emptyDir creates a directory, or fails if there is one with files: processes
+// would go on with the data of another run.
+func emptyDir(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return eris.Wrap(err, "create a directory")
+	}
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return eris.Wrap(err, "read a directory")
+	}
+	if len(files) > 0 {
+		return corianderwing.Errorf(corianderwing.BadInput, "%s holds files of another run", dir)
+	}
+	return nil
+}
+
 // random returns the random numbers of one part of the run.
 func (r *run) random(part string) *rand.Rand {
 	var n uint64
