Make lost settings and late revocations visible to the soak

Callers use the two latest revoked keys in place of all of them, so that a use of one within the second in which it must fail is likely.

--- a/io/soak/operator.go
+++ b/io/soak/operator.go
@@ -20,13 +20,16 @@
 	boundBurst     = 10.0
 )
 
-// keyring holds the keys that callers use, revoked ones included.
+// keyring holds the keys that callers use, the latest revoked ones included.
 type keyring struct {
 	mu   sync.Mutex
 	list []string // of the churn workspace, the oldest first
 	live int      // the last ones, which are not revoked
 }
 
+// revokedUsed is how many revoked keys callers go on to use.
+const revokedUsed = 2
+
 // pick returns a key with its workspace.
 func (k *keyring) pick(rng *rand.Rand) (corianderwing.WorkspaceID, string) {
 	switch x := rng.Float64(); {
@@ -37,7 +40,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return churnWorkspace, k.list[rng.IntN(len(k.list))]
+	recent := k.list[max(0, len(k.list)-k.live-revokedUsed):]
+	return churnWorkspace, recent[rng.IntN(len(recent))]
 }
 
 func (k *keyring) add(key string) {
@@ -47,6 +51,13 @@
 	k.live++
 }
 
+// revoke notes that the oldest live key is not one any more.
+func (k *keyring) revoke() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.live--
+}
+
 // operator changes the settings. One change is under way at a time, but for
 // those that race on purpose.
 type operator struct {
@@ -177,6 +188,7 @@
 	o.run.ledger.Revoking(key, time.Now())
 	if o.must(ctx, corianderwing.Edit{Tenures: []corianderwing.Tenure{o.churn(o.version)}}) {
 		o.run.ledger.Revoke(key, time.Now())
+		o.run.keys.revoke()
 	}
 }
 
@@ -204,12 +216,13 @@
 	}
 }
 
-// storm changes one rule several times at once.
+// storm adds a rule and changes it several times in a row. Nothing changes it
+// later, so that its loss shows.
 func (o *operator) storm(ctx context.Context) {
+	name := fmt.Sprintf("r-storm-%d", o.version+1)
 	for range 4 {
 		o.version++
-		r := rule("r-goods", "/goods/", o.version, false, false)
-		r.Goal += corianderwing.Millis(o.version)
+		r := rule(name, "/"+name+"/", o.version, false, false)
 		if !o.must(ctx, corianderwing.Edit{Rules: []corianderwing.Rule{r}}) {
 			return
 		}
