End a run of the soak that the site does not recover from

With control processes that do not start again, on a copy, the soak waited for ever for the confirmation of an evacuation.

--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -271,6 +271,10 @@
 // round's quiet time is over.
 func (r *run) faults(ctx context.Context, steps []Step) {
 	begin := time.Now()
+	// Orders of planned work are repeated until they are confirmed, which a site
+	// that does not recover never does.
+	ctx, cancel := context.WithDeadline(ctx, begin.Add(r.cfg.Length+recoveryTime))
+	defer cancel()
 	var wg sync.WaitGroup
 	for _, s := range steps {
 		wg.Go(func() {
