--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -112,7 +112,7 @@
 	pressed := len(room) == 0 || p.pressed(now)
 	for i := 0; i < len(p.queue) && len(room) > 0; {
 		w := p.queue[i]
-		if pressed && !p.hopes(w, room, now) {
+		if pressed && !p.mayRun(w, room, now) {
 			i++
 			continue
 		}
@@ -143,10 +143,10 @@
 	return p.room
 }
 
-// hopes reports whether a waiting request may run at one of the upstreams with
-// room although the pool is pressed: one that knows its object, or the first of its
-// order, if that is new or no other one can serve it in time.
-func (p *Pool) hopes(w *waiter, room []*server, now time.Time) bool {
+// mayRun reports whether a waiting request may run now at one of the upstreams
+// with room, although the pool is pressed: at one that knows its object, or at the
+// first of its order, if that is new or no other one can serve it in time.
+func (p *Pool) mayRun(w *waiter, room []*server, now time.Time) bool {
 	if w.Object == 0 {
 		return true
 	}
