--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -18,6 +18,7 @@
 	"corianderwing/io/follow"
 	"corianderwing/io/logs"
 	"corianderwing/io/plane"
+	"corianderwing/io/soak"
 	"corianderwing/platform"
 )
 
@@ -87,8 +88,13 @@
 // caller and upstream included, with and without its log line. Half of what
 // remains without it is about the entry instance's own.
 func BenchmarkRequest(b *testing.B) {
+	var wire platform.Client
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		a, err := wire.Arrival(r)
+		if err != nil {
+			return
+		}
+		wire.Answer(w.Header(), a, 1, 100)
 		io.WriteString(w, "done")
 	}))
 	defer upstream.Close()
@@ -106,13 +112,13 @@
 			entry := httptest.NewServer(s)
 			defer entry.Close()
 			call := func(i int) {
-				r, err := http.NewRequest("GET", entry.URL+"/files/1", nil)
+				r, err := wire.Request(b.Context(), entry.Listener.Addr().String(), soak.Query{
+					ID: corianderwing.RequestID(fmt.Sprintf("%016x", i)), Host: "shop.example", Path: "/files/1", Key: "k-1",
+					Deadline: time.Now().Add(time.Minute),
+				})
 				if err != nil {
 					b.Fatal(err)
 				}
-				r.Host = "shop.example"
-				r.Header.Set("X-Request-Id", fmt.Sprintf("%016x", i))
-				r.Header.Set("X-Key", "k-1")
 				resp, err := http.DefaultClient.Do(r)
 				if err != nil {
 					b.Fatal(err)
