Merge the loads that several control instances report for a failure domain

Cause: a large site has three control instances in each failure domain. One allocates the slots of the domain, two stand by, and each reports a load for the domain.

Ruled out: two leaders (66 role changes, all at the start); reports that come late (loadTTL is 1.5 s, reports come each 400 ms).

Change: reports are kept by control instance and domain, and steer.Merge adds their demand and takes the largest number of slots.

Test: TestLoadOfDomainWithIdleControls fails with reports kept by domain ([{web n-a n 40 0 0}] != [{web n-a n 40 60 100}]).

--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -70,7 +70,7 @@
 	}
 	l.quotaAllocator = quota.NewAllocator(l.tolerance.Window, graceEnd)
 	l.boundsRevision = 0
-	l.loans = loanPlan{planner: steer.New(), loads: map[corianderwing.DomainID]domainReport{}}
+	l.loans = loanPlan{planner: steer.New(), loads: map[reportKey]domainReport{}}
 	l.rollouts = rollouts{
 		byMove:  map[corianderwing.RequestID]*shift.Rollout{},
 		running: map[corianderwing.RequestID]map[string]int{},
@@ -121,7 +121,7 @@
 	l.ensureTerm(term, now)
 	l.controls[q.Replica] = controlRecord{ControlInstance{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
 	for _, d := range q.Loads {
-		l.loans.loads[d.Domain] = domainReport{l.regionOf(d.Domain), d.Loads, now}
+		l.loans.loads[reportKey{q.Replica, d.Domain}] = domainReport{l.regionOf(d.Domain), d.Loads, now}
 	}
 	for _, no := range q.Upstreams {
 		l.lastHeartbeats[no] = now
--- a/io/plane/loans.go
+++ b/io/plane/loans.go
@@ -29,12 +29,19 @@
 // other.
 type loanPlan struct {
 	planner   *steer.Planner
-	loads     map[corianderwing.DomainID]domainReport
+	loads     map[reportKey]domainReport
 	plannedAt time.Time
 	version   uint64
 	loans     []steer.UpstreamLoan
 }
 
+// reportKey identifies the report of a control instance on a failure domain.
+// Several control instances may report the same domain.
+type reportKey struct {
+	replica corianderwing.InstanceID
+	domain  corianderwing.DomainID
+}
+
 // domainReport contains the loads that a control instance reported for a
 // failure domain.
 type domainReport struct {
@@ -81,18 +88,19 @@
 	return s.version, s.loans
 }
 
-// currentLoads returns the loads that have not expired, and deletes the others.
+// currentLoads returns the loads that have not expired, one for each pool and
+// failure domain, and deletes the expired reports.
 func (s *loanPlan) currentLoads(now time.Time) []steer.Load {
 	var list []steer.Load
-	for d, l := range s.loads {
+	for k, l := range s.loads {
 		if now.Sub(l.reportedAt) > loadTTL {
-			delete(s.loads, d)
+			delete(s.loads, k)
 			continue
 		}
 		for _, x := range l.loads {
 			list = append(list, steer.Load{
 				Pool:        x.Pool,
-				Domain:      d,
+				Domain:      k.domain,
 				Region:      l.region,
 				Slots:       float64(x.OwnSlots),
 				Demand:      x.Demand,
@@ -100,7 +108,7 @@
 			})
 		}
 	}
-	return list
+	return steer.Merge(list)
 }
 
 // loanedSlots returns the number of slots that a failure domain lends and
--- /dev/null
+++ b/io/plane/loans_test.go
@@ -0,0 +1,33 @@
+package plane
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/steer"
+	"corianderwing/io/alloc"
+)
+
+// Guards against loans that come and go with each report: in a failure domain
+// with three control instances, one sees the requests and two are idle. Taking
+// the last report as the load of the domain lends its slots away and calls them
+// back several times a second.
+func TestLoadOfDomainWithIdleControls(t *testing.T) {
+	is := is.New(t)
+	l := newLeaderState(time.Second)
+	l.revision = func() corianderwing.Revision { return 0 }
+	l.regionOf = func(corianderwing.DomainID) corianderwing.RegionID { return "n" }
+	now := time.Unix(1000, 0)
+	busy := alloc.PoolLoad{Pool: "web", OwnSlots: 40, Demand: 60, ArrivalRate: 100}
+	idle := alloc.PoolLoad{Pool: "web", OwnSlots: 40}
+	for _, r := range []struct {
+		replica corianderwing.InstanceID
+		load    alloc.PoolLoad
+	}{{"c-1", busy}, {"c-2", idle}, {"c-3", idle}} {
+		l.recordReport(1, &reportRequest{Replica: r.replica, Domain: "n-a", Loads: []domainLoads{{"n-a", []alloc.PoolLoad{r.load}}}}, now)
+	}
+	is.Equal(l.loans.currentLoads(now), []steer.Load{{Pool: "web", Domain: "n-a", Region: "n", Slots: 40, Demand: 60, ArrivalRate: 100}})
+}
