Reject requests that wait for a slot before a planned stop ends

Cause: after SIGTERM an entry instance waits for its requests until 0.3 s before the grace period ends. A request with a timeout beyond that (guild-register has 8 s, the grace period is 6 s) could still wait for a slot then, and its connection was closed without a response.

Ruled out: a request behind another on its connection (guild-register sends one at a time); an upstream at work (a cut then does not count).

Change: 2 s before the stop ends, waits for a slot end with 'stopping' (503, not executed), and later requests are rejected at once.

--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -43,7 +43,7 @@
 func (c *grantingControl) Release(follow.SlotSource, corianderwing.PoolID, place.Outcome) {}
 
 // newGrantingControl returns a Control with a single upstream at addr.
-func newGrantingControl(b *testing.B, addr string) *grantingControl {
+func newGrantingControl(b testing.TB, addr string) *grantingControl {
 	b.Helper()
 	now := time.Now()
 	view := model.New()
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -78,7 +78,9 @@
 	splitters     map[corianderwing.RouteID]*splitter
 	firstTimeouts map[corianderwing.RouteID]time.Duration // longest timeout that callers of a rule have sent: that of their first attempts
 
-	viewChanged chan struct{} // buffered (1); signals a change of the state
+	viewChanged chan struct{}   // buffered (1); signals a change of the state
+	slotWaits   context.Context // canceled with errStopping once no request may wait for a slot any longer
+	endWaits    context.CancelCauseFunc
 	stopping    atomic.Bool   // responses close their client connections
 	draining    atomic.Bool   // no longer ready
 	active      atomic.Int64
@@ -107,6 +109,7 @@
 		viewChanged:   make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.slotWaits, s.endWaits = context.WithCancelCause(s.ctx)
 	s.wg.Go(s.run)
 	s.wg.Go(func() { s.allocator.Run(s.ctx) })
 	return s
@@ -201,11 +204,22 @@
 	return known && view.Revision() > 0 && !s.draining.Load() && s.cfg.Limits.ready()
 }
 
+// stopWaitMargin is how long before the end of a stop no request may wait for a
+// slot any longer: a request that gets a slot later could not be completed.
+const stopWaitMargin = 2 * time.Second
+
+// errStopping is the reason for rejecting requests that wait for a slot near the
+// end of a stop.
+var errStopping = corianderwing.Errorf(corianderwing.Stopping, "this instance is stopping")
+
 // Drain makes the instance unready. It continues to serve, and asks clients to
-// close their connections.
-func (s *Server) Drain() {
+// close their connections. Requests that still have no slot stopWaitMargin before
+// the given time, at which the instance ends, are rejected, so that their callers
+// can go elsewhere instead of losing the connection without a response.
+func (s *Server) Drain(end time.Time) {
 	s.draining.Store(true)
 	s.stopping.Store(true)
+	time.AfterFunc(time.Until(end)-stopWaitMargin, func() { s.endWaits(errStopping) })
 }
 
 // Active returns the number of requests in progress.
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -42,7 +43,7 @@
 		if sent > 0 && !x.pool.spendRetry() {
 			return nil, last
 		}
-		sl, wait, err := x.s.acquire(x.ctx, x.pool, x.placement, x.view, now)
+		sl, wait, err := x.waitForSlot(now)
 		x.slotWait += time.Since(now)
 		if err != nil {
 			x.retryDelay = wait
@@ -71,13 +72,28 @@
 	}
 }
 
-// slotError returns the error for a request that got no slot. If its context ended
-// while it waited, that is the error, and the request has not run.
+// waitForSlot gets a slot for the request. The wait ends early when the instance
+// is about to stop.
+func (x *exchange) waitForSlot(now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+	if x.s.slotWaits.Err() != nil {
+		return nil, 0, errStopping
+	}
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	defer context.AfterFunc(x.s.slotWaits, cancel)()
+	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+}
+
+// slotError returns the error for a request that got no slot. If its context or
+// its wait ended, that is the error, and the request has not run.
 func (x *exchange) slotError(err *corianderwing.Error) *corianderwing.Error {
-	if x.ctx.Err() == nil {
-		return err
+	if x.ctx.Err() != nil {
+		return relay.ContextError(x.ctx, corianderwing.NotExecuted)
+	}
+	if x.s.slotWaits.Err() != nil && err.Code == corianderwing.CallerDisconnected {
+		return errStopping
 	}
-	return relay.ContextError(x.ctx, corianderwing.NotExecuted)
+	return err
 }
 
 // recheckKey checks that the key is still valid after the wait for a slot.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -271,7 +271,11 @@
 }
 
 func (n *Node) closeEntry(ctx context.Context, g *gate.Server) error {
-	g.Drain()
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(time.Duration(n.cfg.Bounds.GracePeriod))
+	}
+	g.Drain(end)
 	n.follow.Heartbeat(ctx)
 	clock.Sleep(ctx, drainTime)
 	var err error
