Combine the updates of a watch, and copy the upstreams once for each

Cause: at full size of the large site, 27 control instances register 647 upstreams in some 500 batches at the start, and each reached 273 entry instances as an update of its own, with a copy of all upstreams, a new grouping by pool, a run of gate.sync and a log line: 131,165 'state changed' lines before the traffic. On 0.16 cores that takes until after the traffic has begun.

Ruled out: the size of the updates (8.8 MB peak, links of 2 Mbit/s not full).

Change: a watch sends at most ten updates a second and combines what came meanwhile (Update.Commands, only for subscribers that ask for it, so that older entry instances still get single commands); View.ApplyAll copies the upstreams once; the grouping by pool is made when it is first read.

--- a/core/model/codec.go
+++ b/core/model/codec.go
@@ -125,7 +125,6 @@
 	for _, m := range s.Moves {
 		v.moves[m.Pool] = m
 	}
-	v.groupByPool()
 	return v, nil
 }
 
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -57,8 +57,10 @@
 	switch {
 	case c.Edit != nil:
 		return v.applyEdit(*c.Edit)
-	case len(c.Announce)+len(c.Remove)+len(c.Expire) > 0:
-		return v.updateUpstreams(c, now), nil
+	case c.changesUpstreams():
+		n := v.cloneForUpdate()
+		n.updateUpstreams(c, now)
+		return n, nil
 	case c.Evacuate != nil:
 		return v.setEvacuated(*c.Evacuate), nil
 	case c.Move != nil:
@@ -80,23 +82,51 @@
 	return &n, nil
 }
 
-// updateUpstreams applies announcements, removals and expirations.
-func (v *View) updateUpstreams(c *Command, now time.Time) *View {
-	n := v.cloneForUpdate()
+// ApplyAll returns the view after a series of commands. It copies the upstreams
+// once for consecutive commands that change them. If a command is rejected, it
+// returns the view after those before it, and the error.
+func (v *View) ApplyAll(list []*Command, now time.Time) (*View, error) {
+	var open *View // a copy with upstreams that may be changed
+	for _, c := range list {
+		if c.changesUpstreams() {
+			if open == nil {
+				open = v.cloneForUpdate()
+				v = open
+			}
+			open.updateUpstreams(c, now)
+			continue
+		}
+		open = nil
+		next, err := v.Apply(c, now)
+		if err != nil {
+			return v, err
+		}
+		v = next
+	}
+	return v, nil
+}
+
+// changesUpstreams reports whether the command announces, removes or expires
+// upstreams.
+func (c *Command) changesUpstreams() bool {
+	return c.Edit == nil && len(c.Announce)+len(c.Remove)+len(c.Expire) > 0
+}
+
+// updateUpstreams applies announcements, removals and expirations to a view made
+// by cloneForUpdate.
+func (v *View) updateUpstreams(c *Command, now time.Time) {
 	for i := range c.Announce {
-		n.addUpstream(&c.Announce[i], now)
+		v.addUpstream(&c.Announce[i], now)
 	}
 	for _, ref := range c.Remove {
-		n.removeUpstream(ref)
+		v.removeUpstream(ref)
 	}
 	for _, ref := range c.Expire {
-		if u, ok := n.upstreams[ref.ID]; ok && u.Incarnation == ref.Incarnation {
-			delete(n.upstreams, ref.ID)
+		if u, ok := v.upstreams[ref.ID]; ok && u.Incarnation == ref.Incarnation {
+			delete(v.upstreams, ref.ID)
 		}
 	}
-	n.groupByPool()
-	n.revision++
-	return n
+	v.revision++
 }
 
 // addUpstream adds or updates an announced upstream, unless the announcement is
--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -13,12 +13,30 @@
 // followers. A follower that lacks more of them gets a snapshot.
 const maxUpdates = 512
 
-// Update brings a follower's view to Revision. It holds either a snapshot of the
-// whole view or the command that follows the previous revision.
+// Update brings a follower's view to Revision. It holds a snapshot of the whole
+// view, the command that follows the previous revision, or several commands,
+// the first of which follows the revision Revision-len(Commands).
 type Update struct {
 	Revision corianderwing.Revision `json:"revision"`
 	Snapshot []byte                 `json:"snapshot,omitempty"`
 	Command  []byte                 `json:"command,omitempty"`
+	Commands [][]byte               `json:"commands,omitempty"`
+}
+
+// Combine returns one update in place of several that follow each other. Of
+// updates that hold a snapshot it returns the list as it is.
+func Combine(list []Update) []Update {
+	if len(list) < 2 {
+		return list
+	}
+	u := Update{Revision: list[len(list)-1].Revision}
+	for i := range list {
+		if list[i].Command == nil {
+			return list
+		}
+		u.Commands = append(u.Commands, list[i].Command)
+	}
+	return []Update{u}
 }
 
 // Machine is one replica of the state. It implements corianderwing.StateMachine
@@ -180,23 +198,17 @@
 // Update returns the view after an update. It returns a RevisionConflict if the
 // update does not directly follow the view, so that a snapshot is needed.
 func (v *View) Update(u Update, now time.Time) (*View, error) {
-	if u.Snapshot != nil {
-		if u.Revision <= v.revision {
-			return v, nil
-		}
-		return Load(u.Snapshot, now)
-	}
 	if u.Revision <= v.revision {
 		return v, nil
 	}
-	if u.Revision != v.revision+1 {
-		return v, corianderwing.Errorf(corianderwing.RevisionConflict, "update to revision %d does not follow revision %d", u.Revision, v.revision)
+	if u.Snapshot != nil {
+		return Load(u.Snapshot, now)
 	}
-	c, err := Decode(u.Command)
+	list, err := u.commandsAfter(v.revision)
 	if err != nil {
 		return v, err
 	}
-	next, err := v.Apply(c, now)
+	next, err := v.ApplyAll(list, now)
 	if err != nil {
 		return v, corianderwing.Errorf(corianderwing.RevisionConflict, "update to revision %d was rejected: %v", u.Revision, err)
 	}
@@ -205,3 +217,24 @@
 	}
 	return next, nil
 }
+
+// commandsAfter returns the commands of the update that follow a revision.
+func (u *Update) commandsAfter(r corianderwing.Revision) ([]*Command, error) {
+	encoded := u.Commands
+	if encoded == nil {
+		encoded = [][]byte{u.Command}
+	}
+	missing := int(u.Revision - r)
+	if missing > len(encoded) {
+		return nil, corianderwing.Errorf(corianderwing.RevisionConflict, "update to revision %d does not follow revision %d", u.Revision, r)
+	}
+	var list []*Command
+	for _, data := range encoded[len(encoded)-missing:] {
+		c, err := Decode(data)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, c)
+	}
+	return list, nil
+}
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"sync"
 	"time"
 
 	"corianderwing"
@@ -36,7 +37,14 @@
 	moves           map[corianderwing.PoolID]corianderwing.Move
 	currentVersions map[corianderwing.PoolID]corianderwing.VersionID // versions that serve requests
 	lastShortID     uint32                                           // the last Upstream.ShortID assigned
-	byPool          map[corianderwing.PoolID][]*Upstream
+	byPool          *poolIndex
+}
+
+// poolIndex groups the upstreams of a View by pool when they are first asked for.
+// Applying a series of commands creates many Views that nobody reads.
+type poolIndex struct {
+	once  sync.Once
+	pools map[corianderwing.PoolID][]*Upstream
 }
 
 // New returns an empty state.
@@ -49,7 +57,7 @@
 		moves:           map[corianderwing.PoolID]corianderwing.Move{},
 		currentVersions: map[corianderwing.PoolID]corianderwing.VersionID{},
 	}
-	v.groupByPool()
+	v.byPool = &poolIndex{}
 	return v
 }
 
@@ -67,11 +75,14 @@
 
 // PoolUpstreams returns the upstreams of a pool, sorted by ID. The caller must not
 // modify the slice.
-func (v *View) PoolUpstreams(p corianderwing.PoolID) []*Upstream { return v.byPool[p] }
+func (v *View) PoolUpstreams(p corianderwing.PoolID) []*Upstream { return v.UpstreamsByPool()[p] }
 
 // UpstreamsByPool returns the upstreams of every pool. The caller must not modify
 // the map.
-func (v *View) UpstreamsByPool() map[corianderwing.PoolID][]*Upstream { return v.byPool }
+func (v *View) UpstreamsByPool() map[corianderwing.PoolID][]*Upstream {
+	v.byPool.once.Do(func() { v.byPool.pools = v.groupByPool() })
+	return v.byPool.pools
+}
 
 // NumUpstreams returns the number of announced upstreams.
 func (v *View) NumUpstreams() int { return len(v.upstreams) }
@@ -99,18 +110,20 @@
 	}
 }
 
-// cloneForUpdate returns a copy whose map of upstreams may be changed.
+// cloneForUpdate returns a copy whose upstreams may be changed.
 func (v *View) cloneForUpdate() *View {
 	n := *v
 	n.upstreams = maps.Clone(v.upstreams)
+	n.byPool = &poolIndex{}
 	return &n
 }
 
-// groupByPool groups the upstreams by pool.
-func (v *View) groupByPool() {
-	v.byPool = make(map[corianderwing.PoolID][]*Upstream)
+// groupByPool returns the upstreams of each pool, sorted by ID.
+func (v *View) groupByPool() map[corianderwing.PoolID][]*Upstream {
+	pools := make(map[corianderwing.PoolID][]*Upstream)
 	for _, id := range sortedKeys(v.upstreams) {
 		u := v.upstreams[id]
-		v.byPool[u.Pool] = append(v.byPool[u.Pool], u)
+		pools[u.Pool] = append(pools[u.Pool], u)
 	}
+	return pools
 }
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -15,8 +15,14 @@
 	"corianderwing/io/clock"
 )
 
-// tickInterval is the interval at which waiting requests are rechecked.
-const tickInterval = 25 * time.Millisecond
+const (
+	// tickInterval is the interval at which waiting requests are rechecked.
+	tickInterval = 25 * time.Millisecond
+	// idleTickInterval is the interval while no request waits. Then there are
+	// only grants that were not released, and most allocators have none: those
+	// of entry instances that can reach their control instance.
+	idleTickInterval = 250 * time.Millisecond
+)
 
 // Config configures an Allocator.
 type Config struct {
@@ -56,6 +62,7 @@
 	pools   map[corianderwing.PoolID]*place.Pool
 	waiting map[place.ID]chan place.Effect
 	last    place.ID
+	queued  chan struct{} // buffered (1); signals that a request waits
 }
 
 // New returns an Allocator without upstreams. The caller must call Run.
@@ -65,19 +72,48 @@
 		pools:   map[corianderwing.PoolID]*place.Pool{},
 		waiting: map[place.ID]chan place.Effect{},
 		// IDs of an earlier process must not match grants of this one.
-		last: place.ID(time.Now().UnixNano()) << 8,
+		last:   place.ID(time.Now().UnixNano()) << 8,
+		queued: make(chan struct{}, 1),
 	}
 }
 
 // Run rejects requests that can no longer be served in time, until ctx ends.
 func (a *Allocator) Run(ctx context.Context) {
-	for clock.Sleep(ctx, tickInterval) {
-		now := time.Now()
-		a.mu.Lock()
-		for _, p := range a.pools {
-			a.deliver(p.Tick(now))
+	idle := time.NewTimer(idleTickInterval)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.queued:
+			if !clock.Sleep(ctx, tickInterval) {
+				return
+			}
+		case <-idle.C:
 		}
-		a.mu.Unlock()
+		a.tick(time.Now())
+		idle.Reset(idleTickInterval)
+	}
+}
+
+// tick rechecks the waiting requests.
+func (a *Allocator) tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.pools {
+		a.deliver(p.Tick(now))
+	}
+	a.signalQueued()
+}
+
+// signalQueued makes Run tick soon if a request waits. The caller must hold a.mu.
+func (a *Allocator) signalQueued() {
+	if len(a.waiting) == 0 {
+		return
+	}
+	select {
+	case a.queued <- struct{}{}:
+	default:
 	}
 }
 
@@ -171,6 +207,7 @@
 	w := &PendingRequest{ID: r.ID, pool: pool, effect: make(chan place.Effect, 1)}
 	a.waiting[r.ID] = w.effect
 	a.deliver(p.Submit(r, time.Now()))
+	a.signalQueued()
 	return w, nil
 }
 
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"corianderwing"
@@ -84,11 +85,13 @@
 	mu              sync.Mutex
 	seeds           []string // peer addresses of control instances to try first
 	controls        []plane.ControlInstance
-	current         string                  // peer address of the followed control instance
-	lastReply       time.Time               // last reply to a heartbeat
-	avoidUntil      map[string]time.Time    // by peer address: no slot requests before this time
-	rtts            map[string]rttEstimator // by peer address
-	switched        chan struct{}           // closed when current changes
+	neighbors       []corianderwing.Instance // other live entry instances of the failure domain
+	listsVersion    uint64                   // version of controls and neighbors; 0 if unknown
+	current         string                   // peer address of the followed control instance
+	lastReply       time.Time                // last reply to a heartbeat
+	avoidUntil      map[string]time.Time     // by peer address: no slot requests before this time
+	rtts            map[string]rttEstimator  // by peer address
+	switched        chan struct{}            // closed when current changes
 	misses          int
 	confirmationAge time.Duration // age of the last confirmation from current
 	lastProbe       time.Time     // when another control instance was last probed
@@ -134,7 +137,9 @@
 	for _, s := range cfg.Seeds {
 		f.controls = append(f.controls, plane.ControlInstance{PeerAddr: s})
 	}
-	f.current = f.controls[0].PeerAddr
+	// All instances have the same seeds. When a deployment starts, they must not
+	// all begin with the first one.
+	f.current = f.controls[xxhash.Sum64String(string(cfg.Self().ID))%uint64(len(f.controls))].PeerAddr
 	f.wg.Go(f.heartbeatLoop)
 	f.wg.Go(f.watchLoop)
 	return f
@@ -161,7 +166,11 @@
 
 // Neighbors returns the other live entry instances of the failure domain, as last
 // reported by the control role.
-func (f *Follower) Neighbors() []corianderwing.Instance { return f.info.Load().Neighbors }
+func (f *Follower) Neighbors() []corianderwing.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.neighbors
+}
 
 // Heartbeat sends a heartbeat immediately, for example before a planned stop.
 func (f *Follower) Heartbeat(ctx context.Context) { f.heartbeat(ctx) }
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -15,10 +15,13 @@
 	// maxMisses is the number of consecutive failed heartbeats after which the
 	// follower switches to another control instance.
 	maxMisses = 2
-	// startupInterval is the heartbeat interval until a state has been received,
-	// and while the control instance has no shares to give because it has just
-	// started or knows no leader.
-	startupInterval = 80 * time.Millisecond
+	// startupInterval is the heartbeat interval while the control instance has no
+	// shares to give because it has just started or knows no leader. Until a state
+	// has been received, the interval doubles with each heartbeat, up to
+	// maxStartupInterval: at the start of a deployment all entry instances call
+	// the seeds.
+	startupInterval    = 80 * time.Millisecond
+	maxStartupInterval = 320 * time.Millisecond
 	// maxConfirmationAge is the age of the last confirmation above which other
 	// control instances are probed, because the followed one may itself have lost
 	// contact with the leader.
@@ -35,19 +38,23 @@
 )
 
 func (f *Follower) heartbeatLoop() {
-	for {
+	for n := 0; ; n++ {
 		f.heartbeat(f.ctx)
 		f.probeAlternative(f.ctx)
-		if !clock.Sleep(f.ctx, f.heartbeatDelay()) {
+		if !clock.Sleep(f.ctx, f.heartbeatDelay(n)) {
 			return
 		}
 	}
 }
 
-// heartbeatDelay returns the time until the next heartbeat.
-func (f *Follower) heartbeatDelay() time.Duration {
+// heartbeatDelay returns the time until the next heartbeat, after n heartbeats
+// before the last one.
+func (f *Follower) heartbeatDelay(n int) time.Duration {
 	info := f.info.Load()
-	if _, known := f.View(); !known || info.LeaseDuration <= 0 {
+	if _, known := f.View(); !known {
+		return min(startupInterval<<min(n, 8), maxStartupInterval)
+	}
+	if info.LeaseDuration <= 0 {
 		return startupInterval
 	}
 	if len(info.MoveShares) > 0 {
@@ -83,10 +90,14 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := f.cfg.Now()
+	f.mu.Lock()
+	known := f.listsVersion
+	f.mu.Unlock()
 	reply, err := peer.Call(ctx, f.peer, addr, plane.HeartbeatMethod, &plane.HeartbeatRequest{
-		Entry:   f.cfg.Self(),
-		Demands: f.cfg.Limits.Needs(addr),
-		Trials:  trials,
+		Entry:            f.cfg.Self(),
+		Demands:          f.cfg.Limits.Needs(addr),
+		InstancesVersion: known,
+		Trials:           trials,
 	})
 	if err != nil {
 		return nil, 0, err
@@ -96,7 +107,7 @@
 	if !reply.Confirmed {
 		return reply, neverConfirmed, nil
 	}
-	f.setControls(reply.Controls)
+	f.setInstances(reply)
 	age := time.Duration(reply.Age) * time.Millisecond
 	f.confirm(reply.Revision, corianderwing.HolderDeadline(sent.Add(-age), f.cfg.Lease))
 	return reply, age, nil
@@ -189,9 +200,11 @@
 	f.switched = make(chan struct{})
 }
 
-// setControls replaces the list of control instances, sorted by proximity. Seeds
-// that are not in the list are kept at its end.
-func (f *Follower) setControls(list []plane.ControlInstance) {
+// setInstances replaces the lists of control instances, sorted by proximity, and of
+// neighbors, unless the reply omits them. Seeds that are not in the list are kept
+// at its end.
+func (f *Follower) setInstances(r *plane.HeartbeatResponse) {
+	list := r.Controls
 	if len(list) == 0 {
 		return
 	}
@@ -209,7 +222,7 @@
 	slices.SortStableFunc(list, func(a, b plane.ControlInstance) int { return rank(a) - rank(b) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.controls = list
+	f.controls, f.neighbors, f.listsVersion = list, r.Neighbors, r.InstancesVersion
 	for _, s := range f.seeds {
 		if !slices.ContainsFunc(f.controls, func(c plane.ControlInstance) bool { return c.PeerAddr == s }) {
 			f.controls = append(f.controls, plane.ControlInstance{PeerAddr: s})
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -81,8 +81,8 @@
 	viewChanged chan struct{}   // buffered (1); signals a change of the state
 	slotWaits   context.Context // canceled with errStopping once no request may wait for a slot any longer
 	endWaits    context.CancelCauseFunc
-	stopping    atomic.Bool   // responses close their client connections
-	draining    atomic.Bool   // no longer ready
+	stopping    atomic.Bool // responses close their client connections
+	draining    atomic.Bool // no longer ready
 	active      atomic.Int64
 }
 
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -144,7 +144,7 @@
 		return p.handleReport(ctx, q)
 	})
 	peer.HandleStream(ps, WatchMethod, func(ctx context.Context, q *watchRequest, send func(*model.Update) error) error {
-		return p.handleWatch(ctx, q.After, send)
+		return p.handleWatch(ctx, q, send)
 	})
 }
 
@@ -169,20 +169,33 @@
 	return nil
 }
 
+// watchInterval is the minimum time between two updates of a watch. Changes that
+// come faster are combined: when a large deployment starts, hundreds of batches
+// of upstreams are registered within seconds, and each update costs every entry
+// instance a copy of its view.
+const watchInterval = 100 * time.Millisecond
+
 // handleWatch streams the updates after a revision until ctx is done.
-func (p *Plane) handleWatch(ctx context.Context, after corianderwing.Revision, send func(*model.Update) error) error {
+func (p *Plane) handleWatch(ctx context.Context, q *watchRequest, send func(*model.Update) error) error {
+	after := q.After
 	for {
 		changed := p.machine.Changed()
 		updates, err := p.machine.Updates(after)
 		if err != nil {
 			return err
 		}
+		if q.Combined {
+			updates = model.Combine(updates)
+		}
 		for i := range updates {
 			if err := send(&updates[i]); err != nil {
 				return err
 			}
 			after = updates[i].Revision
 		}
+		if len(updates) > 0 && !clock.Sleep(ctx, watchInterval) {
+			return ctx.Err()
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -199,8 +212,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials}
-	r := &HeartbeatResponse{Controls: p.controls, Revision: p.confirmedRevision, Confirmed: !p.confirmedAt.IsZero()}
+	r := &HeartbeatResponse{Revision: p.confirmedRevision, Confirmed: !p.confirmedAt.IsZero()}
 	r.Age = corianderwing.Millis(now.Sub(p.confirmedAt).Milliseconds() + 1)
+	p.listInstances(b, r)
+	p.allocateShares(b, r, now)
+	p.trials = append(p.trials, b.Trials...)
+	r.MoveShares = p.moveShares
+	return r
+}
+
+// listInstances adds the control instances and the neighbors of an entry instance
+// to a response, unless the entry instance has them. In a large deployment the
+// lists are far longer than the rest of the response. The caller must hold p.mu.
+func (p *Plane) listInstances(b *HeartbeatRequest, r *HeartbeatResponse) {
+	r.InstancesVersion = p.instancesVersion
+	if r.InstancesVersion != 0 && r.InstancesVersion == b.InstancesVersion {
+		return
+	}
+	r.Controls = p.controls
 	if len(r.Controls) == 0 {
 		for _, addr := range p.replica.PeerAddrs() {
 			r.Controls = append(r.Controls, ControlInstance{PeerAddr: addr})
@@ -211,10 +240,6 @@
 			r.Neighbors = append(r.Neighbors, e)
 		}
 	}
-	p.allocateShares(b, r, now)
-	p.trials = append(p.trials, b.Trials...)
-	r.MoveShares = p.moveShares
-	return r
 }
 
 // Measure reports the gauges of this instance.
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -15,6 +15,10 @@
 // not change.
 const syncInterval = 250 * time.Millisecond
 
+// minSyncInterval is the minimum time between two synchronizations, because each
+// goes through all upstreams.
+const minSyncInterval = 25 * time.Millisecond
+
 // moveShareTTL is how long the share of a move is valid without confirmation by
 // the leader.
 const moveShareTTL = 3 * time.Second
@@ -29,6 +33,9 @@
 		view := p.machine.View()
 		p.allocators.forEach(func(domain corianderwing.DomainID, d *alloc.Allocator) { d.Sync(view, p.syncParams(domain)) })
 		p.expireWaiting()
+		if !clock.Sleep(p.ctx, minSyncInterval) {
+			return
+		}
 		select {
 		case <-changed:
 		case <-tick.C:
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -16,6 +16,9 @@
 type HeartbeatRequest struct {
 	Entry   corianderwing.Instance `json:"entry"`
 	Demands []quota.Demand         `json:"needs,omitempty"`
+	// InstancesVersion is the version of the instance lists that the sender
+	// knows; 0 for none.
+	InstancesVersion uint64 `json:"known,omitempty"`
 	// Trials contains the samples that the instance collected for moves since
 	// its last heartbeat.
 	Trials []Trial `json:"trials,omitempty"`
@@ -44,6 +47,9 @@
 	Age       corianderwing.Millis   `json:"age"`
 	Revision  corianderwing.Revision `json:"revision"`
 	Confirmed bool                   `json:"fresh,omitempty"` // Age and Revision are known
+	// InstancesVersion is the version of Controls and Neighbors, which are
+	// omitted if the sender has it. It is 0 until the leader has sent lists.
+	InstancesVersion uint64 `json:"version,omitempty"`
 	// Controls lists the control instances that report to the leader. Until the
 	// leader has sent a list, it contains the group members and the seeds.
 	Controls []ControlInstance `json:"controls,omitempty"`
@@ -139,6 +145,8 @@
 // watchRequest subscribes to the updates after a revision.
 type watchRequest struct {
 	After corianderwing.Revision `json:"after"`
+	// Combined is set if the subscriber accepts updates of several commands.
+	Combined bool `json:"combined,omitempty"`
 }
 
 // reportRequest is the report that a control instance sends to the leader
@@ -194,4 +202,6 @@
 )
 
 // NewWatchRequest returns a request for the updates after a revision.
-func NewWatchRequest(after corianderwing.Revision) *watchRequest { return &watchRequest{After: after} }
+func NewWatchRequest(after corianderwing.Revision) *watchRequest {
+	return &watchRequest{After: after, Combined: true}
+}
