Keep the shares of a workspace in one sorted list

Cause: each heartbeat and report allocates shares of all workspaces, and each workspace went several times through all holders, by maps, and sorted their names: 2.3 ms for 33 holders and 190 workspaces, with 82 heartbeats a second at one control instance of the large site and up to 270 reports a second at the leader, which was at 0.46 of its 0.48 cores.

Ruled out: the encoding of the messages, by reading (about 5 KB each).

Change: quota.ledger keeps the reports on a workspace sorted by holder, and the loops run over it; requests list the workspaces in order.

Test: the tests of core/quota as they were (TestHolderCutOffFromNewLeader is a known red); BenchmarkAllocate: 717 and 2,255 us before, 158 and 368 us after, for 8 and 33 holders.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -191,6 +191,7 @@
 		n.Held = max(n.Held, n.Used)
 		list = append(list, n)
 	}
+	sortDemands(list)
 	return list
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -14,7 +14,7 @@
 package quota
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -53,19 +53,14 @@
 	unreported map[corianderwing.WorkspaceID]int // tokens that no known holder reported
 	bounds     map[corianderwing.WorkspaceID]int
 	holders    map[string]*holder
+	ledgers    map[corianderwing.WorkspaceID]ledger
 	reserve    string // holder from which the others borrow; "" if there is none
 }
 
-// holder is the last report of an instance that asks for tokens.
+// holder is an instance that asks for tokens.
 type holder struct {
-	expires time.Time
-	demands map[corianderwing.WorkspaceID]demand
-}
-
-type demand struct {
-	rate        float64
-	used        int
-	outstanding int // tokens that the holder may be using
+	expires  time.Time
+	reported []corianderwing.WorkspaceID // workspaces in its last request
 }
 
 // NewAllocator returns an Allocator without bounds, for tokens that become
@@ -79,6 +74,7 @@
 		unreported: map[corianderwing.WorkspaceID]int{},
 		bounds:     map[corianderwing.WorkspaceID]int{},
 		holders:    map[string]*holder{},
+		ledgers:    map[corianderwing.WorkspaceID]ledger{},
 	}
 }
 
@@ -98,42 +94,65 @@
 // must use a new name.
 func (a *Allocator) Allocate(name string, demands []Demand, now time.Time) []Share {
 	a.expire(now)
-	// A token that is used just before the share expires stays in use for one
-	// more window.
-	h := &holder{
-		expires: corianderwing.GrantorDeadline(now, LeaseDuration).Add(a.window),
-		demands: make(map[corianderwing.WorkspaceID]demand, len(demands)),
-	}
-	a.holders[name] = h
-	for _, n := range demands {
-		h.demands[n.Workspace] = demand{rate: max(0, n.Rate), used: max(0, n.Used), outstanding: max(0, n.Held, n.Used)}
-	}
+	a.record(name, demands, now)
 	var shares []Share
 	for _, n := range demands {
 		bound, ok := a.bounds[n.Workspace]
 		if !ok {
 			continue
 		}
-		current := h.demands[n.Workspace]
-		tokens := a.tokensFor(name, n.Workspace, bound, now)
-		current.outstanding = max(current.outstanding, tokens)
-		h.demands[n.Workspace] = current
+		l := a.ledgers[n.Workspace]
+		i, _ := l.find(name)
+		tokens := a.tokensFor(l, i, n.Workspace, bound, now)
+		l[i].outstanding = max(l[i].outstanding, tokens)
 		shares = append(shares, Share{n.Workspace, tokens})
 	}
 	return shares
 }
 
-// tokensFor returns the number of tokens that a holder gets: its fair share, as
-// far as the other holders are not using it.
-func (a *Allocator) tokensFor(name string, w corianderwing.WorkspaceID, bound int, now time.Time) int {
-	others := 0
-	for other, h := range a.holders {
-		if other != name {
-			others += h.demands[w].outstanding
+// record replaces what is known of a holder by its demands.
+func (a *Allocator) record(name string, demands []Demand, now time.Time) {
+	h := a.holders[name]
+	if h == nil {
+		h = &holder{}
+		a.holders[name] = h
+	}
+	if !slices.EqualFunc(demands, h.reported, func(n Demand, w corianderwing.WorkspaceID) bool { return n.Workspace == w }) {
+		a.forget(name, h)
+		for _, n := range demands {
+			h.reported = append(h.reported, n.Workspace)
+		}
+	}
+	// A token that is used just before the share expires stays in use for one
+	// more window.
+	h.expires = corianderwing.GrantorDeadline(now, LeaseDuration).Add(a.window)
+	for _, n := range demands {
+		a.ledgers[n.Workspace] = a.ledgers[n.Workspace].set(entry{
+			holder: name, rate: max(0, n.Rate), used: max(0, n.Used), outstanding: max(0, n.Held, n.Used),
+		})
+	}
+}
+
+// forget removes all entries of a holder.
+func (a *Allocator) forget(name string, h *holder) {
+	for _, w := range h.reported {
+		a.ledgers[w] = a.ledgers[w].remove(name)
+		if len(a.ledgers[w]) == 0 {
+			delete(a.ledgers, w)
 		}
 	}
-	outstanding := a.holders[name].demands[w].outstanding
-	fair := a.fairShare(name, w, bound)
+	h.reported = h.reported[:0]
+}
+
+// tokensFor returns the number of tokens that the holder at index i gets: its fair
+// share, as far as the other holders are not using it.
+func (a *Allocator) tokensFor(l ledger, i int, w corianderwing.WorkspaceID, bound int, now time.Time) int {
+	outstanding := l[i].outstanding
+	others := -outstanding
+	for _, n := range l {
+		others += n.outstanding
+	}
+	fair := a.fairShare(l, i, bound)
 	if now.Before(a.graceEnd) {
 		bound -= a.unknownInUse(w, bound-others-outstanding, now)
 	}
@@ -159,8 +178,8 @@
 		return unreported
 	}
 	rate := 0.0
-	for _, h := range a.holders {
-		rate += h.demands[w].rate
+	for _, n := range a.ledgers[w] {
+		rate += n.rate
 	}
 	used := pastDemandFactor * rate * start.Add(a.window).Sub(now).Seconds()
 	used = max(used, cutOffFraction*float64(unreported))
@@ -211,19 +230,16 @@
 // all holders together do not exceed the bound. The holders take precedence
 // over the reserve, so that they need not borrow: the reserve gets what it has
 // lent already, spareTokens, and what the holders leave.
-func (a *Allocator) fairShare(name string, w corianderwing.WorkspaceID, bound int) int {
+func (a *Allocator) fairShare(l ledger, i, bound int) int {
 	totalRate, wanted, count := 0.0, 0.0, 0.0
-	for other, h := range a.holders {
-		n, ok := h.demands[w]
-		switch {
-		case !ok:
-		case other == a.reserve:
+	for _, n := range l {
+		if a.isReserve(n) {
 			bound -= n.used + spareTokens
-		default:
-			totalRate += n.rate
-			wanted += n.expectedUse()
-			count++
+			continue
 		}
+		totalRate += n.rate
+		wanted += n.expectedUse()
+		count++
 	}
 	bound = max(0, bound)
 	idle := float64(bound) - wanted
@@ -231,14 +247,14 @@
 	if idle > 0 {
 		equalFraction = equalFractionIdle
 	}
-	if name == a.reserve {
+	if a.isReserve(l[i]) {
 		left := max(0, (1-a.idleFraction())*idle)
 		if count == 0 {
 			left = float64(bound)
 		}
-		return a.holders[name].demands[w].used + spareTokens + int(left)
+		return l[i].used + spareTokens + int(left)
 	}
-	return a.roundShare(name, w, func(n demand) float64 {
+	return a.roundShare(l, i, func(n entry) float64 {
 		byDemand := 1 / count
 		if totalRate > 0 {
 			byDemand = equalFraction/count + (1-equalFraction)*n.rate/totalRate
@@ -250,6 +266,8 @@
 	})
 }
 
+func (a *Allocator) isReserve(n entry) bool { return a.reserve != "" && n.holder == a.reserve }
+
 // idleFraction returns the fraction of the idle tokens that is handed out.
 func (a *Allocator) idleFraction() float64 {
 	if a.reserve != "" {
@@ -258,35 +276,23 @@
 	return idleFractionLeader
 }
 
-// expectedUse returns the number of tokens that the holder is expected to use
-// soon.
-func (n demand) expectedUse() float64 {
-	return float64(n.used) + n.rate*demandHorizon.Seconds() + spareTokens
-}
-
-// roundShare returns the whole number of tokens of a holder, where part returns
-// the exact share of each. It rounds the cumulative sums over the holders in
-// order, so that the rounded shares add up to the rounded total.
-func (a *Allocator) roundShare(name string, w corianderwing.WorkspaceID, part func(demand) float64) int {
-	sum, before := 0.0, 0
-	for _, other := range slices.Sorted(maps.Keys(a.holders)) {
-		n, ok := a.holders[other].demands[w]
-		if !ok || other == a.reserve {
-			continue
+// roundShare returns the whole number of tokens of the holder at index i, where
+// part returns the exact share of each. It rounds the cumulative sums over the
+// holders in order, so that the rounded shares add up to the rounded total.
+func (a *Allocator) roundShare(l ledger, i int, part func(entry) float64) int {
+	sum := 0.0
+	for _, n := range l[:i] {
+		if !a.isReserve(n) {
+			sum += part(n)
 		}
-		sum += part(n)
-		upTo := int(math.Round(sum))
-		if other == name {
-			return upTo - before
-		}
-		before = upTo
 	}
-	return 0
+	return int(math.Round(sum+part(l[i]))) - int(math.Round(sum))
 }
 
 func (a *Allocator) expire(now time.Time) {
 	for name, h := range a.holders {
 		if !now.Before(h.expires) {
+			a.forget(name, h)
 			delete(a.holders, name)
 		}
 	}
@@ -297,38 +303,45 @@
 // that it has, so all of its bounds are reported as held.
 func (a *Allocator) Demands(now time.Time) []Demand {
 	list := a.DemandsExcept("", now)
+	for i := range list {
+		list[i].Held = max(list[i].Held, a.bounds[list[i].Workspace])
+	}
 	for w, bound := range a.bounds {
-		i := slices.IndexFunc(list, func(n Demand) bool { return n.Workspace == w })
-		if i < 0 {
+		if _, ok := a.ledgers[w]; !ok {
 			list = append(list, Demand{Workspace: w, Held: bound})
-			continue
 		}
-		list[i].Held = max(list[i].Held, bound)
 	}
+	sortDemands(list)
 	return list
 }
 
 // DemandsExcept returns the total demand and use of all holders but the named
-// one.
+// one, sorted by workspace.
 func (a *Allocator) DemandsExcept(name string, now time.Time) []Demand {
 	a.expire(now)
-	sums := map[corianderwing.WorkspaceID]Demand{}
-	for n, h := range a.holders {
-		if n == name {
-			continue
+	list := make([]Demand, 0, len(a.ledgers))
+	for w, l := range a.ledgers {
+		sum := Demand{Workspace: w}
+		found := false
+		for _, n := range l {
+			if name != "" && n.holder == name {
+				continue
+			}
+			found = true
+			sum.Rate += n.rate
+			sum.Used += n.used
+			sum.Held += n.outstanding
 		}
-		for w, n := range h.demands {
-			s := sums[w]
-			s.Workspace = w
-			s.Rate += n.rate
-			s.Used += n.used
-			s.Held += n.outstanding
-			sums[w] = s
+		if found {
+			list = append(list, sum)
 		}
 	}
-	list := make([]Demand, 0, len(sums))
-	for _, s := range sums {
-		list = append(list, s)
-	}
+	sortDemands(list)
 	return list
 }
+
+// sortDemands sorts demands by workspace. An Allocator need not rebuild its
+// ledgers for a holder whose list has the same workspaces in the same order.
+func sortDemands(list []Demand) {
+	slices.SortFunc(list, func(a, b Demand) int { return cmp.Compare(a.Workspace, b.Workspace) })
+}
