Let joins wait for each other, and keep the heartbeats of failed reports

Cause: at the start of the large site 24 control instances ask to join at once. Only one membership change may be pending; the others were refused and tried again through all known instances. The last joined 5.6 s after the start (37 joins), so its entry instances followed control instances elsewhere.

Ruled out: lost heartbeats (the upstreams announced themselves again at once); a late leader (elected 0.7 s after the start).

Change: the leader adds one learner after the other while the callers wait; a control instance puts the upstreams of a failed report into the next one, for 3 s at most, and the samples of moves if the report was not sent.

--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -22,7 +22,7 @@
 	}
 	u, known := view.Upstream(h.ID)
 	if known && u.Incarnation == h.Incarnation && !hasChanged(u, &h, time.Now()) {
-		p.heartbeats.record(u.ShortID)
+		p.heartbeats.record(u.ShortID, clock.Boot())
 		return nil
 	}
 	err := p.batch.add(ctx, func(c *model.Command) {
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -33,7 +33,7 @@
 // report.
 type heartbeatTracker struct {
 	mu        sync.Mutex
-	upstreams map[uint32]struct{}
+	upstreams map[uint32]time.Time // by number: time of the last heartbeat
 	lastSeqs  map[corianderwing.UpstreamID]lastSeq
 }
 
@@ -45,7 +45,7 @@
 }
 
 func newHeartbeatTracker() *heartbeatTracker {
-	return &heartbeatTracker{upstreams: map[uint32]struct{}{}, lastSeqs: map[corianderwing.UpstreamID]lastSeq{}}
+	return &heartbeatTracker{upstreams: map[uint32]time.Time{}, lastSeqs: map[corianderwing.UpstreamID]lastSeq{}}
 }
 
 // outdated reports whether a later heartbeat from the same incarnation has
@@ -61,19 +61,28 @@
 	return false
 }
 
-func (s *heartbeatTracker) record(no uint32) {
+// record records a heartbeat from an upstream.
+func (s *heartbeatTracker) record(no uint32, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.upstreams[no] = struct{}{}
+	if at.After(s.upstreams[no]) {
+		s.upstreams[no] = at
+	}
 }
 
+// maxReportedAge is the age at which a heartbeat is no longer reported: after a
+// loss of contact with the leader, old heartbeats prove nothing.
+const maxReportedAge = 3 * time.Second
+
 // take returns the upstreams recorded since the last call.
-func (s *heartbeatTracker) take() []uint32 {
+func (s *heartbeatTracker) take(now time.Time) []uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]uint32, 0, len(s.upstreams))
-	for no := range s.upstreams {
-		list = append(list, no)
+	for no, at := range s.upstreams {
+		if now.Sub(at) < maxReportedAge {
+			list = append(list, no)
+		}
 	}
 	clear(s.upstreams)
 	slices.Sort(list)
@@ -95,11 +104,13 @@
 		if !clock.Sleep(p.ctx, interval) {
 			return
 		}
+		q := p.newReport()
 		sentAt := clock.Boot()
 		ctx, cancel := context.WithTimeout(p.ctx, reportTimeout)
-		reply, err := p.sendReport(ctx)
+		reply, err := p.sendReport(ctx, q)
 		cancel()
 		if err != nil {
+			p.restoreReport(q, sentAt, err)
 			p.log.Debug().Err(err).Msg("no leader confirmed the state")
 			continue
 		}
@@ -139,12 +150,11 @@
 
 // sendReport sends one report to the leader, or handles it locally if this
 // instance is the leader.
-func (p *Plane) sendReport(ctx context.Context) (*reportResponse, error) {
-	q := p.newReport()
+func (p *Plane) sendReport(ctx context.Context, q *reportRequest) (*reportResponse, error) {
 	addr := p.leaderAddr()
 	switch addr {
 	case "":
-		return nil, errors.New("no leader is known")
+		return nil, errNoLeaderKnown
 	case p.cfg.Quorum.PeerAddr:
 		return p.handleReport(ctx, q)
 	}
@@ -176,7 +186,7 @@
 		Replica:          p.replica.Self(),
 		Domain:           p.cfg.Quorum.Domain,
 		Region:           p.cfg.Quorum.Region,
-		Upstreams:        p.heartbeats.take(),
+		Upstreams:        p.heartbeats.take(now),
 		InstancesVersion: p.instancesVersion,
 		Incarnation:      p.incarnation,
 		Demands:          p.quotaAllocator.Demands(now),
@@ -197,6 +207,25 @@
 	return q
 }
 
+// restoreReport keeps for the next report what a failed one held: upstreams whose
+// heartbeats the leader does not learn of would be removed. The samples of moves
+// are kept only if the report was not sent, because the leader may have counted
+// them.
+func (p *Plane) restoreReport(q *reportRequest, sentAt time.Time, err error) {
+	for _, no := range q.Upstreams {
+		p.heartbeats.record(no, sentAt)
+	}
+	if !errors.Is(err, errNoLeaderKnown) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trials = append(q.Trials, p.trials...)
+}
+
+// errNoLeaderKnown is returned for a report that was not sent.
+var errNoLeaderKnown = errors.New("no leader is known")
+
 func compare[T ~string](a, b T) int {
 	switch {
 	case a < b:
--- a/io/quorum/call.go
+++ b/io/quorum/call.go
@@ -224,14 +224,35 @@
 	}
 }
 
-// handleJoin adds a replica as a learner unless it is a member already.
+// handleJoin adds a replica as a learner unless it is a member already. Joins wait
+// for each other: only one membership change may be pending, and when a
+// deployment starts, dozens of replicas join at once.
 func (r *Replica) handleJoin(ctx context.Context, req *joinRequest) error {
 	if err := r.requireLeader(); err != nil {
 		return err
 	}
 	r.setLocation(req.ID, req.location)
-	if isMember(r.Status().Voters, req.ID) {
-		return nil
+	select {
+	case r.joining <- struct{}{}:
+		defer func() { <-r.joining }()
+	case <-ctx.Done():
+		return corianderwing.Errorf(corianderwing.NoQuorum, "other replicas are joining")
+	}
+	for {
+		if isMember(r.Status().Voters, req.ID) {
+			return nil
+		}
+		err := r.group.Load().ChangeVoters(ctx, raft.MembershipChange{Op: raft.AddLearner, Instance: req.ID})
+		if err == nil || corianderwing.CodeOf(err) != corianderwing.RevisionConflict {
+			return err
+		}
+		// A change by maintainVoters is pending.
+		if !clock.Sleep(ctx, joinRetryDelay) {
+			return err
+		}
 	}
-	return r.group.Load().ChangeVoters(ctx, raft.MembershipChange{Op: raft.AddLearner, Instance: req.ID})
 }
+
+// joinRetryDelay is the delay before a join is tried again that met another
+// membership change: about a commit.
+const joinRetryDelay = 20 * time.Millisecond
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -70,6 +70,7 @@
 
 	group        atomic.Pointer[group.Group] // nil while the disk cannot be used
 	onRoleChange func()                      // called after each role change
+	joining      chan struct{}               // capacity 1; held while this leader adds a learner
 
 	mu        sync.Mutex
 	seeds     []string
@@ -90,7 +91,7 @@
 	if cfg.OnViolation == nil {
 		cfg.OnViolation = func(string, string) {}
 	}
-	r := &Replica{cfg: cfg, peer: pc, machine: m, onRoleChange: onRoleChange, seeds: cfg.Seeds, locations: map[corianderwing.InstanceID]location{}}
+	r := &Replica{cfg: cfg, peer: pc, machine: m, onRoleChange: onRoleChange, seeds: cfg.Seeds, locations: map[corianderwing.InstanceID]location{}, joining: make(chan struct{}, 1)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.sender = newSender(r.ctx, pc)
 	r.register(ps)
