Notice callers that leave while they have pipelined requests

Cause: net/http reads one byte ahead while it handles a request. If a caller sends its next request as a segment of its own, that byte ends the watch, and a disconnect is noticed only after every request before it: upstreams keep working for a caller that is gone.

Ruled out: requests that arrive in one segment (the server still waits for a byte after them and sees the close).

Change: io/accept wraps the connections of all listeners of a node; once the server has got a byte ahead, the connection goes on reading into at most 32 KB and cancels the context of the connection's requests when it is closed.

Tests: TestDisconnectBehindPipelinedRequest fails with unwrapped connections ('the disconnect was not noticed'); order of responses with 10,000 requests, bodies in the middle and a slow first one, requests behind a closing response and behind a malformed one, bound of the read-ahead.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderwing"
+	"corianderwing/io/accept"
 	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 	"corianderwing/io/gate"
@@ -299,10 +300,11 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.log.Std("", 0),
+		ConnContext:       accept.ConnContext,
 	}
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(accept.Wrap(l)); !errors.Is(err, http.ErrServerClosed) {
 			n.fail(eris.Wrapf(err, "serving on %s", addr))
 		}
 	})
