Bound interim responses and bodies of responses to other requests

Cause: a faulty upstream may send bytes without end until the caller closes. The header of a response is limited to 64 KB, but 1xx responses before it were not counted, and the body of a response to another request was read to its end. Both ended only at the first-byte deadline, with the processor busy until then.

Ruled out: unbounded memory (each read is limited); a body without end in the response itself (it is forwarded as it comes, and ends with the request).

Change: at most 8 interim responses, and 256 KB of a foreign body; then the connection is closed and the attempt counts as failed.

--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -139,8 +139,8 @@
 	if r.Close || r.isCloseDelimited() {
 		return false
 	}
-	_, err := io.Copy(io.Discard, r.Body)
-	return err == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxForeignBody))
+	return err == nil && n < maxForeignBody
 }
 
 // bufferSmallBody waits until the whole body of a small response is buffered. If the
@@ -251,18 +251,31 @@
 	headRequest = http.Request{Method: http.MethodHead}
 )
 
+const (
+	// maxInterimResponses is the maximum number of 1xx responses before the final
+	// one.
+	maxInterimResponses = 8
+	// maxForeignBody is the size of the largest body of a response to another
+	// request that is read to reach the response behind it. A faulty peer may send
+	// a body without end.
+	maxForeignBody = 256 << 10
+)
+
 // readHeader reads the header of the final response, skipping 1xx responses.
 func (r *Response) readHeader(c Call) error {
 	req := &getRequest
 	if c.Method == http.MethodHead {
 		req = &headRequest
 	}
-	for {
+	for interim := 0; ; interim++ {
 		r.conn.readLimit = maxResponseHeader
 		resp, err := http.ReadResponse(r.conn.br, req)
 		if err != nil {
 			return err
 		}
+		if interim == maxInterimResponses {
+			return errors.New("peer does not stop sending interim responses")
+		}
 		if resp.StatusCode >= 200 {
 			r.conn.readLimit = -1
 			r.Response = resp
