Return at most 64 entry instances to a lookup

Cause: a lookup returns all ready entry instances of the caller's failure domain, or else of its region. The large site has up to 99 in a region, and callers reject a response with more than 64 addresses. Found by reading; it needs the loss of a domain at that size.

Change: a longer list is shuffled and cut.

Test: TestLookupIsBounded (100 != 64 without the cut).

Also ruled out: look-ups that fail for another reason.

--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"corianderwing"
@@ -163,9 +164,19 @@
 				out = append(out, e.PublicAddr)
 			}
 		}
+		if len(out) > maxLocated {
+			// Callers choose among the addresses at random, so each response must
+			// hold other ones.
+			rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+			out = out[:maxLocated]
+		}
 		if len(out) > 0 {
 			return out
 		}
 	}
 	return nil
 }
+
+// maxLocated is the maximum number of entry instances in the response to a lookup.
+// Callers reject longer responses.
+const maxLocated = 64
