Turn panics of peer handlers into errors of their call

Cause: gRPC runs handlers without recovering, so one message that makes a handler panic ends the control or entry instance with everything in it. Reported by operators of similar systems; found here by reading.

Test: TestPanicEndsOnlyItsCall ends the test process without the change ('panic: unexpected message').

Also in this commit: an entry instance relies on a state only once the view has reached a revision that a leader confirmed. Before, one that started followed a control instance that had just restarted, and used the upstreams of its state from before the restart for open routes. TestStateOfRestartedControl fails without.

Left: messages of the consensus group are handled outside the handler; a panic there still ends the process.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -103,7 +103,7 @@
 // state is a view with its lease. A stored state is immutable.
 type state struct {
 	view       *model.View
-	known      bool      // the view was received from a control instance
+	known      bool      // the view has reached a confirmed revision once
 	freshUntil time.Time // end of the lease, on the boot clock
 
 	// confirmed is the last confirmation. It takes effect once the view has
@@ -115,9 +115,15 @@
 }
 
 // applyConfirmation extends the lease if the view has reached the confirmed
-// revision.
+// revision. A view that has never reached one is not relied on at all: a control
+// instance that has just restarted may send a state in which upstreams are still
+// present that have left since.
 func (s *state) applyConfirmation() {
-	if s.view.Revision() >= s.confirmed.revision && s.confirmed.until.After(s.freshUntil) {
+	if s.confirmed.until.IsZero() || s.view.Revision() < s.confirmed.revision {
+		return
+	}
+	s.known = true
+	if s.confirmed.until.After(s.freshUntil) {
 		s.freshUntil = s.confirmed.until
 	}
 }
@@ -145,8 +151,8 @@
 	return f
 }
 
-// View returns the state, and whether any has been received from a control
-// instance.
+// View returns the state, and whether it has reached a revision that the leader
+// confirmed.
 func (f *Follower) View() (v *model.View, known bool) {
 	s := f.state.Load()
 	return s.view, s.known
@@ -249,7 +255,7 @@
 		return err
 	}
 	f.update(func(s *state) {
-		s.view, s.known = next, true
+		s.view = next
 		s.applyConfirmation()
 	})
 	if f.cfg.OnChange != nil {
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 
 	"corianderwing"
 	"corianderwing/core/model"
@@ -40,3 +41,34 @@
 	now = start.Add(2 * time.Second)
 	is.True(!f.IsCurrent())
 }
+
+// Guards against using upstreams that have left: an entry instance that starts
+// follows a control instance that has just restarted, and gets the state from
+// before its restart.
+func TestStateOfRestartedControl(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f := &Follower{cfg: Config{Lease: 4 * time.Second, Now: func() time.Time { return now }, Log: &log.Logger{Level: log.PanicLevel}}}
+	f.state.Store(&state{view: model.New()})
+	m := model.NewMachine(func() time.Time { return now })
+	for i, on := range []bool{true, false, true} {
+		data, err := model.Encode(&model.Command{Evacuate: &model.Evacuation{Domain: "a", On: on}})
+		is.NoErr(err)
+		m.Apply(corianderwing.Index(i+1), data)
+	}
+	list, err := m.Updates(0)
+	is.NoErr(err)
+	known := func() bool {
+		_, known := f.View()
+		return known
+	}
+	is.NoErr(f.apply(&list[0]))
+	is.True(!known()) // no leader has confirmed this state
+	f.confirm(3, now.Add(f.cfg.Lease))
+	is.True(!known()) // it lags behind
+	is.NoErr(f.apply(&list[1]))
+	is.True(!known())
+	is.NoErr(f.apply(&list[2]))
+	is.True(known())
+	is.True(f.IsFresh())
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -24,16 +24,25 @@
 	count  = Stream[request, response]{Name: "Count"}
 )
 
+// panics is a request at which the handlers panic.
+const panics = -1000
+
 func serve(t *testing.T, secret string) string {
 	t.Helper()
 	s := NewServer([]byte(secret))
 	Handle(s, double, func(_ context.Context, a *request) (*response, error) {
+		if a.N == panics {
+			panic("unexpected message")
+		}
 		if a.N < 0 {
 			return nil, corianderwing.Errorf(corianderwing.InvalidInput, "n is %d, want 0 or more", a.N)
 		}
 		return &response{N: 2 * a.N}, nil
 	})
 	HandleStream(s, count, func(_ context.Context, a *request, send func(*response) error) error {
+		if a.N == panics {
+			panic("unexpected message")
+		}
 		for i := range a.N {
 			if err := send(&response{N: i}); err != nil {
 				return err
@@ -94,3 +103,18 @@
 	is.NoErr(codec{}.Unmarshal(data, &got))
 	is.True(got.Equal(at))
 }
+
+// Guards against one unexpected message that ends a process with all its calls.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, "s")
+	c := NewClient([]byte("s"))
+	defer c.Close()
+	_, err := Call(t.Context(), c, addr, double, &request{N: panics})
+	is.Equal(corianderwing.CodeOf(err), corianderwing.Internal)
+	err = CallStream(t.Context(), c, addr, count, &request{N: panics}, func(*response) error { return nil })
+	is.Equal(corianderwing.CodeOf(err), corianderwing.Internal)
+	got, err := Call(t.Context(), c, addr, double, &request{N: 4})
+	is.NoErr(err)
+	is.Equal(got.N, 8)
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,6 +10,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,8 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+
+	"corianderwing"
 )
 
 const (
@@ -56,7 +59,8 @@
 
 // Handle registers f as the handler of a method. It must be called before Serve.
 func Handle[Req, Resp any](s *Server, m Method[Req, Resp], f func(context.Context, *Req) (*Resp, error)) {
-	call := func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+	call := func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (_ any, err error) {
+		defer recoverPanic(&err)
 		if err := s.authorize(ctx); err != nil {
 			return nil, err
 		}
@@ -76,7 +80,8 @@
 // HandleStream registers f as the handler of a stream, which ends when f returns. It
 // must be called before Serve.
 func HandleStream[Req, Msg any](s *Server, m Stream[Req, Msg], f func(ctx context.Context, req *Req, send func(*Msg) error) error) {
-	call := func(_ any, stream grpc.ServerStream) error {
+	call := func(_ any, stream grpc.ServerStream) (err error) {
+		defer recoverPanic(&err)
 		ctx := stream.Context()
 		if err := s.authorize(ctx); err != nil {
 			return err
@@ -95,6 +100,14 @@
 	})
 }
 
+// recoverPanic turns a panic of a handler into an error of its call, so that one
+// unexpected message does not end the process and all other calls with it.
+func recoverPanic(err *error) {
+	if v := recover(); v != nil {
+		*err = toStatus(corianderwing.Errorf(corianderwing.Internal, "handler panicked: %v\n%s", v, debug.Stack()))
+	}
+}
+
 // Serve serves connections from l until Stop is called.
 func (s *Server) Serve(l net.Listener) error {
 	s.grpc = grpc.NewServer(
