Count the control instance among a domain's allocators

Cause: a domain with a single entry instance. Its control instance does not answer in time, so the entry instance allocates slots itself; it has no neighbors, takes its allocator for the only one, and sends requests to a cold upstream at the whole rate that it can bear. The control instance, which still serves other domains, does the same.

Ruled out: the burst of one allocator (2 and 4.6 a second: 6.6 at most); a late announcement (at 21.15 s with 2,982 ms left, all attempts after it).

Change: an entry instance assumes two allocators at least.

Test: TestNoColdUpstreamWithoutControl fails without ('not true: e != nil').

--- /dev/null
+++ b/io/gate/alone_test.go
@@ -0,0 +1,56 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/core/place"
+	"corianderwing/io/follow"
+	"corianderwing/io/plane"
+	"corianderwing/platform"
+)
+
+// silentControl is a Control that does not answer requests for slots.
+type silentControl struct{ *grantingControl }
+
+func (silentControl) Acquire(context.Context, *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool) {
+	return nil, follow.SlotSource{}, false
+}
+
+// Guards against twice the rate that a cold upstream can bear: in a domain with a
+// single entry instance, this one allocated slots itself, because its control
+// instance did not answer it, and the control instance sent others there as well.
+func TestNoColdUpstreamWithoutControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newGrantingControl(t, "127.0.0.1:1")
+		cold := c.upstream.Upstream
+		cold.Incarnation++
+		view, err := c.view.Apply(&model.Command{Announce: []model.Announcement{{Upstream: cold, WarmupRemaining: 3000}}}, time.Now())
+		is.NoErr(err)
+		c.view = view
+		s := New(Config{
+			Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
+			Control: silentControl{c}, Limits: NewLimits(time.Second),
+			Dialect: &platform.Adapter{}, Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, RetryRatio: 0.2,
+		})
+		defer s.Close()
+		s.NotifyChange()
+		synctest.Wait()
+		now := time.Now()
+		_, _, e := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, view, now)
+		is.True(e != nil)
+		time.Sleep(3 * time.Second) // the upstream is warm
+		now = time.Now()
+		_, _, e = s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, view, now)
+		is.True(e == nil)
+	})
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -162,12 +162,18 @@
 	}
 	s.mu.Unlock()
 	s.allocator.Sync(view, alloc.SyncParams{
-		Allocators: 1 + len(s.cfg.Control.Neighbors()),
+		Allocators: max(minAllocators, 1+len(s.cfg.Control.Neighbors())),
 		NextShare:  func(m corianderwing.Move) float64 { return shares[m.ID] },
 		Borrowed:   s.remoteSlots(view),
 	})
 }
 
+// minAllocators is the number of allocators that a domain has at least while this
+// instance allocates slots itself: its control instance, which does not answer it,
+// may still answer others. A single entry instance of a domain must not take its
+// own allocator for the only one, which may send requests to cold upstreams.
+const minAllocators = 2
+
 // remoteSlots returns one slot for each upstream of the pools that have no ready
 // upstream in the local failure domain.
 func (s *Server) remoteSlots(v *model.View) map[corianderwing.UpstreamID]int {
