--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -9,10 +9,10 @@
 // holder. The shares of a workspace depend on all of its holders, and a large
 // deployment has hundreds of workspaces and dozens of holders of each, so these
 // loops run over consecutive memory.
-type ledger []entry
+type ledger []holding
 
-// entry is the last report of a holder on one workspace.
-type entry struct {
+// holding is the last report of a holder on one workspace.
+type holding struct {
 	holder      string
 	rate        float64 // requests per second
 	used        int
@@ -21,11 +21,11 @@
 
 // find returns the index of a holder, or where to insert it.
 func (l ledger) find(holder string) (int, bool) {
-	return slices.BinarySearchFunc(l, holder, func(n entry, name string) int { return cmp.Compare(n.holder, name) })
+	return slices.BinarySearchFunc(l, holder, func(n holding, name string) int { return cmp.Compare(n.holder, name) })
 }
 
-// set adds or replaces the entry of a holder.
-func (l ledger) set(n entry) ledger {
+// set adds or replaces the holding of a holder.
+func (l ledger) set(n holding) ledger {
 	i, ok := l.find(n.holder)
 	if ok {
 		l[i] = n
@@ -34,7 +34,7 @@
 	return slices.Insert(l, i, n)
 }
 
-// remove removes the entry of a holder, if there is one.
+// remove removes the holding of a holder, if there is one.
 func (l ledger) remove(holder string) ledger {
 	if i, ok := l.find(holder); ok {
 		return slices.Delete(l, i, i+1)
@@ -44,6 +44,6 @@
 
 // expectedUse returns the number of tokens that the holder is expected to use
 // soon.
-func (n entry) expectedUse() float64 {
+func (n holding) expectedUse() float64 {
 	return float64(n.used) + n.rate*demandHorizon.Seconds() + spareTokens
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -127,13 +127,13 @@
 	// more window.
 	h.expires = corianderwing.GrantorDeadline(now, LeaseDuration).Add(a.window)
 	for _, n := range demands {
-		a.ledgers[n.Workspace] = a.ledgers[n.Workspace].set(entry{
+		a.ledgers[n.Workspace] = a.ledgers[n.Workspace].set(holding{
 			holder: name, rate: max(0, n.Rate), used: max(0, n.Used), outstanding: max(0, n.Held, n.Used),
 		})
 	}
 }
 
-// forget removes all entries of a holder.
+// forget removes all holdings of a holder.
 func (a *Allocator) forget(name string, h *holder) {
 	for _, w := range h.reported {
 		a.ledgers[w] = a.ledgers[w].remove(name)
@@ -254,7 +254,7 @@
 		}
 		return l[i].used + spareTokens + int(left)
 	}
-	return a.roundShare(l, i, func(n entry) float64 {
+	return a.roundShare(l, i, func(n holding) float64 {
 		byDemand := 1 / count
 		if totalRate > 0 {
 			byDemand = equalFraction/count + (1-equalFraction)*n.rate/totalRate
@@ -266,7 +266,7 @@
 	})
 }
 
-func (a *Allocator) isReserve(n entry) bool { return a.reserve != "" && n.holder == a.reserve }
+func (a *Allocator) isReserve(n holding) bool { return a.reserve != "" && n.holder == a.reserve }
 
 // idleFraction returns the fraction of the idle tokens that is handed out.
 func (a *Allocator) idleFraction() float64 {
@@ -279,7 +279,7 @@
 // roundShare returns the whole number of tokens of the holder at index i, where
 // part returns the exact share of each. It rounds the cumulative sums over the
 // holders in order, so that the rounded shares add up to the rounded total.
-func (a *Allocator) roundShare(l ledger, i int, part func(entry) float64) int {
+func (a *Allocator) roundShare(l ledger, i int, part func(holding) float64) int {
 	sum := 0.0
 	for _, n := range l[:i] {
 		if !a.isReserve(n) {
