--- /dev/null
+++ b/io/relay/match.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"corianderwing"
+)
+
+// readMatching reads the header of the response to c, skipping responses to other
+// requests.
+func (r *Response) readMatching(c Call) *corianderwing.Error {
+	for skipped := 0; ; skipped++ {
+		if err := r.readHeader(c); err != nil {
+			return r.fail(err)
+		}
+		e := r.check(c)
+		if e == nil {
+			return nil
+		}
+		if e.Code != corianderwing.ResponseMismatch || skipped >= c.MaxForeignResponses || !r.skipForeign() {
+			r.Discard()
+			return e
+		}
+	}
+}
+
+// skipForeign reads a response to another request to its end. It reports whether
+// another response can follow.
+func (r *Response) skipForeign() bool {
+	if r.Close || r.isCloseDelimited() {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxForeignBody))
+	return err == nil && n < maxForeignBody
+}
+
+// http.ReadResponse uses the request only to determine whether a body follows.
+var (
+	getRequest  = http.Request{Method: http.MethodGet}
+	headRequest = http.Request{Method: http.MethodHead}
+)
+
+const (
+	// maxInterimResponses is the maximum number of 1xx responses before the final
+	// one.
+	maxInterimResponses = 8
+	// maxForeignBody is the size of the largest body of a response to another
+	// request that is read to reach the response behind it. A faulty peer may send
+	// a body without end.
+	maxForeignBody = 256 << 10
+)
+
+// readHeader reads the header of the final response, skipping 1xx responses.
+func (r *Response) readHeader(c Call) error {
+	req := &getRequest
+	if c.Method == http.MethodHead {
+		req = &headRequest
+	}
+	for interim := 0; ; interim++ {
+		r.conn.readLimit = maxResponseHeader
+		resp, err := http.ReadResponse(r.conn.br, req)
+		if err != nil {
+			return err
+		}
+		if interim == maxInterimResponses {
+			return errors.New("peer does not stop sending interim responses")
+		}
+		if resp.StatusCode >= 200 {
+			r.conn.readLimit = -1
+			r.Response = resp
+			return nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return errors.New("peer switched protocols without being asked to")
+		}
+	}
+}
+
+// check rejects a response that may belong to another request or whose end cannot be
+// detected.
+func (r *Response) check(c Call) *corianderwing.Error {
+	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
+		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
+	}
+	if r.isCloseDelimited() && !c.AllowCloseDelimited {
+		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has neither a Content-Length nor chunked encoding, so its end cannot be detected")
+	}
+	return nil
+}
+
+// isCloseDelimited reports whether the response is delimited only by the close of
+// the connection.
+func (r *Response) isCloseDelimited() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
