Drop expired read deadlines of the read-ahead

Cause: the HTTP server ends its own read ahead by a read deadline in the past and resets it afterwards. The deadline also ended the read-ahead of io/accept, which kept the error behind the bytes that it had read; the server got it as the error of a later read, took it for a timeout and closed the connection with requests of the caller unread.

Ruled out: load.

Change: an expired deadline ends the read-ahead and is not kept; Read reads the connection again, which reports the deadline as long as it is set.

Before and after: TestExpiredDeadlineIsNotKept fails with 'read pipe: i/o timeout', then passes.

--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -54,7 +54,7 @@
 	changed *sync.Cond
 	reading bool   // readAhead is running
 	buf     []byte // bytes read ahead
-	err     error  // result of readAhead, returned after buf
+	err     error  // why the connection ended, returned after buf
 }
 
 func newConn(c net.Conn) *conn {
@@ -107,7 +107,10 @@
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
 		c.buf = append(c.buf, p[:n]...)
-		c.err = err
+		expired := errors.Is(err, os.ErrDeadlineExceeded)
+		if !expired { // Read reports an expired deadline itself, as long as it is set
+			c.err = err
+		}
 		for err == nil && len(c.buf) >= maxReadAhead {
 			c.changed.Wait()
 		}
@@ -115,7 +118,7 @@
 		c.reading = !done
 		c.changed.Broadcast()
 		c.mu.Unlock()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err != nil && !expired {
 			c.cancel()
 		}
 		if done {
--- a/io/accept/accept_test.go
+++ b/io/accept/accept_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -86,6 +87,35 @@
 	}
 }
 
+// Guards against closing a connection between pipelined requests: the deadline with
+// which the server ends its own read also ended the read-ahead, whose error was kept
+// behind the bytes read before it and returned after the server had reset the deadline.
+func TestExpiredDeadlineIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := net.Pipe()
+		defer b.Close()
+		c := newConn(a)
+		defer c.Close()
+		read := func(n int) string {
+			p := make([]byte, n)
+			n, err := c.Read(p)
+			is.NoErr(err)
+			return string(p[:n])
+		}
+		go b.Write([]byte("x"))
+		is.Equal(read(1), "x") // starts the read-ahead
+		b.Write([]byte("abc"))
+		synctest.Wait()
+		c.SetReadDeadline(time.Now().Add(-time.Second))
+		synctest.Wait()
+		c.SetReadDeadline(time.Time{})
+		is.Equal(read(8), "abc")
+		go b.Write([]byte("d"))
+		is.Equal(read(8), "d")
+	})
+}
+
 // Guards against responses out of order, lost or doubled requests, and bodies
 // taken for requests when a caller sends many at once; the first is the slowest.
 func TestPipelinedRequestsInOrder(t *testing.T) {
