Test that a suspended leader removes no upstream

Test: TestSuspendedLeaderRemovesNoUpstream. With the guard switched off it fails with '1 != 0' (an upstream is removed at once after 8 s of suspension); it passes with it. No behaviour changes.

--- a/io/plane/report_test.go
+++ b/io/plane/report_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"corianderwing"
+	"corianderwing/core/model"
 	"corianderwing/io/clock"
 )
 
@@ -28,3 +29,37 @@
 	is.Equal(p.trials, []Trial{{Move: corianderwing.RequestID("m")}})
 	is.Equal(p.heartbeats.take(now.Add(maxReportedAge)), []uint32{}) // proves nothing any longer
 }
+
+// Guards against removing every upstream after the leader was suspended: it had
+// received no heartbeats meanwhile, although the upstreams were sending them.
+func TestSuspendedLeaderRemovesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	view, err := model.New().Apply(&model.Command{Announce: []model.Announcement{{Upstream: corianderwing.Upstream{
+		ID: "u", Pool: "files", Domain: "a", Incarnation: 1, Slots: 4, Phase: corianderwing.Ready,
+	}}}}, time.Unix(1000, 0))
+	is.NoErr(err)
+	u, _ := view.Upstream("u")
+	const interval = 1500 * time.Millisecond
+	l := newLeaderState(interval)
+	l.revision = view.Revision
+	now := time.Unix(2000, 0)
+	check := func(heartbeat bool) int {
+		now = now.Add(interval / 2)
+		if heartbeat {
+			l.recordReport(1, &reportRequest{Replica: "r", Upstreams: []uint32{u.ShortID}}, now)
+		}
+		return len(l.expiredUpstreams(1, view, now))
+	}
+	for range 20 {
+		is.Equal(check(true), 0)
+	}
+	now = now.Add(8 * time.Second) // suspended
+	is.Equal(check(false), 0)
+	silent := 0
+	for check(false) == 0 {
+		silent++
+	}
+	// The timeout starts again: an upstream that is silent from then on is removed.
+	is.True(time.Duration(silent)*interval/2 >= (maxMissedHeartbeats-1)*interval)
+	is.True(time.Duration(silent)*interval/2 <= 3*maxMissedHeartbeats*interval)
+}
