Borrow slots early while most of a pool are free

Load: regions with unequal numbers of upstreams for the same traffic.

Ruled out: lower thresholds for all loads.

Change: while at most 30% of the slots of a pool are in use, a domain borrows from 50% on (78% before) and returns below 40%; from 30 to 45% the thresholds change to the normal ones.

TestBorrowsEarlyWhileOthersIdle fails before ('0 != 3').

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -27,6 +27,13 @@
 	// lending. Between them requests are queued briefly now and then.
 	borrowThreshold = 0.78
 	maxLenderLoad   = 0.70
+	// easyBorrowThreshold and easyReturnThreshold apply instead while the
+	// utilization of the pool over all domains is at most easyUtilization. From
+	// easyUtilization to fullUtilization they change to the normal thresholds.
+	easyBorrowThreshold = 0.5
+	easyReturnThreshold = 0.4
+	easyUtilization     = 0.3
+	fullUtilization     = 0.45
 	// maxLentFraction is the fraction of its slots that a domain lends at most,
 	// because its own demand may return at any moment.
 	maxLentFraction = 0.7
@@ -234,7 +241,8 @@
 // utilization over all domains. A domain that already borrows continues until
 // its demand is clearly lower, which adds hysteresis.
 func (p *Planner) neededSlots(pool corianderwing.PoolID, l Load, usedFraction float64) float64 {
-	more := max(0, l.Demand/max(borrowThreshold, usedFraction)-l.Slots)
+	borrowAt, returnAt := thresholds(usedFraction)
+	more := max(0, l.Demand/max(borrowAt, usedFraction)-l.Slots)
 	has := 0.0
 	for k, n := range p.loans {
 		if k.pool == pool && k.borrower == l.Domain {
@@ -242,11 +250,25 @@
 		}
 	}
 	if has > more {
-		return max(more, min(has, l.Demand/max(returnThreshold, usedFraction-borrowThreshold+returnThreshold)-l.Slots))
+		return max(more, min(has, l.Demand/max(returnAt, usedFraction-borrowAt+returnAt)-l.Slots))
 	}
 	return more
 }
 
+// thresholds returns the utilization above which a domain borrows and the one
+// below which it returns slots, given the utilization over all domains.
+//
+// While most slots of the pool are free, a domain with few upstreams borrows
+// long before its own are busy: requests there would wait for each other, and
+// its upstreams cannot cache all its objects, while upstreams elsewhere idle.
+// While most slots are in use, early loans would only evict the objects of the
+// lenders.
+func thresholds(usedFraction float64) (borrowAt, returnAt float64) {
+	full := min(1, max(0, (usedFraction-easyUtilization)/(fullUtilization-easyUtilization)))
+	return easyBorrowThreshold + full*(borrowThreshold-easyBorrowThreshold),
+		easyReturnThreshold + full*(returnThreshold-easyReturnThreshold)
+}
+
 // rankLenders returns the domains to borrow from, best first: those that
 // already lend to the domain, then those of the same region, then those with
 // the most spare slots.
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -170,3 +170,15 @@
 	}
 	is.True(least >= 0.9*most)
 }
+
+// Guards against a domain with few upstreams that serves its requests late and
+// sends them all over its region, because its objects exceed its caches, while
+// upstreams of other regions idle.
+func TestBorrowsEarlyWhileOthersIdle(t *testing.T) {
+	is := is.New(t)
+	loans, _ := updateFor(New(), epoch, 20, load("a1", 10, 6.5), load("b1", 40, 4))
+	is.Equal(totalBorrowed(loans, "a1"), 3) // its utilization falls to 0.5
+	// While most slots are in use, early loans would evict the objects of the lender.
+	loans, _ = updateFor(New(), epoch, 20, load("a1", 10, 6.5), load("b1", 10, 4.5))
+	is.Equal(totalBorrowed(loans, "a1"), 0)
+}
