Limit the ramp of loans by the requests that run

The ramp counted moved slots against the arriving requests. In overload few of these get a slot, and borrowed slots serve a large part of those: the fraction of the running requests that runs in other regions moved up to 2.5 times as fast as planned. Without overload the old ramp was slower than planned.

Ruled out: counting only the denominator (trial): it keeps the old ramp slow where borrowed slots are already a large part.

Before and after: TestRunningRequestsMoveSlowly failed (a shrinking loan kept 0.49 of the requests elsewhere after 20 s; growing ones moved 0.24 in 2 s by calculation), passes now.

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -41,7 +41,7 @@
 	returnThreshold = 0.62
 	// maxShiftPerSecond is the fraction of a region's requests that may be moved
 	// to or from other regions per second.
-	maxShiftPerSecond = 0.06
+	maxShiftPerSecond = 0.05
 	// startupPeriod is how long after its first request a region is exempt from
 	// the ramp: no established load can be disturbed yet.
 	startupPeriod = 700 * time.Millisecond
@@ -186,7 +186,7 @@
 	total, all := 0.0, 0.0
 	usedFraction := utilization(list)
 	for i, l := range list {
-		need[i] = p.neededSlots(pool, l, usedFraction)
+		need[i] = p.neededSlots(l, usedFraction)
 		lent := 0.0
 		for k, n := range held {
 			if k.pool == pool && k.borrower == l.Domain {
@@ -240,21 +240,26 @@
 // neededSlots returns how many slots a domain should borrow, given the
 // utilization over all domains. A domain that already borrows continues until
 // its demand is clearly lower, which adds hysteresis.
-func (p *Planner) neededSlots(pool corianderwing.PoolID, l Load, usedFraction float64) float64 {
+func (p *Planner) neededSlots(l Load, usedFraction float64) float64 {
 	borrowAt, returnAt := thresholds(usedFraction)
 	more := max(0, l.Demand/max(borrowAt, usedFraction)-l.Slots)
-	has := 0.0
-	for k, n := range p.loans {
-		if k.pool == pool && k.borrower == l.Domain {
-			has += n
-		}
-	}
-	if has > more {
+	if has := p.borrowed(l); has > more {
 		return max(more, min(has, l.Demand/max(returnAt, usedFraction-borrowAt+returnAt)-l.Slots))
 	}
 	return more
 }
 
+// borrowed returns how many slots of the pool the domain borrows.
+func (p *Planner) borrowed(l Load) float64 {
+	n := 0.0
+	for k, slots := range p.loans {
+		if k.pool == l.Pool && k.borrower == l.Domain {
+			n += slots
+		}
+	}
+	return n
+}
+
 // thresholds returns the utilization above which a domain borrows and the one
 // below which it returns slots, given the utilization over all domains.
 //
@@ -293,56 +298,6 @@
 	return order
 }
 
-// rampLoans moves the loans towards their targets, as fast as the limit on
-// each region's requests in other regions allows.
-func (p *Planner) rampLoans(loads []Load, targets map[loanKey]float64, step float64, now time.Time) {
-	at := map[poolKey]Load{}
-	region := map[corianderwing.RegionID]float64{}
-	for _, l := range loads {
-		at[poolKey{l.Pool, l.Domain}] = l
-		region[l.Region] += l.ArrivalRate
-	}
-	for k := range p.loans {
-		if _, ok := targets[k]; !ok {
-			targets[k] = 0
-		}
-	}
-	for r, n := range region {
-		if _, ok := p.firstTraffic[r]; !ok && n > 0 {
-			p.firstTraffic[r] = now
-		}
-	}
-	change := map[corianderwing.RegionID]float64{}
-	effect := func(k loanKey) (corianderwing.RegionID, float64) {
-		l := at[poolKey{k.pool, k.borrower}]
-		begins := now.Before(p.rampSuspendedUntil) || now.Sub(p.firstTraffic[l.Region]) < startupPeriod
-		if l.Region == at[poolKey{k.pool, k.lender}].Region || region[l.Region] == 0 || begins {
-			return l.Region, 0
-		}
-		slots := max(l.Slots, l.Demand, 1)
-		return l.Region, math.Abs(targets[k]-p.loans[k]) / slots * l.ArrivalRate / region[l.Region]
-	}
-	for k := range targets {
-		r, e := effect(k)
-		if !p.lostCapacity(at[poolKey{k.pool, k.borrower}]) {
-			change[r] += e
-		}
-	}
-	for k, target := range targets {
-		r, e := effect(k)
-		part := 1.0
-		if e > 0 && change[r] > maxShiftPerSecond*step && !p.lostCapacity(at[poolKey{k.pool, k.borrower}]) {
-			part = maxShiftPerSecond * step / change[r]
-		}
-		n := p.loans[k] + (target-p.loans[k])*part
-		if n < 0.05 && target == 0 {
-			delete(p.loans, k)
-			continue
-		}
-		p.loans[k] = n
-	}
-}
-
 // lostCapacity reports whether a domain has recently lost a large part of its
 // slots.
 func (p *Planner) lostCapacity(l Load) bool {
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -182,3 +183,39 @@
 	loans, _ = updateFor(New(), epoch, 20, load("a1", 10, 6.5), load("b1", 10, 4.5))
 	is.Equal(totalBorrowed(loans, "a1"), 0)
 }
+
+// Guards against a region whose requests move to other regions, or back, too
+// fast. In overload many requests arrive and few get a slot, and the slots lent
+// by other regions are soon a large part of those.
+func TestRunningRequestsMoveSlowly(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	_, now := updateFor(p, epoch, 10, load("a1", 40, 20), load("b1", 200, 20))
+	var elsewhere []float64 // fraction of the running requests that run elsewhere, five a second
+	play := func(seconds int, demand float64) {
+		for range seconds * 5 {
+			now = now.Add(200 * time.Millisecond)
+			n := float64(totalBorrowed(p.Update([]Load{load("a1", 40, demand), load("b1", 200, 20)}, now), "a1"))
+			elsewhere = append(elsewhere, n/(40+n))
+		}
+	}
+	play(12, 120)
+	is.True(elsewhere[len(elsewhere)-1] > 0.5)
+	play(20, 5)
+	is.Equal(elsewhere[len(elsewhere)-1], 0.0)
+	const (
+		window   = 10 // 2 s
+		maxMoved = 0.15
+	)
+	mean := func(list []float64) float64 {
+		sum := 0.0
+		for _, v := range list {
+			sum += v / float64(len(list))
+		}
+		return sum
+	}
+	for i := window; i+window <= len(elsewhere); i++ {
+		moved := mean(elsewhere[i:i+window]) - mean(elsewhere[i-window:i])
+		is.True(math.Abs(moved) <= maxMoved)
+	}
+}
