Take the goal of a class as its demand until a response is measured

The first plan of loans is made within 0.7 s, while it may still move requests at once; a response that misses the cache takes as long or longer. Until it was measured, a request counted as 0.1 s of a slot, a seventh of what it took, and regions with few upstreams got their loans seconds later.

Ruled out: a longer exempt period at the start: windows of 2 s compare the requests before the jump with those after it.

Change: until a response of a class is measured, its demand is the time within which it is to respond.

Before and after: TestDemandBeforeFirstResponse fails before.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -49,6 +49,16 @@
 	return defaultMissSeconds
 }
 
+// demand returns how long a request is expected to hold a slot, in seconds. Until a
+// response was measured, that is the time within which the class is to respond:
+// the first responses arrive too late for the first loans of other domains.
+func (w *classLatency) demand(r *Request, now time.Time) float64 {
+	if w.mean == 0 {
+		return max(r.Goal.Sub(now).Seconds(), w.expected(true))
+	}
+	return max(w.mean, w.expected(true))
+}
+
 func (p *Pool) latencyOf(class corianderwing.RouteID) *classLatency {
 	w, ok := p.latencies[class]
 	if !ok {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -245,7 +245,7 @@
 		return p.effects
 	}
 	if !r.RequireGoal {
-		p.demand.add(max(w.mean, w.expected(true)), now)
+		p.demand.add(w.demand(&r, now), now)
 	}
 	p.schedule(&r, now)
 	return p.effects
