Tell callers to come back after the election when there is no leader

Load: everything is killed and returns. For about a second an entry instance has no settings or no shares of rate limits, and told callers to come back after 100 ms: these used up their only retry and were refused a second time.

Ruled out: the longer delay for every start: an instance that restarts alone has its settings within 0.2 s.

Change: the follower knows whether its last heartbeat found a leader; without one, refusals for lack of settings or shares carry a Retry-After of 1 s.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -81,6 +81,9 @@
 
 	state atomic.Pointer[state]
 	info  atomic.Pointer[plane.HeartbeatResponse]
+	// leaderMissing is whether the last heartbeat found no control instance that
+	// a leader had confirmed.
+	leaderMissing atomic.Bool
 
 	mu              sync.Mutex
 	seeds           []string // peer addresses of control instances to try first
@@ -170,6 +173,10 @@
 	return f.cfg.Now().Before(f.FreshUntil().Add(f.cfg.CurrentFor - f.cfg.Lease))
 }
 
+// LeaderMissing reports whether the last heartbeat found no leader: the control
+// role is electing one, or cannot be reached.
+func (f *Follower) LeaderMissing() bool { return f.leaderMissing.Load() }
+
 // Neighbors returns the other live entry instances of the failure domain, as last
 // reported by the control role.
 func (f *Follower) Neighbors() []corianderwing.Instance {
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -70,6 +70,7 @@
 	addr := f.current
 	f.mu.Unlock()
 	reply, age, err := f.sendHeartbeat(ctx, addr, f.cfg.TakeTrials())
+	f.leaderMissing.Store(err != nil || !reply.Confirmed)
 	if err != nil {
 		f.recordMiss(addr, err.Error())
 		return
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -32,6 +32,9 @@
 	// IsCurrent reports whether the state was confirmed recently enough to
 	// conclude that anything missing from it does not exist.
 	IsCurrent() bool
+	// LeaderMissing reports whether the control role is without a leader, as far
+	// as this instance knows.
+	LeaderMissing() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
 	// BorrowToken requests a token from a workspace's rate limit. It returns the
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -31,8 +31,13 @@
 		return x.retryDelay
 	}
 	switch err.Code {
+	case corianderwing.StaleSettings, corianderwing.NoShare:
+		if x.s.cfg.Control.LeaderMissing() {
+			return electionRetryAfter
+		}
+		return defaultRetryAfter
 	case corianderwing.NoCapacity, corianderwing.DeadlineUnreachable, corianderwing.NoUpstream, corianderwing.Shed,
-		corianderwing.ConnectFailed, corianderwing.StaleSettings, corianderwing.RateExceeded, corianderwing.NoShare:
+		corianderwing.ConnectFailed, corianderwing.RateExceeded:
 		return defaultRetryAfter
 	}
 	return 0
@@ -43,6 +48,12 @@
 // deadline keeps running.
 const defaultRetryAfter = 100 * time.Millisecond
 
+// electionRetryAfter is the retry delay while the control role has no leader. After
+// the loss of all instances, a leader is elected and shares of rate limits are
+// divided anew within about this time. Callers that may retry once only would use
+// their retry up before.
+const electionRetryAfter = time.Second
+
 // response is an upstream's response that is being forwarded to the caller.
 type response struct {
 	*relay.Response
