Ask for shares of rate limits at once after a restart, and end borrowing at silent lenders

Load: everything is killed and returns, on 300 instances (trial, killed at 5.0 s, back at 5.9 s). Entry instances had a leader's state at 7.0 to 7.4 s, and refused all requests of workspaces with a rate until 8.3 s: 'no share received yet'.

Cause: the first heartbeat with demands came up to 320 ms after the state, the control instance reported only 400 ms later because it had 'valid shares' of nothing, and the entry instance learned of them 400 ms after that. And each refused request first asked all nine control instances of its region in turn, 60 ms each: on five entry instances, which the callers knew and the others did not, the refusals took 550 ms, the calls took the processor time of the heartbeats, and nothing came back for seconds.

Ruled out: the leader's grace period for unknown holders: it leaves half of the tokens.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -87,6 +87,17 @@
 // own shares have expired must be given no bounds.
 func (a *Allocator) SetBounds(b map[corianderwing.WorkspaceID]int) { a.bounds = b }
 
+// LacksBounds reports whether holders asked for tokens of a workspace whose bound
+// is not known.
+func (a *Allocator) LacksBounds() bool {
+	for w := range a.ledgers {
+		if _, ok := a.bounds[w]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Allocate records a holder's demands and returns its shares. The shares are
 // valid for LeaseDuration after the holder sent the request, but no longer than
 // the Allocator's own shares. Workspaces without a known bound are left out:
--- a/io/follow/borrow.go
+++ b/io/follow/borrow.go
@@ -13,14 +13,31 @@
 // instance of the same failure domain replies within 2 ms.
 const borrowTimeout = 60 * time.Millisecond
 
+// maxBorrowErrors is the number of lenders that may fail to answer before the
+// attempt ends. If several do, this instance is short of CPU time or cut off, and
+// further calls would only delay the refusal.
+const maxBorrowErrors = 2
+
 // BorrowToken requests a token from a workspace's rate limit. It asks the followed
 // control instance first, then the others of the region, whose tokens may be
 // unused. It returns the lender, or the delay until a token may be available; zero
-// means that no control instance has a share of the limit.
+// means that no control instance has a share of the limit. It returns an error if
+// several control instances do not answer.
 func (f *Follower) BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error) {
-	for _, addr := range f.lenders() {
-		var r *plane.BorrowResponse
-		if r, err = f.borrowAt(ctx, addr, &plane.BorrowRequest{Workspace: w}); err != nil {
+	return askLenders(f.lenders(), func(addr string) (*plane.BorrowResponse, error) {
+		return f.borrowAt(ctx, addr, &plane.BorrowRequest{Workspace: w})
+	})
+}
+
+// askLenders asks the lenders in order until one has a token. See BorrowToken.
+func askLenders(lenders []string, ask func(addr string) (*plane.BorrowResponse, error)) (lender string, after time.Duration, err error) {
+	failed := 0
+	for _, addr := range lenders {
+		r, err := ask(addr)
+		if err != nil {
+			if failed++; failed == maxBorrowErrors {
+				return "", after, err
+			}
 			continue
 		}
 		if r.OK {
@@ -30,7 +47,7 @@
 			after = d
 		}
 	}
-	return "", after, err
+	return "", after, nil
 }
 
 // ReturnToken returns the token of a request that did not run to its lender. It does
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -84,6 +84,9 @@
 	// leaderMissing is whether the last heartbeat found no control instance that
 	// a leader had confirmed.
 	leaderMissing atomic.Bool
+	// sharesMissing is whether the last reply held none of the shares asked for.
+	sharesMissing atomic.Bool
+	stateReceived chan struct{} // buffered (1); signals the first state
 
 	mu              sync.Mutex
 	seeds           []string // peer addresses of control instances to try first
@@ -139,7 +142,7 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Boot
 	}
-	f := &Follower{cfg: cfg, peer: pc, switched: make(chan struct{}), seeds: cfg.Seeds, avoidUntil: map[string]time.Time{}, rtts: map[string]rttEstimator{}}
+	f := &Follower{cfg: cfg, peer: pc, switched: make(chan struct{}), stateReceived: make(chan struct{}, 1), seeds: cfg.Seeds, avoidUntil: map[string]time.Time{}, rtts: map[string]rttEstimator{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.state.Store(&state{view: model.New()})
 	f.info.Store(&plane.HeartbeatResponse{})
@@ -265,6 +268,12 @@
 		s.view = next
 		s.applyConfirmation()
 	})
+	if old.Revision() == 0 {
+		select {
+		case f.stateReceived <- struct{}{}:
+		default:
+		}
+	}
 	if f.cfg.OnChange != nil {
 		f.cfg.OnChange()
 	}
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"corianderwing"
-	"corianderwing/io/clock"
 	"corianderwing/io/peer"
 	"corianderwing/io/plane"
 )
@@ -22,6 +21,9 @@
 	// the seeds.
 	startupInterval    = 80 * time.Millisecond
 	maxStartupInterval = 320 * time.Millisecond
+	// sharesInterval is the heartbeat interval while the control instance has none of
+	// the shares that this instance asked for.
+	sharesInterval = 160 * time.Millisecond
 	// maxConfirmationAge is the age of the last confirmation above which other
 	// control instances are probed, because the followed one may itself have lost
 	// contact with the leader.
@@ -41,12 +43,28 @@
 	for n := 0; ; n++ {
 		f.heartbeat(f.ctx)
 		f.probeAlternative(f.ctx)
-		if !clock.Sleep(f.ctx, f.heartbeatDelay(n)) {
+		if !f.waitForHeartbeat(f.heartbeatDelay(n)) {
 			return
 		}
 	}
 }
 
+// waitForHeartbeat waits until the next heartbeat is due: after d, or at once when
+// the first state has been received, because this instance can only then ask for
+// its shares of rate limits. It returns false when the follower is closed.
+func (f *Follower) waitForHeartbeat(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-f.stateReceived:
+		return true
+	case <-f.ctx.Done():
+		return false
+	}
+}
+
 // heartbeatDelay returns the time until the next heartbeat, after n heartbeats
 // before the last one.
 func (f *Follower) heartbeatDelay(n int) time.Duration {
@@ -57,6 +75,9 @@
 	if info.LeaseDuration <= 0 {
 		return startupInterval
 	}
+	if f.sharesMissing.Load() {
+		return sharesInterval
+	}
 	if len(info.MoveShares) > 0 {
 		return moveHeartbeatInterval
 	}
@@ -94,15 +115,17 @@
 	f.mu.Lock()
 	known := f.listsVersion
 	f.mu.Unlock()
+	demands := f.cfg.Limits.Needs(addr)
 	reply, err := peer.Call(ctx, f.peer, addr, plane.HeartbeatMethod, &plane.HeartbeatRequest{
 		Entry:            f.cfg.Self(),
-		Demands:          f.cfg.Limits.Needs(addr),
+		Demands:          demands,
 		InstancesVersion: known,
 		Trials:           trials,
 	})
 	if err != nil {
 		return nil, 0, err
 	}
+	f.sharesMissing.Store(len(demands) > 0 && len(reply.Shares) == 0)
 	left := time.Duration(reply.LeaseDuration) * time.Millisecond
 	f.cfg.Limits.SetShares(addr, reply.Shares, corianderwing.HolderDeadline(sent, left))
 	if !reply.Confirmed {
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -120,7 +120,7 @@
 			x.s.log.Warn().Str("request", string(x.ask.ID)).Err(err).Msg("failed to borrow a rate limit token")
 		}
 		x.lender, ok = lender, lender != ""
-		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after)
+		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after, err)
 		wait = max(wait, after)
 	}
 	if !ok && wait == 0 {
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -140,12 +140,12 @@
 	return busy && now.Sub(o.since) < onsetDuration
 }
 
-// hasValidShares reports whether this instance has valid shares of rate limits
-// to distribute.
+// hasValidShares reports whether this instance has valid shares of all rate limits
+// that entry instances asked for.
 func (p *Plane) hasValidShares() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return clock.Boot().Before(p.sharesValidUntil)
+	return clock.Boot().Before(p.sharesValidUntil) && !p.quotaAllocator.LacksBounds()
 }
 
 // sendReport sends one report to the leader, or handles it locally if this
