--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -91,7 +91,10 @@
 	addr := f.current
 	f.mu.Unlock()
 	reply, age, err := f.sendHeartbeat(ctx, addr, f.cfg.TakeTrials())
-	f.leaderMissing.Store(err != nil || !reply.Confirmed)
+	missing := err != nil || !reply.Confirmed
+	if f.leaderMissing.Swap(missing) != missing {
+		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Err(err).Msg("leader missing or found")
+	}
 	if err != nil {
 		f.recordMiss(addr, err.Error())
 		return
@@ -125,7 +128,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	f.sharesMissing.Store(len(demands) > 0 && len(reply.Shares) == 0)
+	missing := len(demands) > 0 && len(reply.Shares) == 0
+	if f.sharesMissing.Swap(missing) != missing {
+		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Int("workspaces", len(demands)).Msg("shares of rate limits missing or received")
+	}
 	left := time.Duration(reply.LeaseDuration) * time.Millisecond
 	f.cfg.Limits.SetShares(addr, reply.Shares, corianderwing.HolderDeadline(sent, left))
 	if !reply.Confirmed {
--- a/io/gate/alone_test.go
+++ b/io/gate/alone_test.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/phuslu/log"
 
-	"corianderwing"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
-	"corianderwing/platform"
 )
 
 // silentControl is a Control that does not answer requests for slots.
@@ -37,11 +33,7 @@
 		view, err := c.view.Apply(&model.Command{Announce: []model.Announcement{{Upstream: cold, WarmupRemaining: 3000}}}, time.Now())
 		is.NoErr(err)
 		c.view = view
-		s := New(Config{
-			Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
-			Control: silentControl{c}, Limits: NewLimits(time.Second),
-			Dialect: &platform.Adapter{}, Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, RetryRatio: 0.2,
-		})
+		s := newTestServer(silentControl{c}, quiet)
 		defer s.Close()
 		s.NotifyChange()
 		synctest.Wait()
--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,68 +12,12 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
-	"corianderwing/core/model"
-	"corianderwing/core/place"
 	"corianderwing/io/follow"
 	"corianderwing/io/logs"
-	"corianderwing/io/plane"
 	"corianderwing/io/soak"
 	"corianderwing/platform"
 )
 
-// grantingControl is a Control that grants every slot immediately.
-type grantingControl struct {
-	view     *model.View
-	upstream *model.Upstream
-}
-
-func (c *grantingControl) View() (*model.View, bool)           { return c.view, true }
-func (c *grantingControl) IsFresh() bool                       { return true }
-func (c *grantingControl) IsCurrent() bool                     { return true }
-func (c *grantingControl) LeaderMissing() bool                 { return false }
-func (c *grantingControl) Neighbors() []corianderwing.Instance { return nil }
-func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (string, time.Duration, error) {
-	return "", 0, nil
-}
-func (c *grantingControl) ReturnToken(string, corianderwing.WorkspaceID) {}
-func (c *grantingControl) Acquire(context.Context, *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool) {
-	return &plane.AcquireResponse{ID: 1, Upstream: c.upstream.ID, Incarnation: c.upstream.Incarnation, ExpectedLatency: 1000, MissLatency: 3000, ExpectHit: true},
-		follow.SlotSource{Peer: "control", Domain: "a"}, true
-}
-func (c *grantingControl) Release(follow.SlotSource, corianderwing.PoolID, place.Outcome) {}
-
-// newGrantingControl returns a Control with a single upstream at addr.
-func newGrantingControl(b testing.TB, addr string) *grantingControl {
-	b.Helper()
-	now := time.Now()
-	view := model.New()
-	for _, c := range []*model.Command{
-		{Edit: &corianderwing.Edit{
-			Rules: []corianderwing.Rule{{
-				Name: "r-1", Version: 1, Host: "shop.example", Prefix: "/files/", Timeout: 4000, TargetLatency: 600, Priority: 1, MaxAttempts: 2,
-				Sticky: true, Targets: []corianderwing.Target{{Pool: "files", Weight: 1}},
-			}},
-			WorkspacePolicies: []corianderwing.WorkspacePolicy{{Name: "main", Version: 1, Keys: []string{"k-1"}}},
-			Pools:             []corianderwing.Pool{{Name: "files", Version: 1, MaxConns: 100, Protocol: "h1"}},
-			Limits:            &corianderwing.Limits{Version: 1, Header: 16 << 10, Body: 1 << 20, HeaderTimeout: 3000, IdleTimeout: 15000},
-		}},
-		{Announce: []model.Announcement{{Upstream: corianderwing.Upstream{
-			ID: "i-1", Incarnation: 1, Pool: "files", Version: "v1", Domain: "a", Addr: addr, Slots: 100, Phase: corianderwing.Ready,
-		}}}},
-	} {
-		next, err := view.Apply(c, now)
-		if err != nil {
-			b.Fatal(err)
-		}
-		view = next
-	}
-	u, ok := view.Upstream("i-1")
-	if !ok {
-		b.Fatal("upstream not found in the view")
-	}
-	return &grantingControl{view, u}
-}
-
 // cpuTime returns the CPU time that this process has used.
 func cpuTime(b *testing.B) time.Duration {
 	b.Helper()
@@ -103,11 +46,7 @@
 		b.Run("log="+level.String(), func(b *testing.B) {
 			lines := logs.New(io.Discard)
 			defer lines.Close(time.Now().Add(time.Second))
-			s := New(Config{
-				Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
-				Control: newGrantingControl(b, upstream.Listener.Addr().String()), Limits: NewLimits(time.Second),
-				Dialect: &platform.Adapter{}, Log: &log.Logger{Level: level, Writer: lines}, RetryRatio: 0.2,
-			})
+			s := newTestServer(newGrantingControl(b, upstream.Listener.Addr().String()), &log.Logger{Level: level, Writer: lines})
 			defer s.Close()
 			s.NotifyChange()
 			entry := httptest.NewServer(s)
@@ -146,10 +85,7 @@
 	lines := logs.New(io.Discard)
 	defer lines.Close(time.Now().Add(time.Second))
 	control := newGrantingControl(b, "127.0.0.1:1")
-	s := New(Config{
-		Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
-		Control: control, Limits: NewLimits(time.Second), Dialect: &platform.Adapter{}, Log: &log.Logger{Level: log.InfoLevel, Writer: lines},
-	})
+	s := newTestServer(control, &log.Logger{Level: log.InfoLevel, Writer: lines})
 	defer s.Close()
 	rule, _ := control.view.Items().MatchRule("shop.example", "/files/1")
 	owner, _ := control.view.Items().PolicyByKey("k-1")
--- /dev/null
+++ b/io/gate/fake_test.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/core/place"
+	"corianderwing/io/follow"
+	"corianderwing/io/plane"
+	"corianderwing/platform"
+)
+
+// quiet is a logger that writes nothing.
+var quiet = &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+
+// newTestServer returns an entry instance of failure domain a in region r, which
+// the caller must close.
+func newTestServer(c Control, l *log.Logger) *Server {
+	return New(Config{
+		Domain:     "a",
+		RegionOf:   func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
+		Control:    c,
+		Limits:     NewLimits(time.Second),
+		Dialect:    &platform.Adapter{},
+		Log:        l,
+		RetryRatio: 0.2,
+	})
+}
+
+// grantingControl is a Control that grants every slot immediately.
+type grantingControl struct {
+	view     *model.View
+	upstream *model.Upstream
+}
+
+func (c *grantingControl) View() (*model.View, bool)           { return c.view, true }
+func (c *grantingControl) IsFresh() bool                       { return true }
+func (c *grantingControl) IsCurrent() bool                     { return true }
+func (c *grantingControl) LeaderMissing() bool                 { return false }
+func (c *grantingControl) Neighbors() []corianderwing.Instance { return nil }
+func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (string, time.Duration, error) {
+	return "", 0, nil
+}
+func (c *grantingControl) ReturnToken(string, corianderwing.WorkspaceID) {}
+func (c *grantingControl) Acquire(context.Context, *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool) {
+	return &plane.AcquireResponse{ID: 1, Upstream: c.upstream.ID, Incarnation: c.upstream.Incarnation, ExpectedLatency: 1000, MissLatency: 3000, ExpectHit: true},
+		follow.SlotSource{Peer: "control", Domain: "a"}, true
+}
+func (c *grantingControl) Release(follow.SlotSource, corianderwing.PoolID, place.Outcome) {}
+
+// newGrantingControl returns a Control with a single upstream at addr.
+func newGrantingControl(b testing.TB, addr string) *grantingControl {
+	b.Helper()
+	now := time.Now()
+	view := model.New()
+	for _, c := range []*model.Command{
+		{Edit: &corianderwing.Edit{
+			Rules: []corianderwing.Rule{{
+				Name: "r-1", Version: 1, Host: "shop.example", Prefix: "/files/", Timeout: 4000, TargetLatency: 600, Priority: 1, MaxAttempts: 2,
+				Sticky: true, Targets: []corianderwing.Target{{Pool: "files", Weight: 1}},
+			}},
+			WorkspacePolicies: []corianderwing.WorkspacePolicy{{Name: "main", Version: 1, Keys: []string{"k-1"}}},
+			Pools:             []corianderwing.Pool{{Name: "files", Version: 1, MaxConns: 100, Protocol: "h1"}},
+			Limits:            &corianderwing.Limits{Version: 1, Header: 16 << 10, Body: 1 << 20, HeaderTimeout: 3000, IdleTimeout: 15000},
+		}},
+		{Announce: []model.Announcement{{Upstream: corianderwing.Upstream{
+			ID: "i-1", Incarnation: 1, Pool: "files", Version: "v1", Domain: "a", Addr: addr, Slots: 100, Phase: corianderwing.Ready,
+		}}}},
+	} {
+		next, err := view.Apply(c, now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		view = next
+	}
+	u, ok := view.Upstream("i-1")
+	if !ok {
+		b.Fatal("upstream not found in the view")
+	}
+	return &grantingControl{view, u}
+}
--- a/io/gate/retryafter_test.go
+++ b/io/gate/retryafter_test.go
@@ -1,18 +1,14 @@
 package gate
 
 import (
-	"io"
 	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/phuslu/log"
 
-	"corianderwing"
 	"corianderwing/core/model"
-	"corianderwing/platform"
 )
 
 // restartedControl has received no state since its start.
@@ -29,11 +25,7 @@
 func TestRetryAfterWithoutLeader(t *testing.T) {
 	is := is.New(t)
 	after := func(leaderMissing bool) time.Duration {
-		s := New(Config{
-			Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
-			Control: restartedControl{newGrantingControl(t, "127.0.0.1:1"), leaderMissing}, Limits: NewLimits(time.Second),
-			Dialect: &platform.Adapter{}, Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, RetryRatio: 0.2,
-		})
+		s := newTestServer(restartedControl{newGrantingControl(t, "127.0.0.1:1"), leaderMissing}, quiet)
 		defer s.Close()
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
--- a/io/gate/stop_test.go
+++ b/io/gate/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,12 +9,10 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/phuslu/log"
 
 	"corianderwing"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
-	"corianderwing/platform"
 )
 
 // queuingControl is a Control at which every request waits for a slot until its
@@ -33,11 +30,7 @@
 func TestStopRejectsWaitingRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := New(Config{
-			Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
-			Control: queuingControl{newGrantingControl(t, "127.0.0.1:1")}, Limits: NewLimits(time.Second),
-			Dialect: &platform.Adapter{}, Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}, RetryRatio: 0.2,
-		})
+		s := newTestServer(queuingControl{newGrantingControl(t, "127.0.0.1:1")}, quiet)
 		defer s.Close()
 		s.NotifyChange()
 		synctest.Wait()
