Judge missing shares by the followed control instance only

Cause (by reading): a probe of another control instance, which has no shares for this instance yet, marked the shares as missing, so that heartbeats came faster and two lines were logged with each probe.

Ruled out: not probing with demands: the reply of a probe renews shares.

Change: only replies of the followed control instance count.

Test: TestHeartbeatsFasterWithoutShares holds the intervals; the probe itself has no test without peers.

--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -91,10 +91,7 @@
 	addr := f.current
 	f.mu.Unlock()
 	reply, age, err := f.sendHeartbeat(ctx, addr, f.cfg.TakeTrials())
-	missing := err != nil || !reply.Confirmed
-	if f.leaderMissing.Swap(missing) != missing {
-		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Err(err).Msg("leader missing or found")
-	}
+	f.recordLeader(addr, err != nil || !reply.Confirmed, err)
 	if err != nil {
 		f.recordMiss(addr, err.Error())
 		return
@@ -116,7 +113,7 @@
 	defer cancel()
 	sent := f.cfg.Now()
 	f.mu.Lock()
-	known := f.listsVersion
+	known, followed := f.listsVersion, addr == f.current
 	f.mu.Unlock()
 	demands := f.cfg.Limits.Needs(addr)
 	reply, err := peer.Call(ctx, f.peer, addr, plane.HeartbeatMethod, &plane.HeartbeatRequest{
@@ -128,9 +125,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	missing := len(demands) > 0 && len(reply.Shares) == 0
-	if f.sharesMissing.Swap(missing) != missing {
-		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Int("workspaces", len(demands)).Msg("shares of rate limits missing or received")
+	if followed {
+		f.recordShares(addr, len(demands), len(reply.Shares))
 	}
 	left := time.Duration(reply.LeaseDuration) * time.Millisecond
 	f.cfg.Limits.SetShares(addr, reply.Shares, corianderwing.HolderDeadline(sent, left))
@@ -143,6 +139,22 @@
 	return reply, age, nil
 }
 
+// recordLeader records whether a heartbeat found no leader.
+func (f *Follower) recordLeader(addr string, missing bool, err error) {
+	if f.leaderMissing.Swap(missing) != missing {
+		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Err(err).Msg("leader missing or found")
+	}
+}
+
+// recordShares records whether a reply of the followed control instance held shares
+// of rate limits, if any were asked for.
+func (f *Follower) recordShares(addr string, asked, got int) {
+	missing := asked > 0 && got == 0
+	if f.sharesMissing.Swap(missing) != missing {
+		f.cfg.Log.Info().Str("control", addr).Bool("missing", missing).Int("workspaces", asked).Msg("shares of rate limits missing or received")
+	}
+}
+
 // neverConfirmed is the age reported when there has been no confirmation.
 const neverConfirmed = time.Hour
 
