--- a/core/place/home.go
+++ b/core/place/home.go
@@ -18,7 +18,7 @@
 	// response, divided by the latency of a cache miss in seconds. A second home
 	// costs one slow response, a single home costs the bytes between domains on
 	// every request.
-	localHomeSecondsPerKB = 1.0
+	localHomeSecondsPerKB = 1.5
 	// sharedHysteresis is the fraction of the limit below which the interval of a
 	// shared class must fall before its objects get local homes again.
 	sharedHysteresis = 0.75
