--- a/core/steer/ramp_final.go
+++ b/core/steer/ramp.go
@@ -10,10 +10,10 @@
 // borrower is a pool of a failure domain that borrows slots, or is about to.
 type borrower struct {
 	Load
-	own     float64 // slots in its region, borrowed ones included
-	exempt  bool    // its loans change at once
-	current map[corianderwing.RegionID]float64
-	target  map[corianderwing.RegionID]float64 // slots in each other region
+	own     float64                            // slots in its region, borrowed ones included
+	exempt  bool                               // its loans change at once
+	current map[corianderwing.RegionID]float64 // slots that it borrows in each other region
+	target  map[corianderwing.RegionID]float64 // the same after the loans have changed
 }
 
 // rampLoans moves the loans towards their targets, as fast as the limit on the
@@ -30,7 +30,11 @@
 		}
 	}
 	p.recordFirstTraffic(loads, now)
-	borrowers := p.borrowers(loads, targets, now)
+	regions := map[corianderwing.DomainID]corianderwing.RegionID{}
+	for _, l := range loads {
+		regions[l.Domain] = l.Region
+	}
+	borrowers := p.borrowers(loads, regions, targets, now)
 	moved := map[corianderwing.RegionID]float64{}   // requests that would change their region
 	running := map[corianderwing.RegionID]float64{} // requests that get a slot
 	for _, b := range borrowers {
@@ -40,10 +44,6 @@
 			moved[b.Region] += n * b.movedFraction()
 		}
 	}
-	regions := map[corianderwing.DomainID]corianderwing.RegionID{}
-	for _, l := range loads {
-		regions[l.Domain] = l.Region
-	}
 	for k, target := range targets {
 		part := 1.0
 		if b, ok := borrowers[poolKey{k.pool, k.borrower}]; ok && !b.exempt && regions[k.lender] != b.Region {
@@ -70,12 +70,10 @@
 }
 
 // borrowers returns the borrower of each load.
-func (p *Planner) borrowers(loads []Load, targets map[loanKey]float64, now time.Time) map[poolKey]*borrower {
+func (p *Planner) borrowers(loads []Load, regions map[corianderwing.DomainID]corianderwing.RegionID, targets map[loanKey]float64, now time.Time) map[poolKey]*borrower {
 	out := map[poolKey]*borrower{}
-	regions := map[corianderwing.DomainID]corianderwing.RegionID{}
 	for _, l := range loads {
 		begins := now.Before(p.rampSuspendedUntil) || now.Sub(p.firstTraffic[l.Region]) < startupPeriod
-		regions[l.Domain] = l.Region
 		out[poolKey{l.Pool, l.Domain}] = &borrower{
 			Load:    l,
 			own:     l.Slots,
