Estimate waits by measured latencies only

Ruled out: load alone.

Change: the pool keeps two sums: demand for loans, with the goal as first value, and work by measured latencies for waits.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -51,7 +51,8 @@
 
 // demand returns how long a request is expected to hold a slot, in seconds. Until a
 // response was measured, that is the time within which the class is to respond:
-// the first responses arrive too late for the first loans of other domains.
+// the first responses arrive too late for the first loans of other domains. Waits
+// are not estimated from it: an upstream may respond far sooner.
 func (w *classLatency) demand(r *Request, now time.Time) float64 {
 	if w.mean == 0 {
 		return max(r.Goal.Sub(now).Seconds(), w.expected(true))
@@ -73,7 +74,7 @@
 	if p.arrivals.value <= 0 {
 		return 0
 	}
-	return p.demand.value / p.arrivals.value
+	return p.work.value / p.arrivals.value
 }
 
 // Round-trip times that are assumed until one is measured.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -140,7 +140,8 @@
 	latencies     map[corianderwing.RouteID]*classLatency
 	nextCredit    float64                                  // requests that the target version of a move may still get
 	rtts          map[corianderwing.DomainID]time.Duration // measured round-trip times
-	demand        decayingRate                             // slots needed by the arriving requests
+	demand        decayingRate                             // slots needed by the arriving requests, for loans
+	work          decayingRate                             // the same by measured latencies only, for waits
 	arrivals      decayingRate                             // requests per second
 	cacheSize     float64                                  // estimated number of objects that an upstream caches
 	domainSlots   map[corianderwing.DomainID]float64       // slots of the usable upstreams
@@ -246,6 +247,7 @@
 	}
 	if !r.RequireGoal {
 		p.demand.add(w.demand(&r, now), now)
+		p.work.add(max(w.mean, w.expected(true)), now)
 	}
 	p.schedule(&r, now)
 	return p.effects
