Skip silent lenders one by one

Two lenders that did not answer stopped all borrowing of an entry instance for 250 ms. With instances cut off and a leader killed, two of nine often do not answer, and a workspace with few tokens for each instance borrows for nearly every request.

Change: a lender that does not answer is not asked for 500 ms; the others are. A call that ended because its caller disconnected does not count.

--- a/io/follow/borrow.go
+++ b/io/follow/borrow.go
@@ -13,31 +13,39 @@
 // instance of the same failure domain replies within 2 ms.
 const borrowTimeout = 60 * time.Millisecond
 
-// maxBorrowErrors is the number of lenders that may fail to answer before the
-// attempt ends. If several do, this instance is short of CPU time or cut off, and
-// further calls would only delay the refusal.
-const maxBorrowErrors = 2
+// lenderBackoff is how long a control instance that did not answer a borrow call is
+// not asked again. Refused requests would otherwise wait for each silent lender in
+// turn, and take the CPU time that answers need.
+const lenderBackoff = 500 * time.Millisecond
 
 // BorrowToken requests a token from a workspace's rate limit. It asks the followed
 // control instance first, then the others of the region, whose tokens may be
 // unused. It returns the lender, or the delay until a token may be available; zero
-// means that no control instance has a share of the limit. It returns an error if
-// several control instances do not answer.
+// means that no control instance is known to have a share of the limit. The error is
+// that of the last one that did not answer.
 func (f *Follower) BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error) {
 	return askLenders(f.lenders(), func(addr string) (*plane.BorrowResponse, error) {
-		return f.borrowAt(ctx, addr, &plane.BorrowRequest{Workspace: w})
+		r, err := f.borrowAt(ctx, addr, &plane.BorrowRequest{Workspace: w})
+		if err != nil && ctx.Err() == nil {
+			f.recordSilentLender(addr)
+		}
+		return r, err
 	})
 }
 
+// recordSilentLender records that a control instance did not answer a borrow call.
+func (f *Follower) recordSilentLender(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noBorrowUntil[addr] = f.cfg.Now().Add(lenderBackoff)
+}
+
 // askLenders asks the lenders in order until one has a token. See BorrowToken.
 func askLenders(lenders []string, ask func(addr string) (*plane.BorrowResponse, error)) (lender string, after time.Duration, err error) {
-	failed := 0
 	for _, addr := range lenders {
-		r, err := ask(addr)
-		if err != nil {
-			if failed++; failed == maxBorrowErrors {
-				return "", after, err
-			}
+		r, callErr := ask(addr)
+		if callErr != nil {
+			err = callErr
 			continue
 		}
 		if r.OK {
@@ -47,7 +55,7 @@
 			after = d
 		}
 	}
-	return "", after, nil
+	return "", after, err
 }
 
 // ReturnToken returns the token of a request that did not run to its lender. It does
@@ -67,15 +75,23 @@
 	return peer.Call(ctx, f.peer, addr, plane.BorrowMethod, b)
 }
 
-// lenders returns the control instances of the region, the followed one first.
+// lenders returns the control instances of the region, the followed one first,
+// without those that did not answer lately.
 func (f *Follower) lenders() []string {
 	region := f.cfg.Self().Region
+	now := f.cfg.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := []string{f.current}
+	var list []string
+	add := func(addr string) {
+		if !now.Before(f.noBorrowUntil[addr]) {
+			list = append(list, addr)
+		}
+	}
+	add(f.current)
 	for _, c := range f.controls {
 		if c.Region == region && c.PeerAddr != f.current {
-			list = append(list, c.PeerAddr)
+			add(c.PeerAddr)
 		}
 	}
 	return list
--- a/io/follow/borrow_test.go
+++ b/io/follow/borrow_test.go
@@ -7,22 +7,32 @@
 
 	"github.com/matryer/is"
 
+	"corianderwing"
+	"corianderwing/io/peer"
 	"corianderwing/io/plane"
 )
 
 // Guards against an entry instance that runs out of CPU time after the loss of all
 // instances: each refused request waited for all lenders of the region in turn, and
-// the calls took the time that the answers needed.
-func TestSilentLendersEndBorrowing(t *testing.T) {
+// the calls took the time that the answers needed. Lenders that answer go on lending.
+func TestSilentLendersAreNotAskedAgain(t *testing.T) {
 	is := is.New(t)
-	asked := 0
-	lender, _, err := askLenders([]string{"a", "b", "c", "d", "e"}, func(string) (*plane.BorrowResponse, error) {
-		asked++
-		return nil, context.DeadlineExceeded
-	})
-	is.Equal(lender, "")
-	is.True(err != nil)
-	is.Equal(asked, maxBorrowErrors)
+	now := time.Unix(1000, 0)
+	f := &Follower{
+		cfg: Config{
+			Self: func() corianderwing.Instance { return corianderwing.Instance{Region: "r"} },
+			Now:  func() time.Time { return now },
+		},
+		current:       "a",
+		controls:      []plane.ControlInstance{{PeerAddr: "a", Region: "r"}, {PeerAddr: "b", Region: "r"}, {PeerAddr: "c", Region: "r"}, {PeerAddr: "d", Region: "s"}},
+		noBorrowUntil: map[string]time.Time{},
+	}
+	is.Equal(f.lenders(), []string{"a", "b", "c"})
+	f.recordSilentLender("a")
+	f.recordSilentLender("c")
+	is.Equal(f.lenders(), []string{"b"})
+	now = now.Add(lenderBackoff)
+	is.Equal(f.lenders(), []string{"a", "b", "c"})
 }
 
 // Guards against refusing requests while a lender that answers has a token.
@@ -35,10 +45,31 @@
 		}
 		return nil, context.DeadlineExceeded
 	}
-	lender, _, err := askLenders([]string{"a", "b", "c", "d"}, ask)
-	is.NoErr(err)
+	lender, _, _ := askLenders([]string{"a", "b", "c", "d"}, ask)
 	is.Equal(lender, "d")
 	_, after, err := askLenders([]string{"a", "b", "c"}, ask)
-	is.NoErr(err)
+	is.True(err != nil) // a did not answer
 	is.Equal(after, 200*time.Millisecond)
 }
+
+// Guards against avoiding lenders because one caller disconnected while a token was
+// borrowed for it.
+func TestDisconnectDoesNotStopBorrowing(t *testing.T) {
+	is := is.New(t)
+	client := peer.NewClient([]byte("secret"))
+	defer client.Close()
+	f := &Follower{
+		cfg:           Config{Self: func() corianderwing.Instance { return corianderwing.Instance{Region: "r"} }, Now: time.Now},
+		peer:          client,
+		current:       "127.0.0.1:1",
+		noBorrowUntil: map[string]time.Time{},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, err := f.BorrowToken(ctx, "w")
+	is.True(err != nil)
+	is.Equal(len(f.lenders()), 1)
+	_, _, err = f.BorrowToken(t.Context(), "w") // nobody listens there
+	is.True(err != nil)
+	is.Equal(len(f.lenders()), 0)
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -96,6 +96,7 @@
 	current         string                   // peer address of the followed control instance
 	lastReply       time.Time                // last reply to a heartbeat
 	avoidUntil      map[string]time.Time     // by peer address: no slot requests before this time
+	noBorrowUntil   map[string]time.Time     // by peer address: no borrow calls before this time
 	rtts            map[string]rttEstimator  // by peer address
 	switched        chan struct{}            // closed when current changes
 	misses          int
@@ -142,7 +143,7 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Boot
 	}
-	f := &Follower{cfg: cfg, peer: pc, switched: make(chan struct{}), stateReceived: make(chan struct{}, 1), seeds: cfg.Seeds, avoidUntil: map[string]time.Time{}, rtts: map[string]rttEstimator{}}
+	f := &Follower{cfg: cfg, peer: pc, switched: make(chan struct{}), stateReceived: make(chan struct{}, 1), seeds: cfg.Seeds, avoidUntil: map[string]time.Time{}, noBorrowUntil: map[string]time.Time{}, rtts: map[string]rttEstimator{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.state.Store(&state{view: model.New()})
 	f.info.Store(&plane.HeartbeatResponse{})
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -116,14 +116,11 @@
 	ok, borrow, wait := x.s.cfg.Limits.takeToken(x.tenure)
 	if !ok && borrow {
 		lender, after, err := x.s.cfg.Control.BorrowToken(x.r.Context(), x.tenure.Name)
-		if x.r.Context().Err() != nil {
-			err = nil // the caller has disconnected; the lenders may be well
-		}
 		if err != nil {
 			x.s.log.Warn().Str("request", string(x.ask.ID)).Err(err).Msg("failed to borrow a rate limit token")
 		}
 		x.lender, ok = lender, lender != ""
-		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after, err)
+		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after)
 		wait = max(wait, after)
 	}
 	if !ok && wait == 0 {
--- a/io/gate/limit.go
+++ b/io/gate/limit.go
@@ -18,7 +18,6 @@
 	limited       map[corianderwing.WorkspaceID]bool      // workspaces with a rate limit
 	hasShares     bool                                    // a control instance has sent shares
 	noBorrowUntil map[corianderwing.WorkspaceID]time.Time // no borrow attempt before this time
-	noLenderUntil time.Time                               // the same for all workspaces, because lenders do not answer
 }
 
 // NewLimits returns Limits without shares. A rate limit bounds the requests in any
@@ -74,9 +73,6 @@
 		return true, false, 0
 	}
 	after = l.purses.RetryAfter(t.Name, now)
-	if now.Before(l.noLenderUntil) {
-		return false, false, after
-	}
 	if notBefore := l.noBorrowUntil[t.Name]; now.Before(notBefore) {
 		return false, false, max(after, notBefore.Sub(now))
 	}
@@ -87,18 +83,11 @@
 // again after a borrow attempt found none.
 const minBorrowInterval = 60 * time.Millisecond
 
-// lenderBackoff is how long no token is borrowed after lenders did not answer.
-const lenderBackoff = 250 * time.Millisecond
-
-// recordBorrow records the result of a borrow attempt; err tells that lenders did
-// not answer.
-func (l *Limits) recordBorrow(w corianderwing.WorkspaceID, got bool, after time.Duration, err error) {
+// recordBorrow records the result of a borrow attempt.
+func (l *Limits) recordBorrow(w corianderwing.WorkspaceID, got bool, after time.Duration) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
-		l.noLenderUntil = now.Add(lenderBackoff)
-	}
 	if got {
 		delete(l.noBorrowUntil, w)
 		return
