Keep loans while another control instance takes over a domain

When the control instance that allocates a domain's slots stops, the planner hears of no requests there, or of too many: its successor takes the goal of a class for the time of a request, and the last report of the first one counts for 1.5 s more. Loans ended at once, because the ramp is a part of the running requests and there seemed to be none, and came back at 5% a second. A new leader took the first loads that it saw for the start of the traffic and moved without a ramp.

Change: loads of a pool that got its first request less than 1.5 s ago are provisional. Of an established region, a provisional load or one whose requests have just ended changes no loan, for at most 5 s. A planner that begins with loans grants no exemption from the ramp.

--- a/core/place/demand_test.go
+++ b/core/place/demand_test.go
@@ -24,7 +24,7 @@
 		now = now.Add(gap)
 		p.Submit(place.Request{ID: id + 1, Class: "order", NoForward: true, Goal: now.Add(goal), Deadline: now.Add(5 * time.Second)}, now)
 	}
-	_, _, _, demand, _ := p.Load(now)
+	demand := p.Load(now).Demand
 	is.True(demand >= 0.8*goal.Seconds()/gap.Seconds())
 	is.True(demand <= 1.2*goal.Seconds()/gap.Seconds())
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -296,21 +296,38 @@
 // even if the entry instance never released it.
 const grantExpirySlack = time.Second
 
-// Load returns the slots available to this Pool, the slots of the failure
-// domain's own upstreams including lent ones, the requests in flight, the
-// slots that the arriving requests need, and the requests per second.
-func (p *Pool) Load(now time.Time) (slots, own, busy int, demand, arrived float64) {
+// Load is the load of a Pool.
+type Load struct {
+	Slots       int     // available to the Pool
+	OwnSlots    int     // of the failure domain's own upstreams, including lent ones
+	InFlight    int     // requests in flight
+	Demand      float64 // slots that the arriving requests need
+	ArrivalRate float64 // requests per second
+	// Provisional is set while the Pool has had requests only for a short time.
+	// Its demand is then a guess, and the load that its predecessor reported last
+	// may still be counted as well.
+	Provisional bool
+}
+
+// provisionalPeriod is how long after its first request the load of a Pool is
+// provisional: the time for which the last report of a predecessor counts.
+const provisionalPeriod = 1500 * time.Millisecond
+
+// Load returns the load at now.
+func (p *Pool) Load(now time.Time) Load {
+	l := Load{Demand: p.demand.rate(now), ArrivalRate: p.arrivals.rate(now)}
+	l.Provisional = now.Sub(p.arrivals.started) < provisionalPeriod
 	for _, s := range p.sorted {
-		busy += s.inFlight
+		l.InFlight += s.inFlight
 		if !s.usable(now) || s.upstream.Version != p.setup.Version && s.upstream.Version != p.setup.NextVersion {
 			continue
 		}
-		slots += s.slots
+		l.Slots += s.slots
 		if !s.remote {
-			own += s.slots + s.lent
+			l.OwnSlots += s.slots + s.lent
 		}
 	}
-	return slots, own, busy, p.demand.rate(now), p.arrivals.rate(now)
+	return l
 }
 
 // QueueLen returns the number of waiting requests.
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -501,6 +501,39 @@
 	synced  time.Duration
 	lots    []steer.UpstreamLoan
 	noLoans bool
+	stopped []stoppedPool
+}
+
+// stoppedPool is a pool of a control instance that has stopped. Its last report
+// counts for a while.
+type stoppedPool struct {
+	load   place.Load
+	pool   corianderwing.PoolID
+	domain corianderwing.DomainID
+	until  time.Time
+}
+
+// takeOver replaces the pools of a failure domain by those of another control
+// instance, which knows nothing of the upstreams' caches. The last report of the
+// first one counts for reportTTL.
+func (d *allocators) takeOver(x corianderwing.DomainID, reportTTL time.Duration) {
+	now := d.w.clock()
+	for _, p := range d.w.deployment.pools {
+		d.stopped = append(d.stopped, stoppedPool{d.pools[p.id][x].Load(now), p.id, x, now.Add(reportTTL)})
+		d.pools[p.id][x] = place.New(place.Config{Name: p.id, Domain: x, RegionOf: d.w.regionOf, Seed: 1})
+	}
+	d.sync(now)
+}
+
+// reports returns the loads that the planner knows of a pool in a failure domain.
+func (d *allocators) reports(pool corianderwing.PoolID, x corianderwing.DomainID, now time.Time) []place.Load {
+	list := []place.Load{d.pools[pool][x].Load(now)}
+	for _, s := range d.stopped {
+		if s.pool == pool && s.domain == x && now.Before(s.until) {
+			list = append(list, s.load)
+		}
+	}
+	return list
 }
 
 func newAllocators(w *simulation) *allocators {
@@ -604,11 +637,12 @@
 	var loads []steer.Load
 	for _, p := range d.w.deployment.pools {
 		for _, x := range d.w.domains {
-			_, own, _, demand, arrived := d.pools[p.id][x.id].Load(now)
-			loads = append(loads, steer.Load{Pool: p.id, Domain: x.id, Region: x.region, Slots: float64(own), Demand: demand, ArrivalRate: arrived})
+			for _, l := range d.reports(p.id, x.id, now) {
+				loads = append(loads, steer.Load{Pool: p.id, Domain: x.id, Region: x.region, Slots: float64(l.OwnSlots), Demand: l.Demand, ArrivalRate: l.ArrivalRate, Provisional: l.Provisional})
+			}
 		}
 	}
-	d.lots = steer.Assign(d.planner.Update(loads, now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
+	d.lots = steer.Assign(d.planner.Update(steer.Merge(loads), now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
 		for _, u := range d.w.byPool[p] {
 			list = append(list, u.model.Upstream)
 		}
--- a/core/steer/merge.go
+++ b/core/steer/merge.go
@@ -12,17 +12,19 @@
 //
 // Each request is known to one reporter, so demand and arrivals add up. Each
 // reporter sees all upstreams of the domain except those that it has ejected,
-// so the slots are the most that any of them reports. The result is sorted by
-// pool and domain.
+// so the slots are the most that any of them reports. The load is provisional if
+// that of a reporter with requests is. The result is sorted by pool and domain.
 func Merge(loads []Load) []Load {
 	merged := map[poolKey]Load{}
 	for _, l := range loads {
 		k := poolKey{l.Pool, l.Domain}
 		m, ok := merged[k]
+		l.Provisional = l.Provisional && l.ArrivalRate > 0
 		if !ok {
 			merged[k] = l
 			continue
 		}
+		m.Provisional = m.Provisional || l.Provisional
 		m.Slots = max(m.Slots, l.Slots)
 		m.Demand += l.Demand
 		m.ArrivalRate += l.ArrivalRate
--- a/core/steer/ramp.go
+++ b/core/steer/ramp.go
@@ -29,7 +29,6 @@
 			targets[k] = 0
 		}
 	}
-	p.recordFirstTraffic(loads, now)
 	regions := map[corianderwing.DomainID]corianderwing.RegionID{}
 	for _, l := range loads {
 		regions[l.Domain] = l.Region
@@ -60,8 +59,12 @@
 	}
 }
 
-// recordFirstTraffic records when the requests of each region began.
+// recordFirstTraffic records when the requests of each region began. With restored
+// loans, that was long ago: an earlier Planner made them for these requests.
 func (p *Planner) recordFirstTraffic(loads []Load, now time.Time) {
+	if p.restored {
+		now = time.Time{}
+	}
 	for _, l := range loads {
 		if _, ok := p.firstTraffic[l.Region]; !ok && l.ArrivalRate > 0 {
 			p.firstTraffic[l.Region] = now
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -51,10 +51,6 @@
 	lossThreshold = 0.3
 	// lossWindow is how long a loss counts as recent.
 	lossWindow = 6 * time.Second
-	// reportTimeout is how long the loans of a domain are kept without a load
-	// report. Another control instance is expected to report the domain within
-	// this time.
-	reportTimeout = 5 * time.Second
 	// minLoan is the smallest loan, in slots.
 	minLoan = 0.5
 )
@@ -67,6 +63,7 @@
 	Slots       float64 // slots of the domain's own usable upstreams
 	Demand      float64 // slots needed by the domain's requests
 	ArrivalRate float64 // requests per second
+	Provisional bool    // the control instance that reports it has just begun to get the requests
 }
 
 // Loan is a number of slots that one failure domain lends to another.
@@ -101,7 +98,9 @@
 type Planner struct {
 	loans              map[loanKey]float64
 	peaks              map[poolKey]peak
-	lastReport         map[poolKey]time.Time                // time of the last report
+	lastReport         map[poolKey]time.Time                // time of the last reliable load
+	lastRequests       map[poolKey]time.Time                // time of the last load with requests
+	restored           bool                                 // an earlier Planner planned for loads that arrive already
 	firstTraffic       map[corianderwing.RegionID]time.Time // time of a region's first request
 	rampSuspendedUntil time.Time                            // regions are exempt from the ramp before this time
 	lastUpdate         time.Time
@@ -109,7 +108,13 @@
 
 // New returns a Planner without loans.
 func New() *Planner {
-	return &Planner{loans: map[loanKey]float64{}, peaks: map[poolKey]peak{}, lastReport: map[poolKey]time.Time{}, firstTraffic: map[corianderwing.RegionID]time.Time{}}
+	return &Planner{
+		loans:        map[loanKey]float64{},
+		peaks:        map[poolKey]peak{},
+		lastReport:   map[poolKey]time.Time{},
+		lastRequests: map[poolKey]time.Time{},
+		firstTraffic: map[corianderwing.RegionID]time.Time{},
+	}
 }
 
 // SuspendRamp exempts all regions from the ramp until the given time. It is
@@ -119,6 +124,7 @@
 
 // Restore takes over the loans of an earlier Planner.
 func (p *Planner) Restore(loans []Loan) {
+	p.restored = len(loans) > 0
 	for _, l := range loans {
 		p.loans[loanKey{l.Pool, l.Lender, l.Borrower}] += float64(l.Slots)
 	}
@@ -132,39 +138,21 @@
 		step = 0
 	}
 	p.lastUpdate = now
+	p.recordFirstTraffic(loads, now)
 	for _, l := range loads {
 		k := poolKey{l.Pool, l.Domain}
-		p.lastReport[k] = now
 		if top := p.peaks[k]; l.Slots >= top.slots || now.Sub(top.at) > lossWindow {
 			p.peaks[k] = peak{l.Slots, now}
 		}
 	}
-	held := p.unreportedLoans(now)
-	targets := p.targetLoans(loads, held)
+	reliable := p.reliableLoads(loads, now)
+	targets := p.targetLoans(reliable, p.heldLoans(now))
 	p.rampLoans(loads, targets, step, now)
 	return p.wholeLoans()
 }
 
-// unreportedLoans returns the loans that are kept unchanged because the lender
-// or the borrower has not reported its load.
-func (p *Planner) unreportedLoans(now time.Time) map[loanKey]float64 {
-	out := map[loanKey]float64{}
-	for k, n := range p.loans {
-		for _, s := range []poolKey{{k.pool, k.lender}, {k.pool, k.borrower}} {
-			at, ok := p.lastReport[s]
-			if !ok {
-				p.lastReport[s] = now // a restored loan
-				out[k] = n
-			} else if age := now.Sub(at); age > 0 && age < reportTimeout {
-				out[k] = n
-			}
-		}
-	}
-	return out
-}
-
-// targetLoans returns the loans that would serve all loads, together with the
-// held loans.
+// targetLoans returns the loans that would serve the loads, together with the held
+// loans.
 func (p *Planner) targetLoans(loads []Load, held map[loanKey]float64) map[loanKey]float64 {
 	out := maps.Clone(held)
 	byPool := map[corianderwing.PoolID][]Load{}
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -266,6 +266,7 @@
 	Waiting     int                  `json:"waiting,omitempty"`
 	Demand      float64              `json:"demand,omitempty"`  // slots needed by the arriving requests
 	ArrivalRate float64              `json:"arrived,omitempty"` // requests per second
+	Provisional bool                 `json:"new,omitempty"`     // see place.Load
 }
 
 // Loads returns the load of every pool.
@@ -275,9 +276,17 @@
 	defer a.mu.Unlock()
 	list := make([]PoolLoad, 0, len(a.pools))
 	for name, p := range a.pools {
-		l := PoolLoad{Pool: name, Waiting: p.QueueLen()}
-		l.Slots, l.OwnSlots, l.InFlight, l.Demand, l.ArrivalRate = p.Load(now)
-		list = append(list, l)
+		l := p.Load(now)
+		list = append(list, PoolLoad{
+			Pool:        name,
+			Slots:       l.Slots,
+			OwnSlots:    l.OwnSlots,
+			InFlight:    l.InFlight,
+			Waiting:     p.QueueLen(),
+			Demand:      l.Demand,
+			ArrivalRate: l.ArrivalRate,
+			Provisional: l.Provisional,
+		})
 	}
 	return list
 }
--- a/io/plane/loans.go
+++ b/io/plane/loans.go
@@ -13,7 +13,8 @@
 const (
 	// planInterval is the minimum time between two plans.
 	planInterval = 300 * time.Millisecond
-	// loadTTL is how long a load report is valid.
+	// loadTTL is how long a load report is valid. It must not exceed the period for
+	// which the load of a new allocator is provisional.
 	loadTTL = 1500 * time.Millisecond
 	// startupPeriod is the time after its own start in which a leader without
 	// any loans assumes that all instances have just restarted. Loans then
@@ -105,6 +106,7 @@
 				Slots:       float64(x.OwnSlots),
 				Demand:      x.Demand,
 				ArrivalRate: x.ArrivalRate,
+				Provisional: x.Provisional,
 			})
 		}
 	}
