Send learners at most one message in 40 ms

The leader sent each command to all 26 replicas, and its commit index to all of them again, though only 4 of them vote.

Ruled out: compressing the messages: most of them hold one small command, and what repeats between messages is not compressed.

Change: voters get messages as before. Learners get what has come up, entries and commit index together, at most every 40 ms; a learner that lacks more than a message holds still gets the next one with each reply.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -7,6 +7,11 @@
 	"corianderwing"
 )
 
+// learnerInterval is the shortest time between two messages to a learner. A learner
+// neither votes nor counts for a commit, so its messages can hold several entries
+// and commits. Otherwise most messages of a large group would go to learners.
+const learnerInterval = 40 * time.Millisecond
+
 // leaderState is the volatile state of a leader.
 type leaderState struct {
 	peers         map[corianderwing.InstanceID]*peer
@@ -15,6 +20,9 @@
 	pendingReads  []readBatch
 	nextHeartbeat time.Time
 
+	nextLearners   time.Time // learners get no message before this time
+	learnersBehind bool      // learners are to get a message at nextLearners
+
 	transferTo       corianderwing.InstanceID // target of a leadership transfer, or empty
 	transferID       uint64
 	transferDeadline time.Time
@@ -153,16 +161,41 @@
 	}
 }
 
-// broadcast starts a round: it sends every peer the entries that it lacks, or a
-// heartbeat.
+// broadcast starts a round: it sends every voter the entries that it lacks, or a
+// heartbeat, and learners the same at nextLearners.
 func (n *Node) broadcast() {
 	n.leading.round++
 	n.leading.nextHeartbeat = n.now.Add(n.cfg.HeartbeatInterval)
-	for _, id := range members(n.memberships.current()) {
+	for _, id := range n.memberships.current().Voters {
 		if id != n.cfg.Self {
 			n.replicate(id, true)
 		}
 	}
+	n.leading.learnersBehind = true
+	n.replicateToLearners()
+}
+
+// replicateToLearners sends every learner the entries that it lacks, or a
+// heartbeat, unless the last messages were sent less than learnerInterval ago.
+func (n *Node) replicateToLearners() {
+	if !n.leading.learnersBehind || n.now.Before(n.leading.nextLearners) {
+		return
+	}
+	n.leading.learnersBehind = false
+	n.leading.nextLearners = n.now.Add(learnerInterval)
+	for _, id := range n.memberships.current().Learners {
+		if id != n.cfg.Self { // a replica may lead whose promotion is not in its log
+			n.replicate(id, true)
+		}
+	}
+}
+
+// awaitsLearners reports whether the peer is a learner that gets what it lacks in
+// the next message to all learners. One that lacks more than a message holds
+// catches up as fast as it replies.
+func (n *Node) awaitsLearners(id corianderwing.InstanceID, p *peer) bool {
+	lacks := n.log.lastIndex() + 1 - p.nextIndex
+	return lacks < corianderwing.Index(n.cfg.MaxBatch) && !isVoter(n.memberships.current(), id)
 }
 
 // replicate sends the entries that a peer lacks, up to the limit of entries in
@@ -263,6 +296,10 @@
 		n.send(Message{Kind: TimeoutNow, To: m.From})
 	}
 	for p.snapshotIndex == 0 && p.nextIndex <= n.log.lastIndex() {
+		if n.awaitsLearners(m.From, p) {
+			n.leading.learnersBehind = true
+			return
+		}
 		before := p.nextIndex
 		n.replicate(m.From, false)
 		if p.nextIndex == before {
@@ -310,6 +347,7 @@
 	if !n.now.Before(n.leading.nextHeartbeat) {
 		n.broadcast()
 	}
+	n.replicateToLearners()
 }
 
 // quorumDeadline returns when this leader steps down unless a majority replies
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -209,6 +209,9 @@
 	if t := n.quorumDeadline(); t.Before(next) {
 		next = t
 	}
+	if t := n.leading.nextLearners; n.leading.learnersBehind && t.Before(next) {
+		next = t
+	}
 	return next
 }
 
