Count violations of the consensus group, and forget silent upstreams

Ruled out: pruning by the replicated state: a heartbeat of an upstream that was just removed must still be known as late.

The tracker of heartbeats has its own file.

Test: TestSilentUpstreamsAreForgotten (forgetSilent did not exist before).

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -114,6 +114,9 @@
 			Bootstrap: cfg.Bootstrap,
 			NumVoters: 2*max(1, cfg.MaxLosses) + 1,
 			Log:       n.log,
+			OnViolation: func(invariant, _ string) {
+				n.meter.RecordViolation(invariant) // io/group logs the detail
+			},
 		},
 		RegionOf:          cfg.regionOf,
 		HeartbeatInterval: time.Duration(cfg.HeartbeatInterval),
--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -18,7 +18,7 @@
 // Heartbeat implements corianderwing.ControlPlane.
 func (p *Plane) Heartbeat(ctx context.Context, h corianderwing.Heartbeat) error {
 	view := p.machine.View()
-	if view.Stale(&h.Upstream) || p.heartbeats.outdated(&h) {
+	if view.Stale(&h.Upstream) || p.heartbeats.outdated(&h, clock.Boot()) {
 		return nil
 	}
 	u, known := view.Upstream(h.ID)
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -211,10 +211,11 @@
 // upstream sooner on their own.
 const maxMissedHeartbeats = 5
 
-// expireLoop removes upstreams whose heartbeats have timed out while this
-// instance is the leader.
+// expireLoop forgets silent upstreams, and removes those whose heartbeats have
+// timed out while this instance is the leader.
 func (p *Plane) expireLoop() {
 	for clock.Sleep(p.ctx, p.cfg.HeartbeatInterval/2) {
+		p.heartbeats.forgetSilent(clock.Boot())
 		term, ok := p.replica.IsLeader()
 		if !ok {
 			continue
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"corianderwing"
@@ -29,66 +28,6 @@
 	instanceTTL = 1800 * time.Millisecond
 )
 
-// heartbeatTracker collects the upstreams that sent heartbeats since the last
-// report.
-type heartbeatTracker struct {
-	mu        sync.Mutex
-	upstreams map[uint32]time.Time // by number: time of the last heartbeat
-	lastSeqs  map[corianderwing.UpstreamID]lastSeq
-}
-
-// lastSeq is the sequence number of the latest heartbeat from one incarnation
-// of an upstream.
-type lastSeq struct {
-	incarnation corianderwing.Incarnation
-	seq         uint64
-}
-
-func newHeartbeatTracker() *heartbeatTracker {
-	return &heartbeatTracker{upstreams: map[uint32]time.Time{}, lastSeqs: map[corianderwing.UpstreamID]lastSeq{}}
-}
-
-// outdated reports whether a later heartbeat from the same incarnation has
-// already arrived. Otherwise it records the sequence number.
-func (s *heartbeatTracker) outdated(h *corianderwing.Heartbeat) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last, ok := s.lastSeqs[h.ID]
-	if ok && last.incarnation == h.Incarnation && h.Seq < last.seq {
-		return true
-	}
-	s.lastSeqs[h.ID] = lastSeq{h.Incarnation, h.Seq}
-	return false
-}
-
-// record records a heartbeat from an upstream.
-func (s *heartbeatTracker) record(no uint32, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at.After(s.upstreams[no]) {
-		s.upstreams[no] = at
-	}
-}
-
-// maxReportedAge is the age at which a heartbeat is no longer reported: after a
-// loss of contact with the leader, old heartbeats prove nothing.
-const maxReportedAge = 3 * time.Second
-
-// take returns the upstreams recorded since the last call.
-func (s *heartbeatTracker) take(now time.Time) []uint32 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]uint32, 0, len(s.upstreams))
-	for no, at := range s.upstreams {
-		if now.Sub(at) < maxReportedAge {
-			list = append(list, no)
-		}
-	}
-	clear(s.upstreams)
-	slices.Sort(list)
-	return list
-}
-
 // reportLoop sends reports to the leader until the instance is closed.
 func (p *Plane) reportLoop() {
 	var arrivals onsetDetector
--- a/io/plane/report_test.go
+++ b/io/plane/report_test.go
@@ -63,3 +63,18 @@
 	is.True(time.Duration(silent)*interval/2 >= (maxMissedHeartbeats-1)*interval)
 	is.True(time.Duration(silent)*interval/2 <= 3*maxMissedHeartbeats*interval)
 }
+
+// Guards against a control instance that remembers every upstream which ever sent it
+// a heartbeat: each start of an upstream has a new id.
+func TestSilentUpstreamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newHeartbeatTracker()
+	now := time.Unix(1000, 0)
+	h := corianderwing.Heartbeat{Upstream: corianderwing.Upstream{ID: "u", Incarnation: 1, Seq: 4}}
+	is.True(!s.outdated(&h, now))
+	h.Seq = 3
+	s.forgetSilent(now.Add(lastSeqTTL - 1))
+	is.True(s.outdated(&h, now))
+	s.forgetSilent(now.Add(lastSeqTTL))
+	is.Equal(len(s.lastSeqs), 0)
+}
