--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -56,6 +56,34 @@
 	index    corianderwing.Index
 	updates  []Update
 	replaced chan struct{} // closed when the next state replaces this one
+	snapshot snapshotCache
+}
+
+// maxSnapshotAge is how long an encoded snapshot serves further followers: it holds
+// the remaining warm-up times of upstreams.
+const maxSnapshotAge = 250 * time.Millisecond
+
+// snapshotCache is the encoded view of a published state. When many instances
+// restart, dozens of followers ask each replica for it within a second.
+type snapshotCache struct {
+	mu   sync.Mutex
+	data []byte
+	at   time.Time
+}
+
+// save returns the encoded view at now, or at most maxSnapshotAge earlier.
+func (c *snapshotCache) save(v *View, now time.Time) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if age := now.Sub(c.at); c.data != nil && age >= 0 && age < maxSnapshotAge {
+		return c.data, nil
+	}
+	data, err := v.Save(now)
+	if err != nil {
+		return nil, err
+	}
+	c.data, c.at = data, now
+	return data, nil
 }
 
 // NewMachine returns a replica with an empty state. Remaining warm-up times are
@@ -93,7 +121,7 @@
 		// The follower is ahead of this replica, which will catch up.
 		return nil, nil
 	}
-	data, err := p.view.Save(m.now())
+	data, err := p.snapshot.save(p.view, m.now())
 	if err != nil {
 		return nil, err
 	}
