Compress the state once for all watchers, and heartbeats only when they are long

Ruled out: leaving it uncompressed: 100 KB for each watch, and each of 273 entry instances opens several while it moves from the seeds to its own domain.

Heartbeats are compressed from 24 workspaces on.

--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -37,6 +37,11 @@
 	// is followed.
 	probeInterval        = 400 * time.Millisecond
 	nearestProbeInterval = 1200 * time.Millisecond
+	// minCompressedDemands is the number of workspaces from which on a heartbeat is
+	// compressed: 40 bytes for each, and 30 in the response. Before, compression
+	// costs more processor time than it saves, most of all at the start, when all
+	// entry instances call the seeds and know no workspaces yet.
+	minCompressedDemands = 24
 )
 
 func (f *Follower) heartbeatLoop() {
@@ -116,7 +121,9 @@
 	known, followed := f.listsVersion, addr == f.current
 	f.mu.Unlock()
 	demands := f.cfg.Limits.Needs(addr)
-	reply, err := peer.Call(ctx, f.peer, addr, plane.HeartbeatMethod, &plane.HeartbeatRequest{
+	method := plane.HeartbeatMethod
+	method.Compressed = len(demands) >= minCompressedDemands
+	reply, err := peer.Call(ctx, f.peer, addr, method, &plane.HeartbeatRequest{
 		Entry:            f.cfg.Self(),
 		Demands:          demands,
 		InstancesVersion: known,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -110,52 +110,39 @@
 	return resp, nil
 }
 
-// invoke calls a method. The response is compressed if the request is.
+// invoke calls a method. The response is compressed if the request is. A peer of an
+// earlier version does not support compression and is called again without it.
 func (c *conn) invoke(ctx context.Context, method string, req, resp any, compressed bool) error {
-	return c.withCompression(compressed, func(opts ...grpc.CallOption) error {
-		return c.Invoke(ctx, method, req, resp, opts...)
-	})
-}
-
-// withCompression makes a call whose messages may be compressed. If the peer does
-// not support it, this call is made again without, and so are later ones.
-func (c *conn) withCompression(wanted bool, call func(...grpc.CallOption) error) error {
-	if !wanted || c.plain.Load() {
-		return call()
+	if !compressed || c.plain.Load() {
+		return c.Invoke(ctx, method, req, resp)
 	}
-	err := call(grpc.UseCompressor(gzip.Name))
+	err := c.Invoke(ctx, method, req, resp, grpc.UseCompressor(gzip.Name))
 	if status.Code(err) != codes.Unimplemented {
 		return err
 	}
 	c.plain.Store(true)
-	return call()
+	return c.Invoke(ctx, method, req, resp)
 }
 
 // CallStream opens a stream at addr and calls f for each message. It returns nil
-// when the peer ends the stream. The messages are compressed if the request is.
+// when the peer ends the stream.
 func CallStream[Req, Msg any](ctx context.Context, c *Client, addr string, m Stream[Req, Msg], req *Req, f func(*Msg) error) error {
 	cc, err := c.conn(addr)
 	if err != nil {
 		return err
 	}
-	return fromStatus(cc.withCompression(m.Compressed, func(opts ...grpc.CallOption) error {
-		return callStream(c.withToken(ctx), cc, m, req, f, opts...)
-	}))
-}
-
-func callStream[Req, Msg any](ctx context.Context, cc *conn, m Stream[Req, Msg], req *Req, f func(*Msg) error, opts ...grpc.CallOption) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(c.withToken(ctx))
 	defer cancel()
 	desc := &grpc.StreamDesc{StreamName: m.Name, ServerStreams: true}
-	stream, err := cc.NewStream(ctx, desc, "/"+service+"/"+m.Name, opts...)
+	stream, err := cc.NewStream(ctx, desc, "/"+service+"/"+m.Name)
 	if err != nil {
-		return err
+		return fromStatus(err)
 	}
 	if err := stream.SendMsg(req); err != nil {
-		return err
+		return fromStatus(err)
 	}
 	if err := stream.CloseSend(); err != nil {
-		return err
+		return fromStatus(err)
 	}
 	return receive(stream, f)
 }
@@ -168,7 +155,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return fromStatus(err)
 		}
 		if err := f(msg); err != nil {
 			return err
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -45,10 +45,7 @@
 }
 
 // Stream is a server-streaming method, with one request and any number of responses.
-type Stream[Req, Msg any] struct {
-	Name       string
-	Compressed bool // as in Method
-}
+type Stream[Req, Msg any] struct{ Name string }
 
 // Server serves the registered methods to processes that share the fleet's secret.
 type Server struct {
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -178,9 +178,13 @@
 // handleWatch streams the updates after a revision until ctx is done.
 func (p *Plane) handleWatch(ctx context.Context, q *watchRequest, send func(*model.Update) error) error {
 	after := q.After
+	updatesAfter := p.machine.Updates
+	if q.Packed {
+		updatesAfter = p.machine.PackedUpdates
+	}
 	for {
 		changed := p.machine.Changed()
-		updates, err := p.machine.Updates(after)
+		updates, err := updatesAfter(after)
 		if err != nil {
 			return err
 		}
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -145,8 +145,10 @@
 // watchRequest subscribes to the updates after a revision.
 type watchRequest struct {
 	After corianderwing.Revision `json:"after"`
-	// Combined is set if the subscriber accepts updates of several commands.
+	// Combined is set if the subscriber accepts updates of several commands, and
+	// Packed if it accepts compressed snapshots.
 	Combined bool `json:"combined,omitempty"`
+	Packed   bool `json:"packed,omitempty"`
 }
 
 // reportRequest is the report that a control instance sends to the leader
@@ -196,12 +198,12 @@
 	BorrowMethod    = peer.Method[BorrowRequest, BorrowResponse]{Name: "SiteBorrow"}
 	AcquireMethod   = peer.Method[AcquireRequest, AcquireResponse]{Name: "SiteAcquire"}
 	ReleaseMethod   = peer.Method[ReleaseRequest, emptyResponse]{Name: "SiteRelease"}
-	HeartbeatMethod = peer.Method[HeartbeatRequest, HeartbeatResponse]{Name: "SiteBeat", Compressed: true}
-	WatchMethod     = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch", Compressed: true}
+	HeartbeatMethod = peer.Method[HeartbeatRequest, HeartbeatResponse]{Name: "SiteBeat"}
+	WatchMethod     = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
 	reportMethod    = peer.Method[reportRequest, reportResponse]{Name: "SitePulse", Compressed: true}
 )
 
 // NewWatchRequest returns a request for the updates after a revision.
 func NewWatchRequest(after corianderwing.Revision) *watchRequest {
-	return &watchRequest{After: after, Combined: true}
+	return &watchRequest{After: after, Combined: true, Packed: true}
 }
