--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -108,17 +108,22 @@
 // can run on one machine.
 func (s *Site) pickOctet() error {
 	for o := 64; o < 192; o += 2 {
+		// Held until the site is closed: it marks the octet as taken. It is taken
+		// before any other address is tested, so that two sites that start at the
+		// same time never test each other's.
+		owner, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", o, peerPort))
+		if err != nil {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", o, peerPort))
 		if err != nil {
+			owner.Close()
 			continue
 		}
 		l.Close()
-		if owner, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", o, peerPort)); err == nil {
-			// Held until the site is closed: it marks the octet as taken.
-			s.Proxy.listen = append(s.Proxy.listen, owner)
-			s.octet = o
-			return nil
-		}
+		s.Proxy.listen = append(s.Proxy.listen, owner)
+		s.octet = o
+		return nil
 	}
 	return corianderwing.Errorf(corianderwing.InvalidInput, "no free IPs in 127.64.0.0/10: the soak needs a system that accepts all of 127.0.0.0/8")
 }
