Log the homes of a request and the age of the state it was decided by

Ruled out: logging the homes of the newest state as well; the lines of the changes have them.

Change: `age` and `homes` in the line of a request, `homes` by item and version in the line of a change, the metric `lag` of a control instance. No decision changes.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -177,6 +177,16 @@
 	return f.cfg.Now().Before(f.FreshUntil().Add(f.cfg.CurrentFor - f.cfg.Lease))
 }
 
+// StateAge returns the time since the state was confirmed, or a negative value if it
+// never was.
+func (f *Follower) StateAge() time.Duration {
+	until := f.FreshUntil()
+	if until.IsZero() {
+		return -1
+	}
+	return f.cfg.Now().Sub(until.Add(-f.cfg.Lease))
+}
+
 // LeaderMissing reports whether the last heartbeat found no leader: the control
 // role is electing one, or cannot be reached.
 func (f *Follower) LeaderMissing() bool { return f.leaderMissing.Load() }
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -23,6 +23,7 @@
 	ask   corianderwing.CallerRequest
 
 	view        *model.View
+	stateAge    time.Duration // age of the view when the request was admitted
 	rule        *corianderwing.Rule
 	tenure      *corianderwing.WorkspacePolicy
 	pool        *pool
@@ -76,7 +77,7 @@
 	if !known || view.Revision() == 0 {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "no settings received yet")
 	}
-	x.view = view
+	x.view, x.stateAge = view, x.s.cfg.Control.StateAge()
 	fresh := x.s.cfg.Control.IsFresh()
 	set := view.Items()
 	rule, ok := set.MatchRule(x.r.Host, items.RequestPath(x.r.RequestURI))
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -42,6 +42,7 @@
 func (c *grantingControl) View() (*model.View, bool)           { return c.view, true }
 func (c *grantingControl) IsFresh() bool                       { return true }
 func (c *grantingControl) IsCurrent() bool                     { return true }
+func (c *grantingControl) StateAge() time.Duration             { return 0 }
 func (c *grantingControl) LeaderMissing() bool                 { return false }
 func (c *grantingControl) Neighbors() []corianderwing.Instance { return nil }
 func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (string, time.Duration, error) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -32,6 +32,9 @@
 	// IsCurrent reports whether the state was confirmed recently enough to
 	// conclude that anything missing from it does not exist.
 	IsCurrent() bool
+	// StateAge returns the time since the state was confirmed, or a negative value
+	// if it never was.
+	StateAge() time.Duration
 	// LeaderMissing reports whether the control role is without a leader, as far
 	// as this instance knows.
 	LeaderMissing() bool
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -22,7 +22,7 @@
 		e = e.Str("run", string(x.err.Execution)).Str("reason", x.err.Detail)
 	}
 	if x.view != nil {
-		e = e.Uint64("revision", uint64(x.view.Revision()))
+		e = e.Uint64("revision", uint64(x.view.Revision())).Int64("age", x.stateAge.Milliseconds())
 	}
 	var workspace corianderwing.WorkspaceID
 	if x.tenure != nil {
@@ -35,6 +35,9 @@
 	if x.pool != nil {
 		e = e.Str("pool", string(x.pool.name))
 	}
+	if len(x.placement.HomeRegions) > 0 {
+		e = e.Any("homes", x.placement.HomeRegions)
+	}
 	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
 	if len(x.attemptLog) > 0 {
 		e = e.Any("attempts", x.attemptLog)
--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"corianderwing"
@@ -64,10 +65,28 @@
 func (p *Plane) Edit(ctx context.Context, e corianderwing.Edit) error {
 	err := p.propose(ctx, &model.Command{Edit: &e})
 	p.log.Info().Int("rules", len(e.Rules)).Int("tenures", len(e.WorkspacePolicies)).Int("pools", len(e.Pools)).
-		Int("drops", len(e.Deletions)).Err(err).Msg("edit")
+		Int("drops", len(e.Deletions)).Any("homes", homesOf(&e)).Err(err).Msg("edit")
 	return err
 }
 
+// homesOf returns the home regions of the items of an edit that have some, by item
+// and version, for the log.
+func homesOf(e *corianderwing.Edit) map[string][]corianderwing.RegionID {
+	homes := map[string][]corianderwing.RegionID{}
+	add := func(name string, v corianderwing.Version, regions []corianderwing.RegionID) {
+		if len(regions) > 0 {
+			homes[name+"@"+strconv.FormatUint(uint64(v), 10)] = regions
+		}
+	}
+	for i := range e.Rules {
+		add(string(e.Rules[i].Name), e.Rules[i].Version, e.Rules[i].HomeRegions)
+	}
+	for i := range e.WorkspacePolicies {
+		add(string(e.WorkspacePolicies[i].Name), e.WorkspacePolicies[i].Version, e.WorkspacePolicies[i].HomeRegions)
+	}
+	return homes
+}
+
 // Items implements corianderwing.ControlPlane.
 func (p *Plane) Items(ctx context.Context) (corianderwing.Edit, error) {
 	view, err := p.confirmedView(ctx)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -257,6 +257,7 @@
 	gauge("leader", leads)
 	now := clock.Boot()
 	p.mu.Lock()
+	gauge("lag", int64(p.confirmedRevision)-int64(p.machine.View().Revision()))
 	gauge("confirmed.ms", now.Sub(p.confirmedAt).Milliseconds())
 	gauge("shares.ms", max(0, p.sharesValidUntil.Sub(now).Milliseconds()))
 	gauge("entries", int64(len(p.localEntries)))
