Confirm only the state that a control instance has applied

What callers saw: requests ran outside their home regions, and two thirds of all keyed requests were refused as not run, while most control instances were well.

Cause: a control instance hands the leader's confirmation ("revision 37 was the newest 0.3 s ago") on to entry instances whether or not its own replica has revision 37. With a full or stalled disk it hears from the leader and applies nothing. The entry instances that follow it choose by the age of the confirmation, which stays young, so they stay for as long as the fault lasts: rules without keys run under old settings, keyed ones are refused when their lease ends. Class: trusting a promise about a state one does not hold.

Ruled out: the watch (reopening it at the same instance gives nothing); cuts and silent connections (the age grows, and the instance is left within 2 s); homes of workspaces.

Change: core/fresh.Tracker keeps confirmations until the state has reached their revision; a heartbeat's answer has the latest reached one and its age. The rule by which entry instances leave an old confirmation (1.1 s) is unchanged and now applies.

What a landing at scale hit exactly is not known.

--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/core/quota"
@@ -70,8 +71,9 @@
 	trials            []Trial     // received from entry instances since the last report
 	moveShares        []MoveShare // last received from the leader
 	sharesValidUntil  time.Time   // boot time at which the shares of quotaAllocator expire
-	confirmedAt       time.Time   // boot time at which confirmedRevision was confirmed
+	confirmedAt       time.Time   // boot time of the last confirmation by the leader, reached or not
 	confirmedRevision corianderwing.Revision
+	freshness         fresh.Tracker // how recently the state of this instance was the newest
 }
 
 var _ corianderwing.ControlPlane = (*Plane)(nil)
@@ -216,8 +218,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials}
-	r := &HeartbeatResponse{Revision: p.confirmedRevision, Confirmed: !p.confirmedAt.IsZero()}
-	r.Age = corianderwing.Millis(now.Sub(p.confirmedAt).Milliseconds() + 1)
+	r := &HeartbeatResponse{}
+	// A revision that this instance has not reached must not be confirmed: the entry
+	// instance would wait here for changes that do not come.
+	if c, ok := p.freshness.Latest(p.machine.View().Revision()); ok {
+		r.Confirmed, r.Revision = true, c.Revision
+		r.Age = corianderwing.Millis(now.Sub(c.At).Milliseconds() + 1)
+	}
 	p.listInstances(b, r)
 	p.allocateShares(b, r, now)
 	p.trials = append(p.trials, b.Trials...)
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
@@ -186,6 +187,7 @@
 	}
 	if sentAt.After(p.confirmedAt) {
 		p.confirmedAt, p.confirmedRevision = sentAt, r.Revision
+		p.freshness.Confirm(fresh.Confirmation{Revision: r.Revision, At: sentAt})
 	}
 	if r.InstancesVersion != p.instancesVersion {
 		p.instancesVersion, p.entries, p.controls = r.InstancesVersion, r.Entries, r.Controls
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -43,7 +43,7 @@
 // control instance is.
 type HeartbeatResponse struct {
 	// Age is the time between the confirmation of Revision by the leader and
-	// this response.
+	// this response. The sender's own state has reached Revision.
 	Age       corianderwing.Millis   `json:"age"`
 	Revision  corianderwing.Revision `json:"revision"`
 	Confirmed bool                   `json:"fresh,omitempty"` // Age and Revision are known
