Read the home regions again before a request is sent

What callers would see: a request runs in a region that was its home when it came, though the homes moved while it waited for a slot (up to its timeout, 12 s for some) or between two attempts.

Cause: the homes were read once, at admission.

The set of a rule's and a workspace's homes is computed in core/items.

Before, TestHomesMoveAfterAdmission: "homes_test.go:107: 1 != 0" (ran outside its homes while it waited) and "2 != 1" (a second attempt outside them); it passes now.

--- /dev/null
+++ b/core/items/homes.go
@@ -0,0 +1,25 @@
+package items
+
+import "corianderwing"
+
+// HomeRegions returns the regions that may run a request of a rule and a workspace.
+// The workspace may be nil. An empty list means all regions. The result for two
+// non-empty lists also holds the nonexistent region "", so that an empty intersection
+// does not mean all regions.
+func HomeRegions(r *corianderwing.Rule, w *corianderwing.WorkspacePolicy) []corianderwing.RegionID {
+	if w == nil || len(w.HomeRegions) == 0 {
+		return r.HomeRegions
+	}
+	if len(r.HomeRegions) == 0 {
+		return w.HomeRegions
+	}
+	out := []corianderwing.RegionID{""}
+	for _, a := range r.HomeRegions {
+		for _, b := range w.HomeRegions {
+			if a == b {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -23,6 +23,7 @@
 	ask   corianderwing.CallerRequest
 
 	view        *model.View
+	settings    *items.Set    // from which the home regions were read
 	stateAge    time.Duration // age of the view when the request was admitted
 	rule        *corianderwing.Rule
 	tenure      *corianderwing.WorkspacePolicy
@@ -80,6 +81,7 @@
 	x.view, x.stateAge = view, x.s.cfg.Control.StateAge()
 	fresh := x.s.cfg.Control.IsFresh()
 	set := view.Items()
+	x.settings = set
 	rule, ok := set.MatchRule(x.r.Host, items.RequestPath(x.r.RequestURI))
 	if !ok && !x.s.cfg.Control.IsCurrent() {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "settings are not confirmed as current")
@@ -176,14 +178,13 @@
 		Rank:        x.rule.Priority,
 		Goal:        x.rule.TargetLatency.After(x.start),
 		Deadline:    x.deadline,
-		HomeRegions: x.rule.HomeRegions,
+		HomeRegions: items.HomeRegions(x.rule, x.tenure),
 		Retried:     since > 0,
 	}
 	if x.tenure != nil {
 		if x.tenure.Priority != nil {
 			x.placement.Rank = *x.tenure.Priority
 		}
-		x.placement.HomeRegions = intersectRegions(x.placement.HomeRegions, x.tenure.HomeRegions)
 	}
 	if x.rule.Sticky && x.ask.Object != "" {
 		x.placement.Object = xxhash.Sum64String(x.ask.Object)
@@ -215,27 +216,6 @@
 	return elapsed
 }
 
-// intersectRegions returns the regions that are in both lists. An empty list means
-// all regions. The result for two non-empty lists also holds the nonexistent region
-// "", so that an empty intersection does not mean all regions.
-func intersectRegions(a, b []corianderwing.RegionID) []corianderwing.RegionID {
-	if len(a) == 0 {
-		return b
-	}
-	if len(b) == 0 {
-		return a
-	}
-	out := []corianderwing.RegionID{""}
-	for _, x := range a {
-		for _, y := range b {
-			if x == y {
-				out = append(out, x)
-			}
-		}
-	}
-	return out
-}
-
 // readRequest reads the request's header and the prefix of its body, and checks
 // their sizes.
 func (x *exchange) readRequest() *corianderwing.Error {
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -43,7 +43,7 @@
 		if sent > 0 && !x.pool.spendRetry() {
 			return nil, last
 		}
-		sl, wait, err := x.waitForSlot(now)
+		sl, wait, err := x.acquireSlot()
 		x.slotWait += time.Since(now)
 		if err != nil {
 			x.retryDelay = wait
@@ -72,16 +72,29 @@
 	}
 }
 
+// acquireSlot gets a slot at an upstream that may run the request now, after the wait
+// for it.
+func (x *exchange) acquireSlot() (*slot, time.Duration, *corianderwing.Error) {
+	for range maxUpstreamsTried {
+		x.updateHomes()
+		sl, wait, err := x.waitForSlot()
+		if err != nil || x.checkHomes(sl) {
+			return sl, wait, err
+		}
+	}
+	return nil, 0, errOutsideHomes
+}
+
 // waitForSlot gets a slot for the request. The wait ends early when the instance
 // is about to stop.
-func (x *exchange) waitForSlot(now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+func (x *exchange) waitForSlot() (*slot, time.Duration, *corianderwing.Error) {
 	if x.s.slotWaits.Err() != nil {
 		return nil, 0, errStopping
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+	return x.s.acquire(ctx, x.pool, x.placement, x.view, time.Now())
 }
 
 // slotError returns the error for a request that got no slot. If its context or
