Leave lost control instances one after the other within the apply bound

What callers saw: when both control instances of a region are lost, its entry instances run under old settings for 4.1 s, though they reach the other four.

Cause: each lost instance costs two heartbeats of 600 ms and two intervals of 400 ms, and the instances are tried in order of proximity, the most alike in their losses first.

Ruled out: a shorter timeout of heartbeats (a control instance short of processor time answers late, and its entry instances would wander); heartbeats to several at once (each costs the control role, most when it is in trouble).

Change: after a failed heartbeat the next follows within 80 ms, and an instance that was switched to for that reason is left after one failed heartbeat, not two.

Before, TestTwoControlInstancesLost: "failover_test.go:38: not true: now.Sub(lost) <= 2500*time.Millisecond"; passes now.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -99,11 +99,12 @@
 	noBorrowUntil   map[string]time.Time     // by peer address: no borrow calls before this time
 	rtts            map[string]rttEstimator  // by peer address
 	switched        chan struct{}            // closed when current changes
-	misses          int
-	confirmationAge time.Duration // age of the last confirmation from current
-	lastProbe       time.Time     // when another control instance was last probed
-	probeIndex      int           // rotates over controls
-	laggingSince    time.Time     // since when the state lags behind a confirmed revision; zero if it does not
+	misses          int                      // consecutive failed heartbeats to current
+	failedOver      bool                     // switched to current after failed heartbeats, and it has not replied yet
+	confirmationAge time.Duration            // age of the last confirmation from current
+	lastProbe       time.Time                // when another control instance was last probed
+	probeIndex      int                      // rotates over controls
+	laggingSince    time.Time                // since when the state lags behind a confirmed revision; zero if it does not
 	cancelWatch     context.CancelFunc
 }
 
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -12,8 +12,11 @@
 
 const (
 	// maxMisses is the number of consecutive failed heartbeats after which the
-	// follower switches to another control instance.
+	// follower switches to another control instance. One that it switched to for this
+	// reason is left after the first: the nearest ones may all be lost.
 	maxMisses = 2
+	// missInterval is the heartbeat interval after a failed heartbeat.
+	missInterval = 80 * time.Millisecond
 	// startupInterval is the heartbeat interval while the control instance has no
 	// shares to give because it has just started or knows no leader. Until a state
 	// has been received, the interval doubles with each heartbeat, up to
@@ -77,6 +80,9 @@
 	if _, known := f.View(); !known {
 		return min(startupInterval<<min(n, 8), maxStartupInterval)
 	}
+	if f.missing() {
+		return missInterval
+	}
 	if info.LeaseDuration <= 0 {
 		return startupInterval
 	}
@@ -89,6 +95,13 @@
 	return heartbeatInterval
 }
 
+// missing reports whether the last heartbeat to the followed control instance failed.
+func (f *Follower) missing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.misses > 0 || f.failedOver
+}
+
 // heartbeat sends a heartbeat to the followed control instance and applies the
 // reply.
 func (f *Follower) heartbeat(ctx context.Context) {
@@ -175,7 +188,7 @@
 	if f.current != addr {
 		return
 	}
-	f.misses, f.lastReply, f.confirmationAge = 0, now, age
+	f.misses, f.failedOver, f.lastReply, f.confirmationAge = 0, false, now, age
 	switch {
 	case !s.lags():
 		f.laggingSince = time.Time{}
@@ -229,9 +242,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses++
-	if _, known := f.View(); f.current != addr || known && f.misses < maxMisses {
+	if _, known := f.View(); f.current != addr || known && !f.failedOver && f.misses < maxMisses {
 		return
 	}
+	f.failedOver = true
 	i := slices.IndexFunc(f.controls, func(c plane.ControlInstance) bool { return c.PeerAddr == addr })
 	f.switchTo(f.controls[(i+1)%len(f.controls)].PeerAddr, reason)
 }
