Let rules and workspaces without a common home allow no region at all

What callers would see: a request whose rule and workspace have no home in common runs at an upstream that announced itself with a failure domain the instance does not know.

Cause: the empty intersection of homes was marked with the region "", which is also what the region of an unknown failure domain is. Class: a marker taken from the range of values.

Change: the marker is "-", in core/items.

--- a/core/items/homes.go
+++ b/core/items/homes.go
@@ -4,8 +4,8 @@
 
 // HomeRegions returns the regions that may run a request of a rule and a workspace.
 // The workspace may be nil. An empty list means all regions. The result for two
-// non-empty lists also holds the nonexistent region "", so that an empty intersection
-// does not mean all regions.
+// non-empty lists also holds noRegion, so that an empty intersection does not mean all
+// regions.
 func HomeRegions(r *corianderwing.Rule, w *corianderwing.WorkspacePolicy) []corianderwing.RegionID {
 	if w == nil || len(w.HomeRegions) == 0 {
 		return r.HomeRegions
@@ -13,7 +13,7 @@
 	if len(r.HomeRegions) == 0 {
 		return w.HomeRegions
 	}
-	out := []corianderwing.RegionID{""}
+	out := []corianderwing.RegionID{noRegion}
 	for _, a := range r.HomeRegions {
 		for _, b := range w.HomeRegions {
 			if a == b {
@@ -23,3 +23,7 @@
 	}
 	return out
 }
+
+// noRegion is the name of no region. It is not empty, because that is the region of an
+// unknown failure domain.
+const noRegion corianderwing.RegionID = "-"
