Check a granted upstream against the newest state of the entry instance

What callers would see: a request reaches an upstream that has left, drains, or whose failure domain is evacuated, longer than allowed after that was accepted.

A control instance that lags grants slots by its old state, also to requests forwarded from other failure domains, and the entry instance looked the upstream up in the state under which the request was admitted, before its wait.

Ruled out: refusing all slot requests at a control instance that lags: its entry instances would decide alone, with less knowledge, for the second until they leave it.

Change: the upstream is taken from the newest state, must be ready, of the pool and not in an evacuated domain; else the slot goes back and the instance places the request itself.

Before, TestGrantOfControlThatLags: "outdated_grant_test.go:48: not true: e != nil" for an upstream that left, drains, or was evacuated; it passes now.

--- /dev/null
+++ b/io/gate/outdated_grant_test.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/core/place"
+)
+
+// Guards against requests to an upstream that has left, drains or was evacuated: the
+// slot came from a control instance that lags behind the state of this instance, or the
+// request was admitted under a state from before that.
+func TestGrantOfControlThatLags(t *testing.T) {
+	ref := model.UpstreamRef{ID: "i-1", Incarnation: 1}
+	draining := model.Announcement{Upstream: corianderwing.Upstream{
+		ID: "i-1", Incarnation: 1, Pool: "files", Version: "v1", Domain: "a", Addr: "127.0.0.1:1", Slots: 100, Phase: corianderwing.Draining,
+	}}
+	for _, c := range []struct {
+		name   string
+		change model.Command
+	}{
+		{"left", model.Command{Remove: []model.UpstreamRef{ref}}},
+		{"drains", model.Command{Announce: []model.Announcement{draining}}},
+		{"evacuated", model.Command{Evacuate: &model.Evacuation{Domain: "a", On: true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				control := &pausingControl{grantingControl: newGrantingControl(t, "127.0.0.1:1"), pause: func(*pausingControl) {}}
+				s := newTestServer(control, quiet)
+				defer s.Close()
+				s.NotifyChange()
+				synctest.Wait()
+				pool := s.pool("files")
+				next, err := control.view.Apply(&c.change, time.Now())
+				is.NoErr(err)
+				control.view = next
+				s.NotifyChange()
+				synctest.Wait()
+				now := time.Now()
+				_, _, e := s.acquire(t.Context(), pool, place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+				is.True(e != nil)
+				is.Equal(control.released.Load(), int32(1))
+			})
+		})
+	}
+}
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, x.view, time.Now())
+	return x.s.acquire(ctx, x.pool, x.placement, time.Now())
 }
 
 // slotError returns the error for a request that got no slot. If its context or
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -29,7 +29,7 @@
 // domain, which sees all requests there. While that instance is unreachable, the
 // slot comes from the local allocator. An error comes with the delay after which the
 // caller should retry.
-func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, v *model.View, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
 	p.mu.Lock()
 	r.CurrentVersionOnly = p.moveStats.guard.Blocks(now)
 	p.mu.Unlock()
@@ -51,15 +51,10 @@
 	if a.Error != nil {
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
-	u, known := v.Upstream(a.Upstream)
-	if !known || u.Incarnation != a.Incarnation {
-		// The control instance may have a newer state than the one the request
-		// was admitted with.
-		if newer, ok := s.cfg.Control.View(); ok {
-			u, known = newer.Upstream(a.Upstream)
-		}
-	}
-	if !known || u.Incarnation != a.Incarnation {
+	// The control instance may lag behind the state of this instance, and the other
+	// way round.
+	u, ok := s.grantedUpstream(p.name, a)
+	if !ok {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
 		return s.acquireLocal(ctx, p, r)
 	}
@@ -77,6 +72,17 @@
 	}, 0, nil
 }
 
+// grantedUpstream returns the upstream of a granted slot, if it may get requests of
+// the pool according to the newest state.
+func (s *Server) grantedUpstream(pool corianderwing.PoolID, a *plane.AcquireResponse) (*model.Upstream, bool) {
+	view, _ := s.cfg.Control.View()
+	u, ok := view.Upstream(a.Upstream)
+	if !ok || u.Pool != pool || u.Incarnation != a.Incarnation || u.Phase != corianderwing.Ready || view.Evacuated(u.Domain) {
+		return nil, false
+	}
+	return u, true
+}
+
 // acquireLocal gets a slot from the allocator of this instance.
 func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
 	r.NoForward = true
