Reject announcements whose ID cannot be sent in a header

The ID of an upstream comes from the path of its heartbeat, where %0d%0a is a line break, and is written as it is into a header of every request that the upstream gets. A heartbeat of another writer could so add header lines, or a whole second request, to the requests of callers. An ID that is not valid UTF-8 was proposed with the announcements that arrived within the same 15 ms, and the command as a whole was then rejected because it cannot be decoded.

Ruled out: net/http, which decodes the path and does not reject control characters in it.

--- a/upstream.go
+++ b/upstream.go
@@ -26,6 +26,23 @@
 	Load        float64     `json:"load"` // 0 to 1, self-reported; may be stale or wrong
 }
 
+// maxNameLen is the maximum length of a name in an announcement, in bytes.
+const maxNameLen = 255
+
+// Validate returns an error if the ID cannot be used. Each attempt carries the ID of
+// its upstream in a header, where a line break would add lines of its own.
+func (id UpstreamID) Validate() error {
+	if id == "" || len(id) > maxNameLen {
+		return Errorf(InvalidInput, "ID has %d bytes, allowed: 1 to %d", len(id), maxNameLen)
+	}
+	for i := 0; i < len(id); i++ {
+		if id[i] <= ' ' || id[i] > '~' {
+			return Errorf(InvalidInput, "ID %q holds a byte that is not printable ASCII", id)
+		}
+	}
+	return nil
+}
+
 // Instance is the gossiped state of an entry instance.
 type Instance struct {
 	ID           InstanceID  `json:"id"`
