Reject heartbeats with numbers out of range

One heartbeat of another writer could take over its pool: with slots 2^63-1 the upstream ranks first for every object and never is full, and together with two sound ones of 4 slots the sum of the domain's slots overflows, which the leader's plan of loans then starts from.

Ruled out by the same test: numbers that are not whole, beyond 64 bits, or of another type were rejected before.

--- a/upstream.go
+++ b/upstream.go
@@ -43,6 +43,22 @@
 	return nil
 }
 
+// maxSlots is the maximum number of slots of an upstream: an instance has no more
+// ports for connections to one address. Sums over all upstreams stay exact.
+const maxSlots Slots = 1<<16 - 1
+
+// Validate returns an error if the announcement does not describe an upstream that
+// can get requests.
+func (u *Upstream) Validate() error {
+	if err := u.ID.Validate(); err != nil {
+		return err
+	}
+	if u.Slots <= 0 || u.Slots > maxSlots {
+		return Errorf(InvalidInput, "slots is %d, allowed: 1 to %d", u.Slots, maxSlots)
+	}
+	return nil
+}
+
 // Instance is the gossiped state of an entry instance.
 type Instance struct {
 	ID           InstanceID  `json:"id"`
