Reject heartbeats with an address that cannot be connected to

Port 70000 and addresses that do not parse were rejected before; port 0, unspecified, multicast and broadcast addresses and those with the interface of another host were not. Each request that was sent there cost an attempt, and a connection to 0.0.0.0 or [::] reaches the instance itself: with the port of the public listener it would get its own requests back.

--- a/upstream.go
+++ b/upstream.go
@@ -1,5 +1,7 @@
 package corianderwing
 
+import "net/netip"
+
 // Phase is the lifecycle phase of an instance or upstream.
 type Phase string
 
@@ -56,9 +58,25 @@
 	if u.Slots <= 0 || u.Slots > maxSlots {
 		return Errorf(InvalidInput, "slots is %d, allowed: 1 to %d", u.Slots, maxSlots)
 	}
+	return validateAddr(u.Addr)
+}
+
+// validateAddr returns an error if addr is not the address of another process.
+// Connections to an unspecified address reach the instance itself.
+func validateAddr(addr string) error {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return Errorf(InvalidInput, "address: %v", err)
+	}
+	ip := a.Addr().Unmap()
+	if a.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcastAddr || ip.Zone() != "" {
+		return Errorf(InvalidInput, "address %s cannot be connected to", addr)
+	}
 	return nil
 }
 
+var broadcastAddr = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // Instance is the gossiped state of an entry instance.
 type Instance struct {
 	ID           InstanceID  `json:"id"`
