Reject heartbeats without a version or with names without end

A heartbeat without a version was accepted as version "". If it is the first of its pool, that version becomes the one that serves requests, also after the upstream has been removed, and every upstream with a version stays without requests until a version move.

Names now have 1 to 255 bytes. callSeq, coldLeft and born may still be missing: they only refine what is known. Not covered: a first heartbeat with another version that is well formed still decides which version serves.

--- a/upstream.go
+++ b/upstream.go
@@ -55,6 +55,11 @@
 	if err := u.ID.Validate(); err != nil {
 		return err
 	}
+	for _, name := range []string{string(u.Pool), string(u.Version), string(u.Domain)} {
+		if name == "" || len(name) > maxNameLen {
+			return Errorf(InvalidInput, "pool, version or failure domain has %d bytes, allowed: 1 to %d", len(name), maxNameLen)
+		}
+	}
 	if u.Slots <= 0 || u.Slots > maxSlots {
 		return Errorf(InvalidInput, "slots is %d, allowed: 1 to %d", u.Slots, maxSlots)
 	}
