Offer no odd upstream that the state already holds

An announcement that does not pass the checks of a heartbeat is kept but marked as not usable, and the lists of a pool's upstreams leave it out. The leader goes through all announced upstreams, so it still removes those that are silent. Dropping them from the state was ruled out: replicas of both versions must number upstreams alike while instances are replaced one by one.

--- a/core/model/codec.go
+++ b/core/model/codec.go
@@ -109,11 +109,7 @@
 	v.revision, v.lastShortID, v.items = s.Revision, s.LastShortID, items.Load(s.Items)
 	maps.Copy(v.currentVersions, s.CurrentVersions)
 	for _, su := range s.Upstreams {
-		u := &Upstream{Upstream: su.Upstream, ShortID: su.ShortID}
-		if su.WarmupRemaining > 0 {
-			u.WarmupUntil = su.WarmupRemaining.After(now)
-		}
-		v.upstreams[u.ID] = u
+		v.upstreams[su.ID] = newUpstream(&su.Announcement, su.ShortID, now)
 	}
 	for _, ref := range s.Tombstones {
 		v.tombstones[ref.ID] = ref.Incarnation
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -135,7 +135,7 @@
 	if v.Stale(&a.Upstream) {
 		return
 	}
-	u := &Upstream{Upstream: a.Upstream}
+	u := newUpstream(a, 0, now)
 	old := v.upstreams[a.ID]
 	if old != nil && old.Incarnation == a.Incarnation {
 		u.ShortID = old.ShortID
@@ -147,9 +147,6 @@
 		v.lastShortID++
 		u.ShortID = v.lastShortID
 	}
-	if a.WarmupRemaining > 0 {
-		u.WarmupUntil = a.WarmupRemaining.After(now)
-	}
 	for id, other := range v.upstreams {
 		if id != a.ID && other.Addr == a.Addr {
 			v.removeUpstream(UpstreamRef{ID: id, Incarnation: other.Incarnation})
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -23,6 +23,20 @@
 	// WarmupUntil is the end of the warm-up, during which the upstream can bear
 	// little load. Each process counts it from when it received the announcement.
 	WarmupUntil time.Time `json:"-"`
+
+	usable bool // may be offered to requests, see newUpstream
+}
+
+// newUpstream returns the upstream of an announcement that was received at now. One
+// that does not pass the checks of a heartbeat is kept but not usable: logs and
+// snapshots of earlier versions, which checked less, may hold it, and all replicas
+// must agree on what is announced.
+func newUpstream(a *Announcement, id uint32, now time.Time) *Upstream {
+	u := &Upstream{Upstream: a.Upstream, ShortID: id, usable: a.Validate() == nil}
+	if a.WarmupRemaining > 0 {
+		u.WarmupUntil = a.WarmupRemaining.After(now)
+	}
+	return u
 }
 
 // View is an immutable version of the replicated state. Its zero value is not
@@ -73,11 +87,19 @@
 	return u, ok
 }
 
-// PoolUpstreams returns the upstreams of a pool, sorted by ID. The caller must not
-// modify the slice.
+// EachUpstream calls f with every announced upstream, usable or not, in no particular
+// order.
+func (v *View) EachUpstream(f func(*Upstream)) {
+	for _, u := range v.upstreams {
+		f(u)
+	}
+}
+
+// PoolUpstreams returns the usable upstreams of a pool, sorted by ID. The caller must
+// not modify the slice.
 func (v *View) PoolUpstreams(p corianderwing.PoolID) []*Upstream { return v.UpstreamsByPool()[p] }
 
-// UpstreamsByPool returns the upstreams of every pool. The caller must not modify
+// UpstreamsByPool returns the usable upstreams of every pool. The caller must not modify
 // the map.
 func (v *View) UpstreamsByPool() map[corianderwing.PoolID][]*Upstream {
 	v.byPool.once.Do(func() { v.byPool.pools = v.groupByPool() })
@@ -118,12 +140,13 @@
 	return &n
 }
 
-// groupByPool returns the upstreams of each pool, sorted by ID.
+// groupByPool returns the usable upstreams of each pool, sorted by ID.
 func (v *View) groupByPool() map[corianderwing.PoolID][]*Upstream {
 	pools := make(map[corianderwing.PoolID][]*Upstream)
 	for _, id := range sortedKeys(v.upstreams) {
-		u := v.upstreams[id]
-		pools[u.Pool] = append(pools[u.Pool], u)
+		if u := v.upstreams[id]; u.usable {
+			pools[u.Pool] = append(pools[u.Pool], u)
+		}
 	}
 	return pools
 }
--- a/core/model/odd_test.go
+++ b/core/model/odd_test.go
@@ -1,6 +1,8 @@
 package model
 
 import (
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +44,53 @@
 	}
 	is.Equal(v.NumUpstreams(), 2)
 }
+
+// Guards against a state, written before heartbeats were checked as strictly, that
+// holds an upstream whose slots overflow sums, whose ID adds header lines, or whose
+// address leads nowhere: it is offered to no reader, in whatever way the state
+// arrives, and the leader still sees it, to remove it.
+func TestOddUpstreamsAreNotOffered(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	good := corianderwing.Upstream{
+		ID: "i-1", Incarnation: 1, Pool: "web", Version: "v1", Domain: "a", Addr: "10.0.0.1:80", Slots: 4, Phase: corianderwing.Ready,
+	}
+	odd := func(id corianderwing.UpstreamID, change func(u *corianderwing.Upstream)) Announcement {
+		u := good
+		u.ID, u.Addr = id, "10.0.1.1:"+string(id[len(id)-1])
+		change(&u)
+		return Announcement{Upstream: u}
+	}
+	m := NewMachine(func() time.Time { return now })
+	data, err := Encode(&Command{Announce: []Announcement{
+		{Upstream: good},
+		odd("i-2", func(u *corianderwing.Upstream) { u.Slots = math.MaxInt64 }),
+		odd("i-3", func(u *corianderwing.Upstream) { u.Slots = -1 }),
+		odd("i-4", func(u *corianderwing.Upstream) { u.Addr = "10.0.0.2:0" }),
+		odd("i-5", func(u *corianderwing.Upstream) { u.Addr = "10.0.0.2:70000" }),
+		odd("i\r\nX-Tenant: 6", func(*corianderwing.Upstream) {}),
+		{Upstream: corianderwing.Upstream{ID: "i-7", Incarnation: 1, Pool: "web", Version: "v1", Domain: "a", Addr: "10.0.0.7:80", Slots: 4}, WarmupRemaining: math.MaxInt64},
+	}})
+	is.NoErr(err)
+	m.Apply(1, data)
+	plain, err := m.View().Save(now)
+	is.NoErr(err)
+	loaded, err := Load(plain, now)
+	is.NoErr(err)
+	packed, err := pack(plain)
+	is.NoErr(err)
+	unpacked, err := New().Update(Update{Revision: 1, Packed: packed}, now)
+	is.NoErr(err)
+	followed, err := New().Update(Update{Revision: 1, Command: data}, now)
+	is.NoErr(err)
+	for name, v := range map[string]*View{"replica": m.View(), "snapshot": loaded, "packed": unpacked, "command": followed} {
+		var ids []corianderwing.UpstreamID
+		for _, u := range v.PoolUpstreams("web") {
+			ids = append(ids, u.ID)
+		}
+		if !slices.Equal(ids, []corianderwing.UpstreamID{"i-1", "i-7"}) {
+			t.Errorf("%s: offered upstreams are %q", name, ids)
+		}
+		is.Equal(v.NumUpstreams(), 7)
+	}
+}
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -191,18 +191,15 @@
 		return nil
 	}
 	var expired []model.UpstreamRef
-	for _, list := range v.UpstreamsByPool() {
-		for _, u := range list {
-			at, ok := l.lastHeartbeats[u.ShortID]
-			if !ok {
-				l.lastHeartbeats[u.ShortID] = now // the timeout starts now
-				continue
-			}
-			if now.Sub(at) >= timeout {
-				expired = append(expired, model.UpstreamRef{ID: u.ID, Incarnation: u.Incarnation})
-			}
+	v.EachUpstream(func(u *model.Upstream) {
+		at, ok := l.lastHeartbeats[u.ShortID]
+		switch {
+		case !ok:
+			l.lastHeartbeats[u.ShortID] = now // the timeout starts now
+		case now.Sub(at) >= timeout:
+			expired = append(expired, model.UpstreamRef{ID: u.ID, Incarnation: u.Incarnation})
 		}
-	}
+	})
 	return expired
 }
 
