Let no unknown failure domain be a home region

A request whose route and workspace have no home region in common carries the region "", so that the empty intersection does not mean all regions. RegionOf returns "" as well for a failure domain that is not in the settings. An upstream that announces such a domain therefore matched, and requests that may run nowhere were forwarded to that domain and, with borrowed slots or at an entry instance that decides alone, ran there.

The region "" is now nobody's home. Heartbeats from unknown domains are still accepted: the list of domains is read once, and a new one may be real.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -82,7 +82,7 @@
 		if !s.usable(now) || s.slots <= 0 || s.upstream.Version != v || slices.Contains(r.ExcludedUpstreams, s.upstream.ID) {
 			continue
 		}
-		if len(r.HomeRegions) > 0 && !slices.Contains(r.HomeRegions, p.cfg.RegionOf(s.upstream.Domain)) {
+		if !r.mayRunIn(p.cfg.RegionOf(s.upstream.Domain)) {
 			continue
 		}
 		list = append(list, scoredServer{s, p.score(r, s, slow, now)})
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -169,8 +169,8 @@
 	if r.NoForward {
 		return own
 	}
-	if len(r.HomeRegions) > 0 && !slices.Contains(r.HomeRegions, region) {
-		return p.rendezvousDomain(r, func(d corianderwing.DomainID) bool { return slices.Contains(r.HomeRegions, p.cfg.RegionOf(d)) })
+	if !r.mayRunIn(region) {
+		return p.rendezvousDomain(r, func(d corianderwing.DomainID) bool { return r.mayRunIn(p.cfg.RegionOf(d)) })
 	}
 	if p.domainSlots[own] > 0 && (p.setup.NextVersion != "" || r.Object == 0 || p.cachedLocally(r) || !p.sharedClasses[r.Class] && !p.highLoad(now)) {
 		return own
@@ -201,7 +201,7 @@
 		return own
 	}
 	allowed := func(d corianderwing.DomainID) bool {
-		return d != own && (len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, p.cfg.RegionOf(d)))
+		return d != own && r.mayRunIn(p.cfg.RegionOf(d))
 	}
 	region := p.cfg.RegionOf(own)
 	near := p.rendezvousDomain(r, func(d corianderwing.DomainID) bool { return allowed(d) && p.cfg.RegionOf(d) == region })
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -18,6 +18,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -43,6 +44,12 @@
 	RequireGoal        bool // reject unless the goal can be met here
 }
 
+// mayRunIn reports whether a region may run the request. A failure domain that is not
+// in the settings has the region "", which is nobody's home.
+func (r *Request) mayRunIn(region corianderwing.RegionID) bool {
+	return len(r.HomeRegions) == 0 || region != "" && slices.Contains(r.HomeRegions, region)
+}
+
 // Grant is an upstream slot that a request holds until Release.
 type Grant struct {
 	Upstream        *model.Upstream
