Show that a stale refusal proves nothing about another request

A faulty upstream may write an earlier refusal once more on a kept connection. Here a refusal counts only if it echoes exactly the ID of the request, once. One with another ID, none, an empty one or two of them is skipped like any response to another request, at most two; one that asks to close the connection, or a third, ends the attempt with an unknown outcome, which is answered 502 and not retried for requests that must not run twice. What already lies in the socket or in the buffer when a connection would be reused closes it.

--- /dev/null
+++ b/io/gate/refusal_test.go
@@ -0,0 +1,159 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// answerLate is what a stand-in does with a request on a kept connection that has
+// served or refused another one.
+type answerLate func(c *standInConn, r *http.Request) (keep bool)
+
+// afterRun runs the request and then closes the connection without an answer.
+func afterRun(c *standInConn, r *http.Request) bool {
+	c.standIn.mu.Lock()
+	c.standIn.runs[r.Header.Get("X-Request-Id")]++
+	c.standIn.mu.Unlock()
+	return false
+}
+
+// staleRefusals are refusals that belong to no request or to an earlier one, each
+// followed by the truth about the request.
+var staleRefusals = map[string]answerLate{
+	"id of the earlier request": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+"\r\n")
+		c.run(r)
+		return true
+	},
+	"twice": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+"\r\n")
+		c.refuse("429 Too Many Requests", "X-Request-Id: "+c.first+"\r\n")
+		c.run(r)
+		return true
+	},
+	"three times": func(c *standInConn, r *http.Request) bool {
+		for range 3 {
+			c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+"\r\n")
+		}
+		c.run(r)
+		return true
+	},
+	"no id": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "")
+		c.run(r)
+		return true
+	},
+	"empty id": func(c *standInConn, r *http.Request) bool {
+		c.refuse("400 Bad Request", "X-Request-Id: \r\n")
+		c.run(r)
+		return true
+	},
+	"both ids": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+"\r\nX-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n")
+		c.run(r)
+		return true
+	},
+	"both ids on one line": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+", "+r.Header.Get("X-Request-Id")+"\r\n")
+		c.run(r)
+		return true
+	},
+	"misdirected": func(c *standInConn, r *http.Request) bool {
+		c.refuse("421 Misdirected Request", "X-Request-Id: "+c.first+"\r\n")
+		c.run(r)
+		return true
+	},
+	"close notice": func(c *standInConn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nX-Not-Executed: idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		return afterRun(c, r)
+	},
+	"close notice without length": func(c *standInConn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: leaving\r\n\r\n")
+		return afterRun(c, r)
+	},
+	"then the end": func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+c.first+"\r\n")
+		return afterRun(c, r)
+	},
+	"longer than its length": func(c *standInConn, r *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: full\r\nContent-Length: 2\r\n\r\nfull", c.first)
+		c.run(r)
+		return true
+	},
+	"answer and refusal": func(c *standInConn, r *http.Request) bool {
+		c.run(r)
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n")
+		return true
+	},
+}
+
+// Guards against a refusal of an earlier request, or of none, that a faulty upstream
+// writes once more on a kept connection: it must not count as the refusal of a
+// request that the upstream runs, which would then be refused as not run or run at a
+// second upstream.
+func TestStaleRefusalProvesNothing(t *testing.T) {
+	for name, answer := range staleRefusals {
+		t.Run(name, func(t *testing.T) { testStaleRefusal(t, answer) })
+	}
+}
+
+// testStaleRefusal sends requests that must not run twice to an upstream that answers
+// every second request on a connection with answer, and to a second, sound upstream.
+func testStaleRefusal(t *testing.T, answer answerLate) {
+	t.Helper()
+	faulty := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		if c.n == 1 {
+			c.run(r)
+			return true
+		}
+		return answer(c, r)
+	})
+	sound := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		c.run(r)
+		return true
+	})
+	base := newStandInGate(t, faulty, sound)
+	for i := range 6 {
+		id := fmt.Sprint("q-", i)
+		status, body := call(base, "/once/1", id, "order")
+		runs := faulty.ran(id) + sound.ran(id)
+		if runs > 1 {
+			t.Errorf("%s ran %d times", id, runs)
+		}
+		switch status {
+		case http.StatusOK:
+			if body != "own" || runs != 1 {
+				t.Errorf("%s: got %q after %d runs", id, body, runs)
+			}
+		case http.StatusBadGateway, http.StatusGatewayTimeout, 0:
+		default:
+			t.Errorf("%s: got status %d after %d runs: %s", id, status, runs, body)
+		}
+	}
+	if faulty.connections() == 6 {
+		t.Error("no connection was kept, so nothing was tested")
+	}
+}
+
+// Guards against treating a refusal that is the request's own as an unknown outcome:
+// the request is sent to another upstream.
+func TestOwnRefusalIsRetried(t *testing.T) {
+	full := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		c.refuse("503 Service Unavailable", "X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n")
+		return true
+	})
+	sound := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		c.run(r)
+		return true
+	})
+	base := newStandInGate(t, full, sound)
+	if status, body := call(base, "/once/1", "q-1", "order"); status != http.StatusOK || body != "own" {
+		t.Errorf("got status %d: %s", status, body)
+	}
+	base = newStandInGate(t, full)
+	if status, body := call(base, "/once/1", "q-2", "order"); status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d: %s", status, body)
+	}
+}
