Reject a response whose header contains a second status line

A faulty upstream may break off in the head of an earlier refusal and then answer the request on the same connection. Read as one head, the two have the status and the refusal of the first and the ID of the second. A request that had run was so answered 503 "not run", or ran again at a second upstream, or its own body came with the status 503.

Such a response now ends the attempt as broken off, with an unknown outcome, and closes its connection. Ruled out: a break between two lines or in the name of a header, which net/http rejects, and one behind the ID of the earlier request, which gives two IDs. Skipping the response as one to another request was tried: its answer has been swallowed, so the request waits for its deadline.

--- a/io/gate/refusal_test.go
+++ b/io/gate/refusal_test.go
@@ -157,3 +157,28 @@
 		t.Errorf("got status %d: %s", status, body)
 	}
 }
+
+// Guards against a refusal that breaks off in its head, in front of the answer to the
+// request: read as one head, they have the ID of the request and the status or the
+// refusal of the earlier one.
+func TestBrokenRefusalBeforeAnswer(t *testing.T) {
+	for _, broken := range []string{
+		"HTTP/1.1 503 ",
+		"HTTP/1.1 503 Service Unav",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: ",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: fu",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: full\r\nRetry-After: 1",
+		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r\nX-A: \t",
+		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r\n",
+		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r",
+		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed",
+	} {
+		t.Run(broken, func(t *testing.T) {
+			testStaleRefusal(t, func(c *standInConn, r *http.Request) bool {
+				io.WriteString(c, broken)
+				c.run(r)
+				return true
+			})
+		})
+	}
+}
--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"corianderwing"
 )
@@ -81,6 +82,9 @@
 // check rejects a response that may belong to another request or whose end cannot be
 // detected.
 func (r *Response) check(c Call) *corianderwing.Error {
+	if hasSecondStatusLine(r.Response) {
+		return corianderwing.Errorf(corianderwing.ResponseTruncated, "a response broke off in its header, and another one follows")
+	}
 	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
@@ -90,6 +94,41 @@
 	return nil
 }
 
+// hasSecondStatusLine reports whether the status line or a header value contains
+// another status line: a response that broke off in its header was followed by the
+// next one, and the two were read as one. The ID is then that of the second one, and
+// the status that of the first one.
+func hasSecondStatusLine(resp *http.Response) bool {
+	if containsStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if containsStatusLine(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// containsStatusLine reports whether s contains the beginning of a status line.
+func containsStatusLine(s string) bool {
+	const version, code = "HTTP/1.", len("1 200")
+	for {
+		_, rest, ok := strings.Cut(s, version)
+		if !ok || len(rest) < code {
+			return false
+		}
+		if isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4]) {
+			return true
+		}
+		s = rest
+	}
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
 // isCloseDelimited reports whether the response is delimited only by the close of
 // the connection.
 func (r *Response) isCloseDelimited() bool {
