Send a request without an ID on a connection of its own

Responses are matched to requests by the ID. A request without one matched every response that echoes an empty ID, also a refusal written for an earlier request without an ID on the same connection: a request that had run was answered 503 "not run" or ran at a second upstream. Such requests now get a new connection, on which the first response can only be theirs.

--- a/io/gate/refusal_test.go
+++ b/io/gate/refusal_test.go
@@ -182,3 +182,25 @@
 		})
 	}
 }
+
+// Guards against a refusal that is taken for that of a request without an ID: on a
+// kept connection, nothing tells for which of two such requests it was written.
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	faulty := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		if c.n > 1 {
+			c.refuse("503 Service Unavailable", "X-Request-Id: \r\n")
+		}
+		c.run(r)
+		return true
+	})
+	sound := newStandIn(t, func(c *standInConn, r *http.Request) bool {
+		c.run(r)
+		return true
+	})
+	base := newStandInGate(t, faulty, sound)
+	for i := range 4 {
+		if status, body := call(base, "/once/1", "", "order"); status != http.StatusOK || faulty.ran("")+sound.ran("") != i+1 {
+			t.Errorf("request %d: got status %d after %d runs in all: %s", i, status, faulty.ran("")+sound.ran(""), body)
+		}
+	}
+}
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -204,6 +204,7 @@
 		Body:                x.body,
 		ID:                  x.ask.ID,
 		EchoHeader:          d.RequestIDHeader(),
+		NewConn:             x.ask.ID == "", // on a kept connection, only the ID tells whose a response is
 		FirstByteDeadline:   x.firstByteDeadline(sl, now),
 		ExtendDeadline:      x.extendFirstByteDeadline,
 		MaxForeignResponses: maxForeignResponses,
