Count a write in progress as possibly sent

A body of more than 32 KB is written while the response is awaited. If the connection failed before the first write had returned, its bytes were not counted yet, and the request was called not run: answered 503, or sent to a second upstream although it must not run twice. A stale close notice or the end of a kept connection arrives at just that time; on a busy machine the goroutine that writes may wait for a processor after its bytes have left.

Writes in progress now count, and the connection is closed before the decision, so that nothing is sent after it. Waiting for the writer was ruled out: it may wait for the caller's body.

Before: TestWriteInProgressMayHaveSent (io/relay) unsent_test.go:60: no != unknown After: ok, also with -race

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -80,6 +80,7 @@
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	sent        atomic.Int64 // bytes written to the kernel for the current request
+	writing     atomic.Int32 // writes in progress, whose bytes are not in sent yet
 	readLimit   int64        // bytes that may still be read; negative for no limit
 	idleSince   time.Time    // when it was last put into the pool
 	usableUntil time.Time    // not reused after this time; zero for no limit
@@ -104,11 +105,23 @@
 
 // Write counts the bytes, so that after a failure it is known whether any were sent.
 func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	if c.closed.Load() {
+		return 0, net.ErrClosed // another goroutine may not have closed the socket yet
+	}
 	n, err := c.Conn.Write(b)
 	c.sent.Add(int64(n))
 	return n, err
 }
 
+// mayHaveSent reports whether bytes of the current request may have been sent. After
+// the connection was closed, its result is final: later writes send nothing.
+func (c *conn) mayHaveSent() bool {
+	// In this order: a write that ends between the two is counted in sent.
+	return c.writing.Load() > 0 || c.sent.Load() > 0
+}
+
 // Close closes the connection. Later calls do nothing.
 func (c *conn) Close() error {
 	if c.closed.Swap(true) {
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -219,12 +219,11 @@
 
 // fail closes the connection and returns the error of the request for err.
 func (r *Response) fail(err error) *corianderwing.Error {
-	sent := r.conn.sent.Load() > 0
-	r.Discard()
+	r.Discard() // first, so that nothing is sent after the check below
 	if e := r.bodyErr.Load(); e != nil {
 		return e
 	}
-	if !sent {
+	if !r.conn.mayHaveSent() {
 		return unsentError(r.ctx, err)
 	}
 	late := errors.Is(err, os.ErrDeadlineExceeded)
