Reject a response with a space in the name of a header

net/http accepts such a name and takes it for that of another header. A response with "Content-Length : 1234" had no length then, and a short body that ended with its connection reached the client as complete. Such a response now fails.

An HTTP/1.0 response with a transfer coding stays as it is: net/http ignores the coding and removes its header, so the response looks like one without a length, which is legal.

--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"corianderwing"
 )
@@ -84,12 +85,27 @@
 	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
+	if hasUnknownFraming(r.Response) {
+		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has a header that leaves its end in doubt")
+	}
 	if r.isCloseDelimited() && !c.AllowCloseDelimited {
 		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has neither a Content-Length nor chunked encoding, so its end cannot be detected")
 	}
 	return nil
 }
 
+// hasUnknownFraming reports whether the header leaves it in doubt where the response
+// ends: net/http accepts names with spaces, such as that of "Content-Length : 4", and
+// takes them for names of other headers.
+func hasUnknownFraming(resp *http.Response) bool {
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // isCloseDelimited reports whether the response is delimited only by the close of
 // the connection.
 func (r *Response) isCloseDelimited() bool {
