--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -88,12 +88,27 @@
 	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
+	if hasUnknownFraming(r.Response) {
+		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has a header that leaves its end in doubt")
+	}
 	if r.isCloseDelimited() && !c.AllowCloseDelimited {
 		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has neither a Content-Length nor chunked encoding, so its end cannot be detected")
 	}
 	return nil
 }
 
+// hasUnknownFraming reports whether the header leaves it in doubt where the response
+// ends: net/http accepts names with spaces, such as that of "Content-Length : 4", and
+// takes them for names of other headers.
+func hasUnknownFraming(resp *http.Response) bool {
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // hasSecondStatusLine reports whether the status line or a header value contains
 // another status line: a response that broke off in its header was followed by the
 // next one, and the two were read as one. The ID is then that of the second one, and
