Reset HTTP/1.0 clients of io/entry as well

The other data plane aborts a response that broke off in the same way as io/gate, so a client that speaks HTTP/1.0 took the short body for whole.

Before: TestCutResponseResetsOldClient (io/entry) reset_test.go:61: complete response with body "01234" After: ok, three times with -race

--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/io/accept"
 	"corianderwing/io/relay"
 )
 
@@ -78,9 +79,13 @@
 	if rejected || slow {
 		s.cfg.Recorder.Record(newRecord(s.self.ID, x, total))
 	}
-	if failure != nil {
-		panic(failure)
+	if failure == nil {
+		return
+	}
+	if !x.r.ProtoAtLeast(1, 1) {
+		accept.Reset(x.w)
 	}
+	panic(failure)
 }
 
 // admit decides whether a request may be forwarded. It sends nothing itself.
