Reject updates whose revision is far ahead of the view

An entry instance that receives an update with a revision of 2^63 or more ends its process.

Cause: View.Update computes the number of missing commands as an int. For a huge revision it is negative, passes the check and indexes the list of commands out of range. The watch runs in a goroutine of its own, where nothing recovers the panic. Machine.Updates has the same computation; there the panic ends the call only.

Change: both differences are compared as revisions.

Before: TestUpdateWithHugeRevision: 'panic: slice bounds out of range [2:1]'; TestWatchFromHugeRevision: 'panic: slice bounds out of range'. After: go test ./core/model passes.

--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -119,11 +119,12 @@
 	if after >= p.view.revision {
 		return nil, true
 	}
-	missing := int(p.view.revision - after)
-	if missing > min(limit, len(p.updates)) {
+	// Compared as a Revision: as an int, a huge difference is negative.
+	missing := p.view.revision - after
+	if missing > corianderwing.Revision(min(limit, len(p.updates))) {
 		return nil, false
 	}
-	return p.updates[len(p.updates)-missing:], true
+	return p.updates[len(p.updates)-int(missing):], true
 }
 
 // Apply implements corianderwing.StateMachine. Commands that the view already
@@ -257,12 +258,13 @@
 	if encoded == nil {
 		encoded = [][]byte{u.Command}
 	}
-	missing := int(u.Revision - r)
-	if missing > len(encoded) {
+	// Compared as a Revision: as an int, a huge difference is negative.
+	missing := u.Revision - r
+	if missing > corianderwing.Revision(len(encoded)) {
 		return nil, corianderwing.Errorf(corianderwing.RevisionConflict, "update to revision %d does not follow revision %d", u.Revision, r)
 	}
 	var list []*Command
-	for _, data := range encoded[len(encoded)-missing:] {
+	for _, data := range encoded[len(encoded)-int(missing):] {
 		c, err := Decode(data)
 		if err != nil {
 			return nil, err
