Do not rely on a state that follows a discarded one

An entry instance could use upstreams that have left, and routes or keys of an older state, after an update that did not apply to its state.

The next state may come from a control instance that lags behind, and was used although its revision is lower than one that the leader had confirmed.

Ruled out: the lease on keys, which was ended together with the state; a first state after a start (TestStateOfRestartedControl).

Change: a discarded state is not known. The next one counts once it has reached the confirmed revision, as after a start.

Before: TestDiscardedStateDoesNotGoBack: 'not true: !known // revision 2 after revision 3'. After: go test ./io/follow passes.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -110,7 +110,7 @@
 // state is a view with its lease. A stored state is immutable.
 type state struct {
 	view       *model.View
-	known      bool      // the view has reached a confirmed revision once
+	known      bool      // the view has reached a confirmed revision since it was last empty
 	freshUntil time.Time // end of the lease, on the boot clock
 
 	// confirmed is the last confirmation. It takes effect once the view has
@@ -260,7 +260,9 @@
 	next, err := old.Update(*u, time.Now())
 	if err != nil && corianderwing.CodeOf(err) == corianderwing.RevisionConflict {
 		f.cfg.Log.Error().Uint64("revision", uint64(u.Revision)).Err(err).Msg("update does not apply to the current state; requesting a snapshot")
-		f.update(func(s *state) { s.view, s.freshUntil = model.New(), time.Time{} })
+		// The next state may come from a control instance that lags behind, so it
+		// is not relied on before it has reached the confirmed revision again.
+		f.update(func(s *state) { s.view, s.known, s.freshUntil = model.New(), false, time.Time{} })
 	}
 	if err != nil {
 		return err
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -72,3 +72,38 @@
 	is.True(known())
 	is.True(f.IsFresh())
 }
+
+// Guards against using upstreams that have left, or keys that were revoked: after an
+// update that did not apply, the state was discarded, and the next one came from a
+// control instance that lags behind. The state must not go back.
+func TestDiscardedStateDoesNotGoBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f := &Follower{cfg: Config{Lease: 4 * time.Second, Now: func() time.Time { return now }, Log: &log.Logger{Level: log.PanicLevel}}}
+	f.state.Store(&state{view: model.New()})
+	m := model.NewMachine(func() time.Time { return now })
+	for i, on := range []bool{true, false, true} {
+		data, err := model.Encode(&model.Command{Evacuate: &model.Evacuation{Domain: "a", On: on}})
+		is.NoErr(err)
+		m.Apply(corianderwing.Index(i+1), data)
+	}
+	list, err := m.Updates(0)
+	is.NoErr(err)
+	for i := range list {
+		is.NoErr(f.apply(&list[i]))
+	}
+	f.confirm(3, now.Add(f.cfg.Lease))
+	_, known := f.View()
+	is.True(known)
+	err = f.apply(&model.Update{Revision: 9, Command: list[0].Command})
+	is.Equal(corianderwing.CodeOf(err), corianderwing.RevisionConflict)
+	is.NoErr(f.apply(&list[0])) // the first update after the conflict, from a lagging control instance
+	is.NoErr(f.apply(&list[1]))
+	_, known = f.View()
+	is.True(!known) // revision 2 after revision 3
+	is.True(!f.IsFresh())
+	is.NoErr(f.apply(&list[2]))
+	_, known = f.View()
+	is.True(known)
+	is.True(f.IsFresh())
+}
