Check a granted slot against the newest state

A request could reach an upstream that drains, has left or is evacuated, later than the bounds allow, although the entry instance knew.

Cause: the control instance of the domain grants slots by its own state. One that was paused, is short of processor time or lags behind grants slots of upstreams that drain. The entry instance looked the upstream up in the state with which the request was admitted, seconds ago if the request waited, and checked its incarnation only.

Ruled out: the local allocator, which follows the state of the entry instance itself.

Change: the upstream is looked up in the newest state and must be ready and not evacuated there. Otherwise the slot goes back unused and the entry instance allocates itself, as it already did for an upstream that it does not know.

Before: TestStaleGrantIsNotUsed: 6 of 8 cases ran the request (want 0 runs, was 1). After: go test ./io/gate passes.

--- /dev/null
+++ b/io/gate/grant_test.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
+)
+
+// Guards against sending a request to an upstream that has left or drains: a control
+// instance that was paused, or that lags behind, grants a slot there, or the state
+// changed while the request waited. The slot must be free again.
+func TestStaleGrantIsNotUsed(t *testing.T) {
+	drain := func(u corianderwing.Upstream) *model.Command {
+		u.Phase = corianderwing.Draining
+		return &model.Command{Announce: []model.Announcement{{Upstream: u}}}
+	}
+	leave := func(u corianderwing.Upstream) *model.Command {
+		return &model.Command{Remove: []model.UpstreamRef{{ID: u.ID, Incarnation: u.Incarnation}}}
+	}
+	restart := func(u corianderwing.Upstream) *model.Command {
+		u.Incarnation++
+		u.Addr = "127.0.0.1:1"
+		return &model.Command{Announce: []model.Announcement{{Upstream: u, WarmupRemaining: 60_000}}}
+	}
+	evacuate := func(u corianderwing.Upstream) *model.Command {
+		return &model.Command{Evacuate: &model.Evacuation{Domain: u.Domain, On: true}}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(corianderwing.Upstream) *model.Command
+	}{{"drains", drain}, {"has left", leave}, {"has restarted", restart}, {"is evacuated", evacuate}} {
+		for _, when := range []string{"before the request", "during the wait"} {
+			t.Run(c.name+" "+when, func(t *testing.T) {
+				is := is.New(t)
+				var ran atomic.Int32
+				up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					ran.Add(1)
+					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				}))
+				defer up.Close()
+				grants := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+				change := func() {
+					next, err := grants.view.Apply(c.change(grants.upstream.Upstream), time.Now())
+					is.NoErr(err)
+					grants.view = next
+				}
+				if when == "before the request" {
+					change()
+				}
+				control := &pausingControl{grantingControl: grants, pause: func(*pausingControl) {
+					if when == "during the wait" {
+						change()
+					}
+				}}
+				s := newTestServer(control, quiet)
+				defer s.Close()
+				s.mu.Lock()
+				s.pools["files"] = newPool("files", s.cfg.Dial, 0.2)
+				s.mu.Unlock()
+				w := httptest.NewRecorder()
+				r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
+				r.Host = "shop.example"
+				r.Header.Set("X-Request-Id", "0000000000000001")
+				r.Header.Set("X-Key", "k-1")
+				s.ServeHTTP(w, r)
+				is.Equal(ran.Load(), int32(0))
+				is.Equal(w.Code, http.StatusServiceUnavailable) // not executed: there is no other upstream
+				is.Equal(control.released.Load(), int32(1))
+			})
+		}
+	}
+}
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+	return x.s.acquire(ctx, x.pool, x.placement, now)
 }
 
 // slotError returns the error for a request that got no slot. If its context or
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -29,7 +29,7 @@
 // domain, which sees all requests there. While that instance is unreachable, the
 // slot comes from the local allocator. An error comes with the delay after which the
 // caller should retry.
-func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, v *model.View, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
 	p.mu.Lock()
 	r.CurrentVersionOnly = p.moveStats.guard.Blocks(now)
 	p.mu.Unlock()
@@ -51,15 +51,8 @@
 	if a.Error != nil {
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
-	u, known := v.Upstream(a.Upstream)
-	if !known || u.Incarnation != a.Incarnation {
-		// The control instance may have a newer state than the one the request
-		// was admitted with.
-		if newer, ok := s.cfg.Control.View(); ok {
-			u, known = newer.Upstream(a.Upstream)
-		}
-	}
-	if !known || u.Incarnation != a.Incarnation {
+	u, ok := s.usableUpstream(a)
+	if !ok {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
 		return s.acquireLocal(ctx, p, r)
 	}
@@ -77,6 +70,19 @@
 	}, 0, nil
 }
 
+// usableUpstream returns the upstream of a granted slot, if this instance's state
+// allows new work there. The control instance may be behind: one that was paused
+// grants slots of upstreams that have left or drain since, and the state may have
+// changed while the request waited.
+func (s *Server) usableUpstream(a *plane.AcquireResponse) (*model.Upstream, bool) {
+	view, _ := s.cfg.Control.View()
+	u, ok := view.Upstream(a.Upstream)
+	if !ok || u.Incarnation != a.Incarnation {
+		return nil, false
+	}
+	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
+}
+
 // acquireLocal gets a slot from the allocator of this instance.
 func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
 	r.NoForward = true
