Keep upstreams that drained and fell silent from returning

An upstream that had said that it drains could get new work, for up to five heartbeat intervals.

Cause: an upstream without heartbeats is removed without a tombstone, because one whose heartbeats were lost must be able to return. If it had been draining, that was forgotten with it: a heartbeat that it had sent before its drain, seconds late, announced it as ready. Sequence numbers do not hold it back: each control instance keeps those that it has seen itself, and forgets them when it restarts.

Change: the leader removes silent upstreams that drain in the way of those that leave. The command is an existing one, so instances of both versions apply it alike.

After: go test ./io/plane passes.

--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -225,10 +225,25 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-		err := p.propose(ctx, &model.Command{Expire: expired})
+		err := p.propose(ctx, expireCommand(p.machine.View(), expired))
 		cancel()
 		for _, l := range expired {
 			p.log.Info().Str("upstream", string(l.ID)).Int("beats", maxMissedHeartbeats).Err(err).Msg("silent upstream removed")
 		}
 	}
 }
+
+// expireCommand returns the command that removes silent upstreams. One that was
+// ready may return, because its heartbeats may only have been lost. One that was
+// draining must not: a late heartbeat from before its drain says that it is ready.
+func expireCommand(v *model.View, expired []model.UpstreamRef) *model.Command {
+	c := &model.Command{}
+	for _, ref := range expired {
+		if u, ok := v.Upstream(ref.ID); ok && u.Phase == corianderwing.Draining {
+			c.Remove = append(c.Remove, ref)
+			continue
+		}
+		c.Expire = append(c.Expire, ref)
+	}
+	return c
+}
