--- a/internal/extreme/extreme.go
+++ b/internal/extreme/extreme.go
@@ -34,6 +34,9 @@
 			}
 		}
 	case reflect.Slice:
+		if r.IntN(3) == 0 {
+			return // nil
+		}
 		v.Set(reflect.MakeSlice(v.Type(), r.IntN(maxLen+1), maxLen))
 		for i := range v.Len() {
 			fill(r, strings, v.Index(i))
