Answer the calls in progress before a control instance stops

A planned stop of a control instance cut off the orders of operators and the heartbeats of upstreams that it was handling, without a response.

Cause: the replica was closed first, which made such calls wait for a leader that they could no longer reach, and then the servers closed their connections.

Ruled out: the calls of entry instances. Slots are then allocated by the entry instance itself, and heartbeats go to the next control instance.

Change: the servers stop taking calls first, and the calls in progress get one second, the longest that they may take, while the replica still runs.

Before: TestStopAnswersCalls: the call failed ('Get /slow: dial: connection refused', its repetition by the client after the connection was cut). After: go test -race ./io/node passes, go test ./platform passes.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -261,6 +261,7 @@
 		all = append(all, n.closeEntry(ctx, g))
 	}
 	if n.plane != nil {
+		n.finishCalls(ctx)
 		all = append(all, n.plane.Close(ctx))
 	}
 	for _, s := range n.servers {
@@ -274,6 +275,22 @@
 	return errors.Join(all...)
 }
 
+// maxCallTime is the longest time that the calls of upstreams and operators take.
+const maxCallTime = time.Second
+
+// finishCalls stops the servers of a control instance once the calls in progress have
+// ended, while the replica that they need still runs. Later calls go to another
+// instance.
+func (n *Node) finishCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range n.servers {
+		wg.Go(func() { _ = s.shutdown(ctx) }) // Close ends the calls that are left
+	}
+	wg.Wait()
+}
+
 func (n *Node) closeEntry(ctx context.Context, g *gate.Server) error {
 	end, ok := ctx.Deadline()
 	if !ok {
