Respond to refused requests whose body does not arrive

A caller that announced a body and did not send it got no response to a request that was refused before the body was read, and held its connection for as long as it liked.

Cause: before it responds, the HTTP server reads up to 256 KB of a body that the handler has not read, so that the connection can be kept. No read deadline was set by then: the one of the request's deadline is set only when its body is read.

Ruled out: bodies that are announced as longer than 256 KB, for which the server does not wait; a body that stops while it is read (deadline of the request plus one second).

Change: a refusal waits half a second for the rest of the body. The response then closes the connection.

--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -19,9 +19,29 @@
 	if x.tokenTaken && err.Execution == corianderwing.NotExecuted {
 		x.returnToken()
 	}
+	if err.Code != corianderwing.BodyTruncated { // the body's own deadline has passed
+		x.limitBodyWait()
+	}
 	x.status = x.s.cfg.Dialect.WriteError(x.w, x.ask.ID, err, x.retryAfter(err))
 }
 
+// bodyWait is how long a refusal waits for the rest of the request's body. The HTTP
+// server reads up to 256 KB of it before it responds, so that the connection can be
+// kept, and a caller may send it as late as it likes.
+const bodyWait = 500 * time.Millisecond
+
+// limitBodyWait limits the time for which the refusal waits for a body that has not
+// been read to its end.
+func (x *exchange) limitBodyWait() {
+	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
+		return
+	}
+	if b := x.body; b != nil && (b.Rest == nil || b.RestAtEOF.Load()) {
+		return
+	}
+	http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyWait))
+}
+
 // retryAfter returns the delay for the Retry-After header, or 0 for no header.
 func (x *exchange) retryAfter(err *corianderwing.Error) time.Duration {
 	if err.Execution != corianderwing.NotExecuted {
