Give up callers that do not read their response

A caller that stopped reading held its request, its connection and its slot for as long as it liked, far beyond the deadline that it had sent.

Cause: at the deadline the connection to the upstream is closed, but the request was blocked in a write to the caller, which has no deadline.

Ruled out: responses that the kernel's buffers take; upstreams that send without end to a caller that reads (TestEndlessBody).

Change: a write to the caller fails half a second after the request's deadline. The slot goes back as canceled, because the upstream is not at fault.

Before: TestCallerThatDoesNotRead: slot not returned after 3 s ('0 != 1') and as late as the test would wait. After: go test ./io/gate and go test -race -run Caller ./io/gate pass.

Remains: the text of a refusal, about 100 bytes, is written without a deadline; it blocks only a caller that left earlier responses unread, and holds no slot.

--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -121,6 +121,10 @@
 	return place.Succeeded
 }
 
+// writeSlack is how long after the request's deadline a caller that does not read
+// its response is given up.
+const writeSlack = 500 * time.Millisecond
+
 // forward sends an upstream's response to the caller. If the response is truncated,
 // it aborts the caller's connection, so that the caller cannot take the response
 // for complete.
@@ -134,8 +138,9 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // disables content sniffing by net/http
 	}
-	x.w.WriteHeader(resp.StatusCode)
 	rc := http.NewResponseController(x.w)
+	rc.SetWriteDeadline(x.deadline.Add(writeSlack)) // net/http resets it after the response
+	x.w.WriteHeader(resp.StatusCode)
 	var flush func() error
 	if resp.ContentLength < 0 {
 		flush = rc.Flush
--- a/io/gate/slowcaller_test.go
+++ b/io/gate/slowcaller_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +46,45 @@
 		}
 	}
 }
+
+// Guards against a caller that does not read its response and thereby holds the
+// request, its connection and its slot after its deadline has passed.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	for name, size := range map[string]int{"length": 64 << 20, "chunked": -1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				if size > 0 {
+					w.Header().Set("Content-Length", strconv.Itoa(size))
+				}
+				for text := make([]byte, 32<<10); r.Context().Err() == nil; {
+					w.Write(text)
+				}
+			}))
+			defer up.Close()
+			control := &pausingControl{grantingControl: newGrantingControl(t, strings.TrimPrefix(up.URL, "http://")), pause: func(*pausingControl) {}}
+			s := newTestServer(control, quiet)
+			defer s.Close()
+			s.mu.Lock()
+			s.pools["files"] = newPool("files", s.cfg.Dial, 0.2)
+			s.mu.Unlock()
+			entry := httptest.NewServer(s)
+			defer entry.CloseClientConnections()
+			c, err := net.Dial("tcp", entry.Listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, "GET /files/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 1\r\nX-Key: k-1\r\nX-Deadline-Ms: 300\r\n\r\n")
+			is.NoErr(err)
+			give := time.Now().Add(20 * time.Second)
+			for control.released.Load() == 0 && time.Now().Before(give) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Equal(control.released.Load(), int32(1)) // given up by the caller, not a fault of the upstream
+			for s.Active() > 0 && time.Now().Before(give) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			is.Equal(s.Active(), int64(0))
+		})
+	}
+}
