Do not count callers that leave as lost connections of the upstream

A sound upstream got no requests for a while after two callers in a row had left while their responses arrived, as readers of streams do.

Cause: when a caller leaves, the connection to the upstream is closed, and the read of the body fails. The outcome was a lost connection, and two of them in a row eject the upstream for 250 ms and more. Before the first byte the same is counted as canceled.

Ruled out: a caller that leaves while the entry instance writes to it (already canceled); a body that is still running at the request's deadline, which remains a lost connection.

Change: the outcome is canceled if the caller left.

Before: TestDisconnectIsNoFaultOfUpstream: '5 != 7', lost where canceled is due. After: passes.

--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -153,11 +153,15 @@
 		x.err = corianderwing.Errorf(corianderwing.CallerDisconnected, "%v", writeErr)
 	case readErr != nil:
 		resp.Discard()
-		resp.end(place.ConnectionLost)
 		x.err = corianderwing.Errorf(corianderwing.ResponseTruncated, "%v", readErr)
 		if x.ctx.Err() != nil {
 			x.err = relay.ContextError(x.ctx, corianderwing.Executed)
 		}
+		if x.err.Code == corianderwing.CallerDisconnected {
+			resp.end(place.Canceled) // the connection was closed because of the caller
+		} else {
+			resp.end(place.ConnectionLost)
+		}
 	default:
 		resp.end(resp.result())
 		return
