Show that a removed upstream finishes its requests

Operators of a similar system had work given up, or started again elsewhere, because a machine was silent for a while. Not possible here for requests that run on an upstream which misses its heartbeats, leaves, or whose domain is evacuated: its idle connections are closed, those in use when their request ends, and the request is not sent again.

No code changes.

--- a/io/gate/disconnect_test.go
+++ b/io/gate/disconnect_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"corianderwing"
+	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/follow"
 )
@@ -78,3 +79,51 @@
 		is.Equal((<-c.outcomes).Result, place.Canceled)
 	}
 }
+
+// Guards against requests that are cut off, or sent to another upstream, because
+// their upstream was silent for a while and was removed from the state.
+func TestRemovedUpstreamFinishesRequests(t *testing.T) {
+	for name, change := range map[string]func(*model.Upstream) *model.Command{
+		"silent": func(u *model.Upstream) *model.Command {
+			return &model.Command{Expire: []model.UpstreamRef{{ID: u.ID, Incarnation: u.Incarnation}}}
+		},
+		"left": func(u *model.Upstream) *model.Command {
+			return &model.Command{Remove: []model.UpstreamRef{{ID: u.ID, Incarnation: u.Incarnation}}}
+		},
+		"evacuated": func(u *model.Upstream) *model.Command {
+			return &model.Command{Evacuate: &model.Evacuation{Domain: u.Domain, On: true}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			started, release := make(chan struct{}, 8), make(chan struct{})
+			s, c := newOutcomeServer(t, func(w http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-release
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				io.WriteString(w, "done")
+			})
+			entry := httptest.NewServer(s)
+			defer entry.Close()
+			body := make(chan string)
+			go func() {
+				defer close(body)
+				resp, err := startCall(t.Context(), t, entry.URL)
+				if err == nil {
+					b, _ := io.ReadAll(resp.Body)
+					body <- string(b)
+				}
+			}()
+			<-started
+			next, err := c.view.Apply(change(c.upstream), time.Now())
+			is.NoErr(err)
+			for _, p := range s.pools {
+				p.sync(next, time.Now())
+			}
+			close(release)
+			is.Equal(<-body, "done")
+			is.Equal((<-c.outcomes).Result, place.Succeeded)
+			is.Equal(len(started), 0) // not sent again
+		})
+	}
+}
