Refuse requests without an ID

A request without an ID ran, at several upstreams if it may be repeated, and its caller got an error after the request's timeout; with an empty ID it could get the response to another request without one.

Cause: the echoed ID is what tells a response from a late copy of an earlier one. An empty ID matched a response with an empty ID; without an ID no response matched.

Ruled out, each in TestCopyBeforeResponse: copies with another ID, without one, with two, with the ID in a trailer or an interim response, without content, without a length, of a HEAD request; TestCopyAfterIdleCheck: a copy that arrives between the check of an idle connection and the next request on it. The data plane of serve makes its IDs itself, skips no response and closes the connection.

Before: TestRequestWithoutID: '504 != 400' after 4 s; TestCopyBeforeResponse/request_has_none: 'other != 502'. With the check of the ID switched off, all 11 cases and TestCopyAfterIdleCheck fail ('1 != 2').

Remains: a copy whose ID a later request on the same connection has as well, because callers used the same ID twice.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -238,6 +238,9 @@
 // readRequest reads the request's header and the prefix of its body, and checks
 // their sizes.
 func (x *exchange) readRequest() *corianderwing.Error {
+	if x.ask.ID == "" {
+		return corianderwing.Errorf(corianderwing.InvalidInput, "the request has no ID by which its response could be recognized")
+	}
 	limits := x.view.Items().Limits()
 	var size int
 	x.header, size = relay.EndToEndFields(x.r.Header, x.s.cfg.Dialect.InternalHeader)
--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -79,9 +79,9 @@
 }
 
 // check rejects a response that may belong to another request or whose end cannot be
-// detected.
+// detected. An empty ID identifies no request.
 func (r *Response) check(c Call) *corianderwing.Error {
-	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
+	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) || c.ID == "" {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
 	if r.isCloseDelimited() && !c.AllowCloseDelimited {
