--- a/core/raft/event.go
+++ b/core/raft/event.go
@@ -100,7 +100,8 @@
 //  1. send Immediate;
 //  2. persist Vote, then Snapshot, then Entries, and sync them;
 //  3. send Messages, and pass Persisted to Step if there were Entries;
-//  4. restore the machine from Snapshot if Restore is set, then apply Committed;
+//  4. restore the machine from Snapshot if Restore is set (or before 2, to store no
+//     snapshot that it cannot decode), then apply Committed;
 //  5. respond to the callers of Accepted, Rejected and Reads.
 type Effects struct {
 	Vote     *corianderwing.Vote
--- a/io/group/loop.go
+++ b/io/group/loop.go
@@ -159,6 +159,13 @@
 		}
 		g.pending.vote = nil
 	}
+	if e.Restore {
+		// Before it is stored: this replica could never start again with a snapshot
+		// that the machine cannot decode.
+		if err := g.machine.Restore(e.Snapshot.Data); err != nil {
+			return eris.Wrap(err, "restoring the machine")
+		}
+	}
 	if err := g.store.SaveSnapshot(*e.Snapshot); err != nil {
 		return eris.Wrap(err, "saving the snapshot")
 	}
@@ -166,9 +173,6 @@
 	if !e.Restore {
 		return nil
 	}
-	if err := g.machine.Restore(e.Snapshot.Data); err != nil {
-		return eris.Wrap(err, "restoring the machine")
-	}
 	g.applied = e.Snapshot.Index
 	for i, c := range g.logged {
 		if i <= g.applied {
