Do not let a successor carry out the decisions of a former leader

A leader that had been suspended could roll back a good move, or have upstreams removed, by what it had known before, although another instance led by then.

Cause: a decision that could not be committed was passed on to the instance that leads now, like an order of an operator. Its loops decide while they take themselves for the leader: a move's time has passed while the process did not run, and no samples or heartbeats came.

Ruled out: commits of the former leader itself, which consensus refuses; removal after more than 3.75 s of suspension (TestSuspendedLeaderRemovesNoUpstream); shares, loans and confirmations, which leave a leader only after a majority has confirmed it and end on the boot clock.

Change: ends of moves and removals of silent upstreams are proposed in the term in which they were decided, by the leader itself. The loops of the successor decide anew.

Before: TestDecisionOfEarlierTerm: 'ok != noleader', the command was committed. After: go test ./io/plane ./platform pass.

--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -225,7 +225,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-		err := p.propose(ctx, expireCommand(p.machine.View(), expired))
+		err := p.proposeInTerm(ctx, term, expireCommand(p.machine.View(), expired))
 		cancel()
 		for _, l := range expired {
 			p.log.Info().Str("upstream", string(l.ID)).Int("beats", maxMissedHeartbeats).Err(err).Msg("silent upstream removed")
--- a/io/plane/move.go
+++ b/io/plane/move.go
@@ -91,7 +91,7 @@
 		}
 		for _, m := range p.leaderState.endedMoves(term, p.machine.View(), time.Now()) {
 			ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-			err := p.propose(ctx, &model.Command{EndMove: &m})
+			err := p.proposeInTerm(ctx, term, &model.Command{EndMove: &m})
 			cancel()
 			p.log.Info().Str("pool", string(m.Pool)).Str("version", string(m.To)).Str("outcome", string(m.Outcome)).
 				Str("evidence", m.Evidence).Err(err).Msg("move ended")
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -151,11 +151,21 @@
 // propose commits a command. It returns an error if the state machine rejects
 // the command.
 func (p *Plane) propose(ctx context.Context, c *model.Command) error {
+	return commit(c, func(data []byte) ([]byte, error) { return p.replica.Propose(ctx, data) })
+}
+
+// proposeInTerm commits a decision of the leader of a term, unless another term has
+// begun.
+func (p *Plane) proposeInTerm(ctx context.Context, term corianderwing.Term, c *model.Command) error {
+	return commit(c, func(data []byte) ([]byte, error) { return p.replica.ProposeInTerm(ctx, term, data) })
+}
+
+func commit(c *model.Command, propose func([]byte) ([]byte, error)) error {
 	data, err := model.Encode(c)
 	if err != nil {
 		return corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
 	}
-	reply, err := p.replica.Propose(ctx, data)
+	reply, err := propose(data)
 	if err != nil {
 		return err
 	}
--- a/io/quorum/call.go
+++ b/io/quorum/call.go
@@ -117,6 +117,17 @@
 	return out, err
 }
 
+// ProposeInTerm commits a command if this replica leads in the given term. Unlike
+// Propose, it does not pass the command on to another leader: what a leader has
+// decided, for example before it was suspended, must not be carried out by its
+// successor, which knows better.
+func (r *Replica) ProposeInTerm(ctx context.Context, term corianderwing.Term, data []byte) ([]byte, error) {
+	if t, ok := r.IsLeader(); !ok || t != term {
+		return nil, corianderwing.Errorf(corianderwing.NoLeader, "%s does not lead in term %d", r.self, term)
+	}
+	return r.group.Load().Propose(ctx, data)
+}
+
 // Confirm returns an index that covers every command committed before the call, for
 // linearizable reads. This replica may not have applied it yet.
 func (r *Replica) Confirm(ctx context.Context) (corianderwing.Index, error) {
