Reject settings at which the YAML library panics

A running instance ended when its settings file was malformed in certain ways and it was told to read it again.

Cause: the YAML library panics at some inputs, and a reload runs in a goroutine of its own, where nothing recovers the panic.

Ruled out: validation and use of the settings, which the fuzz test covers as well.

Change: a panic of the decoder is an error like any other; the instance logs it and keeps its settings.

Before: go test -run FuzzParse ./io/node (found by a fuzz run of 11 s): 'panic: invalid memory address or nil pointer dereference'. After: passes; a fuzz run of 25 s found no other (its workers made no progress in the last seconds, not traced).

--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -94,7 +94,7 @@
 // platform may send them.
 func Parse(data []byte) (*Settings, error) {
 	s := &Settings{}
-	if err := yaml.NewDecoder(bytes.NewReader(data)).Decode(s); err != nil {
+	if err := decode(data, s); err != nil {
 		return nil, corianderwing.Errorf(corianderwing.InvalidInput, "settings: %v", err)
 	}
 	s.applyDefaults()
@@ -104,6 +104,17 @@
 	return s, nil
 }
 
+// decode decodes YAML. The library panics at some malformed files, and a running
+// instance reads its settings again at any moment.
+func decode(data []byte, s *Settings) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = fmt.Errorf("malformed YAML: %v", v)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data)).Decode(s)
+}
+
 // Defaults for settings that a platform may omit.
 const (
 	defaultHeartbeatInterval = Duration(1500 * time.Millisecond)
--- /dev/null
+++ b/io/node/settings_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"testing"
+
+	"corianderwing"
+)
+
+// FuzzParse guards against a settings file that ends a running process, which reads
+// it again after a signal: the YAML library panics at the last of these.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name: a\nrole: control\nip: 10.0.0.1\ndomain: d\nports: [7600,7615]\nseeds: [\"10.0.0.1:1\"]\ndata: d\ndomains: {\"a-1\": \"r\"}\nbounds:\n  over: 0.1\n"))
+	f.Add([]byte("name: [\n"))
+	f.Add([]byte("name: \"a\"\nrole: control\nip: 10.0.0.1\nports: !00000000000000000000000000000000000000000 00000000000\n000008:00000000: 000000000\n000008:\n  000000: 00\n000009: 0000"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse(data)
+		if err != nil {
+			if corianderwing.CodeOf(err) != corianderwing.InvalidInput {
+				t.Fatalf("error %v", err)
+			}
+			return
+		}
+		s.peerAddr()
+		s.seedPeerAddrs()
+		s.sourceIP()
+		s.listenAddr(s.Listen.Public)
+	})
+}
