End slow calls of upstreams and operators

An upstream or operator that did not send the rest of a call, or did not read its response, held its connection and the handler of a control instance for as long as it liked.

Cause: the servers limited the time for the header of a call only. The time limit of a call begins after its body was read.

Ruled out: the size of bodies (32 MB, others 64 KB).

Change: a call is read within 30 s, and its response written within 30 s. That holds for the servers of calls, lookups, readiness checks and metrics; requests of callers have deadlines of their own.

After: go test -race ./io/node, go test ./platform pass.

--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -19,7 +19,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = io.WriteString(w, n.meter.Report().Text()) // fails only if the client disconnected
 	})
-	_, err := n.serve(n.cfg.Listen.Metrics, mux)
+	_, err := n.serve(n.cfg.Listen.Metrics, mux, callTimeout)
 	return err
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -135,12 +135,12 @@
 		return err
 	}
 	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log)); err != nil {
+		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), callTimeout); err != nil {
 			return err
 		}
 	}
 	if cfg.Listen.Lookup != "" {
-		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane)); err != nil {
+		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane), callTimeout); err != nil {
 			return err
 		}
 	}
@@ -208,11 +208,11 @@
 		return err
 	}
 	var err error
-	if n.publicServer, err = n.serve(cfg.Listen.Public, g); err != nil {
+	if n.publicServer, err = n.serve(cfg.Listen.Public, g, 0); err != nil {
 		return err
 	}
 	if cfg.Listen.Ready != "" {
-		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready))
+		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready), callTimeout)
 	}
 	return err
 }
@@ -308,20 +308,14 @@
 	return err
 }
 
-// serve serves h on addr in the background until the instance is closed.
-func (n *Node) serve(addr string, h http.Handler) (*server, error) {
+// serve serves h on addr in the background until the instance is closed. A request
+// and its response may take the given time each; 0 for no limit.
+func (n *Node) serve(addr string, h http.Handler, timeout time.Duration) (*server, error) {
 	l, err := net.Listen("tcp", n.cfg.listenAddr(addr))
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
-	s := &server{listener: accept.Wrap(l), Server: http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          n.log.Std("", 0),
-		ConnContext:       accept.ConnContext,
-	}}
+	s := newServer(l, h, timeout, n.log)
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() {
 		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -337,6 +331,19 @@
 	listener *accept.Listener
 }
 
+func newServer(l net.Listener, h http.Handler, timeout time.Duration, lg *log.Logger) *server {
+	return &server{listener: accept.Wrap(l), Server: http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       timeout,
+		WriteTimeout:      timeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          lg.Std("", 0),
+		ConnContext:       accept.ConnContext,
+	}}
+}
+
 // shutdown stops the server. Connections that have been made are served, until ctx
 // ends.
 func (s *server) shutdown(ctx context.Context) error {
@@ -348,8 +355,12 @@
 // or about the same.
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = time.Minute
-	maxHeaderBytes    = 64 << 10
+	// callTimeout bounds the time in which a call of an upstream or an operator is
+	// read, and its response written. The largest take seconds on a slow link.
+	// Requests of callers have deadlines of their own.
+	callTimeout    = 30 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 64 << 10
 )
 
 // servePeers serves calls from other instances in the background.
