Let the shares of moves expire without a leader

An entry instance could keep sending the full share of requests to a new version on behalf of a control instance that had lost the leader, for as long as that lasted.

Cause: shares are valid for 3 s after the last update, but a control instance passed on the ones that it had, however old, and each heartbeat counted as an update.

Ruled out: the control instance's own allocator, which lowers old shares; a rolled back move that is part of the state; the circuit breaker of the entry instance.

Change: a control instance passes on shares for 3 s after the leader's confirmation.

Before: TestMoveSharesExpireWithoutLeader: '1 != 0'. After: go test ./io/plane passes.

--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -231,7 +231,9 @@
 	p.listInstances(b, r)
 	p.allocateShares(b, r, now)
 	p.trials = append(p.trials, b.Trials...)
-	r.MoveShares = p.moveShares
+	if now.Sub(p.confirmedAt) <= moveShareTTL {
+		r.MoveShares = p.moveShares // without a leader's confirmation they must expire
+	}
 	return r
 }
 
