--- a/core/model/hostile_test.go
+++ b/core/model/hostile_test.go
@@ -109,7 +109,7 @@
 		extreme.Fill(runs, names, s)
 		data, err := encMode.Marshal(s)
 		is.NoErr(err)
-		v, err := New().Update(Update{Revision: 1, Snapshot: data}, now)
+		v, err := New().Update(Update{Revision: s.Revision, Snapshot: data}, now)
 		if err != nil {
 			continue
 		}
@@ -125,3 +125,25 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against a view that goes back to an earlier revision, with upstreams that
+// have left since: an update holds the snapshot of another revision.
+func TestSnapshotOfOtherRevision(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMachine(func() time.Time { return now })
+	for i := range 3 {
+		m.Apply(corianderwing.Index(i+1), announce(t, i))
+	}
+	old, err := m.View().Save(now)
+	is.NoErr(err)
+	packed, err := pack(old)
+	is.NoErr(err)
+	m.Apply(4, announce(t, 4))
+	v := m.View()
+	for _, u := range []Update{{Revision: 9, Snapshot: old}, {Revision: 9, Packed: packed}} {
+		next, err := v.Update(u, now)
+		is.Equal(corianderwing.CodeOf(err), corianderwing.RevisionConflict)
+		is.Equal(next, v)
+	}
+}
--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -228,15 +228,8 @@
 	if u.Revision <= v.revision {
 		return v, nil
 	}
-	if u.Packed != nil {
-		plain, err := unpack(u.Packed)
-		if err != nil {
-			return v, err
-		}
-		return Load(plain, now)
-	}
-	if u.Snapshot != nil {
-		return Load(u.Snapshot, now)
+	if u.Packed != nil || u.Snapshot != nil {
+		return v.replace(u, now)
 	}
 	list, err := u.commandsAfter(v.revision)
 	if err != nil {
@@ -252,6 +245,26 @@
 	return next, nil
 }
 
+// replace returns the view of the update's snapshot. The snapshot must have the
+// update's revision, because the view must not go back to an earlier one.
+func (v *View) replace(u Update, now time.Time) (*View, error) {
+	plain := u.Snapshot
+	if u.Packed != nil {
+		var err error
+		if plain, err = unpack(u.Packed); err != nil {
+			return v, err
+		}
+	}
+	next, err := Load(plain, now)
+	if err != nil {
+		return v, err
+	}
+	if next.revision != u.Revision {
+		return v, corianderwing.Errorf(corianderwing.RevisionConflict, "update to revision %d has a snapshot of revision %d", u.Revision, next.revision)
+	}
+	return next, nil
+}
+
 // commandsAfter returns the commands of the update that follow a revision.
 func (u *Update) commandsAfter(r corianderwing.Revision) ([]*Command, error) {
 	encoded := u.Commands
