--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -51,8 +51,6 @@
 	if a.Error != nil {
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
-	// The control instance may lag behind the state of this instance, and the other
-	// way round.
 	u, ok := s.grantedUpstream(p.name, a)
 	if !ok {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
@@ -72,15 +70,17 @@
 	}, 0, nil
 }
 
-// grantedUpstream returns the upstream of a granted slot, if it may get requests of
-// the pool according to the newest state.
+// grantedUpstream returns the upstream of a granted slot, if this instance's state
+// allows new work of the pool there. The control instance may be behind: one that was
+// paused grants slots of upstreams that have left or drain since, and the state may
+// have changed while the request waited.
 func (s *Server) grantedUpstream(pool corianderwing.PoolID, a *plane.AcquireResponse) (*model.Upstream, bool) {
 	view, _ := s.cfg.Control.View()
 	u, ok := view.Upstream(a.Upstream)
-	if !ok || u.Pool != pool || u.Incarnation != a.Incarnation || u.Phase != corianderwing.Ready || view.Evacuated(u.Domain) {
+	if !ok || u.Pool != pool || u.Incarnation != a.Incarnation {
 		return nil, false
 	}
-	return u, true
+	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
 }
 
 // acquireLocal gets a slot from the allocator of this instance.
--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -80,12 +80,12 @@
 }
 
 // check rejects a response that may belong to another request or whose end cannot be
-// detected.
+// detected. An empty ID identifies no request.
 func (r *Response) check(c Call) *corianderwing.Error {
 	if hasSecondStatusLine(r.Response) {
 		return corianderwing.Errorf(corianderwing.ResponseTruncated, "a response broke off in its header, and another one follows")
 	}
-	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) {
+	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) || c.ID == "" {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
 	if hasUnknownFraming(r.Response) {
