Judge homes and their confirmation by one state

On a process that wakes up, both a change of the homes and its confirmation can arrive in between, so that the old homes pass as current.

Ruled out: asking for the confirmation of every request first; it costs a system call for requests that have no homes.

Change: the homes are read again after the question; only homes of an unchanged state count.

Before, TestHomesOfOneState: "stale_homes_test.go:116: 1 != 0" (ran outside its homes); it passes now.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -107,7 +107,7 @@
 		return corianderwing.Errorf(corianderwing.NoUpstream, "pool %s has no upstream", name)
 	}
 	x.buildPlacement()
-	if err := x.checkHomesCurrent(); err != nil {
+	if err := x.checkHomes(); err != nil {
 		return err
 	}
 	return x.takeToken()
--- a/io/gate/homes.go
+++ b/io/gate/homes.go
@@ -10,16 +10,16 @@
 
 // updateHomes reads the home regions of the request from the newest state. They may
 // have moved since the request was admitted: it waits for its body, for slots and
-// between attempts.
-func (x *exchange) updateHomes() {
+// between attempts. It reports whether the settings have changed.
+func (x *exchange) updateHomes() (changed bool) {
 	view, known := x.s.cfg.Control.View()
 	if !known || view.Items() == x.settings {
-		return
+		return false
 	}
 	x.settings = view.Items()
 	rule, ok := x.settings.MatchRule(x.r.Host, items.RequestPath(x.r.RequestURI))
 	if !ok {
-		return // the rule was deleted after the request was admitted
+		return true // the rule was deleted after the request was admitted
 	}
 	policy := x.tenure
 	if policy != nil {
@@ -28,23 +28,33 @@
 		}
 	}
 	x.placement.HomeRegions = items.HomeRegions(rule, policy)
+	return true
 }
 
-// checkHomesCurrent checks that the home regions of the request are still in force. An
-// instance that is cut off, or was paused, does not learn that they moved.
-func (x *exchange) checkHomesCurrent() *corianderwing.Error {
-	if len(x.placement.HomeRegions) == 0 || x.s.cfg.Control.IsCurrent() {
-		return nil
+// checkHomes updates the home regions of the request and checks that they are still in
+// force. An instance that is cut off, or was paused, does not learn that they moved.
+func (x *exchange) checkHomes() *corianderwing.Error {
+	x.updateHomes()
+	for len(x.placement.HomeRegions) > 0 {
+		current := x.s.cfg.Control.IsCurrent()
+		// A state that arrived in between is the one that was confirmed.
+		if x.updateHomes() {
+			continue
+		}
+		if !current {
+			return corianderwing.Errorf(corianderwing.StaleSettings, "home regions are not confirmed as current")
+		}
+		break
 	}
-	return corianderwing.Errorf(corianderwing.StaleSettings, "home regions are not confirmed as current")
+	return nil
 }
 
 // returnOutsideHomes returns a slot whose upstream is not, or may not be, in a home
 // region of the request, just before the request is sent. It reports whether it did.
 func (x *exchange) returnOutsideHomes(sl *slot) bool {
-	x.updateHomes()
+	err := x.checkHomes()
 	homes := x.placement.HomeRegions
-	if len(homes) == 0 || slices.Contains(homes, x.s.cfg.RegionOf(sl.upstream.Domain)) && x.checkHomesCurrent() == nil {
+	if len(homes) == 0 || err == nil && slices.Contains(homes, x.s.cfg.RegionOf(sl.upstream.Domain)) {
 		return false
 	}
 	x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -76,8 +76,7 @@
 // for it.
 func (x *exchange) acquireSlot() (*slot, time.Duration, *corianderwing.Error) {
 	for range maxUpstreamsTried {
-		x.updateHomes()
-		if err := x.checkHomesCurrent(); err != nil {
+		if err := x.checkHomes(); err != nil {
 			return nil, 0, err
 		}
 		sl, wait, err := x.waitForSlot()
--- a/io/gate/stale_homes_test.go
+++ b/io/gate/stale_homes_test.go
@@ -71,3 +71,48 @@
 		})
 	}
 }
+
+// wakingControl is a Control that receives the newest state and its confirmation just
+// before it is asked whether the state is current.
+type wakingControl struct {
+	*pausingControl
+	wake func()
+}
+
+func (c *wakingControl) IsCurrent() bool {
+	c.wake()
+	return true
+}
+
+// Guards against taking old homes for current ones on an instance that wakes up: the
+// state changed and was confirmed between the two looks at it.
+func TestHomesOfOneState(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int32
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}))
+	defer up.Close()
+	granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+	granting.view = withHomes(t, granting.view, 2, "r")
+	moved := withHomes(t, granting.view, 3, "s")
+	control := &wakingControl{wake: func() {}}
+	control.pausingControl = &pausingControl{grantingControl: granting, pause: func(*pausingControl) {
+		control.wake = func() { granting.view = moved } // at the check after the wait
+	}}
+	s := newTestServer(control, quiet)
+	defer s.Close()
+	s.NotifyChange()
+	for s.pool("files") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
+	r.Host = "shop.example"
+	r.Header.Set("X-Request-Id", "0000000000000001")
+	r.Header.Set("X-Key", "k-1")
+	s.ServeHTTP(w, r)
+	is.Equal(ran.Load(), int32(0))
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+}
