Keep each confirmation until the state has reached it

What callers would see: requests with homes refused as "not confirmed as current", and keyed ones later, on instances whose state is less than a second old.

In a control instance, core/fresh let go of confirmations only when somebody asked, and kept the 15 oldest if nobody did for 6 s.

Ruled out: a larger single slot, or taking the last one that fits: which one fits is known only when the state arrives.

Change: fresh.Tracker is immutable, drains itself with each confirmation and each change of the state, and serves the entry instance too, in place of logic of its own; Discard keeps the rule that a discarded state must reach the newest confirmed revision again.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/io/clock"
@@ -114,30 +115,26 @@
 	known      bool      // the view has reached a confirmed revision since it was last empty
 	freshUntil time.Time // end of the lease, on the boot clock
 
-	// confirmed is the last confirmation. It takes effect once the view has
-	// reached its revision.
-	confirmed struct {
-		revision corianderwing.Revision
-		until    time.Time
-	}
+	// confirmations holds what control instances confirmed. In place of a time each
+	// has the end of the lease that it gives.
+	confirmations fresh.Tracker
 }
 
-// applyConfirmation extends the lease if the view has reached the confirmed
-// revision. A view that has never reached one is not relied on at all: a control
-// instance that has just restarted may send a state in which upstreams are still
-// present that have left since.
-func (s *state) applyConfirmation() {
-	if s.confirmed.until.IsZero() || s.view.Revision() < s.confirmed.revision {
-		return
-	}
-	s.known = true
-	if s.confirmed.until.After(s.freshUntil) {
-		s.freshUntil = s.confirmed.until
+// reach extends the lease to that of the last confirmation that the view has reached.
+// A view that has never reached one is not relied on at all: a control instance that
+// has just restarted may send a state in which upstreams are still present that have
+// left since.
+func (s *state) reach() {
+	s.confirmations = s.confirmations.Reach(s.view.Revision())
+	c, ok := s.confirmations.Latest()
+	s.known = ok
+	if c.At.After(s.freshUntil) {
+		s.freshUntil = c.At
 	}
 }
 
 // lags reports whether the view lags behind the confirmed revision.
-func (s *state) lags() bool { return s.view.Revision() < s.confirmed.revision }
+func (s *state) lags() bool { return s.view.Revision() < s.confirmations.Newest().Revision }
 
 // New starts a Follower. Close stops it.
 func New(cfg Config, pc *peer.Client) *Follower {
@@ -220,10 +217,10 @@
 // it has the revision.
 func (f *Follower) confirm(r corianderwing.Revision, until time.Time) {
 	f.update(func(s *state) {
-		if r >= s.confirmed.revision {
-			s.confirmed.revision, s.confirmed.until = r, until
+		if r >= s.confirmations.Newest().Revision {
+			s.confirmations = s.confirmations.Confirm(fresh.Confirmation{Revision: r, At: until}, s.view.Revision())
 		}
-		s.applyConfirmation()
+		s.reach()
 	})
 }
 
@@ -273,14 +270,16 @@
 		f.cfg.Log.Error().Uint64("revision", uint64(u.Revision)).Err(err).Msg("update does not apply to the current state; requesting a snapshot")
 		// The next state may come from a control instance that lags behind, so it
 		// is not relied on before it has reached the confirmed revision again.
-		f.update(func(s *state) { s.view, s.known, s.freshUntil = model.New(), false, time.Time{} })
+		f.update(func(s *state) {
+			*s = state{view: model.New(), confirmations: s.confirmations.Discard()}
+		})
 	}
 	if err != nil {
 		return err
 	}
 	f.update(func(s *state) {
 		s.view = next
-		s.applyConfirmation()
+		s.reach()
 	})
 	if old.Revision() == 0 {
 		select {
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -107,3 +107,32 @@
 	is.True(known)
 	is.True(f.IsFresh())
 }
+
+// Guards against a state that counts as old although it trails by one heartbeat only:
+// each confirmation replaced the one before, whose revision the state was about to reach.
+func TestStateThatTrailsIsCurrent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f := &Follower{cfg: Config{
+		Lease: 4600 * time.Millisecond, CurrentFor: 2100 * time.Millisecond,
+		Now: func() time.Time { return now }, Log: &log.Logger{Level: log.PanicLevel},
+	}}
+	f.state.Store(&state{view: model.New()})
+	m := model.NewMachine(func() time.Time { return now })
+	for i := 1; i <= 20; i++ {
+		data, err := model.Encode(&model.Command{Evacuate: &model.Evacuation{Domain: "a", On: i%2 == 1}})
+		is.NoErr(err)
+		m.Apply(corianderwing.Index(i), data)
+	}
+	list, err := m.Updates(0)
+	is.NoErr(err)
+	for i := range list {
+		f.confirm(list[i].Revision, now.Add(f.cfg.Lease)) // a heartbeat
+		if i > 0 {
+			is.NoErr(f.apply(&list[i-1])) // the watch is one change behind
+			is.True(f.IsCurrent())
+			is.Equal(f.StateAge(), heartbeatInterval)
+		}
+		now = now.Add(heartbeatInterval)
+	}
+}
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -231,7 +231,8 @@
 	r := &HeartbeatResponse{}
 	// A revision that this instance has not reached must not be confirmed: the entry
 	// instance would wait here for changes that do not come.
-	if c, ok := p.freshness.Latest(p.machine.View().Revision()); ok {
+	p.freshness = p.freshness.Reach(p.machine.View().Revision())
+	if c, ok := p.freshness.Latest(); ok {
 		r.Confirmed, r.Revision = true, c.Revision
 		r.Age = corianderwing.Millis(now.Sub(c.At).Milliseconds() + 1)
 	}
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -187,7 +187,7 @@
 	}
 	if sentAt.After(p.confirmedAt) {
 		p.confirmedAt, p.confirmedRevision = sentAt, r.Revision
-		p.freshness.Confirm(fresh.Confirmation{Revision: r.Revision, At: sentAt})
+		p.freshness = p.freshness.Confirm(fresh.Confirmation{Revision: r.Revision, At: sentAt}, p.machine.View().Revision())
 	}
 	if r.InstancesVersion != p.instancesVersion {
 		p.instancesVersion, p.entries, p.controls = r.InstancesVersion, r.Entries, r.Controls
