Log which request an upstream ran when it crashed

The request log could not tell which of the requests that ran at an upstream is common to its crashes, nor whether the upstream ended or only the connection. A request that loses its connection now logs a fingerprint, and the entry instance opens a connection to the upstream: refused means crashed, and one that opens is kept for later requests.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
@@ -31,6 +32,7 @@
 	header      []relay.HeaderField
 	placement   place.Request
 	attemptLog  []attemptEntry
+	fingerprint crash.Fingerprint // empty until it is needed
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -36,6 +36,9 @@
 		e = e.Str("pool", string(x.pool.name))
 	}
 	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
+	if x.fingerprint != "" {
+		e = e.Str("fingerprint", string(x.fingerprint))
+	}
 	if len(x.attemptLog) > 0 {
 		e = e.Any("attempts", x.attemptLog)
 	}
@@ -70,5 +73,6 @@
 	From     corianderwing.DomainID   `json:"from,omitempty"` // failure domain whose allocator granted the slot; empty if this instance did
 	Expected corianderwing.Millis     `json:"expected"`       // until the first byte
 	First    corianderwing.Millis     `json:"first"`
-	Known    bool                     `json:"known,omitempty"` // the upstream was expected to know the object
+	Known    bool                     `json:"known,omitempty"`   // the upstream was expected to know the object
+	Crashed  bool                     `json:"crashed,omitempty"` // the upstream refused connections after the attempt had failed
 }
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -169,6 +169,7 @@
 			conns.Reset()
 		}
 		x.logAttempt(sl, err, out.ttfb)
+		x.checkCrash(conns, err)
 		return nil, err
 	}
 	verdict := x.s.cfg.Dialect.ParseResponse(resp.StatusCode, resp.Header)
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"corianderwing"
@@ -163,6 +165,22 @@
 	return cn, nil
 }
 
+// refusalCheckTime bounds the check whether an address refuses connections. Half of
+// it is for the dial.
+const refusalCheckTime = 2 * minDialTimeout
+
+// RefusesConnections opens a connection and reports whether the peer refused it
+// because nothing listens at the address any more. A connection that opens is kept
+// for later requests.
+func (p *ConnPool) RefusesConnections(ctx context.Context) bool {
+	cn, _, err := p.get(ctx, Call{NewConn: true, FirstByteDeadline: time.Now().Add(refusalCheckTime)})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(cn, "")
+	return false
+}
+
 // pop returns the most recently used idle connection that is still usable, or nil if
 // there is none that became idle at minIdleSince or later.
 func (p *ConnPool) pop(minIdleSince time.Time) *conn {
