Refuse requests that crash upstream after upstream

One request crashed each upstream that ran it and came again.

Cause: nothing remembered a request beyond its own attempts. Each failed attempt was blamed on the upstream alone, which is avoided, so the retry and the next instance chose a healthy one. Class of fault: a failure is attributed to the resource, never to the request, and each instance decides alone.

Now crashes are counted by fingerprint in the replicated state. A request that crashed three upstreams is refused as not run by all entry instances, and by one that cannot reach the control role as soon as it has seen three itself; this is checked again after the wait for a slot. A request that has crashed two is not retried by the same instance. An answer to an attempt sent after the last crash clears a suspect, a probe is granted to one instance at a time, and a lost connection counts only if a ready upstream refuses connections afterwards. Replicas of earlier versions count the new command as a revision and ignore its content.

--- a/code.go
+++ b/code.go
@@ -55,6 +55,7 @@
 	ClaimPending   Code = 404
 	NotOwner       Code = 405
 	Internal       Code = 406
+	Quarantined    Code = 407
 
 	ConnectFailed     Code = 500
 	SendFailed        Code = 501
@@ -110,6 +111,7 @@
 	ClaimPending:   {http.StatusConflict, ExecutionUnknown, "claimopen", "the first try of this order has no known outcome"},
 	NotOwner:       {http.StatusServiceUnavailable, NotExecuted, "notowner", "this instance does not own the pool"},
 	Internal:       {http.StatusInternalServerError, ExecutionUnknown, "internal", "an error inside the system"},
+	Quarantined:    {http.StatusServiceUnavailable, NotExecuted, "quarantined", "upstreams crash when they run this request"},
 
 	ConnectFailed:     {http.StatusBadGateway, NotExecuted, "connfail", "no connection to the upstream could be opened"},
 	SendFailed:        {http.StatusBadGateway, ExecutionUnknown, "sendfail", "the connection failed after bytes were sent"},
--- a/code_page_test.go
+++ b/code_page_test.go
@@ -43,6 +43,7 @@
 	ClaimPending:   "send the order again later with the same `Idempotency-Key`; do not use a new one",
 	NotOwner:       "send again; operators: if it lasts, check the contact between the instances of the failure domain",
 	Internal:       "report it with the request id; an order may have run",
+	Quarantined:    "do not send it again before `Retry-After`; operators: look for its fingerprint in the request log, and mend the upstream",
 
 	ConnectFailed:     "send again; operators: check the upstream",
 	SendFailed:        "send again; an order with the same `Idempotency-Key`",
--- a/core/model/codec.go
+++ b/core/model/codec.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/items"
 )
 
@@ -61,6 +62,7 @@
 	Evacuated       []corianderwing.DomainID                         `json:"evacuated,omitempty"`
 	Moves           []corianderwing.Move                             `json:"moves,omitempty"`
 	CurrentVersions map[corianderwing.PoolID]corianderwing.VersionID `json:"versions,omitempty"`
+	Suspects        []crash.Saved                                    `json:"suspects,omitempty"`
 	LastShortID     uint32                                           `json:"number"`
 }
 
@@ -78,6 +80,7 @@
 		Items:           v.items.Save(),
 		Evacuated:       slices.Sorted(maps.Keys(v.evacuated)),
 		CurrentVersions: v.currentVersions,
+		Suspects:        v.suspects.Save(),
 		LastShortID:     v.lastShortID,
 	}
 	for _, id := range sortedKeys(v.upstreams) {
@@ -107,6 +110,7 @@
 	}
 	v := New()
 	v.revision, v.lastShortID, v.items = s.Revision, s.LastShortID, items.Load(s.Items)
+	v.suspects = crash.Load(s.Suspects, now)
 	maps.Copy(v.currentVersions, s.CurrentVersions)
 	for _, su := range s.Upstreams {
 		u := &Upstream{Upstream: su.Upstream, ShortID: su.ShortID}
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 )
 
 // Announcement is an announced upstream in a command. WarmupRemaining is a duration,
@@ -29,17 +30,26 @@
 
 // Command is one change to the replicated state. Exactly one of its fields is
 // set, except for Announce, Remove and Expire, which a control instance batches
-// into one command.
+// into one command, and for Suspect, which NewSuspectCommand combines with Expire.
 type Command struct {
 	Edit     *corianderwing.Edit `json:"edit,omitempty"`
 	Announce []Announcement      `json:"announce,omitempty"`
 	Remove   []UpstreamRef       `json:"leave,omitempty"`
 	Expire   []UpstreamRef       `json:"expire,omitempty"` // removed for missing heartbeats; may return with the same incarnation
+	Suspect  []crash.Event       `json:"suspect,omitempty"`
 	Evacuate *Evacuation         `json:"evacuate,omitempty"`
 	Move     *corianderwing.Move `json:"move,omitempty"`    // starts a move
 	EndMove  *corianderwing.Move `json:"endmove,omitempty"` // records its outcome
 }
 
+// NewSuspectCommand returns a command with observations of requests that crash
+// upstreams. Replicas of earlier versions do not know the field. The command also
+// expires an upstream that does not exist, so that they count it as a revision like
+// all others.
+func NewSuspectCommand(list []crash.Event) *Command {
+	return &Command{Suspect: list, Expire: []UpstreamRef{{}}}
+}
+
 // Result is the result of a command. Error is nil if the state now is what the
 // command asks for, whether or not the command changed it.
 type Result struct {
@@ -112,7 +122,7 @@
 	return c.Edit == nil && len(c.Announce)+len(c.Remove)+len(c.Expire) > 0
 }
 
-// updateUpstreams applies announcements, removals and expirations to a view made
+// updateUpstreams applies announcements, removals, expirations and crashes to a view made
 // by cloneForUpdate.
 func (v *View) updateUpstreams(c *Command, now time.Time) {
 	for i := range c.Announce {
@@ -126,6 +136,9 @@
 			delete(v.upstreams, ref.ID)
 		}
 	}
+	if len(c.Suspect) > 0 {
+		v.suspects = v.suspects.Apply(c.Suspect, now)
+	}
 	v.revision++
 }
 
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -1,7 +1,7 @@
 // Package model is the replicated state of the control plane: settings items,
-// announced upstreams, version moves and evacuated failure domains. Control
-// instances and entry instances apply the same commands with the same code, so an
-// entry instance needs only the commands after its revision.
+// announced upstreams, version moves, evacuated failure domains, and requests that
+// crash upstreams. Control instances and entry instances apply the same commands with
+// the same code, so an entry instance needs only the commands after its revision.
 package model
 
 import (
@@ -10,6 +10,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/items"
 )
 
@@ -36,7 +37,8 @@
 	evacuated       map[corianderwing.DomainID]bool
 	moves           map[corianderwing.PoolID]corianderwing.Move
 	currentVersions map[corianderwing.PoolID]corianderwing.VersionID // versions that serve requests
-	lastShortID     uint32                                           // the last Upstream.ShortID assigned
+	suspects        *crash.Table
+	lastShortID     uint32 // the last Upstream.ShortID assigned
 	byPool          *poolIndex
 }
 
@@ -84,6 +86,9 @@
 	return v.byPool.pools
 }
 
+// Suspects returns the requests that are suspected of crashing upstreams.
+func (v *View) Suspects() *crash.Table { return v.suspects }
+
 // NumUpstreams returns the number of announced upstreams.
 func (v *View) NumUpstreams() int { return len(v.upstreams) }
 
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -33,6 +33,8 @@
 	placement   place.Request
 	attemptLog  []attemptEntry
 	fingerprint crash.Fingerprint // empty until it is needed
+	crashed     bool              // an upstream crashed while it ran the request
+	probeUntil  time.Time         // until when the request may be sent although it is quarantined; zero after it was
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/follow"
@@ -47,6 +49,12 @@
 func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (string, time.Duration, error) {
 	return "", 0, nil
 }
+func (c *grantingControl) ReportCrashes(context.Context, []crash.Event) (corianderwing.Revision, error) {
+	return 0, errors.New("no control instance")
+}
+func (c *grantingControl) ClaimProbe(context.Context, crash.Fingerprint, int) (bool, error) {
+	return false, errors.New("no control instance")
+}
 func (c *grantingControl) ReturnToken(string, corianderwing.WorkspaceID) {}
 func (c *grantingControl) Acquire(context.Context, *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool) {
 	return &plane.AcquireResponse{ID: 1, Upstream: c.upstream.ID, Incarnation: c.upstream.Incarnation, ExpectedLatency: 1000, MissLatency: 3000, ExpectHit: true},
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/alloc"
@@ -41,6 +42,12 @@
 	// lender, or the delay until a token may be available; zero means that no
 	// control instance has a share.
 	BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error)
+	// ReportCrashes makes observations of requests that crash upstreams part of the
+	// state. It returns the revision that includes them.
+	ReportCrashes(ctx context.Context, list []crash.Event) (corianderwing.Revision, error)
+	// ClaimProbe asks for the next probe of a quarantined request, after the given
+	// number of earlier ones, and reports whether this instance may make it.
+	ClaimProbe(ctx context.Context, f crash.Fingerprint, probes int) (bool, error)
 	// ReturnToken returns the token of a request that did not run.
 	ReturnToken(lender string, w corianderwing.WorkspaceID)
 	// Acquire requests a slot at an upstream and returns it with its source. It
@@ -52,6 +59,7 @@
 
 // Config configures an entry instance.
 type Config struct {
+	Instance corianderwing.InstanceID // ID of this instance
 	Domain   corianderwing.DomainID
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 	Control  Control
@@ -71,6 +79,7 @@
 	log       *log.Logger
 	meter     *meter.Meter
 	allocator *alloc.Allocator // allocates slots while the control instance is unreachable
+	suspects  *suspects
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -111,10 +120,12 @@
 		firstTimeouts: map[corianderwing.RouteID]time.Duration{},
 		viewChanged:   make(chan struct{}, 1),
 	}
+	s.suspects = newSuspects(&s.cfg)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.slotWaits, s.endWaits = context.WithCancelCause(s.ctx)
 	s.wg.Go(s.run)
 	s.wg.Go(func() { s.allocator.Run(s.ctx) })
+	s.wg.Go(func() { s.suspects.run(s.ctx) })
 	return s
 }
 
@@ -141,9 +152,10 @@
 	}
 }
 
-// sync updates limits, pools and the allocator from the state.
+// sync updates limits, pools, suspects and the allocator from the state.
 func (s *Server) sync() {
 	view, _ := s.cfg.Control.View()
+	s.suspects.sync(view)
 	limited := map[corianderwing.WorkspaceID]bool{}
 	view.Items().EachPolicy(func(t *corianderwing.WorkspacePolicy) {
 		if t.Rate > 0 {
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -61,6 +61,7 @@
 	slot     *slot
 	tracked  *trackedAttempt
 	load     place.LoadReport
+	sentAt   time.Time
 	ttfb     time.Duration // time to first byte
 	done     bool
 }
@@ -71,6 +72,9 @@
 		return
 	}
 	r.done = true
+	if result == place.Succeeded || result == place.ServerError {
+		r.exchange.recordAnswer(r.sentAt)
+	}
 	r.exchange.s.release(r.slot, r.tracked, place.Outcome{Result: result, Latency: r.ttfb - r.DialTime, DialTime: r.DialTime, Bytes: r.size(), Load: r.load})
 }
 
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -35,6 +35,11 @@
 	var last *corianderwing.Error
 	sent := 0
 	x.pool.earnRetry()
+	x.takeProbe()
+	defer x.returnProbe()
+	if err := x.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	for {
 		now := time.Now()
 		if !now.Before(x.deadline) {
@@ -49,11 +54,14 @@
 			x.retryDelay = wait
 			return nil, preferMayHaveRun(last, x.slotError(err))
 		}
-		if err := x.recheckKey(); err != nil {
+		if err := x.recheck(); err != nil {
 			x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
 			return nil, preferMayHaveRun(last, err)
 		}
 		resp, err := x.sendTo(sl)
+		if err == nil || err.Code != corianderwing.ConnectFailed {
+			x.probeUntil = time.Time{}
+		}
 		if err == nil && !x.shouldRetryResponse(resp, sent) {
 			return resp, nil
 		}
@@ -96,6 +104,14 @@
 	return err
 }
 
+// recheck checks again, after the wait for a slot, what may have changed meanwhile.
+func (x *exchange) recheck() *corianderwing.Error {
+	if err := x.recheckKey(); err != nil {
+		return err
+	}
+	return x.checkQuarantine()
+}
+
 // recheckKey checks that the key is still valid after the wait for a slot.
 func (x *exchange) recheckKey() *corianderwing.Error {
 	if x.rule.Public || x.tenure == nil {
@@ -143,7 +159,7 @@
 	if x.ctx.Err() != nil || !x.body.CanReplay() || sent >= x.maxTries() || len(x.placement.ExcludedUpstreams) >= maxUpstreamsTried {
 		return false
 	}
-	if err.Execution != corianderwing.NotExecuted && x.rule.AtMostOnce {
+	if err.Execution != corianderwing.NotExecuted && (x.rule.AtMostOnce || x.mayCrashAnother()) {
 		return false
 	}
 	switch err.Code {
@@ -160,7 +176,7 @@
 	tracked := sl.startAttempt(x.rule.Name, now)
 	conns := sl.pool.connsTo(sl.upstream)
 	resp, err := relay.Send(x.ctx, x.newCall(sl, conns, now))
-	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, ttfb: time.Since(now)}
+	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, sentAt: now, ttfb: time.Since(now)}
 	if err != nil {
 		x.s.release(sl, tracked, place.Outcome{Result: resultForError(err), Latency: out.ttfb})
 		if err.Code == corianderwing.FirstByteTimeout || err.Code == corianderwing.SendFailed {
@@ -169,7 +185,7 @@
 			conns.Reset()
 		}
 		x.logAttempt(sl, err, out.ttfb)
-		x.checkCrash(conns, err)
+		x.checkCrash(sl, conns, err)
 		return nil, err
 	}
 	verdict := x.s.cfg.Dialect.ParseResponse(resp.StatusCode, resp.Header)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -192,6 +192,7 @@
 		},
 	}, n.peerClient)
 	g := gate.New(gate.Config{
+		Instance: self.ID,
 		Domain:   cfg.Domain,
 		RegionOf: cfg.regionOf,
 		SourceIP: cfg.sourceIP(),
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -220,6 +220,7 @@
 		if !ok {
 			continue
 		}
+		p.expireSuspects()
 		expired := p.leaderState.expiredUpstreams(term, p.machine.View(), clock.Boot())
 		if len(expired) == 0 {
 			continue
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -140,6 +140,7 @@
 	peer.Handle(ps, BorrowMethod, func(_ context.Context, b *BorrowRequest) (*BorrowResponse, error) {
 		return p.borrow(b), nil
 	})
+	peer.Handle(ps, SuspectMethod, p.handleSuspects)
 	peer.Handle(ps, reportMethod, func(ctx context.Context, q *reportRequest) (*reportResponse, error) {
 		return p.handleReport(ctx, q)
 	})
@@ -151,22 +152,28 @@
 // propose commits a command. It returns an error if the state machine rejects
 // the command.
 func (p *Plane) propose(ctx context.Context, c *model.Command) error {
+	_, err := p.commit(ctx, c)
+	return err
+}
+
+// commit commits a command and returns the revision that includes it.
+func (p *Plane) commit(ctx context.Context, c *model.Command) (corianderwing.Revision, error) {
 	data, err := model.Encode(c)
 	if err != nil {
-		return corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
+		return 0, corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
 	}
 	reply, err := p.replica.Propose(ctx, data)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	result, err := model.DecodeResult(reply)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if result.Error != nil {
-		return result.Error
+		return 0, result.Error
 	}
-	return nil
+	return result.Revision, nil
 }
 
 // watchInterval is the minimum time between two updates of a watch. Changes that
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/core/quota"
@@ -133,6 +134,17 @@
 	Load          place.LoadReport     `json:"load,omitzero"`
 }
 
+// SuspectRequest reports requests that crashed upstreams, or claims a probe.
+type SuspectRequest struct {
+	Events []crash.Event `json:"events"`
+}
+
+// SuspectResponse answers a SuspectRequest once its events are part of the state.
+type SuspectResponse struct {
+	Revision corianderwing.Revision `json:"revision"`
+	Granted  bool                   `json:"granted,omitempty"` // the probe that the request claimed
+}
+
 type emptyResponse struct{}
 
 // ControlInstance is the address and location of a control instance.
@@ -199,6 +211,7 @@
 	AcquireMethod   = peer.Method[AcquireRequest, AcquireResponse]{Name: "SiteAcquire"}
 	ReleaseMethod   = peer.Method[ReleaseRequest, emptyResponse]{Name: "SiteRelease"}
 	HeartbeatMethod = peer.Method[HeartbeatRequest, HeartbeatResponse]{Name: "SiteBeat"}
+	SuspectMethod   = peer.Method[SuspectRequest, SuspectResponse]{Name: "SiteSuspect"}
 	WatchMethod     = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
 	reportMethod    = peer.Method[reportRequest, reportResponse]{Name: "SitePulse", Compressed: true}
 )
