--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -99,6 +99,19 @@
 	return len(t.suspects)
 }
 
+// Quarantined returns the number of quarantined suspects.
+func (t *Table) Quarantined() int {
+	n := 0
+	if t != nil {
+		for _, s := range t.suspects {
+			if s.Quarantined() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Lookup returns the suspect with a fingerprint. The caller must not modify it.
 func (t *Table) Lookup(f Fingerprint) (*Suspect, bool) {
 	if t == nil {
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -38,6 +38,7 @@
 	is.True(s.Retryable())
 	three := apply(two, start, crashed("a", 3))
 	is.True(quarantined(three))
+	is.Equal([]int{none.Quarantined(), two.Quarantined(), three.Quarantined()}, []int{0, 0, 1})
 	is.True(!quarantined(two)) // tables are immutable
 	is.True(!quarantined(apply(three, start, Event{Kind: Answered, Fingerprint: "a"})))
 	is.True(apply(three, start, Event{Kind: Answered, Fingerprint: "a"}, Event{Kind: Expired, Fingerprint: "b"}) == nil)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -257,6 +257,9 @@
 func (p *Plane) Measure(gauge func(name string, v int64)) {
 	gauge("revision", int64(p.machine.View().Revision()))
 	gauge("upstreams", int64(p.machine.View().NumUpstreams()))
+	suspects := p.machine.View().Suspects()
+	gauge("suspects", int64(suspects.Len()))
+	gauge("quarantined", int64(suspects.Quarantined()))
 	leads := int64(0)
 	if _, ok := p.replica.IsLeader(); ok {
 		leads = 1
