Log fingerprints only of requests that lost a connection or are suspects

While any request was suspected, each request was logged with its fingerprint, 50 bytes a line for up to ten minutes.

--- a/core/crash/fingerprint_test.go
+++ b/core/crash/fingerprint_test.go
@@ -31,3 +31,12 @@
 		seen[f] = true
 	}
 }
+
+// BenchmarkFingerprint measures what each request costs while any is suspected.
+func BenchmarkFingerprint(b *testing.B) {
+	r := Request{Method: "GET", Host: "shop.example", URI: "/files/16/5e4b", Workspace: "main"}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Fingerprint()
+	}
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -33,6 +33,7 @@
 	placement   place.Request
 	attemptLog  []attemptEntry
 	fingerprint crash.Fingerprint // empty until it is needed
+	suspected   bool              // the request lost a connection, or is a suspect
 	crashed     bool              // an upstream crashed while it ran the request
 	probeUntil  time.Time         // until when the request may be sent although it is quarantined; zero after it was
 	ctx         context.Context
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -36,7 +36,7 @@
 		e = e.Str("pool", string(x.pool.name))
 	}
 	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
-	if x.fingerprint != "" {
+	if x.suspected {
 		e = e.Str("fingerprint", string(x.fingerprint))
 	}
 	if len(x.attemptLog) > 0 {
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -193,7 +193,9 @@
 	if t.Len() == 0 {
 		return nil, false // the fingerprint is not needed
 	}
-	return t.Lookup(x.identify())
+	s, ok := t.Lookup(x.identify())
+	x.suspected = x.suspected || ok
+	return s, ok
 }
 
 // takeProbe makes the request a probe if it is quarantined and a probe is due.
@@ -232,6 +234,7 @@
 		return
 	}
 	x.identify()
+	x.suspected = true
 	conns := sl.pool.connsTo(sl.upstream)
 	if !conns.RefusesConnections(x.s.ctx) {
 		return
