Report crashes less often to a control role that does not accept them

A control instance of an earlier version does not know the call: entry instances repeated the report every 200 ms for good. The delay doubles up to 3.2 s. TestQuarantineWithoutControl shows that the report still arrives.

--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -61,7 +61,8 @@
 		is.True(len(c.crashes) <= 4)
 		is.Equal(c.machine.View().Suspects().Len(), 0)
 		c.control[0].cut = false
-		time.Sleep(time.Second)
+		time.Sleep(maxCrashReportRetry)
+		synctest.Wait()
 		is.Equal(c.machine.View().Suspects().Len(), 1) // reported later
 	})
 }
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -17,8 +17,10 @@
 
 const (
 	// crashReportRetry is the delay before a report of crashes that failed is sent
-	// again.
-	crashReportRetry = 200 * time.Millisecond
+	// again. It doubles with each failure, up to maxCrashReportRetry: a control instance
+	// of an earlier version never accepts one.
+	crashReportRetry    = 200 * time.Millisecond
+	maxCrashReportRetry = 3200 * time.Millisecond
 	// maxObservations bounds the observations that wait to become part of the state.
 	maxObservations = 256
 	// probeTTL is how long after its grant a probe may be sent: longer than upstreams
@@ -110,8 +112,8 @@
 		case <-ctx.Done():
 			return
 		}
-		for !q.report(ctx) {
-			if !clock.Sleep(ctx, crashReportRetry) {
+		for delay := crashReportRetry; !q.report(ctx); delay = min(2*delay, maxCrashReportRetry) {
+			if !clock.Sleep(ctx, delay) {
 				return
 			}
 		}
