Make the fake site of the crash tests safe for the race detector

TestQuarantineWithoutControl changed a field that the reporting goroutine reads, and two commands could be applied out of order. The program itself shows no race: go test -race -count=10 ./io/gate passes.

--- a/io/gate/crash_fake_test.go
+++ b/io/gate/crash_fake_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -39,6 +40,9 @@
 	servers []*Server
 	control []*crashControl
 
+	log   sync.Mutex // commands are applied in order
+	index corianderwing.Index
+
 	mu      sync.Mutex
 	bad     map[string]bool                     // by path: crashes the upstream that runs it
 	lost    map[string]bool                     // by path: the connection closes without a response
@@ -47,7 +51,6 @@
 	conns   map[string][]net.Conn               // by address
 	started int                                 // upstreams started so far
 	next    int                                 // next upstream to be granted
-	index   corianderwing.Index
 	crashes []time.Time
 	runs    map[string]int // by path
 }
@@ -96,11 +99,10 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	c.mu.Lock()
+	c.log.Lock()
 	c.index++
-	i := c.index
-	c.mu.Unlock()
-	result, err := model.DecodeResult(c.machine.Apply(i, data))
+	result, err := model.DecodeResult(c.machine.Apply(c.index, data))
+	c.log.Unlock()
 	if err != nil || result.Error != nil {
 		c.t.Fatal(err, result.Error)
 	}
@@ -249,10 +251,8 @@
 	grantingControl
 	site *crashSite
 
-	mu  sync.Mutex
-	cut bool // the control role cannot be reached
-
-	beforeGrant func() // called before each grant; optional
+	cut         atomic.Bool // the control role cannot be reached
+	beforeGrant func()      // called before each grant; optional
 }
 
 func (c *crashControl) View() (*model.View, bool) { return c.site.machine.View(), true }
@@ -270,9 +270,7 @@
 }
 
 func (c *crashControl) ReportCrashes(_ context.Context, list []crash.Event) (corianderwing.Revision, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cut {
+	if c.cut.Load() {
 		return 0, errors.New("no answer")
 	}
 	return c.site.apply(model.NewSuspectCommand(list)), nil
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -55,12 +55,12 @@
 // reach the control role: it counts what it has seen itself.
 func TestQuarantineWithoutControl(t *testing.T) {
 	onCrashSite(t, 1, func(is *is.I, c *crashSite) {
-		c.control[0].cut = true
+		c.control[0].cut.Store(true)
 		c.setBad("/bad", true)
 		every(300*time.Millisecond, 30*time.Second, func(int) { c.send(0, "/bad", "k-1") })
 		is.True(len(c.crashes) <= 4)
 		is.Equal(c.machine.View().Suspects().Len(), 0)
-		c.control[0].cut = false
+		c.control[0].cut.Store(false)
 		time.Sleep(maxCrashReportRetry)
 		synctest.Wait()
 		is.Equal(c.machine.View().Suspects().Len(), 1) // reported later
