--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
@@ -33,6 +34,10 @@
 	header      []relay.HeaderField
 	placement   place.Request
 	attemptLog  []attemptEntry
+	fingerprint crash.Fingerprint // empty until it is needed
+	suspected   bool              // the request lost a connection, or is a suspect
+	crashed     bool              // an upstream crashed while it ran the request
+	probeUntil  time.Time         // until when the request may be sent although it is quarantined; zero after it was
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -82,6 +82,7 @@
 	slot     *slot
 	tracked  *trackedAttempt
 	load     place.LoadReport
+	sentAt   time.Time
 	ttfb     time.Duration // time to first byte
 	done     bool
 }
@@ -92,6 +93,9 @@
 		return
 	}
 	r.done = true
+	if result == place.Succeeded || result == place.ServerError {
+		r.exchange.recordAnswer(r.sentAt)
+	}
 	r.exchange.s.release(r.slot, r.tracked, place.Outcome{Result: result, Latency: r.ttfb - r.DialTime, DialTime: r.DialTime, Bytes: r.size(), Load: r.load})
 }
 
@@ -163,6 +167,7 @@
 		} else {
 			resp.end(place.ConnectionLost)
 		}
+		x.checkCrash(resp.slot, x.err)
 	default:
 		resp.end(resp.result())
 		return
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -142,6 +142,7 @@
 	peer.Handle(ps, BorrowMethod, func(_ context.Context, b *BorrowRequest) (*BorrowResponse, error) {
 		return p.borrow(b), nil
 	})
+	peer.Handle(ps, SuspectMethod, p.handleSuspects)
 	peer.Handle(ps, reportMethod, func(ctx context.Context, q *reportRequest) (*reportResponse, error) {
 		return p.handleReport(ctx, q)
 	})
@@ -153,32 +154,39 @@
 // propose commits a command. It returns an error if the state machine rejects
 // the command.
 func (p *Plane) propose(ctx context.Context, c *model.Command) error {
+	_, err := p.commit(ctx, c)
+	return err
+}
+
+// commit commits a command and returns the revision that includes it.
+func (p *Plane) commit(ctx context.Context, c *model.Command) (corianderwing.Revision, error) {
 	return commit(c, func(data []byte) ([]byte, error) { return p.replica.Propose(ctx, data) })
 }
 
 // proposeInTerm commits a decision of the leader of a term, unless another term has
 // begun.
 func (p *Plane) proposeInTerm(ctx context.Context, term corianderwing.Term, c *model.Command) error {
-	return commit(c, func(data []byte) ([]byte, error) { return p.replica.ProposeInTerm(ctx, term, data) })
+	_, err := commit(c, func(data []byte) ([]byte, error) { return p.replica.ProposeInTerm(ctx, term, data) })
+	return err
 }
 
-func commit(c *model.Command, propose func([]byte) ([]byte, error)) error {
+func commit(c *model.Command, propose func([]byte) ([]byte, error)) (corianderwing.Revision, error) {
 	data, err := model.Encode(c)
 	if err != nil {
-		return corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
+		return 0, corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
 	}
 	reply, err := propose(data)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	result, err := model.DecodeResult(reply)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if result.Error != nil {
-		return result.Error
+		return 0, result.Error
 	}
-	return nil
+	return result.Revision, nil
 }
 
 // watchInterval is the minimum time between two updates of a watch. Changes that
@@ -270,6 +278,9 @@
 func (p *Plane) Measure(gauge func(name string, v int64)) {
 	gauge("revision", int64(p.machine.View().Revision()))
 	gauge("upstreams", int64(p.machine.View().NumUpstreams()))
+	suspects := p.machine.View().Suspects()
+	gauge("suspects", int64(suspects.Len()))
+	gauge("quarantined", int64(suspects.Quarantined()))
 	leads := int64(0)
 	if _, ok := p.replica.IsLeader(); ok {
 		leads = 1
