Bound slow callers in the data plane of serve as well

Ruled out: bodies that stop while they are streamed (stopBodyRead).

Before: TestRejectionDoesNotWaitForBody: 'read pipe: i/o timeout' after a minute of virtual time; TestCallerThatDoesNotRead: connection still open a minute after the deadline. After: go test ./io/entry passes. BenchmarkDecision does not run the changed lines; it was not measured.

--- a/io/entry/response.go
+++ b/io/entry/response.go
@@ -22,9 +22,30 @@
 	}
 	x.headerWritten = true
 	x.w.Header().Set(hRequest, string(x.id))
+	if e.Code != corianderwing.BodyTruncated { // the body's own deadline has passed
+		x.limitBodyWait()
+	}
 	writeError(x.w, e)
 }
 
+const (
+	// bodyWait is how long a rejection waits for the rest of the request's body. The
+	// HTTP server reads up to 256 KB of it before it responds, and a caller may send
+	// it as late as it likes.
+	bodyWait = 500 * time.Millisecond
+	// writeSlack is how long after the request's deadline a caller that does not read
+	// its response is given up.
+	writeSlack = 500 * time.Millisecond
+)
+
+// limitBodyWait limits the time for which the rejection waits for a body of which
+// nothing has been read.
+func (x *exchange) limitBodyWait() {
+	if x.body == nil && x.r.Body != nil && x.r.Body != http.NoBody && x.r.ContentLength != 0 {
+		http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyWait))
+	}
+}
+
 // writeError writes an error response with its headers and JSON body.
 func writeError(w http.ResponseWriter, e *corianderwing.Error) {
 	h := w.Header()
@@ -52,6 +73,7 @@
 	x.code, x.execution, x.status = corianderwing.OK, corianderwing.Executed, resp.StatusCode
 	setResponseHeader(x.w.Header(), resp, x.id)
 	x.headerWritten = true
+	rc.SetWriteDeadline(x.deadline.Add(writeSlack)) // net/http resets it after the response
 	x.w.WriteHeader(resp.StatusCode)
 	err := copyBody(x.w, resp, rc)
 	stopBodyRead(x.body, rc)
