Leave a control instance whose state is too old out of the list

What callers would see: more requests at an upstream than it bears, cold ones first, while a control instance lags.

Two allocators, each taking itself for the only one, grant the same slots. Away from the list's nearest one, the domain's entry instances also stayed with whichever instance a probe found first, at times in another region, where they allocate slots themselves.

Ruled out: two allocators that know of each other (Setup.Allocators): halves the slots of a domain that has one allocator in practice.

Change: reports tell the revision of the sender's state; the leader leaves an instance out of the list, like a lost one, once its state is over 1.5 s old (core/fresh again), and takes it back when it has caught up. Instances of earlier versions do not report it and stay.

Before, TestLaggingControlAllocatesForNobody fails at "is.True(!listed("c"))": nothing left the list (the fields it needs did not exist).

--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
@@ -45,8 +46,37 @@
 
 // controlRecord is a control instance that sends reports.
 type controlRecord struct {
-	instance   ControlInstance
-	lastReport time.Time
+	instance    ControlInstance
+	firstReport time.Time
+	lastReport  time.Time
+	freshness   fresh.Tracker // of its state, as far as it reported
+}
+
+// maxStateAge is the age of its state above which a control instance is left out of the
+// list, like a lost one: entry instances leave it too, and all of them must agree which
+// one allocates the slots of its failure domain.
+const maxStateAge = 1500 * time.Millisecond
+
+// lags reports whether the state of the control instance is too old.
+func (c *controlRecord) lags(now time.Time) bool {
+	newest := c.firstReport
+	if reached, ok := c.freshness.Latest(); ok && reached.At.After(newest) {
+		newest = reached.At
+	}
+	return now.Sub(newest) > maxStateAge
+}
+
+// record records a report while the leader's state has the given revision.
+func (c *controlRecord) record(q *reportRequest, newest corianderwing.Revision, now time.Time) {
+	if c.firstReport.IsZero() {
+		c.firstReport = now
+	}
+	have := newest
+	if q.Revision != nil {
+		have = *q.Revision
+	}
+	c.lastReport = now
+	c.freshness = c.freshness.Confirm(fresh.Confirmation{Revision: newest, At: now}, have)
 }
 
 func newLeaderState(heartbeatInterval time.Duration) *leaderState {
@@ -119,7 +149,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureTerm(term, now)
-	l.controls[q.Replica] = controlRecord{ControlInstance{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
+	c := l.controls[q.Replica]
+	c.instance = ControlInstance{quorum.AddrOf(q.Replica), q.Domain, q.Region}
+	c.record(q, l.revision(), now)
+	l.controls[q.Replica] = c
 	for _, d := range q.Loads {
 		l.loans.loads[reportKey{q.Replica, d.Domain}] = domainReport{l.regionOf(d.Domain), d.Loads, now}
 	}
@@ -134,7 +167,8 @@
 	}
 }
 
-// liveInstances returns the live entry and control instances and the version of
+// liveInstances returns the live entry instances, the live control instances whose
+// state is not too old, and the version of
 // both lists.
 func (l *leaderState) liveInstances(term corianderwing.Term, now time.Time) (uint64, []corianderwing.Instance, []ControlInstance) {
 	l.mu.Lock()
@@ -155,7 +189,9 @@
 			delete(l.controls, id)
 			continue
 		}
-		controls = append(controls, c.instance)
+		if !c.lags(now) {
+			controls = append(controls, c.instance)
+		}
 	}
 	slices.SortFunc(controls, func(a, b ControlInstance) int { return compare(a.PeerAddr, b.PeerAddr) })
 	if l.instancesVersion == 0 || !slices.EqualFunc(entries, l.entryList, sameInstance) || !slices.Equal(controls, l.controlList) {
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -134,6 +134,8 @@
 		Loads:            p.allocators.loads(),
 		LoansVersion:     p.loansVersion,
 	}
+	revision := p.machine.View().Revision()
+	q.Revision = &revision
 	p.trials = nil
 	for id, b := range p.localEntries {
 		age := now.Sub(b.lastHeartbeat)
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -177,6 +177,8 @@
 	Trials           []Trial                   `json:"trials,omitempty"`
 	Loads            []domainLoads             `json:"loads,omitempty"`
 	LoansVersion     uint64                    `json:"knownlots,omitempty"`
+	// Revision is that of the sender's own state; nil from earlier versions.
+	Revision *corianderwing.Revision `json:"state,omitempty"`
 }
 
 // domainLoads contains the loads of a failure domain whose slots the sender
