Close connections that are opened to an upstream after its removal

Cause: the pool of a removed upstream is reset, which closes its idle connections and marks those in use. A connection that an attempt opens just afterwards has the new epoch and is kept in a pool that nothing refers to any more: neither the timer that closes idle connections nor the stop of the instance reaches it.

Ruled out: resetting twice, or later. Any fixed delay is shorter than some attempt.

Change: ConnPool.Close, after which no connection is kept. The gate uses it for removed and replaced upstreams and when it stops.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -242,7 +242,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.eachUpstream(func(h *upstreamConns) { h.Reset() })
+		p.eachUpstream(func(h *upstreamConns) { h.Close() })
 	}
 }
 
--- a/io/gate/pool.go
+++ b/io/gate/pool.go
@@ -50,7 +50,7 @@
 	for id, h := range p.conns {
 		if u, ok := v.Upstream(id); !ok || u.Pool != p.name || u.Incarnation != h.incarnation {
 			delete(p.conns, id)
-			h.Reset()
+			h.Close()
 		}
 	}
 	return p.moveStats.update(v, p.name, now)
@@ -65,7 +65,7 @@
 		return h
 	}
 	if ok {
-		h.Reset()
+		h.Close()
 	}
 	h = &upstreamConns{incarnation: u.Incarnation}
 	h.Addr, h.Dial, h.MaxIdle = u.Addr, p.dial, maxIdleConns
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -66,9 +66,10 @@
 	AcquireConn func() bool // reserves a new connection; false if the limit is reached; nil for no limit
 	ReleaseConn func()      // releases a reserved connection; may be nil
 
-	mu    sync.Mutex
-	idle  []*conn
-	epoch uint64 // connections of an earlier epoch are not reused
+	mu     sync.Mutex
+	idle   []*conn
+	epoch  uint64 // connections of an earlier epoch are not reused
+	closed bool
 }
 
 // conn is a connection to an upstream or to another entry instance. It serves one
@@ -192,7 +193,7 @@
 	c.idleSince = time.Now()
 	c.usableUntil = keepAliveDeadline(keepAlive, c.idleSince)
 	p.mu.Lock()
-	keep := c.epoch == p.epoch && len(p.idle) < p.MaxIdle
+	keep := !p.closed && c.epoch == p.epoch && len(p.idle) < p.MaxIdle
 	if keep {
 		p.idle = append(p.idle, c)
 	}
@@ -237,6 +238,15 @@
 	p.CloseIdle(0)
 }
 
+// Close closes the idle connections, and those in use or being opened when their
+// request ends.
+func (p *ConnPool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle(0)
+}
+
 // CloseIdle closes the connections that have been idle for at least d.
 func (p *ConnPool) CloseIdle(d time.Duration) {
 	now := time.Now()
