Spare an upstream at the entry instance once its responses say that it leaves

Cause: an upstream that leaves says so in its responses (Server-Leaving). Nothing read the header, so an entry instance went on sending requests there until the shared state said so; a control instance that is out of touch never does. The rule binds the instance that passed the response on.

Ruled out: keeping it by address (addresses are assigned anew), ending it with a response without the header (responses overtake each other) and asking the allocator alone (its slots are granted before the header arrives).

Change: core/notice decides, as a function of what was heard from an incarnation of an upstream. The gate keeps that beside the upstream's connections; the request path reads it from an atomic pointer. Requests for slots exclude spared upstreams. The check is repeated when the slot is granted and, as a hook of relay.Send, when the connection is open; the slot is then given back, no retry is spent, and after four such slots the request is rejected as not run. The header counts as soon as it is read, before the body. What was heard survives an upstream that is missing from the state for up to a minute and ends with the incarnation. An attempt that was begun at an incarnation before it ended is abandoned too: what its successor says would be attributed to it.

Evidence: lines 'sparing an upstream' and 'no longer sparing an upstream', counters spare.leaving, spare.ended, spare.slots, and 'spared' in the line of a request.

Tests: go test ./io/gate; TestNoticesAreObeyed draws orders of events in virtual time.

--- a/dialect.go
+++ b/dialect.go
@@ -29,6 +29,7 @@
 	Running           int  // requests in progress at the upstream, excluding this one
 	Waiting           int
 	Warmup            Millis // remaining warm-up time of the upstream
+	Leaving           bool   // the upstream announces that it is leaving
 }
 
 // Dialect maps between the HTTP headers and statuses of a deployment and the
--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -1,10 +1,12 @@
 package gate
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/place"
 	"corianderwing/io/follow"
 	"corianderwing/io/logs"
 	"corianderwing/io/soak"
@@ -99,3 +102,76 @@
 		v.logRequest()
 	}
 }
+
+// decide chooses an upstream for a request, up to the first byte that would be
+// sent, with or without the checks of what upstreams said of themselves.
+func decide(b *testing.B, x *exchange, checked bool) {
+	b.Helper()
+	wait := x.waitForSlotUnchecked
+	if checked {
+		wait = x.waitForSlot
+	}
+	sl, _, err := wait(time.Now())
+	if err == nil {
+		err = x.recheckKey()
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	conns := x.pool.connsTo(sl.upstream)
+	sl.exchange, sl.notice = x, conns.notice
+	if checked && (x.judgeSlot(sl).Refused() || sl.CheckSend() != nil) {
+		b.Fatal("refused")
+	}
+	x.s.release(sl, nil, place.Outcome{Result: place.Succeeded})
+}
+
+// BenchmarkDecision measures the choice of an upstream with the checks of what
+// upstreams said of themselves. The metric "ratio" compares it with the choice
+// without them, in alternating batches, so that load on the machine hits both.
+func BenchmarkDecision(b *testing.B) {
+	control := newGrantingControl(b, "127.0.0.1:1")
+	s := newTestServer(control, quiet)
+	defer s.Close()
+	s.NotifyChange()
+	for s.pool("files") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
+	r.Host = "shop.example"
+	r.Header.Set("X-Request-Id", "21f4b6f1a2b48370")
+	r.Header.Set("X-Key", "k-1")
+	x := &exchange{s: s, r: r, start: time.Now(), ctx: b.Context()}
+	x.ask = s.cfg.Dialect.ParseRequest(r, x.start)
+	if err := x.admit(); err != nil {
+		b.Fatal(err)
+	}
+	const batch = 50
+	b.ReportAllocs()
+	var took [2][]time.Duration // unchecked, checked
+	for n := 0; b.Loop(); n++ {
+		for i := range took {
+			i = (i + n) % len(took)
+			start := time.Now()
+			for range batch {
+				decide(b, x, i == 1)
+			}
+			took[i] = append(took[i], time.Since(start))
+		}
+	}
+	for i := range took {
+		slices.Sort(took[i])
+	}
+	median := len(took[0]) / 2
+	b.ReportMetric(float64(took[0][median].Nanoseconds())/batch, "unchecked-ns")
+	b.ReportMetric(float64(took[1][median].Nanoseconds())/batch, "checked-ns")
+	b.ReportMetric(float64(took[1][median])/float64(took[0][median]), "ratio")
+}
+
+// waitForSlotUnchecked is waitForSlot without the exclusion of upstreams.
+func (x *exchange) waitForSlotUnchecked(now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	defer context.AfterFunc(x.s.slotWaits, cancel)()
+	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -31,6 +31,8 @@
 	header      []relay.HeaderField
 	placement   place.Request
 	attemptLog  []attemptEntry
+	spared      []sparedUpstream // upstreams that the request avoided
+	sparedSlots int              // slots that it gave back to spare their upstream
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/alloc"
+	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 	"corianderwing/io/meter"
 	"corianderwing/io/plane"
@@ -60,7 +61,8 @@
 	Dial     relay.DialFunc // default: TCP
 	SourceIP net.IP         // local address of TCP connections; nil for any
 	Log      *log.Logger
-	Meter    *meter.Meter // default: a new one
+	Meter    *meter.Meter     // default: a new one
+	Boot     func() time.Time // boot clock; default: clock.Boot
 	// RetryRatio is the fraction of a pool's requests that may be retried.
 	RetryRatio float64
 }
@@ -101,6 +103,9 @@
 	if cfg.Meter == nil {
 		cfg.Meter = meter.New()
 	}
+	if cfg.Boot == nil {
+		cfg.Boot = clock.Boot
+	}
 	s := &Server{
 		cfg:           cfg,
 		log:           cfg.Log,
@@ -159,9 +164,11 @@
 		}
 	}
 	shares := map[corianderwing.RequestID]float64{}
+	boot := s.cfg.Boot()
 	for _, p := range s.pools {
-		move, share := p.sync(view, now)
+		move, share, ended := p.sync(view, now, boot)
 		shares[move] = share
+		s.logEnded(p.name, ended)
 	}
 	s.mu.Unlock()
 	s.allocator.Sync(view, alloc.SyncParams{
--- a/io/gate/pool.go
+++ b/io/gate/pool.go
@@ -19,12 +19,15 @@
 	conns     map[corianderwing.UpstreamID]*upstreamConns
 	budget    retryBudget
 	moveStats moveStats
+	notices   notices
+	view      *model.View // as of the last sync; nil before
 }
 
 // upstreamConns is the connection pool of one incarnation of an upstream.
 type upstreamConns struct {
 	relay.ConnPool
 	incarnation corianderwing.Incarnation
+	notice      *upstreamNotice
 }
 
 // maxIdleConns is the maximum number of idle connections kept per upstream.
@@ -39,36 +42,48 @@
 		dial:   dial,
 		conns:  map[corianderwing.UpstreamID]*upstreamConns{},
 		budget: newRetryBudget(ratio),
+
+		notices: newNotices(),
 	}
 }
 
 // sync updates the pool from the state. It returns the ID of the move in progress,
-// if any, and the share of its new version.
-func (p *pool) sync(v *model.View, now time.Time) (corianderwing.RequestID, float64) {
+// if any, the share of its new version, and the upstreams that are no longer spared.
+// now is on Go's clock, boot on the boot clock.
+func (p *pool) sync(v *model.View, now, boot time.Time) (corianderwing.RequestID, float64, []endedSparing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.view = v
 	for id, h := range p.conns {
 		if u, ok := v.Upstream(id); !ok || u.Pool != p.name || u.Incarnation != h.incarnation {
 			delete(p.conns, id)
 			h.Close()
 		}
 	}
-	return p.moveStats.update(v, p.name, now)
+	ended := p.notices.sync(v, p.name, boot)
+	move, share := p.moveStats.update(v, p.name, now)
+	return move, share, ended
 }
 
 // connsTo returns the connection pool of an upstream.
 func (p *pool) connsTo(u *model.Upstream) *upstreamConns {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, ok := p.conns[u.ID]
-	if ok && h.Addr == u.Addr && h.incarnation == u.Incarnation {
+	old, ok := p.conns[u.ID]
+	if ok && old.Addr == u.Addr && old.incarnation == u.Incarnation {
+		return old
+	}
+	h := &upstreamConns{incarnation: u.Incarnation}
+	h.Addr, h.Dial, h.MaxIdle = u.Addr, p.dial, maxIdleConns
+	key := incarnationKey{u.ID, u.Incarnation}
+	if p.hasRestarted(key) {
+		h.notice = endedNotice(key) // the slot was granted before
 		return h
 	}
 	if ok {
-		h.Close()
+		old.Close()
 	}
-	h = &upstreamConns{incarnation: u.Incarnation}
-	h.Addr, h.Dial, h.MaxIdle = u.Addr, p.dial, maxIdleConns
+	h.notice = p.notices.of(key)
 	p.conns[u.ID] = h
 	return h
 }
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -39,6 +39,9 @@
 	if len(x.attemptLog) > 0 {
 		e = e.Any("attempts", x.attemptLog)
 	}
+	if len(x.spared) > 0 {
+		e = e.Any("spared", x.spared)
+	}
 	e.Msg("request")
 	x.s.meter.RecordResponse(workspace, corianderwing.Normal, code, took)
 }
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -34,13 +34,14 @@
 func (x *exchange) roundTrip() (*response, *corianderwing.Error) {
 	var last *corianderwing.Error
 	sent := 0
+	spared := false // the last slot was given back unused
 	x.pool.earnRetry()
 	for {
 		now := time.Now()
 		if !now.Before(x.deadline) {
 			return nil, errorUnlessRan(last, corianderwing.DeadlineUnreachable, "request deadline exceeded")
 		}
-		if sent > 0 && !x.pool.spendRetry() {
+		if sent > 0 && !spared && !x.pool.spendRetry() {
 			return nil, last
 		}
 		sl, wait, err := x.waitForSlot(now)
@@ -54,6 +55,12 @@
 			return nil, preferMayHaveRun(last, err)
 		}
 		resp, err := x.sendTo(sl)
+		if spared = err == errSpared; spared {
+			if x.sparedSlots > maxSparedSlots {
+				return nil, preferMayHaveRun(last, err)
+			}
+			continue
+		}
 		if err == nil && !x.shouldRetryResponse(resp, sent) {
 			return resp, nil
 		}
@@ -81,7 +88,9 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+	r := x.placement
+	r.ExcludedUpstreams = x.excludeSpared(r.ExcludedUpstreams)
+	return x.s.acquire(ctx, x.pool, r, x.view, now)
 }
 
 // slotError returns the error for a request that got no slot. If its context or
@@ -157,10 +166,19 @@
 // sendTo makes one attempt at the upstream of a slot.
 func (x *exchange) sendTo(sl *slot) (*response, *corianderwing.Error) {
 	now := time.Now()
-	tracked := sl.startAttempt(x.rule.Name, now)
 	conns := sl.pool.connsTo(sl.upstream)
+	sl.exchange, sl.notice = x, conns.notice
+	if x.judgeSlot(sl).Refused() {
+		x.giveBack(sl, nil)
+		return nil, errSpared
+	}
+	tracked := sl.startAttempt(x.rule.Name, now)
 	resp, err := relay.Send(x.ctx, x.newCall(sl, conns, now))
 	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, ttfb: time.Since(now)}
+	if err == errSpared {
+		x.giveBack(sl, tracked)
+		return nil, err
+	}
 	if err != nil {
 		x.s.release(sl, tracked, place.Outcome{Result: resultForError(err), Latency: out.ttfb})
 		if err.Code == corianderwing.FirstByteTimeout || err.Code == corianderwing.SendFailed {
@@ -171,7 +189,7 @@
 		x.logAttempt(sl, err, out.ttfb)
 		return nil, err
 	}
-	verdict := x.s.cfg.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+	verdict := sl.info
 	out.load = place.LoadReport{Valid: verdict.LoadKnown, Running: verdict.Running, Waiting: verdict.Waiting}
 	if verdict.NotExecuted {
 		resp.Drain()
@@ -208,6 +226,7 @@
 		ExtendDeadline:      x.extendFirstByteDeadline,
 		MaxForeignResponses: maxForeignResponses,
 		AllowCloseDelimited: true,
+		Hooks:               sl,
 	}
 	if x.rule.AtMostOnce {
 		c.MinIdleSince = now.Add(-onceMaxIdle)
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -23,6 +23,11 @@
 	coldStart   bool
 	newVersion  bool
 	acquiredAt  time.Time
+
+	// Set for the attempt at the upstream.
+	exchange *exchange
+	notice   *upstreamNotice
+	info     corianderwing.ResponseInfo // of the response
 }
 
 // acquire gets a slot for the request from the control instance of the failure
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -192,6 +192,18 @@
 func (p *ConnPool) put(c *conn, keepAlive string) {
 	c.idleSince = time.Now()
 	c.usableUntil = keepAliveDeadline(keepAlive, c.idleSince)
+	p.keep(c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent.
+func (p *ConnPool) putUnused(c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	p.keep(c)
+}
+
+func (p *ConnPool) keep(c *conn) {
 	p.mu.Lock()
 	keep := !p.closed && c.epoch == p.epoch && len(p.idle) < p.MaxIdle
 	if keep {
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -50,10 +50,22 @@
 	// AllowCloseDelimited accepts a response without a length, which is delimited by
 	// the close of its connection. A connection reset still fails it.
 	AllowCloseDelimited bool
+	// Hooks are called during the attempt. Optional.
+	Hooks Hooks
 	// WrapWriter wraps the connection for writing, for example to pace it. Optional.
 	WrapWriter func(io.Writer) io.Writer
 }
 
+// Hooks are called during an attempt.
+type Hooks interface {
+	// CheckSend is called when a connection is open, immediately before the first
+	// byte of the request is sent. An error abandons the attempt.
+	CheckSend() *corianderwing.Error
+	// ReceivedHeader is called with the header of the response, before its body is
+	// read.
+	ReceivedHeader(status int, h http.Header)
+}
+
 // Response is the response to a Call. Its body must be read to the end with Read, or
 // closed with Discard.
 type Response struct {
@@ -76,6 +88,12 @@
 	if err != nil {
 		return nil, unsentError(ctx, err)
 	}
+	if c.Hooks != nil {
+		if e := c.Hooks.CheckSend(); e != nil {
+			c.Conns.putUnused(cn)
+			return nil, e
+		}
+	}
 	// Closing the connection on cancellation unblocks every read and write on it, and
 	// signals the peer to stop.
 	r := &Response{ctx: ctx, conn: cn, DialTime: dial}
@@ -92,6 +110,9 @@
 	if e := r.readMatching(c); e != nil {
 		return nil, e
 	}
+	if c.Hooks != nil {
+		c.Hooks.ReceivedHeader(r.StatusCode, r.Header)
+	}
 	cn.SetReadDeadline(time.Time{})
 	if e := r.bufferSmallBody(); e != nil {
 		return nil, e
