Obey an upstream that rejects a request and asks for no others for some time

Cause: a 503 with Retry-After counted as a full upstream only; the instance that heard it sent the next request at once. The upstream wants none from this instance for that time.

Ruled out: sharing the pushback with the allocator of the failure domain. It is addressed to one instance, and a domain that gives up several upstreams at once empties the pool; the allocator learns of a full upstream as before.

Change: the delay of a 503 is read in platform/ (seconds, fractions, HTTP dates against the Date header of the response; several headers: the longest; anything else is ignored, counted and logged at most every 10 s). core/notice keeps the end of the pushback on the boot clock; overlapping pushbacks never shorten each other, more than ten minutes count as ten. During a pushback of over 30 s single requests test the upstream, one at a time, two in all. The checks are those of an upstream that leaves. If all upstreams that may run a request push back, it is rejected at once with a Retry-After for the first that is free, spread by a quarter of the wait (0.1 to 1 s). If those of the own region do, the request uses only the slots that other regions lend, which move no faster than maxShift. Repeats spend the retry budget as before.

Tests: go test ./io/gate ./core/notice ./platform. A machine that is suspended for 8 s is free of a pushback of 5 s and still spares the upstream that leaves (TestSuspendedMachine).

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -10,22 +10,25 @@
 
 // The verdicts.
 const (
-	Admit   Verdict = iota // nothing was said against it
-	Leaving                // the upstream said that it is leaving
-	Ended                  // the incarnation is no longer part of the pool
+	Admit      Verdict = iota // nothing was said against it
+	Trial                     // it may be sent to test a long pushback, see State.BeginTrial
+	Leaving                   // the upstream said that it is leaving
+	PushedBack                // the upstream asked for no requests for some time
+	Ended                     // the incarnation is no longer part of the pool
 )
 
 // String returns the verdict as it appears in log lines.
 func (v Verdict) String() string {
-	return [...]string{"admit", "leaving", "ended"}[v]
+	return [...]string{"admit", "trial", "leaving", "pushback", "ended"}[v]
 }
 
 // Refused reports whether the request must not be sent.
-func (v Verdict) Refused() bool { return v != Admit }
+func (v Verdict) Refused() bool { return v >= Leaving }
 
 // Report is what one response says of its upstream.
 type Report struct {
-	Leaving bool
+	Leaving  bool
+	Pushback time.Duration // for how long it wants no requests; 0 for no pushback
 }
 
 // State is what an instance has heard from one incarnation of an upstream. The zero
@@ -39,12 +42,16 @@
 	// Ended refuses the attempts that were begun before the incarnation was removed
 	// from the pool. If the upstream has restarted since, what its successor responds
 	// would be attributed to its predecessor.
-	Ended bool
+	Ended    bool
+	Pushback Pushback
 }
 
 // Observe returns the State after a response that was received at now.
 func (s State) Observe(r Report, now time.Time) State {
 	s.Leaving = s.Leaving || r.Leaving
+	if r.Pushback > 0 {
+		s.Pushback = s.Pushback.extend(r.Pushback, now)
+	}
 	return s
 }
 
@@ -56,7 +63,12 @@
 	case s.Leaving:
 		return Leaving
 	}
-	return Admit
+	return s.Pushback.judge(now)
+}
+
+// IsOver reports whether the State no longer has an effect.
+func (s State) IsOver(now time.Time) bool {
+	return !s.Leaving && !s.Ended && !now.Before(s.Pushback.Until)
 }
 
 // Retention is how long the State of an incarnation is kept after it was last seen
--- a/dialect.go
+++ b/dialect.go
@@ -30,6 +30,8 @@
 	Waiting           int
 	Warmup            Millis // remaining warm-up time of the upstream
 	Leaving           bool   // the upstream announces that it is leaving
+	Pushback          Millis // the upstream rejected the request and wants no others for this time
+	PushbackInvalid   bool   // it gave a time that cannot be read
 }
 
 // Dialect maps between the HTTP headers and statuses of a deployment and the
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -89,6 +89,8 @@
 	stopping    atomic.Bool // responses close their client connections
 	draining    atomic.Bool // no longer ready
 	active      atomic.Int64
+
+	invalidLoggedAt atomic.Int64 // boot time of the last line about an invalid pushback, in ns
 }
 
 // syncInterval is how often idle connections are closed, and pools are
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -72,25 +72,61 @@
 	s.heard.Store(&list)
 }
 
-// observe applies a response of an upstream. It returns the verdicts before and
-// after it.
-func (p *pool) observe(key incarnationKey, r notice.Report, now time.Time) (before, after notice.Verdict) {
+// update replaces the state of the notice by what f makes of it, and returns both.
+func (n *upstreamNotice) update(f func(notice.State) notice.State) (before, after notice.State) {
+	for {
+		old := n.state.Load()
+		before = notice.State{}
+		if old != nil {
+			before = *old
+		}
+		after = f(before)
+		if n.state.CompareAndSwap(old, &after) {
+			return before, after
+		}
+	}
+}
+
+// beginTrial reports whether a request may be sent as a trial.
+func (n *upstreamNotice) beginTrial(now time.Time) bool {
+	for {
+		old := n.state.Load()
+		if old == nil || old.Judge(now) != notice.Trial {
+			return false
+		}
+		next := old.BeginTrial()
+		if n.state.CompareAndSwap(old, &next) {
+			return true
+		}
+	}
+}
+
+// endTrial ends a trial that beginTrial allowed.
+func (n *upstreamNotice) endTrial() {
+	for {
+		old := n.state.Load()
+		if old == nil {
+			return // the pushback is over
+		}
+		next := old.EndTrial()
+		if n.state.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// observe applies a response of an upstream. It returns the states before and after
+// it.
+func (p *pool) observe(key incarnationKey, r notice.Report, now time.Time) (before, after notice.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hasRestarted(key) {
-		return notice.Ended, notice.Ended
+		return before, after
 	}
 	// A request may outlast the notice of its upstream.
-	n := p.notices.of(key)
-	var st notice.State
-	if old := n.state.Load(); old != nil {
-		st = *old
-	}
-	before = st.Judge(now)
-	st = st.Observe(r, now)
-	n.state.Store(&st)
+	before, after = p.notices.of(key).update(func(s notice.State) notice.State { return s.Observe(r, now) })
 	p.notices.publish()
-	return before, st.Judge(now)
+	return before, after
 }
 
 // hasRestarted reports whether a later incarnation of an upstream is known. The
@@ -121,6 +157,9 @@
 func (s *notices) sync(v *model.View, name corianderwing.PoolID, now time.Time) []endedSparing {
 	var ended []endedSparing
 	for key, n := range s.byKey {
+		if st := n.state.Load(); st != nil && st.IsOver(now) && n.state.CompareAndSwap(st, nil) {
+			ended = append(ended, endedSparing{key, "time over"})
+		}
 		reason := n.endReason(v, name, now)
 		if reason == "" {
 			continue
@@ -175,24 +214,6 @@
 // to be spared.
 var errSpared = corianderwing.Errorf(corianderwing.Shed, "the upstream asked to be spared")
 
-// excludeSpared adds the upstreams that are to be spared to those that the request
-// has tried. The allocator does not know all that this instance has heard.
-func (x *exchange) excludeSpared(tried []corianderwing.UpstreamID) []corianderwing.UpstreamID {
-	heard := x.pool.notices.heard.Load()
-	if heard == nil {
-		return tried
-	}
-	all := slices.Clone(tried)
-	for _, n := range *heard {
-		v := n.judge(x.s.cfg.Boot)
-		if u, ok := x.view.Upstream(n.id); v.Refused() && (!ok || u.Incarnation == n.incarnation) {
-			all = append(all, n.id)
-			x.recordSpared(n.id, v)
-		}
-	}
-	return all
-}
-
 // recordSpared notes for the line of the request that it avoided an upstream.
 func (x *exchange) recordSpared(id corianderwing.UpstreamID, v notice.Verdict) {
 	entry := sparedUpstream{id, v.String()}
@@ -207,33 +228,71 @@
 // CheckSend implements relay.Hooks. The slot may have been granted, and the
 // connection opened, before the upstream said that it wants no requests.
 func (sl *slot) CheckSend() *corianderwing.Error {
-	if sl.exchange.judgeSlot(sl).Refused() {
+	v := sl.exchange.judgeSlot(sl)
+	if v == notice.Trial {
+		sl.trial = sl.notice.beginTrial(sl.exchange.s.cfg.Boot())
+	}
+	if v.Refused() || v == notice.Trial && !sl.trial {
 		return errSpared
 	}
 	return nil
 }
 
+// endTrial ends the trial for which the slot was used, if any.
+func (sl *slot) endTrial() {
+	if sl.trial {
+		sl.trial = false
+		sl.notice.endTrial()
+	}
+}
+
 // ReceivedHeader implements relay.Hooks.
 func (sl *slot) ReceivedHeader(status int, h http.Header) {
 	sl.info = sl.exchange.s.cfg.Dialect.ParseResponse(status, h)
 	if sl.info.AddressReassigned {
 		return // another upstream responded
 	}
-	if r := (notice.Report{Leaving: sl.info.Leaving}); r != (notice.Report{}) {
+	if sl.info.PushbackInvalid {
+		sl.exchange.s.logInvalidPushback(sl)
+	}
+	r := notice.Report{Leaving: sl.info.Leaving, Pushback: time.Duration(sl.info.Pushback) * time.Millisecond}
+	if r != (notice.Report{}) {
 		sl.exchange.s.observeNotice(sl, r)
 	}
 }
 
+// invalidLogInterval is the minimum time between two log lines about pushbacks that
+// cannot be read.
+const invalidLogInterval = 10 * time.Second
+
+// logInvalidPushback counts, and sometimes logs, a pushback that cannot be read.
+func (s *Server) logInvalidPushback(sl *slot) {
+	s.meter.Counter("spare.invalid").Inc(1)
+	now := s.cfg.Boot().UnixNano()
+	last := s.invalidLoggedAt.Load()
+	if now-last < int64(invalidLogInterval) || !s.invalidLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	s.log.Warn().Str("pool", string(sl.pool.name)).Str("upstream", string(sl.upstream.ID)).
+		Str("heard_in", string(sl.exchange.ask.ID)).Msg("ignored a pushback with an invalid time")
+}
+
 // observeNotice applies what the upstream of a slot said in a response.
 func (s *Server) observeNotice(sl *slot, r notice.Report) {
-	before, after := sl.pool.observe(sl.notice.incarnationKey, r, s.cfg.Boot())
-	if before == after {
+	now := s.cfg.Boot()
+	before, after := sl.pool.observe(sl.notice.incarnationKey, r, now)
+	v := after.Judge(now)
+	if v == before.Judge(now) {
 		return
 	}
-	s.meter.Counter("spare." + after.String()).Inc(1)
-	s.log.Info().Str("pool", string(sl.pool.name)).Str("upstream", string(sl.upstream.ID)).
-		Uint64("incarnation", uint64(sl.upstream.Incarnation)).Str("reason", after.String()).
-		Str("heard_in", string(sl.exchange.ask.ID)).Msg("sparing an upstream")
+	s.meter.Counter("spare." + v.String()).Inc(1)
+	e := s.log.Info().Str("pool", string(sl.pool.name)).Str("upstream", string(sl.upstream.ID)).
+		Uint64("incarnation", uint64(sl.upstream.Incarnation)).Str("reason", v.String()).
+		Str("heard_in", string(sl.exchange.ask.ID))
+	if v == notice.PushedBack {
+		e = e.Int64("ms", after.Pushback.Until.Sub(now).Milliseconds())
+	}
+	e.Msg("sparing an upstream")
 }
 
 // logEnded logs and counts the upstreams that are no longer spared.
@@ -249,6 +308,9 @@
 // get another one.
 func (x *exchange) giveBack(sl *slot, tracked *trackedAttempt) {
 	v := x.judgeSlot(sl)
+	if !v.Refused() {
+		v = notice.PushedBack // another request took the trial
+	}
 	x.s.meter.Counter("spare.slots").Inc(1)
 	x.recordSpared(sl.upstream.ID, v)
 	x.s.release(sl, tracked, place.Outcome{Result: place.Canceled})
--- a/io/gate/obey_test.go
+++ b/io/gate/obey_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,13 +18,21 @@
 	"corianderwing/platform"
 )
 
-// deafDialect overlooks what upstreams say of themselves. It shows that the
+// deafDialect overlooks some of what upstreams say of themselves. It shows that the
 // scenarios break the rules if nothing is done.
-type deafDialect struct{ platform.Adapter }
+type deafDialect struct {
+	platform.Adapter
+	leaving, pushback bool // what is overlooked
+}
 
 func (d *deafDialect) ParseResponse(status int, h http.Header) corianderwing.ResponseInfo {
 	info := d.Adapter.ParseResponse(status, h)
-	info.Leaving = false
+	if d.leaving {
+		info.Leaving = false
+	}
+	if d.pushback {
+		info.Pushback = 0
+	}
 	return info
 }
 
@@ -35,6 +44,9 @@
 	Latency     time.Duration // until the header
 	BodyDelay   time.Duration
 	DialDelay   time.Duration
+	RejectsAt   time.Duration // begins to reject requests
+	RejectsFor  time.Duration
+	RetryAfter  time.Duration // given with rejections
 }
 
 // scenario is a drawn order of events.
@@ -65,6 +77,9 @@
 			Latency:     drawMillis(t, 600, "latency"),
 			BodyDelay:   drawMillis(t, 600, "body"),
 			DialDelay:   drawMillis(t, 300, "dial"),
+			RejectsAt:   drawMillis(t, 6000, "rejects"),
+			RejectsFor:  drawMillis(t, 2000, "rejects for"),
+			RetryAfter:  drawMillis(t, 6000, "retry after"),
 		})
 	}
 	for range rapid.IntRange(5, 40).Draw(t, "requests") {
@@ -81,14 +96,17 @@
 	fakeUpstream
 	upstreamPlan
 	start time.Time
+	boot  func() time.Time
 
-	mu     sync.Mutex
-	leftAt time.Time // when it first announced in this incarnation that it leaves
-	broken string
+	mu       sync.Mutex
+	leftAt   time.Time // when it first announced in this incarnation that it leaves
+	freeAt   time.Time // end of its pushbacks in this incarnation, on the boot clock
+	pushedAt time.Time // when it last pushed back
+	broken   string
 }
 
-func newJudgedUpstream(p upstreamPlan, start time.Time) *judgedUpstream {
-	u := &judgedUpstream{upstreamPlan: p, start: start}
+func newJudgedUpstream(p upstreamPlan, start time.Time, boot func() time.Time) *judgedUpstream {
+	u := &judgedUpstream{upstreamPlan: p, start: start, boot: boot}
 	u.dialDelay = p.DialDelay
 	u.script = func(int) reply { return u.respond() }
 	u.replied = u.heard
@@ -120,7 +138,13 @@
 	if !u.leftAt.IsZero() && now.After(u.leftAt) {
 		u.broken = fmt.Sprintf("a request reaches an upstream %v after it said that it leaves", now.Sub(u.leftAt))
 	}
+	if now.After(u.pushedAt) && u.boot().Before(u.freeAt) {
+		u.broken = fmt.Sprintf("a request reaches an upstream %v after it pushed back, %v too early", now.Sub(u.pushedAt), u.freeAt.Sub(u.boot()))
+	}
 	r := reply{delay: u.Latency, bodyDelay: u.BodyDelay}
+	if at >= u.RejectsAt && at < u.RejectsAt+u.RejectsFor {
+		r.status, r.retryAfter = http.StatusServiceUnavailable, u.RetryAfter
+	}
 	if at >= u.LeavesAt && at < u.TakesBackAt {
 		r.header = leavingHeader
 	}
@@ -131,8 +155,15 @@
 func (u *judgedUpstream) heard(r reply) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if r.header == leavingHeader && u.leftAt.IsZero() && !u.down(time.Now()) {
-		u.leftAt = time.Now()
+	now := time.Now()
+	if u.down(now) {
+		return
+	}
+	if strings.Contains(r.header, leavingHeader) && u.leftAt.IsZero() {
+		u.leftAt = now
+	}
+	if free := u.boot().Add(r.retryAfter); r.retryAfter > 0 && free.After(u.freeAt) {
+		u.freeAt, u.pushedAt = free, now
 	}
 }
 
@@ -145,7 +176,7 @@
 	g.NotifyChange()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.leftAt = time.Time{}
+	u.leftAt, u.freeAt = time.Time{}, time.Time{}
 }
 
 // play plays a scenario in virtual time and returns the first broken rule.
@@ -154,20 +185,21 @@
 		start := time.Now()
 		var fakes []*fakeUpstream
 		var judged []*judgedUpstream
+		boot := func() time.Time {
+			now := time.Now()
+			if now.Sub(start) >= sc.SuspendAt {
+				now = now.Add(suspension)
+			}
+			return now
+		}
 		for _, p := range sc.Upstreams {
-			u := newJudgedUpstream(p, start)
+			u := newJudgedUpstream(p, start, boot)
 			judged, fakes = append(judged, u), append(fakes, &u.fakeUpstream)
 		}
 		site := newFakeSite(t, fakes...)
 		site.grantDelay = sc.GrantDelay
 		site.rng = rand.New(rand.NewPCG(sc.Seed, 1))
-		g := site.start(d, quiet, func() time.Time {
-			now := time.Now()
-			if now.Sub(start) >= sc.SuspendAt {
-				now = now.Add(suspension)
-			}
-			return now
-		})
+		g := site.start(d, quiet, boot)
 		var wg sync.WaitGroup
 		for i, u := range judged {
 			wg.Go(func() {
@@ -204,16 +236,21 @@
 	})
 }
 
+// overlooked is the number of scenarios that are played with a deafDialect.
+const overlooked = 100
+
 // Guards against a test of the rules that no order of events can fail.
 func TestScenariosBreakRulesIfNoticesAreOverlooked(t *testing.T) {
 	is := is.New(t)
-	broken := 0
-	for seed := range 20 {
-		sc := rapid.Custom(drawScenario).Example(seed)
-		if sc.play(t, &deafDialect{}) != "" {
-			broken++
+	for _, d := range []*deafDialect{{leaving: true}, {pushback: true}} {
+		broken := 0
+		for seed := range overlooked {
+			sc := rapid.Custom(drawScenario).Example(seed)
+			if sc.play(t, d) != "" {
+				broken++
+			}
 		}
+		is.True(broken > 0)
+		t.Logf("%d of %d scenarios break a rule: leaving overlooked %v, pushback %v", broken, overlooked, d.leaving, d.pushback)
 	}
-	is.True(broken > 0)
-	t.Logf("%d of 20 scenarios break a rule", broken)
 }
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -89,8 +89,14 @@
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
 	r := x.placement
-	r.ExcludedUpstreams = x.excludeSpared(r.ExcludedUpstreams)
-	return x.s.acquire(ctx, x.pool, r, x.view, now)
+	spare := x.upstreamsToSpare()
+	r.ExcludedUpstreams = spare.exclude(r.ExcludedUpstreams)
+	free, err := x.limitPushback(&spare, &r)
+	if err != nil {
+		return nil, free, err
+	}
+	sl, after, err := x.s.acquire(ctx, x.pool, r, x.view, now)
+	return sl, max(after, free), err
 }
 
 // slotError returns the error for a request that got no slot. If its context or
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -28,6 +28,7 @@
 	exchange *exchange
 	notice   *upstreamNotice
 	info     corianderwing.ResponseInfo // of the response
+	trial    bool                       // the attempt tests a pushback
 }
 
 // acquire gets a slot for the request from the control instance of the failure
@@ -49,6 +50,7 @@
 		HomeRegions:        r.HomeRegions,
 		ExcludedUpstreams:  r.ExcludedUpstreams,
 		CurrentVersionOnly: r.CurrentVersionOnly,
+		NoForward:          r.NoForward,
 	})
 	if !ok {
 		return s.acquireLocal(ctx, p, r)
@@ -105,6 +107,7 @@
 // release returns a slot to its source and reports the outcome of the attempt.
 func (s *Server) release(sl *slot, tracked *trackedAttempt, o place.Outcome) {
 	o.ID = sl.id
+	sl.endTrial()
 	if tracked != nil {
 		sl.pool.mu.Lock()
 		sl.pool.moveStats.end(tracked, o.Result, time.Now())
--- a/io/gate/upstream_test.go
+++ b/io/gate/upstream_test.go
@@ -32,6 +32,7 @@
 	delay      time.Duration // before the header
 	bodyDelay  time.Duration // between header and body
 	noResponse bool          // closes the connection instead
+	retryAfter time.Duration // in a Retry-After header; 0 for none
 }
 
 // arrival is a request that reached a fakeUpstream.
@@ -78,6 +79,9 @@
 		if rep.status == 0 {
 			rep.status = http.StatusOK
 		}
+		if rep.retryAfter > 0 {
+			rep.header += fmt.Sprintf("Retry-After: %.3f\r\n", rep.retryAfter.Seconds())
+		}
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n%s\r\n", rep.status, id, rep.header); err != nil {
 			return
 		}
@@ -194,7 +198,7 @@
 func (s *fakeSite) start(d corianderwing.Dialect, l *log.Logger, boot func() time.Time) *Server {
 	g := New(Config{
 		Domain:     "a",
-		RegionOf:   func(corianderwing.DomainID) corianderwing.RegionID { return "r" },
+		RegionOf:   func(d corianderwing.DomainID) corianderwing.RegionID { return corianderwing.RegionID("r-" + d) },
 		Control:    s,
 		Limits:     NewLimits(time.Second),
 		Dialect:    d,
