Tell the allocator of the slot that an upstream is leaving

Cause: an upstream that leaves says so in its responses to each entry instance. Each of them sent it one more request before it knew.

Ruled out: replicating it as a change of phase (a command of the group for each, and the word of one instance for all domains), and telling the allocator of pushbacks too: they are addressed to one instance, and a domain that gives up several upstreams at once empties the pool.

Change: the outcome of an attempt says whether the upstream is leaving. core/place grants no more slots of this incarnation, does not count them as slots of the domain, and moves waiting requests on. The entry instance still checks by itself: the allocator may be lost, cut off or new.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -117,6 +117,7 @@
 // observe updates the measurements from the outcome of a grant.
 func (p *Pool) observe(h *activeGrant, o Outcome, now time.Time) {
 	s := h.server
+	s.leaving = s.leaving || o.Leaving
 	s.applyLoadReport(o.Load, now)
 	p.observeDial(s, o.DialTime)
 	if c, ok := p.classStats[h.Class]; ok && o.Bytes > 0 {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -89,6 +89,7 @@
 	DialTime time.Duration // time to open a connection; 0 if one was reused
 	Bytes    int           // size of request and response; 0 if unknown
 	Load     LoadReport
+	Leaving  bool // the upstream said that it is leaving
 }
 
 // LoadReport is the load that an upstream reports with a response.
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -36,6 +36,7 @@
 	upstream  *model.Upstream
 	announced bool // present in the current setup
 	ready     bool // in phase Ready and not evacuated
+	leaving   bool // it said in a response that it is leaving; ends with the incarnation
 	remote    bool // in another failure domain, with borrowed slots
 	slots     int  // slots available to this Pool
 	lent      int  // slots lent to other failure domains
@@ -65,7 +66,7 @@
 // usable reports whether the upstream may get requests, regardless of free
 // slots.
 func (s *server) usable(now time.Time) bool {
-	return s.announced && s.ready && !now.Before(s.ejectedUntil)
+	return s.announced && s.ready && !s.leaving && !now.Before(s.ejectedUntil)
 }
 
 // isCold reports whether the upstream is still in its cold start.
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -178,6 +178,7 @@
 				DialMicros:    o.DialTime.Microseconds(),
 				Bytes:         o.Bytes,
 				Load:          o.Load,
+				Leaving:       o.Leaving,
 			}},
 		})
 		if err != nil {
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -246,6 +246,16 @@
 	}
 }
 
+// isLeaving reports whether the upstream of the slot said that it is leaving. The
+// allocator then spares it for the whole failure domain.
+func (sl *slot) isLeaving() bool {
+	if sl.notice == nil {
+		return false
+	}
+	st := sl.notice.state.Load()
+	return st != nil && st.Leaving
+}
+
 // ReceivedHeader implements relay.Hooks.
 func (sl *slot) ReceivedHeader(status int, h http.Header) {
 	sl.info = sl.exchange.s.cfg.Dialect.ParseResponse(status, h)
--- a/io/gate/notice_test.go
+++ b/io/gate/notice_test.go
@@ -119,6 +119,7 @@
 				is.True(g.pool("files").budget.tokens > before) // two requests earned, none spent
 				canceled := 0
 				for _, o := range site.released {
+					is.Equal(o.Leaving, o.ID <= 2) // both requests had a slot of the first upstream
 					if o.Result == place.Canceled {
 						canceled++
 					}
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -108,6 +108,7 @@
 func (s *Server) release(sl *slot, tracked *trackedAttempt, o place.Outcome) {
 	o.ID = sl.id
 	sl.endTrial()
+	o.Leaving = sl.isLeaving()
 	if tracked != nil {
 		sl.pool.mu.Lock()
 		sl.pool.moveStats.end(tracked, o.Result, time.Now())
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -208,6 +208,7 @@
 			DialTime: time.Duration(e.DialMicros) * time.Microsecond,
 			Bytes:    e.Bytes,
 			Load:     e.Load,
+			Leaving:  e.Leaving,
 		})
 	}
 }
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -131,6 +131,7 @@
 	DialMicros    int64                `json:"dial,omitempty"`  // time to open a connection, in µs
 	Bytes         int                  `json:"bytes,omitempty"` // size of the request and its response
 	Load          place.LoadReport     `json:"load,omitzero"`
+	Leaving       bool                 `json:"leaving,omitempty"` // the upstream said that it is leaving
 }
 
 type emptyResponse struct{}
