Test pushbacks in truncated responses and announcements in trailers

Also: the fake upstream of these tests guards its dial delay, which the race detector reported (go test -race ./io/gate: 'race detected during execution of test' in TestLeavingWhileRequestWaits/waits_for_its_slot; passes after).

--- a/io/gate/notice_test.go
+++ b/io/gate/notice_test.go
@@ -111,7 +111,7 @@
 				site.mu.Lock()
 				site.grantDelay = c.grantDelay
 				site.mu.Unlock()
-				first.dialDelay = c.dial
+				first.setDialDelay(c.dial)
 				is.Equal(send(g, 2).Code, http.StatusOK)
 				is.Equal(<-early, http.StatusOK)
 				is.Equal(first.count(), 1)
@@ -220,6 +220,23 @@
 	})
 }
 
+// Guards against a trailer that is taken for a header: it is not passed on, and the
+// response that it follows was complete before.
+func TestLeavingInTrailer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first := &fakeUpstream{script: func(int) reply { return reply{trailer: leavingHeader} }}
+		g := newFakeSite(t, first, &fakeUpstream{script: plain}).startQuiet()
+		defer g.Close()
+		for i := range 3 {
+			w := send(g, i)
+			is.Equal(w.Code, http.StatusOK)
+			is.Equal(w.Body.String(), "done")
+		}
+		is.Equal(first.count(), 3)
+	})
+}
+
 // Guards against memory that grows with the upstreams that have come and gone, each
 // of them leaving.
 func TestNoticesOfGoneUpstreamsAreRemoved(t *testing.T) {
--- a/io/gate/obey_test.go
+++ b/io/gate/obey_test.go
@@ -217,9 +217,11 @@
 		g.Close()
 		time.Sleep(time.Minute) // until the upstreams have noticed
 		for _, u := range judged {
+			u.mu.Lock()
 			if u.broken != "" {
 				broken = u.broken
 			}
+			u.mu.Unlock()
 		}
 	})
 	return broken
--- a/io/gate/pushback_test.go
+++ b/io/gate/pushback_test.go
@@ -57,6 +57,25 @@
 	})
 }
 
+// Guards against a pushback that is overlooked because the rest of the rejection is
+// lost.
+func TestPushbackInTruncatedResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first, second := &fakeUpstream{script: func(int) reply {
+			r := rejection("2")
+			r.truncated = true
+			return r
+		}}, &fakeUpstream{script: plain}
+		g := newFakeSite(t, first, second).startQuiet()
+		defer g.Close()
+		for i := range 3 {
+			is.Equal(send(g, i).Code, http.StatusOK)
+		}
+		is.Equal(first.count(), 1)
+	})
+}
+
 // Guards against a pushback that is read from a response other than a rejection.
 func TestRetryAfterOfOtherResponses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/gate/upstream_test.go
+++ b/io/gate/upstream_test.go
@@ -32,6 +32,8 @@
 	delay      time.Duration // before the header
 	bodyDelay  time.Duration // between header and body
 	noResponse bool          // closes the connection instead
+	truncated  bool          // closes the connection in place of the body
+	trailer    string        // header line that follows the body
 	retryAfter time.Duration // in a Retry-After header; 0 for none
 }
 
@@ -44,12 +46,18 @@
 // fakeUpstream is an upstream that responds as its script says, over in-memory
 // connections.
 type fakeUpstream struct {
-	script    func(n int) reply // n counts the requests from 0
-	dialDelay time.Duration
+	script  func(n int) reply // n counts the requests from 0
+	replied func(r reply)     // called when a header has been sent; may be nil
 
-	mu       sync.Mutex
-	arrivals []arrival
-	replied  func(r reply) // called when a header has been sent; may be nil
+	mu        sync.Mutex
+	arrivals  []arrival
+	dialDelay time.Duration // until a connection is open
+}
+
+func (u *fakeUpstream) setDialDelay(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dialDelay = d
 }
 
 func (u *fakeUpstream) count() int {
@@ -82,14 +90,21 @@
 		if rep.retryAfter > 0 {
 			rep.header += fmt.Sprintf("Retry-After: %.3f\r\n", rep.retryAfter.Seconds())
 		}
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n%s\r\n", rep.status, id, rep.header); err != nil {
+		framing, body := "Content-Length: 4", "done"
+		if rep.trailer != "" {
+			framing, body = "Transfer-Encoding: chunked", "4\r\ndone\r\n0\r\n"+rep.trailer+"\r\n"
+		}
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\n%s\r\n%s\r\n", rep.status, id, framing, rep.header); err != nil {
 			return
 		}
 		if u.replied != nil {
 			u.replied(rep)
 		}
 		time.Sleep(rep.bodyDelay)
-		fmt.Fprint(c, "done")
+		if rep.truncated {
+			return
+		}
+		fmt.Fprint(c, body)
 	}
 }
 
@@ -176,7 +191,10 @@
 // dial opens an in-memory connection to an upstream.
 func (s *fakeSite) dial(ctx context.Context, addr string) (net.Conn, error) {
 	u := s.upstreams[addr]
-	if !sleepContext(ctx, u.dialDelay) {
+	u.mu.Lock()
+	delay := u.dialDelay
+	u.mu.Unlock()
+	if !sleepContext(ctx, delay) {
 		return nil, ctx.Err()
 	}
 	client, server := net.Pipe()
