Play upstreams that leave and push back in the soak

Change: an upstream that is drained says so in its answers for 4 s before it tells a control instance; half of the declined requests ask for none for 2 s. Two promises: told (no request sent over 2.5 s after an entry process passed on the announcement reaches that upstream through it, faults or not) and pushback (two requests at most). TestEachPromiseCanBreak breaks both.

--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -117,6 +117,10 @@
 	}
 	// Without it, the client would send a request again by itself.
 	r.GetBody = nil
+	p := c.run.entryAt(addr)
+	if p != nil {
+		q.Entry = p.Name
+	}
 	c.run.ledger.Sent(q, w, time.Now())
 	reply := Reply{ID: q.ID}
 	resp, err := c.client.Do(r)
@@ -125,11 +129,11 @@
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 		reply.Status, reply.Body = resp.StatusCode, string(body)
+		reply.Leaving = c.run.cfg.Wire.AnnouncesLeaving(resp.Header)
 	}
 	if err != nil {
 		reply.Status, reply.Failure = 0, err.Error()
 	}
-	p := c.run.entryAt(addr)
 	if p != nil {
 		reply.Entry, reply.Stopping = p.Name, p.stopSince()
 	}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -259,6 +259,7 @@
 }
 
 func (r *run) launch(p *Proc) {
+	r.ledger.Restarted("", p.Name)
 	if err := p.Start(); err != nil {
 		r.ledger.Break(Alive, time.Now(), "", "%s cannot be started: %v", p.Name, err)
 	}
@@ -351,8 +352,11 @@
 	}
 }
 
-// drain empties an upstream as its operator does, and lets it come back.
+// drain empties an upstream as its operator does, and lets it come back. At first
+// only its answers say that it leaves.
 func (r *run) drain(ctx context.Context, u *Upstream, s Step) {
+	u.announceLeaving()
+	r.pause(ctx, announceLead)
 	u.setPhase(corianderwing.Draining)
 	for !u.beat(ctx) && ctx.Err() == nil {
 		r.pause(ctx, beatEvery/5)
--- a/io/soak/ledger.go
+++ b/io/soak/ledger.go
@@ -14,25 +14,27 @@
 
 // The promises.
 const (
-	OwnAnswer  Promise = "answer"  // an answer is the upstream's whole answer to this request
-	OwnRequest Promise = "request" // an upstream gets what its caller sent, with the workspace of its key and no key
-	RunOnce    Promise = "once"    // an order runs at most once
-	NotRun     Promise = "notrun"  // an order that was refused as not run never runs
-	Revoked    Promise = "revoked" // no request with a revoked key runs after the bound
-	Drained    Promise = "drained" // no request reaches a drained upstream after the bound
-	Emptied    Promise = "emptied" // nor one in an evacuated failure domain
-	InBounds   Promise = "bounds"  // a workspace runs no more than its rate and burst allow
-	Applied    Promise = "applied" // a confirmed change is in force after the bound
-	Allowed    Promise = "allowed" // no caller is denied what all settings allow
-	Kept       Promise = "kept"    // what was confirmed is there at the end
-	Checked    Promise = "checked" // an invalid change is refused, a repeated one is not
-	Whole      Promise = "whole"   // a planned stop cuts no request off
-	Recovered  Promise = "recover" // requests are served again after all faults have ended
-	Alive      Promise = "alive"   // no process ends by itself
+	OwnAnswer  Promise = "answer"   // an answer is the upstream's whole answer to this request
+	OwnRequest Promise = "request"  // an upstream gets what its caller sent, with the workspace of its key and no key
+	RunOnce    Promise = "once"     // an order runs at most once
+	NotRun     Promise = "notrun"   // an order that was refused as not run never runs
+	Revoked    Promise = "revoked"  // no request with a revoked key runs after the bound
+	Drained    Promise = "drained"  // no request reaches a drained upstream after the bound
+	Told       Promise = "told"     // none reaches it from an entry process that passed on that it leaves
+	Pushback   Promise = "pushback" // nor more than two from one that it asked for none for some time
+	Emptied    Promise = "emptied"  // nor one in an evacuated failure domain
+	InBounds   Promise = "bounds"   // a workspace runs no more than its rate and burst allow
+	Applied    Promise = "applied"  // a confirmed change is in force after the bound
+	Allowed    Promise = "allowed"  // no caller is denied what all settings allow
+	Kept       Promise = "kept"     // what was confirmed is there at the end
+	Checked    Promise = "checked"  // an invalid change is refused, a repeated one is not
+	Whole      Promise = "whole"    // a planned stop cuts no request off
+	Recovered  Promise = "recover"  // requests are served again after all faults have ended
+	Alive      Promise = "alive"    // no process ends by itself
 )
 
 // Promises lists all promises.
-var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Recovered, Alive}
+var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Told, Pushback, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Recovered, Alive}
 
 // Breach is a broken promise.
 type Breach struct {
@@ -59,6 +61,7 @@
 	workspace corianderwing.WorkspaceID
 	order     bool
 	at        time.Time
+	upstream  corianderwing.UpstreamID // at which it arrived last
 	runs      int
 	refused   bool // as not run
 	broken    bool // its upstream broke its answer off
@@ -75,6 +78,7 @@
 	revoked map[string]time.Time
 	added   map[string]time.Time // keys that were added on the way
 	drained map[corianderwing.UpstreamID]time.Time
+	said    said
 	emptied map[corianderwing.DomainID]time.Time
 	acting  int       // faults at work
 	calm    time.Time // end of the last fault
@@ -94,6 +98,7 @@
 		revoked: map[string]time.Time{},
 		added:   map[string]time.Time{},
 		drained: map[corianderwing.UpstreamID]time.Time{},
+		said:    newSaid(),
 		emptied: map[corianderwing.DomainID]time.Time{},
 		counts:  map[string]int{},
 	}
@@ -157,6 +162,7 @@
 	if t, ok := l.drained[u]; ok && now.Sub(t) > drainBound && l.quiet(t) {
 		l.breaks(Drained, now, a.ID, "%s got it %v after its drain was confirmed", u, now.Sub(t))
 	}
+	l.checkSaid(q, u, now)
 	if t, ok := l.emptied[d]; ok && now.Sub(t) > emptyBound && l.quiet(t) {
 		l.breaks(Emptied, now, a.ID, "%s got it %v after the evacuation of %s was confirmed", u, now.Sub(t), d)
 	}
@@ -221,6 +227,7 @@
 	Entry    string // name of the entry process
 	Status   int    // 0 without a whole answer
 	Body     string
+	Leaving  bool // it says that its upstream leaves
 	Failure  string
 	Stopping time.Time // when the entry process was told to stop; zero if it was not
 }
@@ -231,6 +238,7 @@
 	defer l.mu.Unlock()
 	q := l.sent[r.ID]
 	l.counts[fmt.Sprintf("status %d", r.Status)]++
+	l.heardLeaving(q, r, now)
 	switch r.Status {
 	case 200:
 		if r.Body != Content(r.ID) || q.runs == 0 {
--- a/io/soak/ledger_test.go
+++ b/io/soak/ledger_test.go
@@ -57,6 +57,26 @@
 			l.Drain("u", at(0))
 			l.Arrived(call(l, "a", "", at(0)), "u", "d", true, at(drainBound+time.Second))
 		}},
+		{Told, func(l *Ledger) {
+			q := Query{ID: "a", Entry: "e1", Path: "/goods/1"}
+			l.Sent(q, "", at(0))
+			l.Arrived(Arrival{ID: "a", Path: q.Path}, "u", "d", true, at(0))
+			l.Answered(Reply{ID: "a", Entry: "e1", Status: 200, Body: Content("a"), Leaving: true}, at(0))
+			q.ID = "b"
+			l.Sent(q, "", at(drainBound+time.Second))
+			l.Arrived(Arrival{ID: "b", Path: q.Path}, "u", "d", true, at(drainBound+time.Second))
+		}},
+		{Pushback, func(l *Ledger) {
+			for i, id := range []corianderwing.RequestID{"a", "b", "c", "d"} {
+				now := at(contact + time.Duration(i)*time.Second)
+				q := Query{ID: id, Entry: "e1", Path: "/goods/1"}
+				l.Sent(q, "", now)
+				l.Arrived(Arrival{ID: id, Path: q.Path}, "u", "d", true, now)
+				if i == 0 {
+					l.PushedBack(id, "u", now, 10*time.Second)
+				}
+			}
+		}},
 		{Emptied, func(l *Ledger) {
 			l.Empty("d", true, at(0))
 			l.Arrived(call(l, "a", "", at(0)), "u", "d", true, at(emptyBound+time.Second))
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -26,6 +26,13 @@
 	declinePart = 0.01
 	errorPart   = 0.01
 	breakPart   = 0.005
+	// pushbackPart is the part of the declined requests with which an upstream asks
+	// for no others for pushbackTime.
+	pushbackPart = 0.5
+	pushbackTime = 2 * time.Second
+	// announceLead is how long an upstream says in its answers that it leaves
+	// before it announces it to a control process.
+	announceLead = drainBound + 1500*time.Millisecond
 	// orderTime bounds an order to a control process.
 	orderTime = time.Second
 )
@@ -56,6 +63,8 @@
 	slots  chan struct{}
 	slow   time.Duration // added to the work
 	taken  bool
+
+	leaving bool // says in its answers that it leaves
 }
 
 // start serves, as a new life.
@@ -68,6 +77,8 @@
 	defer u.mu.Unlock()
 	u.born = corianderwing.Incarnation(time.Now().UnixMilli())
 	u.phase = corianderwing.Ready
+	u.leaving = false
+	u.run.ledger.Restarted(u.ID, "")
 	u.slots = make(chan struct{}, workSlots)
 	u.busy = map[corianderwing.RequestID]bool{}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve)}
@@ -123,6 +134,19 @@
 	u.phase = p
 }
 
+// announceLeaving makes the upstream say in its answers that it leaves.
+func (u *Upstream) announceLeaving() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+func (u *Upstream) isLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving
+}
+
 func (u *Upstream) setSlow(d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -159,10 +183,17 @@
 		return // the sender left before the whole request had come
 	}
 	mine := a.Expected == u.ID
+	if mine && u.isLeaving() {
+		wire.AnnounceLeaving(w.Header())
+	}
 	if !mine || u.chance(declinePart) {
 		if mine {
 			ledger.Arrived(a, u.ID, u.Domain, false, time.Now())
 		}
+		if mine && u.chance(pushbackPart) {
+			wire.PushBack(w.Header(), pushbackTime)
+			defer func() { ledger.PushedBack(a.ID, u.ID, time.Now(), pushbackTime) }()
+		}
 		wire.Decline(w, a, mine)
 		return
 	}
--- a/io/soak/wire.go
+++ b/io/soak/wire.go
@@ -10,6 +10,7 @@
 
 // Query is a request that a caller sends.
 type Query struct {
+	Entry    string // name of the entry process
 	ID       corianderwing.RequestID
 	Host     string
 	Path     string
@@ -42,6 +43,13 @@
 	// Decline answers that the upstream did not run the request: it has no
 	// room, or it is not the expected one.
 	Decline(w http.ResponseWriter, a Arrival, expected bool)
+	// AnnounceLeaving adds to the header of an upstream's answer that the upstream
+	// leaves. AnnouncesLeaving reports whether an answer says so.
+	AnnounceLeaving(h http.Header)
+	AnnouncesLeaving(h http.Header) bool
+	// PushBack adds to the header of Decline that the upstream wants no requests
+	// for a time.
+	PushBack(h http.Header, d time.Duration)
 
 	Beat(ctx context.Context, addr string, h corianderwing.Heartbeat) error
 	Leave(ctx context.Context, addr string, id corianderwing.UpstreamID, i corianderwing.Incarnation) error
