--- a/io/gate/obey_test.go
+++ b/io/gate/obey_test.go
@@ -108,7 +108,7 @@
 func newJudgedUpstream(p upstreamPlan, start time.Time, boot func() time.Time) *judgedUpstream {
 	u := &judgedUpstream{upstreamPlan: p, start: start, boot: boot}
 	u.dialDelay = p.DialDelay
-	u.script = func(int) reply { return u.respond() }
+	u.script = func(int) reply { return u.judge() }
 	u.replied = u.heard
 	return u
 }
@@ -126,8 +126,8 @@
 	return at >= u.RestartsAt && at < u.RestartsAt+downtime
 }
 
-// respond checks a request that has arrived and returns the response.
-func (u *judgedUpstream) respond() reply {
+// judge checks a request that has arrived and returns the response.
+func (u *judgedUpstream) judge() reply {
 	now := time.Now()
 	at := now.Sub(u.start)
 	u.mu.Lock()
--- a/io/gate/upstream_test.go
+++ b/io/gate/upstream_test.go
@@ -83,31 +83,39 @@
 		if rep.noResponse {
 			return
 		}
-		time.Sleep(rep.delay)
-		if rep.status == 0 {
-			rep.status = http.StatusOK
-		}
-		if rep.retryAfter > 0 {
-			rep.header += fmt.Sprintf("Retry-After: %.3f\r\n", rep.retryAfter.Seconds())
-		}
-		framing, body := "Content-Length: 4", "done"
-		if rep.trailer != "" {
-			framing, body = "Transfer-Encoding: chunked", "4\r\ndone\r\n0\r\n"+rep.trailer+"\r\n"
-		}
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\n%s\r\n%s\r\n", rep.status, id, framing, rep.header); err != nil {
-			return
-		}
-		if u.replied != nil {
-			u.replied(rep)
-		}
-		time.Sleep(rep.bodyDelay)
-		if rep.truncated {
+		if !u.respond(c, id, rep) {
 			return
 		}
-		fmt.Fprint(c, body)
 	}
 }
 
+// respond sends a response and reports whether the connection stays open.
+func (u *fakeUpstream) respond(c net.Conn, id string, rep reply) bool {
+	time.Sleep(rep.delay)
+	if rep.status == 0 {
+		rep.status = http.StatusOK
+	}
+	if rep.retryAfter > 0 {
+		rep.header += fmt.Sprintf("Retry-After: %.3f\r\n", rep.retryAfter.Seconds())
+	}
+	framing, body := "Content-Length: 4", "done"
+	if rep.trailer != "" {
+		framing, body = "Transfer-Encoding: chunked", "4\r\ndone\r\n0\r\n"+rep.trailer+"\r\n"
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\n%s\r\n%s\r\n", rep.status, id, framing, rep.header); err != nil {
+		return false
+	}
+	if u.replied != nil {
+		u.replied(rep)
+	}
+	time.Sleep(rep.bodyDelay)
+	if rep.truncated {
+		return false
+	}
+	_, err := fmt.Fprint(c, body)
+	return err == nil
+}
+
 // fakeSite is a Control whose allocator grants the first upstream, by ID, that the
 // request does not exclude, or a random one if rng is set.
 type fakeSite struct {
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -187,14 +187,7 @@
 		wire.AnnounceLeaving(w.Header())
 	}
 	if !mine || u.chance(declinePart) {
-		if mine {
-			ledger.Arrived(a, u.ID, u.Domain, false, time.Now())
-		}
-		if mine && u.chance(pushbackPart) {
-			wire.PushBack(w.Header(), pushbackTime)
-			defer func() { ledger.PushedBack(a.ID, u.ID, time.Now(), pushbackTime) }()
-		}
-		wire.Decline(w, a, mine)
+		u.decline(w, a, mine)
 		return
 	}
 	ledger.Arrived(a, u.ID, u.Domain, true, time.Now())
@@ -227,3 +220,19 @@
 	}
 	w.Write([]byte(body))
 }
+
+// decline answers a request without running it.
+func (u *Upstream) decline(w http.ResponseWriter, a Arrival, mine bool) {
+	wire, ledger := u.run.cfg.Wire, u.run.ledger
+	if mine {
+		ledger.Arrived(a, u.ID, u.Domain, false, time.Now())
+	}
+	pushBack := mine && u.chance(pushbackPart)
+	if pushBack {
+		wire.PushBack(w.Header(), pushbackTime)
+	}
+	wire.Decline(w, a, mine)
+	if pushBack {
+		ledger.PushedBack(a.ID, u.ID, time.Now(), pushbackTime)
+	}
+}
