Guard the log buffer of the notice tests, and take header names from platform

go test -race ./io/gate failed in 2 of 5 runs: TestPushbackIsLogged and TestSparedUpstreamIsLogged read lines that two goroutines wrote into a bytes.Buffer (WARNING: DATA RACE in bytes.Buffer.Write); the product's writer is safe for that. The words of the platform's headers leave the tests of io/gate.

--- a/io/gate/notice_test.go
+++ b/io/gate/notice_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -19,8 +18,6 @@
 	"corianderwing/platform"
 )
 
-const leavingHeader = "Server-Leaving: 1\r\n"
-
 // leavingFrom returns the script of an upstream that announces in its responses
 // from the nth on that it leaves.
 func leavingFrom(n int) func(int) reply {
@@ -55,7 +52,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		first := &fakeUpstream{script: func(int) reply {
-			return reply{status: http.StatusServiceUnavailable, header: "X-Not-Executed: leaving\r\n" + leavingHeader}
+			return rejection(leavingHeader)
 		}}
 		second := &fakeUpstream{script: plain}
 		g := newFakeSite(t, first, second).startQuiet()
@@ -263,7 +260,7 @@
 func TestSparedUpstreamIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var out bytes.Buffer
+		var out lockedBuffer
 		site := newFakeSite(t, &fakeUpstream{script: leavingFrom(0)}, &fakeUpstream{script: plain})
 		g := site.start(&platform.Adapter{}, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}, time.Now)
 		send(g, 1)
--- a/io/gate/pushback_test.go
+++ b/io/gate/pushback_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,16 +17,11 @@
 	"corianderwing/platform"
 )
 
-// rejection returns a reply that rejects a request and asks for no others.
-func rejection(retryAfter string) reply {
-	return reply{status: http.StatusServiceUnavailable, header: "X-Not-Executed: full\r\nRetry-After: " + retryAfter + "\r\n"}
-}
-
 // rejectFirst returns the script of an upstream that rejects its first n requests.
 func rejectFirst(n int, retryAfter string) func(int) reply {
 	return func(i int) reply {
 		if i < n {
-			return rejection(retryAfter)
+			return pushBack(retryAfter)
 		}
 		return reply{}
 	}
@@ -63,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		first, second := &fakeUpstream{script: func(int) reply {
-			r := rejection("2")
+			r := pushBack("2")
 			r.truncated = true
 			return r
 		}}, &fakeUpstream{script: plain}
@@ -167,7 +161,7 @@
 		mu.Unlock()
 		is.Equal(send(g, 3).Code, http.StatusOK)
 		is.Equal([]int{first.count(), second.count(), third.count()}, []int{2, 1, 1})
-		first.script = func(int) reply { return rejection("5") }
+		first.script = func(int) reply { return pushBack("5") }
 		g.pool("files").budget.tokens = 1
 		is.Equal(send(g, 4).Code, http.StatusOK)
 		is.Equal([]int{first.count(), second.count(), third.count()}, []int{3, 1, 2})
@@ -181,7 +175,7 @@
 		is := is.New(t)
 		first := &fakeUpstream{script: func(n int) reply {
 			if n == 0 {
-				return rejection("60")
+				return pushBack("60")
 			}
 			return reply{delay: time.Second}
 		}}
@@ -213,12 +207,12 @@
 func TestPushbackIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var out bytes.Buffer
+		var out lockedBuffer
 		first := &fakeUpstream{script: func(n int) reply {
 			if n < 5 {
-				return rejection("soon")
+				return pushBack("soon")
 			}
-			return rejection("1.5")
+			return pushBack("1.5")
 		}}
 		site := newFakeSite(t, first, &fakeUpstream{script: plain})
 		g := site.start(&platform.Adapter{}, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}, time.Now)
--- a/io/gate/upstream_test.go
+++ b/io/gate/upstream_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,6 +25,7 @@
 	"corianderwing/core/place"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
+	"corianderwing/io/soak"
 	"corianderwing/platform"
 )
 
@@ -255,3 +259,45 @@
 
 // plain is the script of an upstream that says nothing of itself.
 func plain(int) reply { return reply{} }
+
+// lockedBuffer is a buffer for the log lines of an instance, which several
+// goroutines write.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// headerLines returns header lines as they are sent.
+func headerLines(set func(c *platform.Client, h http.Header)) string {
+	h := http.Header{}
+	set(&platform.Client{}, h)
+	var b strings.Builder
+	h.Write(&b)
+	return b.String()
+}
+
+// leavingHeader announces that an upstream leaves.
+var leavingHeader = headerLines(func(c *platform.Client, h http.Header) { c.AnnounceLeaving(h) })
+
+// rejection returns a reply that says that the request was not executed.
+func rejection(header string) reply {
+	w := httptest.NewRecorder()
+	(&platform.Client{}).Decline(w, soak.Arrival{}, true)
+	w.Header().Del("X-Request-Id")
+	return reply{status: w.Code, header: header + headerLines(func(_ *platform.Client, h http.Header) { maps.Copy(h, w.Header()) })}
+}
+
+// pushBack returns a reply that rejects a request and asks for no others.
+func pushBack(retryAfter string) reply { return rejection("Retry-After: " + retryAfter + "\r\n") }
