--- a/io/gate/disconnect_test.go
+++ b/io/gate/disconnect_test.go
@@ -15,6 +15,7 @@
 	"corianderwing"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 )
 
@@ -118,7 +119,7 @@
 			next, err := c.view.Apply(change(c.upstream), time.Now())
 			is.NoErr(err)
 			for _, p := range s.pools {
-				p.sync(next, time.Now())
+				p.sync(next, time.Now(), clock.Boot())
 			}
 			close(release)
 			is.Equal(<-body, "done")
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -38,6 +38,8 @@
 	suspected   bool              // the request lost a connection, or is a suspect
 	crashed     bool              // an upstream crashed while it ran the request
 	probeUntil  time.Time         // until when the request may be sent although it is quarantined; zero after it was
+	spared      []sparedUpstream  // upstreams that the request avoided
+	sparedSlots int               // slots that it gave back to spare their upstream
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -18,6 +18,7 @@
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/alloc"
+	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 	"corianderwing/io/meter"
 	"corianderwing/io/plane"
@@ -71,7 +72,8 @@
 	Dial     relay.DialFunc // default: TCP
 	SourceIP net.IP         // local address of TCP connections; nil for any
 	Log      *log.Logger
-	Meter    *meter.Meter // default: a new one
+	Meter    *meter.Meter     // default: a new one
+	Boot     func() time.Time // boot clock; default: clock.Boot
 	// RetryRatio is the fraction of a pool's requests that may be retried.
 	RetryRatio float64
 }
@@ -99,6 +101,8 @@
 	stopping    atomic.Bool // responses close their client connections
 	draining    atomic.Bool // no longer ready
 	active      atomic.Int64
+
+	invalidLoggedAt atomic.Int64 // boot time of the last line about an invalid pushback, in ns
 }
 
 // syncInterval is how often idle connections are closed, and pools are
@@ -113,6 +117,9 @@
 	if cfg.Meter == nil {
 		cfg.Meter = meter.New()
 	}
+	if cfg.Boot == nil {
+		cfg.Boot = clock.Boot
+	}
 	s := &Server{
 		cfg:           cfg,
 		log:           cfg.Log,
@@ -174,9 +181,11 @@
 		}
 	}
 	shares := map[corianderwing.RequestID]float64{}
+	boot := s.cfg.Boot()
 	for _, p := range s.pools {
-		move, share := p.sync(view, now)
+		move, share, ended := p.sync(view, now, boot)
 		shares[move] = share
+		s.logEnded(p.name, ended)
 	}
 	s.mu.Unlock()
 	s.allocator.Sync(view, alloc.SyncParams{
@@ -257,7 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.eachUpstream(func(h *upstreamConns) { h.Reset() })
+		p.eachUpstream(func(h *upstreamConns) { h.Close() })
 	}
 }
 
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -34,6 +34,7 @@
 func (x *exchange) roundTrip() (*response, *corianderwing.Error) {
 	var last *corianderwing.Error
 	sent := 0
+	spared := false // the last slot was given back unused
 	x.pool.earnRetry()
 	x.takeProbe()
 	defer x.returnProbe()
@@ -45,7 +46,7 @@
 		if !now.Before(x.deadline) {
 			return nil, errorUnlessRan(last, corianderwing.DeadlineUnreachable, "request deadline exceeded")
 		}
-		if sent > 0 && !x.pool.spendRetry() {
+		if sent > 0 && !spared && !x.pool.spendRetry() {
 			return nil, last
 		}
 		sl, wait, err := x.acquireSlot()
@@ -59,6 +60,12 @@
 			return nil, preferMayHaveRun(last, err)
 		}
 		resp, err := x.sendTo(sl)
+		if spared = err == errSpared; spared {
+			if x.sparedSlots > maxSparedSlots {
+				return nil, preferMayHaveRun(last, err)
+			}
+			continue
+		}
 		if err == nil || err.Code != corianderwing.ConnectFailed {
 			x.probeUntil = time.Time{}
 		}
@@ -104,7 +111,15 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, time.Now())
+	r := x.placement
+	spare := x.upstreamsToSpare()
+	r.ExcludedUpstreams = spare.exclude(r.ExcludedUpstreams)
+	free, err := x.limitPushback(&spare, &r)
+	if err != nil {
+		return nil, free, err
+	}
+	sl, after, err := x.s.acquire(ctx, x.pool, r, time.Now())
+	return sl, max(after, free), err
 }
 
 // slotError returns the error for a request that got no slot. If its context or
@@ -188,10 +203,19 @@
 // sendTo makes one attempt at the upstream of a slot.
 func (x *exchange) sendTo(sl *slot) (*response, *corianderwing.Error) {
 	now := time.Now()
-	tracked := sl.startAttempt(x.rule.Name, now)
 	conns := sl.pool.connsTo(sl.upstream)
+	sl.exchange, sl.notice = x, conns.notice
+	if x.judgeSlot(sl).Refused() {
+		x.giveBack(sl, nil)
+		return nil, errSpared
+	}
+	tracked := sl.startAttempt(x.rule.Name, now)
 	resp, err := relay.Send(x.ctx, x.newCall(sl, conns, now))
 	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, sentAt: now, ttfb: time.Since(now)}
+	if err == errSpared {
+		x.giveBack(sl, tracked)
+		return nil, err
+	}
 	if err != nil {
 		x.s.release(sl, tracked, place.Outcome{Result: resultForError(err), Latency: out.ttfb})
 		if err.Code == corianderwing.FirstByteTimeout || err.Code == corianderwing.SendFailed {
@@ -203,7 +227,7 @@
 		x.checkCrash(sl, err)
 		return nil, err
 	}
-	verdict := x.s.cfg.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+	verdict := sl.info
 	out.load = place.LoadReport{Valid: verdict.LoadKnown, Running: verdict.Running, Waiting: verdict.Waiting}
 	if verdict.NotExecuted {
 		resp.Drain()
@@ -240,6 +264,7 @@
 		ExtendDeadline:      x.extendFirstByteDeadline,
 		MaxForeignResponses: maxForeignResponses,
 		AllowCloseDelimited: true,
+		Hooks:               sl,
 	}
 	if x.rule.AtMostOnce {
 		c.MinIdleSince = now.Add(-onceMaxIdle)
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -23,6 +23,12 @@
 	coldStart   bool
 	newVersion  bool
 	acquiredAt  time.Time
+
+	// Set for the attempt at the upstream.
+	exchange *exchange
+	notice   *upstreamNotice
+	info     corianderwing.ResponseInfo // of the response
+	trial    bool                       // the attempt tests a pushback
 }
 
 // acquire gets a slot for the request from the control instance of the failure
@@ -44,6 +50,7 @@
 		HomeRegions:        r.HomeRegions,
 		ExcludedUpstreams:  r.ExcludedUpstreams,
 		CurrentVersionOnly: r.CurrentVersionOnly,
+		NoForward:          r.NoForward,
 	})
 	if !ok {
 		return s.acquireLocal(ctx, p, r)
@@ -106,6 +113,8 @@
 // release returns a slot to its source and reports the outcome of the attempt.
 func (s *Server) release(sl *slot, tracked *trackedAttempt, o place.Outcome) {
 	o.ID = sl.id
+	sl.endTrial()
+	o.Leaving = sl.isLeaving()
 	if tracked != nil {
 		sl.pool.mu.Lock()
 		sl.pool.moveStats.end(tracked, o.Result, time.Now())
