--- a/io/follow/failover_test.go
+++ b/io/follow/failover_test.go
@@ -13,7 +13,8 @@
 
 // Guards against old settings on an instance that reaches most of the control role: it
 // stayed 2 s with each lost control instance in turn, 4 s if both of its region were
-// lost, while changes come into force within 2.5 s.
+// lost. The switch to the third one takes 2.5 s at most, less than the time for which such
+// a loss excuses old settings (3 s and 4 s on the known sites).
 func TestTwoControlInstancesLost(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -57,4 +58,37 @@
 		f.recordMiss("near", "deadline exceeded")
 		is.Equal(f.current, "near")
 	}
+	// The same holds for an instance that was switched to after a failure, from its
+	// first reply on, and for one that answered a probe.
+	f.recordMiss("near", "deadline exceeded")
+	is.Equal(f.current, "region")
+	f.recordReply("region", 100*time.Millisecond)
+	f.recordMiss("region", "deadline exceeded")
+	is.Equal(f.current, "region")
+	f.recordMiss("region", "deadline exceeded")
+	is.Equal(f.current, "near") // and is lost as well
+	f.switchTo("region", "nearer or more recently confirmed")
+	f.recordMiss("region", "deadline exceeded")
+	is.Equal(f.current, "region")
+}
+
+// Guards against a storm of heartbeats from all entry instances while no control
+// instance can be reached: each attempt fails at once, and a switch follows.
+func TestHeartbeatsBackOffWithoutControl(t *testing.T) {
+	is := is.New(t)
+	f := &Follower{
+		cfg:      Config{Now: func() time.Time { return time.Unix(1000, 0) }, Log: &log.Logger{Level: log.PanicLevel}},
+		controls: []plane.ControlInstance{{PeerAddr: "near"}, {PeerAddr: "region"}},
+		current:  "near",
+		switched: make(chan struct{}),
+	}
+	f.state.Store(&state{view: model.New(), known: true})
+	f.info.Store(&plane.HeartbeatResponse{LeaseDuration: 4000})
+	var delays []time.Duration
+	for range 6 {
+		f.recordMiss(f.current, "connection refused")
+		delays = append(delays, f.heartbeatDelay(9))
+	}
+	ms := time.Millisecond
+	is.Equal(delays, []time.Duration{80 * ms, 160 * ms, 320 * ms, 400 * ms, 400 * ms, 400 * ms})
 }
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -101,6 +101,7 @@
 	rtts            map[string]rttEstimator  // by peer address
 	switched        chan struct{}            // closed when current changes
 	misses          int                      // consecutive failed heartbeats to current
+	failed          int                      // failed heartbeats since the last reply, whichever instance was asked
 	failedOver      bool                     // switched to current after failed heartbeats, and it has not replied yet
 	confirmationAge time.Duration            // age of the last confirmation from current
 	lastProbe       time.Time                // when another control instance was last probed
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -15,7 +15,8 @@
 	// follower switches to another control instance. One that it switched to for this
 	// reason is left after the first: the nearest ones may all be lost.
 	maxMisses = 2
-	// missInterval is the heartbeat interval after a failed heartbeat.
+	// missInterval is the heartbeat interval after a failed heartbeat. It doubles with
+	// each further one, up to heartbeatInterval: all control instances may be lost.
 	missInterval = 80 * time.Millisecond
 	// startupInterval is the heartbeat interval while the control instance has no
 	// shares to give because it has just started or knows no leader. Until a state
@@ -80,8 +81,8 @@
 	if _, known := f.View(); !known {
 		return min(startupInterval<<min(n, 8), maxStartupInterval)
 	}
-	if f.missing() {
-		return missInterval
+	if n := f.failures(); n > 0 {
+		return min(missInterval<<min(n-1, 8), heartbeatInterval)
 	}
 	if info.LeaseDuration <= 0 {
 		return startupInterval
@@ -95,11 +96,11 @@
 	return heartbeatInterval
 }
 
-// missing reports whether the last heartbeat to the followed control instance failed.
-func (f *Follower) missing() bool {
+// failures returns the number of failed heartbeats since the last reply.
+func (f *Follower) failures() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.misses > 0 || f.failedOver
+	return f.failed
 }
 
 // heartbeat sends a heartbeat to the followed control instance and applies the
@@ -188,7 +189,7 @@
 	if f.current != addr {
 		return
 	}
-	f.misses, f.failedOver, f.lastReply, f.confirmationAge = 0, false, now, age
+	f.misses, f.failed, f.failedOver, f.lastReply, f.confirmationAge = 0, 0, false, now, age
 	switch {
 	case !s.lags():
 		f.laggingSince = time.Time{}
@@ -242,12 +243,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses++
+	f.failed++
 	if _, known := f.View(); f.current != addr || known && !f.failedOver && f.misses < maxMisses {
 		return
 	}
-	f.failedOver = true
 	i := slices.IndexFunc(f.controls, func(c plane.ControlInstance) bool { return c.PeerAddr == addr })
 	f.switchTo(f.controls[(i+1)%len(f.controls)].PeerAddr, reason)
+	f.failedOver = true
 }
 
 // switchTo switches to another control instance. f.mu must be held.
@@ -256,7 +258,7 @@
 		return
 	}
 	f.cfg.Log.Info().Str("control", f.current).Str("next", addr).Str("reason", reason).Msg("control instance changed")
-	f.current, f.misses, f.confirmationAge = addr, 0, 0
+	f.current, f.misses, f.failedOver, f.confirmationAge = addr, 0, false, 0
 	f.lastReply = time.Time{}
 	f.lastProbe = f.cfg.Now()
 	close(f.switched)
