Share the set-up of the entry instance's tests

Cause: four test files had the same request and the same start of an instance in full.

Ruled out: one table for all of them; they test different checks.

Change: startTestServer, and send of the notice tests, in their place.

--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -35,6 +35,19 @@
 	})
 }
 
+// startTestServer returns an entry instance that knows the pool files. It is closed at
+// the end of the test.
+func startTestServer(t *testing.T, c Control) *Server {
+	t.Helper()
+	s := newTestServer(c, quiet)
+	t.Cleanup(s.Close)
+	s.NotifyChange()
+	for s.pool("files") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return s
+}
+
 // grantingControl is a Control that grants every slot immediately.
 type grantingControl struct {
 	view     *model.View
--- a/io/gate/grant_test.go
+++ b/io/gate/grant_test.go
@@ -65,12 +65,7 @@
 				s.mu.Lock()
 				s.pools["files"] = newPool("files", s.cfg.Dial, 0.2)
 				s.mu.Unlock()
-				w := httptest.NewRecorder()
-				r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
-				r.Host = "shop.example"
-				r.Header.Set("X-Request-Id", "0000000000000001")
-				r.Header.Set("X-Key", "k-1")
-				s.ServeHTTP(w, r)
+				w := send(s, 1)
 				is.Equal(ran.Load(), int32(0))
 				is.Equal(w.Code, http.StatusServiceUnavailable) // not executed: there is no other upstream
 				is.Equal(control.released.Load(), int32(1))
--- a/io/gate/homes_test.go
+++ b/io/gate/homes_test.go
@@ -92,18 +92,8 @@
 					c.move(t, control)
 				}
 			}}
-			s := newTestServer(control, quiet)
-			defer s.Close()
-			s.NotifyChange()
-			for s.pool("files") == nil {
-				time.Sleep(time.Millisecond)
-			}
-			w := httptest.NewRecorder()
-			r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
-			r.Host = "shop.example"
-			r.Header.Set("X-Request-Id", "0000000000000001")
-			r.Header.Set("X-Key", "k-1")
-			s.ServeHTTP(w, r)
+			s := startTestServer(t, control)
+			w := send(s, 1)
 			is.Equal(ran.Load(), c.ran)
 			is.Equal(w.Code, http.StatusServiceUnavailable)
 			is.Equal(len(control.asked), 2)
--- a/io/gate/pause_test.go
+++ b/io/gate/pause_test.go
@@ -62,18 +62,8 @@
 			}))
 			defer up.Close()
 			control := &pausingControl{grantingControl: newGrantingControl(t, strings.TrimPrefix(up.URL, "http://")), pause: c.pause}
-			s := newTestServer(control, quiet)
-			defer s.Close()
-			s.NotifyChange()
-			for s.pool("files") == nil {
-				time.Sleep(time.Millisecond)
-			}
-			w := httptest.NewRecorder()
-			r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
-			r.Host = "shop.example"
-			r.Header.Set("X-Request-Id", "0000000000000001")
-			r.Header.Set("X-Key", "k-1")
-			s.ServeHTTP(w, r)
+			s := startTestServer(t, control)
+			w := send(s, 1)
 			is.Equal(w.Code, c.status)
 			ok := c.status == http.StatusOK
 			is.Equal(ran.Load() == 1, ok)
--- a/io/gate/stale_homes_test.go
+++ b/io/gate/stale_homes_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -50,18 +49,8 @@
 			control := &outdatedControl{}
 			control.pausingControl = &pausingControl{grantingControl: granting, pause: func(*pausingControl) { control.outdated.Store(true) }}
 			control.outdated.Store(c.before)
-			s := newTestServer(control, quiet)
-			defer s.Close()
-			s.NotifyChange()
-			for s.pool("files") == nil {
-				time.Sleep(time.Millisecond)
-			}
-			w := httptest.NewRecorder()
-			r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
-			r.Host = "shop.example"
-			r.Header.Set("X-Request-Id", "0000000000000001")
-			r.Header.Set("X-Key", "k-1")
-			s.ServeHTTP(w, r)
+			s := startTestServer(t, control)
+			w := send(s, 1)
 			is.Equal(w.Code, c.status)
 			is.Equal(ran.Load() == 1, c.status == http.StatusOK)
 			is.Equal(w.Header().Get("Retry-After") != "", c.status != http.StatusOK)
@@ -101,18 +90,8 @@
 	control.pausingControl = &pausingControl{grantingControl: granting, pause: func(*pausingControl) {
 		control.wake = func() { granting.view = moved } // at the check after the wait
 	}}
-	s := newTestServer(control, quiet)
-	defer s.Close()
-	s.NotifyChange()
-	for s.pool("files") == nil {
-		time.Sleep(time.Millisecond)
-	}
-	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodGet, "/files/1", nil)
-	r.Host = "shop.example"
-	r.Header.Set("X-Request-Id", "0000000000000001")
-	r.Header.Set("X-Key", "k-1")
-	s.ServeHTTP(w, r)
+	s := startTestServer(t, control)
+	w := send(s, 1)
 	is.Equal(ran.Load(), int32(0))
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 }
