Keep back all unreported tokens until every control instance has reported

Cause: a new leader kept back half of the tokens that nobody had reported. A holder with more of them that was cut off went on using them for its lease and exceeded the bound together with the others.

Weighed: keeping back all for the whole grace period (refuses every keyed request for 9 s after a restart of everything); outstanding shares recorded by a majority before they are given (a second round trip for each share).

Change: the leader knows which control instances an earlier one may have given shares to: the members of the group, and those on the lists of the last 9 s, since a silent member is removed after 2.5 s. Until each of them has reported, and for 0.6 s after, all unreported tokens are kept back. An Allocator that is not told of any keeps them back for the whole grace period.

Left, and red as TestEntryCutOffFromRestartedControl: an entry instance cut off alone whose control instance restarts while the leader changes.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -48,13 +48,12 @@
 // Allocator allocates tokens to holders and tracks what each of them may be
 // using. It is not safe for concurrent use.
 type Allocator struct {
-	window     time.Duration
-	graceEnd   time.Time                         // until then, unknown holders may use tokens of an earlier Allocator
-	unreported map[corianderwing.WorkspaceID]int // tokens that no known holder reported
-	bounds     map[corianderwing.WorkspaceID]int
-	holders    map[string]*holder
-	ledgers    map[corianderwing.WorkspaceID]ledger
-	reserve    string // holder from which the others borrow; "" if there is none
+	window  time.Duration
+	grace   grace
+	bounds  map[corianderwing.WorkspaceID]int
+	holders map[string]*holder
+	ledgers map[corianderwing.WorkspaceID]ledger
+	reserve string // holder from which the others borrow; "" if there is none
 }
 
 // holder is an instance that asks for tokens.
@@ -65,16 +64,15 @@
 
 // NewAllocator returns an Allocator without bounds, for tokens that become
 // available again one window after their use. Until graceEnd, holders that it
-// does not know may use some of the tokens. The successor of another Allocator
-// must set graceEnd to GracePeriod after now.
+// does not know may use the tokens that nobody reported. The successor of
+// another Allocator must set graceEnd to GracePeriod after now.
 func NewAllocator(window time.Duration, graceEnd time.Time) *Allocator {
 	return &Allocator{
-		window:     window,
-		graceEnd:   graceEnd,
-		unreported: map[corianderwing.WorkspaceID]int{},
-		bounds:     map[corianderwing.WorkspaceID]int{},
-		holders:    map[string]*holder{},
-		ledgers:    map[corianderwing.WorkspaceID]ledger{},
+		window:  window,
+		grace:   grace{end: graceEnd, unreported: map[corianderwing.WorkspaceID]int{}},
+		bounds:  map[corianderwing.WorkspaceID]int{},
+		holders: map[string]*holder{},
+		ledgers: map[corianderwing.WorkspaceID]ledger{},
 	}
 }
 
@@ -164,7 +162,7 @@
 		others += n.outstanding
 	}
 	fair := a.fairShare(l, i, bound)
-	if now.Before(a.graceEnd) {
+	if now.Before(a.grace.end) {
 		bound -= a.unknownInUse(w, bound-others-outstanding, now)
 	}
 	// After the bound was lowered, the other holders may use more than is left.
@@ -172,49 +170,6 @@
 	return max(0, min(fair, max(bound-others, outstanding)))
 }
 
-// unknownInUse returns how many of the tokens that no known holder reported may
-// be in use by holders of an earlier Allocator. Holders that have stopped used
-// about as many as the present demand would; holders that are cut off may go on
-// until their shares expire. During demandWarmup neither is known, and all of
-// the tokens count.
-func (a *Allocator) unknownInUse(w corianderwing.WorkspaceID, unreported int, now time.Time) int {
-	// Tokens that a known holder returns were not unreported before.
-	if m, ok := a.unreported[w]; ok {
-		unreported = min(unreported, m)
-	}
-	unreported = max(0, unreported)
-	a.unreported[w] = unreported
-	start := a.graceEnd.Add(-GracePeriod(a.window))
-	if now.Sub(start) < demandWarmup {
-		return unreported
-	}
-	rate := 0.0
-	for _, n := range a.ledgers[w] {
-		rate += n.rate
-	}
-	used := pastDemandFactor * rate * start.Add(a.window).Sub(now).Seconds()
-	used = max(used, cutOffFraction*float64(unreported))
-	return min(unreported, int(math.Ceil(max(0, used))))
-}
-
-// GracePeriod returns how long tokens that a new Allocator does not know of may
-// be in use.
-func GracePeriod(window time.Duration) time.Duration {
-	return corianderwing.GrantorDeadline(time.Time{}, LeaseDuration).Sub(time.Time{}) + window
-}
-
-const (
-	// demandWarmup is how long a new Allocator waits for the reports of its
-	// holders.
-	demandWarmup = 600 * time.Millisecond
-	// pastDemandFactor is how much higher the demand may have been than it is
-	// after the loss of the instances that would know.
-	pastDemandFactor = 1.25
-	// cutOffFraction is the fraction of the unreported tokens that may belong
-	// to holders that are cut off.
-	cutOffFraction = 0.5
-)
-
 const (
 	// demandHorizon is the time for which a holder gets tokens: until its next
 	// request is answered, with a margin for one lost message.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -116,7 +116,9 @@
 	is := is.New(t)
 	d := NewAllocator(window, begin.Add(GracePeriod(window)))
 	d.SetBounds(bounds(100))
+	d.ExpectReports([]string{"old"}, begin)
 	ask := func(name string, used int, at time.Time) int {
+		d.Reported(name, at)
 		for _, s := range d.Allocate(name, []Demand{{Workspace: shop, Rate: 5, Used: used, Held: used}}, at) {
 			return s.Tokens
 		}
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -38,7 +38,8 @@
 	quotaAllocator *quota.Allocator
 	boundsRevision corianderwing.Revision // revision that the bounds of quotaAllocator are based on
 	tolerance      RateTolerance
-	knownLoans     func() []steer.UpstreamLoan // loans assigned by an earlier leader
+	knownLoans     func() []steer.UpstreamLoan  // loans assigned by an earlier leader
+	knownControls  func(now time.Time) []string // peer addresses of control instances with shares from an earlier leader
 	revision       func() corianderwing.Revision
 	regionOf       func(corianderwing.DomainID) corianderwing.RegionID
 }
@@ -69,6 +70,9 @@
 		graceEnd = now.Add(quota.GracePeriod(l.tolerance.Window))
 	}
 	l.quotaAllocator = quota.NewAllocator(l.tolerance.Window, graceEnd)
+	if l.knownControls != nil {
+		l.quotaAllocator.ExpectReports(l.knownControls(now), now)
+	}
 	l.boundsRevision = 0
 	l.loans = loanPlan{planner: steer.New(), loads: map[reportKey]domainReport{}}
 	l.rollouts = rollouts{
@@ -111,6 +115,7 @@
 		})
 		l.quotaAllocator.SetBounds(bounds)
 	}
+	l.quotaAllocator.Reported(quorum.AddrOf(q.Replica), now)
 	return l.quotaAllocator.Allocate(string(q.Replica)+"/"+strconv.FormatUint(uint64(q.Incarnation), 36), q.Demands, now)
 }
 
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -61,6 +61,7 @@
 	localEntries      map[corianderwing.InstanceID]entryRecord // entry instances that send heartbeats to this instance
 	entries           []corianderwing.Instance                 // all live entry instances, as last reported by the leader
 	controls          []ControlInstance
+	controlsSeen      map[string]time.Time // by peer address: when a leader last listed the control instance
 	instancesVersion  uint64               // of entries and controls
 	lastLeaderAddr    string               // address of the last known leader
 	quotaAllocator    *quota.Allocator     // divides this instance's token shares among entry instances
@@ -94,6 +95,7 @@
 		peer:         pc,
 		heartbeats:   newHeartbeatTracker(),
 		localEntries: map[corianderwing.InstanceID]entryRecord{},
+		controlsSeen: map[string]time.Time{},
 		// Shares granted by a previous incarnation of this process do not count
 		// against the shares of this one, so no grace period is needed.
 		quotaAllocator: quota.NewAllocator(cfg.RateTolerance.Window, time.Time{}),
@@ -112,6 +114,7 @@
 		defer p.mu.Unlock()
 		return p.loans
 	}
+	p.leaderState.knownControls = p.knownControls
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -190,6 +190,9 @@
 	if r.InstancesVersion != p.instancesVersion {
 		p.instancesVersion, p.entries, p.controls = r.InstancesVersion, r.Entries, r.Controls
 	}
+	for _, c := range p.controls {
+		p.controlsSeen[c.PeerAddr] = sentAt
+	}
 	if until := corianderwing.HolderDeadline(sentAt, quota.LeaseDuration); until.After(p.sharesValidUntil) {
 		p.sharesValidUntil = until
 		bounds := make(map[corianderwing.WorkspaceID]int, len(r.Shares))
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +27,26 @@
 	r.LeaseDuration = corianderwing.Millis(max(0, remaining.Milliseconds()))
 }
 
+// knownControls returns the peer addresses of the control instances that may
+// hold shares from an earlier leader: the members of the group, and those that
+// were listed recently. A member that is silent is removed from the group
+// before its shares have expired.
+func (p *Plane) knownControls(now time.Time) []string {
+	all := p.replica.MemberAddrs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, seen := range p.controlsSeen {
+		if now.Sub(seen) > quota.GracePeriod(p.cfg.RateTolerance.Window) {
+			delete(p.controlsSeen, addr)
+			continue
+		}
+		if !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	return all
+}
+
 // renewReserve renews the share from which entry instances borrow. The caller
 // must hold p.mu.
 func (p *Plane) renewReserve(until, now time.Time) {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -202,25 +203,26 @@
 
 // PeerAddrs returns the peer addresses of the members and the seeds.
 func (r *Replica) PeerAddrs() []string {
-	seen := map[string]bool{}
-	var all []string
-	add := func(addr string) {
-		if !seen[addr] {
-			seen[addr] = true
-			all = append(all, addr)
+	all := r.MemberAddrs()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, seed := range r.seeds {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
 		}
 	}
+	return all
+}
+
+// MemberAddrs returns the peer addresses of the members.
+func (r *Replica) MemberAddrs() []string {
+	var all []string
 	v := r.Status().Voters
-	for _, list := range [][]corianderwing.InstanceID{v.Voters, v.Learners} {
-		for _, id := range list {
-			add(AddrOf(id))
+	for _, id := range slices.Concat(v.Voters, v.Learners) {
+		if addr := AddrOf(id); !slices.Contains(all, addr) {
+			all = append(all, addr)
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, seed := range r.seeds {
-		add(seed)
-	}
 	return all
 }
 
