Print what explain says when TestExplainPlantedCauses fails

A request with another status than planted, or one that is repeated without success, failed without a cause: the logs are gone by then. The checks are the same.

--- a/cmd/corianderwing/story_test.go
+++ b/cmd/corianderwing/story_test.go
@@ -111,11 +111,20 @@
 	s.t.Helper()
 	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
-			s.t.Fatalf("not in time: %s", what)
+			s.mu.Lock()
+			last := fmt.Sprintf("q-%03d", s.n)
+			s.mu.Unlock()
+			s.t.Fatalf("not in time: %s; the last request:\n%s", what, s.explain(last))
 		}
 	}
 }
 
+// explain returns what the command explain says of a request.
+func (s *stage) explain(id string) []byte {
+	out, _ := exec.Command(binary, append([]string{"explain", id}, logsOf(s.site.Dir)...)...).CombinedOutput()
+	return out
+}
+
 func (s *stage) rule(name, prefix, pool string, once bool) corianderwing.Rule {
 	return corianderwing.Rule{
 		Name: corianderwing.RouteID(name), Version: 1, Host: "shop.example", Prefix: prefix, AtMostOnce: once,
@@ -186,8 +195,15 @@
 	plant(id, "workspace small is over its share")
 
 	// Slow: the upstream itself, a wait for a slot, a second attempt.
-	id, status, _ = s.ask(entry, "/goods/slow", "k-main", "", 2*time.Second)
-	is.Equal(status, http.StatusOK)
+	served := func(path string) string {
+		t.Helper()
+		id, status, err := s.ask(entry, path, "k-main", "", 2*time.Second)
+		if status != http.StatusOK {
+			t.Fatalf("%s: status %d, %v:\n%s", path, status, err, s.explain(id))
+		}
+		return id
+	}
+	id = served("/goods/slow")
 	plant(id, `"first":(9\d\d|\d{4})\b`) // the 900 ms of the upstream, and what a busy machine adds
 	var busy sync.WaitGroup
 	ids := make([]string, 5)
@@ -198,9 +214,7 @@
 	for range 20 { // each earns a part of a retry
 		s.ask(entry, "/goods/ok", "k-main", "", time.Second)
 	}
-	id, status, _ = s.ask(entry, "/goods/twice", "k-main", "", 2*time.Second)
-	is.Equal(status, http.StatusOK)
-	plant(id, "attempts 2: ")
+	plant(served("/goods/twice"), "attempts 2: ")
 
 	// Unknown: an upstream that breaks an order off, one that is silent, and an
 	// entry process that is killed.
@@ -235,8 +249,7 @@
 	is.Equal(len(planted), 8)
 	for id, cause := range planted {
 		s.until(fmt.Sprintf("explain %s says %s", id, cause), func() bool {
-			out, _ := exec.Command(binary, append([]string{"explain", id}, logsOf(dir)...)...).CombinedOutput()
-			return cause.Match(out)
+			return cause.Match(s.explain(id))
 		})
 	}
 	// One of five requests at two slots waited for two others.
