Let the measured slowdown of an upstream fade while nothing is measured

Cause: an upstream's slowdown is the latency of its responses relative to what was expected of their class. A class of 1 ms with a few responses of 300 to 900 ms raises it to its limit of 20. Another class, not measured yet, is then expected to take 20 x 300 ms, more than its 2.4 s, on every upstream; it is refused at once, so nothing is measured and it stays refused. Seen in TestExplainPlantedCauses beside load: orders were refused for 20 s with "pool goods has no free slot for 20ms, 0 requests queued", 347 times, by idle upstreams.

Ruled out: ejection (at most 4 s), a slot that was not released (the logs of the entry instance show each response, and the expected wait was 0).

Change: a slowdown keeps its value for 1 s and then fades to 1 with a time constant of 2 s.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -93,7 +93,7 @@
 
 // score returns the rank of an upstream for a request; higher is better.
 func (p *Pool) score(r *Request, s *server, slow float64, now time.Time) float64 {
-	w := s.weight(slow)
+	w := s.weight(slow, now)
 	if r.Object == 0 {
 		far := p.rtt(s).Seconds()
 		return p.freeSlots(s, now)/max(1, float64(s.slots)) - far*10 + p.rng.Float64()*0.01
@@ -160,12 +160,12 @@
 	if p.freeSlots(s, now) < 1 {
 		return false
 	}
-	return now.Add(p.expectedLatency(r, s)).Before(r.Deadline)
+	return now.Add(p.expectedLatency(r, s, now)).Before(r.Deadline)
 }
 
 // expectedLatency returns the expected time from the grant to the response.
-func (p *Pool) expectedLatency(r *Request, s *server) time.Duration {
-	return seconds(p.latencyOf(r.Class).expected(p.expectsHit(s, r))*s.slowdown) + p.rtt(s)
+func (p *Pool) expectedLatency(r *Request, s *server, now time.Time) time.Duration {
+	return seconds(p.latencyOf(r.Class).expected(p.expectsHit(s, r))*s.slowdownAt(now)) + p.rtt(s)
 }
 
 // hitWithinGoal reports whether an upstream that caches the object is expected
@@ -175,7 +175,7 @@
 		if !p.expectsHit(s.server, r) {
 			continue
 		}
-		if now.Add(p.expectedWait(r, s.server, now) + p.expectedLatency(r, s.server)).Before(r.Goal) {
+		if now.Add(p.expectedWait(r, s.server, now) + p.expectedLatency(r, s.server, now)).Before(r.Goal) {
 			return true
 		}
 	}
@@ -216,7 +216,7 @@
 	if each <= 0 {
 		each = p.latencyOf(r.Class).expected(true)
 	}
-	return seconds((ahead - free + 1) * each * s.slowdown / float64(max(1, s.slots)))
+	return seconds((ahead - free + 1) * each * s.slowdownAt(now) / float64(max(1, s.slots)))
 }
 
 // shortestWait returns the shortest expected wait at the upstreams that cache
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -186,7 +186,7 @@
 		return own
 	}
 	target := p.pickTarget(r, order, now)
-	if now.Add(p.expectedWait(r, target, now) + p.expectedLatency(r, target)).Before(r.Goal) {
+	if now.Add(p.expectedWait(r, target, now) + p.expectedLatency(r, target, now)).Before(r.Goal) {
 		return own
 	}
 	region := p.cfg.RegionOf(own)
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -160,9 +160,11 @@
 	expectHit := h.grant.ExpectHit
 	w.mean = smooth(w.mean, sec)
 	if !h.grant.ColdStart {
-		s.slowdown = min(maxSlowdown, max(minSlowdown, s.slowdown+(sec/w.expected(expectHit)-s.slowdown)*smoothing))
+		slowdown := s.slowdownAt(now)
+		slowdown += (sec/w.expected(expectHit) - slowdown) * smoothing
+		s.slowdown, s.measuredAt = min(maxSlowdown, max(minSlowdown, slowdown)), now
 	}
-	if s.slowdown > slowThreshold*p.meanSlowdown(now) || h.grant.ColdStart {
+	if s.slowdownAt(now) > slowThreshold*p.meanSlowdown(now) || h.grant.ColdStart {
 		return // caused by the upstream, not by the class
 	}
 	hit := expectHit
@@ -203,7 +205,7 @@
 	sum, n := 0.0, 0.0
 	for _, s := range p.sorted {
 		if s.usable(now) {
-			sum += min(s.slowdown, 3)
+			sum += min(s.slowdownAt(now), 3)
 			n++
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -350,13 +350,13 @@
 	}
 	g := Grant{
 		Upstream:        s.upstream,
-		ExpectedLatency: seconds(p.latencyOf(r.Class).expected(hit)*s.slowdown) + p.rtt(s),
+		ExpectedLatency: seconds(p.latencyOf(r.Class).expected(hit)*s.slowdownAt(now)) + p.rtt(s),
 		ExpectHit:       hit,
 		ColdStart:       cold,
 		NextVersion:     next,
 	}
 	if w := p.latencyOf(r.Class); w.miss > 0 {
-		g.MissLatency = seconds(w.miss*s.slowdown) + p.rtt(s)
+		g.MissLatency = seconds(w.miss*s.slowdownAt(now)) + p.rtt(s)
 	}
 	p.active[r.ID] = &activeGrant{Request: *r, server: s, grant: g, depth: depth, at: now}
 	p.effects = append(p.effects, Effect{ID: r.ID, Grant: g})
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -50,7 +50,7 @@
 // request was queued.
 func (p *Pool) enqueue(r *Request, order []scoredServer, now time.Time) bool {
 	target := p.pickTarget(r, order, now)
-	takes := p.expectedWait(r, target, now) + p.expectedLatency(r, target)
+	takes := p.expectedWait(r, target, now) + p.expectedLatency(r, target, now)
 	late := !now.Add(takes).Before(r.Goal)
 	if late && (r.RequireGoal || !p.admitLate(r, takes, now)) {
 		return false
@@ -167,7 +167,7 @@
 // serve the request within its goal.
 func (p *Pool) awaitsHit(w *waiter, now time.Time) bool {
 	for _, s := range p.sorted {
-		if p.expectsHit(s, &w.Request) && s.usable(now) && now.Add(p.expectedWait(&w.Request, s, now)+p.expectedLatency(&w.Request, s)).Before(w.Goal) {
+		if p.expectsHit(s, &w.Request) && s.usable(now) && now.Add(p.expectedWait(&w.Request, s, now)+p.expectedLatency(&w.Request, s, now)).Before(w.Goal) {
 			return true
 		}
 	}
@@ -210,7 +210,7 @@
 	kept := p.queue[:0]
 	var late []*waiter
 	for _, w := range p.queue {
-		takes := p.expectedLatency(&w.Request, w.target)
+		takes := p.expectedLatency(&w.Request, w.target, now)
 		switch {
 		case !now.Add(takes).Before(w.Deadline):
 			p.reject(&w.Request, 0, corianderwing.DeadlineUnreachable, "pool %s had no free slot before the deadline", p.cfg.Name)
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -27,6 +27,12 @@
 	// relative to the expected latency.
 	minSlowdown = 0.5
 	maxSlowdown = 20.0
+	// slowdownHold is how long a measured slowdown stays as it is without another
+	// measurement, and slowdownFade the time constant with which it then returns
+	// to 1. Otherwise an upstream that is taken for too slow for any request
+	// would never be measured again.
+	slowdownHold = time.Second
+	slowdownFade = 2 * time.Second
 	// coldBurst is the number of requests that a cold upstream may get at once.
 	coldBurst = 2.0
 )
@@ -50,8 +56,9 @@
 	index           map[uint64]*list.Element // into recentObjects, most recent first
 	coldTokens      float64                  // requests that it may get during its cold start
 	tokensAt        time.Time
-	errorRate       float64 // moving average of failed attempts, 0 to 1
-	slowdown        float64 // moving average of actual to expected latency
+	errorRate       float64   // moving average of failed attempts, 0 to 1
+	slowdown        float64   // moving average of actual to expected latency
+	measuredAt      time.Time // of slowdown
 }
 
 func newServer(u *model.Upstream) *server {
@@ -201,16 +208,25 @@
 	return 1 + p.rtt(s).Seconds()/usual
 }
 
+// slowdownAt returns the slowdown, which fades while nothing is measured.
+func (s *server) slowdownAt(now time.Time) float64 {
+	idle := now.Sub(s.measuredAt) - slowdownHold
+	if idle <= 0 {
+		return s.slowdown
+	}
+	return 1 + (s.slowdown-1)*math.Exp(-float64(idle)/float64(slowdownFade))
+}
+
 // weight returns the rendezvous weight of the upstream. Failing or slow
 // upstreams get fewer objects. Small differences are ignored, because an
 // object that moves is not cached by its new upstream.
-func (s *server) weight(usualSlow float64) float64 {
+func (s *server) weight(usualSlow float64, now time.Time) float64 {
 	w := float64(s.slots)
 	if s.errorRate > 0.1 {
 		w *= (1 - s.errorRate) * (1 - s.errorRate)
 	}
-	if s.slowdown > slowThreshold*usualSlow {
-		w *= usualSlow / s.slowdown
+	if slowdown := s.slowdownAt(now); slowdown > slowThreshold*usualSlow {
+		w *= usualSlow / slowdown
 	}
 	return w
 }
