--- a/io/relay/send_test.go
+++ b/io/relay/send_test.go
@@ -78,6 +78,29 @@
 	})
 }
 
+// Guards against an error that depends on which of two timers fires first: the
+// deadline of an order is that of its first byte as well, and a silent upstream
+// must be named either way.
+func TestSilentPeerIsNamed(t *testing.T) {
+	late := corianderwing.Errorf(corianderwing.DeadlineExceeded, "request deadline exceeded")
+	for _, after := range []time.Duration{-time.Millisecond, 0, time.Millisecond} {
+		for range 50 {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := newPipePool(func(c net.Conn, br *bufio.Reader) { io.Copy(io.Discard, br) })
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				c := newCall(h, "q")
+				time.AfterFunc(time.Until(c.FirstByteDeadline)+after, func() { cancel(late) })
+				_, err := Send(ctx, c)
+				is.Equal(err.Code, corianderwing.FirstByteTimeout)
+				is.Equal(err.Detail, "no answer from peer")
+				is.Equal(err.Execution, corianderwing.ExecutionUnknown)
+			})
+		}
+	}
+}
+
 // Guards against taking a response without a length for complete although a
 // connection reset truncated it, and against refusing one that ended properly.
 func TestCloseDelimitedResponse(t *testing.T) {
