Keep the first address of a soak's site open instead of testing and closing it

Cause of "listen tcp 127.64.1.1:7000: bind: address already in use" in TestExplainPlantedCauses: a process that is being started has a copy of each open socket of its parent until its program runs. pickOctet opened and closed that address to test it; a process that another test or goroutine started in between kept it in use for another moment, and the Proxy could not listen on it.

Ruled out: an outgoing connection with that port (net.ipv4.ip_local_port_range begins at 32768), TIME_WAIT (Go sets SO_REUSEADDR), two sites with the same octet (one address marks the owner).

Change: NewSite listens on all addresses at once and takes the next octet if one of them is in use. The holder of an address is named when no octet is left.

--- a/io/soak/holder_test.go
+++ b/io/soak/holder_test.go
@@ -23,6 +23,7 @@
 	defer l.Close()
 	err = NewProxy().Open(l.Addr().String(), "", "")
 	is.True(err != nil)
-	is.True(strings.Contains(err.Error(), fmt.Sprintf("process %d of", os.Getpid())))
-	is.True(strings.Contains(err.Error(), "state 0A")) // it listens
+	holder := inUseBy(err)
+	is.True(strings.Contains(holder, fmt.Sprintf("process %d of", os.Getpid())))
+	is.True(strings.Contains(holder, "state 0A")) // it listens
 }
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -5,10 +5,7 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // Fault is what happens to the bytes of one direction of a link.
@@ -58,9 +55,6 @@
 // listens on a private address.
 func (p *Proxy) Open(face, private, name string) error {
 	l, err := net.Listen("tcp", face)
-	if errors.Is(err, syscall.EADDRINUSE) {
-		return eris.Wrap(err, addressHolders(face))
-	}
 	if err != nil {
 		return err
 	}
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -80,15 +80,41 @@
 	region corianderwing.RegionID
 }{{"north-a", "north"}, {"north-b", "north"}, {"south-a", "south"}, {"south-b", "south"}, {"east-a", "east"}}
 
-// NewSite lays out a site with controls and entries processes; none runs yet.
+// NewSite lays out a site with controls and entries processes; none runs yet. The
+// second octet of its loopback IPs is the first one at which it can listen, so that
+// several sites can run on one machine.
 func NewSite(program, dir string, controls, entries int) (*Site, error) {
-	s := &Site{Program: program, Dir: dir, Proxy: NewProxy(), domains: map[corianderwing.DomainID]corianderwing.RegionID{}}
+	var inUse error
+	for octet := 64; octet < 192; octet += 2 {
+		s, err := newSiteAt(octet, program, dir, controls, entries)
+		if err == nil {
+			return s, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, err
+		}
+		inUse = err
+	}
+	return nil, corianderwing.Errorf(corianderwing.InvalidInput, "no free IPs in 127.64.0.0/10: %v; %s", inUse, inUseBy(inUse))
+}
+
+// inUseBy describes who holds the address at which a listen failed.
+func inUseBy(err error) string {
+	var e *net.OpError
+	if !errors.As(err, &e) || e.Addr == nil {
+		return "unknown address"
+	}
+	return addressHolders(e.Addr.String())
+}
+
+// newSiteAt lays out a site and makes its Proxy listen. No address is tested
+// beforehand: a process that is being started has a copy of each open socket, and
+// keeps the address of one that was closed in use until its program runs.
+func newSiteAt(octet int, program, dir string, controls, entries int) (*Site, error) {
+	s := &Site{Program: program, Dir: dir, Proxy: NewProxy(), octet: octet, domains: map[corianderwing.DomainID]corianderwing.RegionID{}}
 	for _, d := range siteDomains {
 		s.domains[d.domain] = d.region
 	}
-	if err := s.pickOctet(); err != nil {
-		return nil, err
-	}
 	for i := range controls {
 		// Every second domain first, so that three lie in three regions.
 		s.add(fmt.Sprintf("control-%d", i+1), "control", i*2%len(siteDomains), i+1)
@@ -98,36 +124,13 @@
 	}
 	for _, p := range s.Procs {
 		if err := s.open(p); err != nil {
+			s.Proxy.Close()
 			return nil, err
 		}
 	}
 	return s, nil
 }
 
-// pickOctet chooses the second octet of the loopback IPs, so that several sites
-// can run on one machine.
-func (s *Site) pickOctet() error {
-	for o := 64; o < 192; o += 2 {
-		// Held until the site is closed: it marks the octet as taken. It is taken
-		// before any other address is tested, so that two sites that start at the
-		// same time never test each other's.
-		owner, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", o, peerPort))
-		if err != nil {
-			continue
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", o, peerPort))
-		if err != nil {
-			owner.Close()
-			continue
-		}
-		l.Close()
-		s.Proxy.listen = append(s.Proxy.listen, owner)
-		s.octet = o
-		return nil
-	}
-	return corianderwing.Errorf(corianderwing.InvalidInput, "no free IPs in 127.64.0.0/10: the soak needs a system that accepts all of 127.0.0.0/8")
-}
-
 func (s *Site) face(n int) string { return fmt.Sprintf("127.%d.%d.1", s.octet, n) }
 func (s *Site) bind(n int) string { return fmt.Sprintf("127.%d.%d.1", s.octet+1, n) }
 
