Keep unreported tokens back until the known entry instances have reported too

Cause: a control instance that restarted reports, but does not know what it granted. An entry instance that had more than half of the unreported tokens from it, and was cut off alone or had moved to another control instance, used them besides what a new leader handed out.

Change: a new leader also awaits the entry instances on the lists of the last 9 s, with a heartbeat from after its term began. An entry instance states the tokens of valid shares from other control instances (quota.Demand.Elsewhere, a flag in the report); it counts as reported once it has none. While one is awaited, all unreported tokens are kept back, for 9 s at most.

Before: TestEntryCutOffFromRestartedControl fails.

Left, and red as TestEntryCutOffFromAllRestartedControls: after a restart of all control instances the leader knows no entry instances, and half is handed out as before. Keeping back all then refuses all keyed requests for 9 s.

--- a/core/quota/cut_control_test.go
+++ b/core/quota/cut_control_test.go
@@ -26,7 +26,7 @@
 		return
 	}
 	c.expire(now)
-	leader.Reported(c.name, now)
+	leader.Reported(c.name, true, now)
 	shares := leader.Allocate(c.name, c.allocator.Demands(now), now)
 	if lost {
 		return
--- a/core/quota/cutoff_test.go
+++ b/core/quota/cutoff_test.go
@@ -31,7 +31,7 @@
 	t.Run("known holders", func(t *testing.T) {
 		cutOffHolder(t, func(leader *Allocator, now time.Time) {
 			leader.ExpectReports([]string{"far", "near"}, now)
-			leader.Reported("near", now)
+			leader.Reported("near", true, now)
 		})
 	})
 }
@@ -90,7 +90,7 @@
 	d.SetBounds(bounds(100))
 	d.ExpectReports([]string{"a", "b"}, begin)
 	ask := func(name string, at time.Time) int {
-		d.Reported(name, at)
+		d.Reported(name, true, at)
 		return d.Allocate(name, []Demand{{Workspace: shop, Rate: 5}}, at)[0].Tokens
 	}
 	is.Equal(ask("a", begin), 0)
@@ -104,8 +104,21 @@
 // while the leader changes: it reports, but does not know what it granted.
 func TestEntryCutOffFromRestartedControl(t *testing.T) {
 	cutOffHolder(t, func(leader *Allocator, now time.Time) {
-		leader.ExpectReports([]string{"far", "near"}, now)
-		leader.Reported("far", now)
-		leader.Reported("near", now)
+		leader.ExpectReports([]string{"c-far", "c-near", "far", "near"}, now)
+		for _, name := range []string{"c-far", "c-near", "near"} {
+			leader.Reported(name, true, now)
+		}
+	})
+}
+
+// Guards against exceeding the bound when an entry instance with most of the
+// tokens is cut off alone while all control instances restart: none of them knows
+// which entry instances there were.
+func TestEntryCutOffFromAllRestartedControls(t *testing.T) {
+	cutOffHolder(t, func(leader *Allocator, now time.Time) {
+		leader.ExpectReports([]string{"c-far", "c-near"}, now)
+		for _, name := range []string{"c-far", "c-near", "near"} {
+			leader.Reported(name, true, now)
+		}
 	})
 }
--- a/core/quota/grace.go
+++ b/core/quota/grace.go
@@ -12,8 +12,9 @@
 type grace struct {
 	end        time.Time
 	unreported map[corianderwing.WorkspaceID]int // tokens that no known holder reported
-	expected   bool                              // missing was set
-	missing    map[string]struct{}               // instances whose report is expected
+	expected   bool                              // ExpectReports was called
+	missing    map[string]bool                   // by instance: whether its report is awaited
+	awaited    int                               // number of instances whose report is awaited
 	reportedAt time.Time                         // when the last of them reported
 }
 
@@ -31,32 +32,45 @@
 	// after the loss of the instances that would know.
 	pastDemandFactor = 1.25
 	// cutOffFraction is the fraction of the unreported tokens that may belong
-	// to holders that are cut off, although each instance that could have
-	// granted them tokens has reported. An instance that has restarted does not
-	// know what it granted before.
+	// to holders that are cut off, although each instance that is known has
+	// reported: after a loss of all control instances no entry instance is known.
 	cutOffFraction = 0.5
 )
 
-// ExpectReports names the instances to which an earlier Allocator may have
-// granted shares. One that has not reported may be cut off and use any of the
-// tokens that nobody reported, so all of these are kept back until each named
+// ExpectReports names the control and entry instances that may have shares from
+// an earlier Allocator. One that has not reported may be cut off and use any of
+// the tokens that nobody reported, so all of these are kept back until each named
 // instance has reported. Without this call they are kept back until the grace
 // period ends.
 func (a *Allocator) ExpectReports(instances []string, now time.Time) {
 	a.grace.expected, a.grace.reportedAt = true, now
-	a.grace.missing = make(map[string]struct{}, len(instances))
+	a.grace.missing = make(map[string]bool, len(instances))
 	for _, name := range instances {
-		a.grace.missing[name] = struct{}{}
+		a.grace.missing[name] = true
 	}
+	a.grace.awaited = len(a.grace.missing)
 }
 
-// Reported records that an instance is about to state its demands, or has
-// restarted and states those that it has now. It must be called before
-// Allocate.
-func (a *Allocator) Reported(instance string, now time.Time) {
-	if _, ok := a.grace.missing[instance]; ok {
-		delete(a.grace.missing, instance)
-		a.grace.reportedAt = now
+// Reported records that an instance has reported, and whether the demands in the
+// next call of Allocate contain all that it holds. Those of an entry instance do
+// not contain what it holds from a control instance that it no longer follows and
+// that may have restarted.
+func (a *Allocator) Reported(instance string, complete bool, now time.Time) {
+	g := &a.grace
+	if !g.expected || !now.Before(g.end) {
+		return
+	}
+	awaited, known := g.missing[instance]
+	switch {
+	case !known && complete:
+		g.missing[instance] = false
+	case !known:
+		g.missing[instance] = true
+		g.awaited++
+	case awaited && complete:
+		g.missing[instance] = false
+		g.awaited--
+		g.reportedAt = now
 	}
 }
 
@@ -72,7 +86,7 @@
 	}
 	unreported = max(0, unreported)
 	a.grace.unreported[w] = unreported
-	if !a.grace.expected || len(a.grace.missing) > 0 || now.Sub(a.grace.reportedAt) < demandWarmup {
+	if !a.grace.expected || a.grace.awaited > 0 || now.Sub(a.grace.reportedAt) < demandWarmup {
 		return unreported
 	}
 	rate := 0.0
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -177,17 +177,16 @@
 		acct := l.account(w, now)
 		acct.releaseUsed(now)
 		n := Demand{Workspace: w, Rate: max(acct.short.rate(now), acct.long.rate(now))}
-		elsewhere := 0
 		for _, s := range acct.leases {
 			switch {
 			case !now.Before(s.until):
 			case s.from == from:
 				n.Held += s.tokens
 			default:
-				elsewhere += s.tokens
+				n.Elsewhere += s.tokens
 			}
 		}
-		n.Used = max(0, acct.inUse-elsewhere)
+		n.Used = max(0, acct.inUse-n.Elsewhere)
 		n.Held = max(n.Held, n.Used)
 		list = append(list, n)
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -37,6 +37,9 @@
 	Rate      float64                   `json:"asked"`          // recent requests per second, including refused ones
 	Used      int                       `json:"used,omitempty"` // tokens used within the window
 	Held      int                       `json:"held,omitempty"` // tokens held, used or not
+	// Elsewhere is the number of tokens of valid shares from other grantors,
+	// which are in neither Used nor Held.
+	Elsewhere int `json:"elsewhere,omitempty"`
 }
 
 // Share is the number of a workspace's tokens that a holder may use.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -118,7 +118,7 @@
 	d.SetBounds(bounds(100))
 	d.ExpectReports([]string{"old"}, begin)
 	ask := func(name string, used int, at time.Time) int {
-		d.Reported(name, at)
+		d.Reported(name, true, at)
 		for _, s := range d.Allocate(name, []Demand{{Workspace: shop, Rate: 5, Used: used, Held: used}}, at) {
 			return s.Tokens
 		}
--- a/core/quota/two_controls_test.go
+++ b/core/quota/two_controls_test.go
@@ -11,7 +11,8 @@
 
 // Guards against tokens that are handed out twice: a holder whose control
 // instance was lost still has valid shares from it, and another control
-// instance must not hand out the same number again because they are in use.
+// instance must not hand out the same number again because they are in use. A new
+// leader must learn that there are such shares.
 func TestHolderOfTwoControls(t *testing.T) {
 	is := is.New(t)
 	const bound = 100
@@ -45,4 +46,6 @@
 		ask("next", next, now)
 	}
 	is.True(admitted <= bound) // all within one window
+	is.True(entry.Demands("next", []corianderwing.WorkspaceID{shop}, now)[0].Elsewhere > 0)
+	is.Equal(entry.Demands("next", []corianderwing.WorkspaceID{shop}, now.Add(LeaseDuration))[0].Elsewhere, 0)
 }
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -24,6 +24,7 @@
 	mu               sync.Mutex
 	startedAt        time.Time // when this instance started
 	term             corianderwing.Term
+	termStart        time.Time
 	observedSince    time.Time
 	lastExpiryCheck  time.Time // time of the last check for expired upstreams
 	entries          map[corianderwing.InstanceID]entryRecord
@@ -39,7 +40,7 @@
 	boundsRevision corianderwing.Revision // revision that the bounds of quotaAllocator are based on
 	tolerance      RateTolerance
 	knownLoans     func() []steer.UpstreamLoan  // loans assigned by an earlier leader
-	knownControls  func(now time.Time) []string // peer addresses of control instances with shares from an earlier leader
+	knownHolders   func(now time.Time) []string // instances that may have shares from an earlier leader
 	revision       func() corianderwing.Revision
 	regionOf       func(corianderwing.DomainID) corianderwing.RegionID
 }
@@ -60,7 +61,7 @@
 	if l.entries != nil && l.term == term {
 		return
 	}
-	l.term, l.observedSince = term, now
+	l.term, l.termStart, l.observedSince = term, now, now
 	l.entries = map[corianderwing.InstanceID]entryRecord{}
 	l.controls = map[corianderwing.InstanceID]controlRecord{}
 	l.lastHeartbeats = map[uint32]time.Time{}
@@ -70,8 +71,8 @@
 		graceEnd = now.Add(quota.GracePeriod(l.tolerance.Window))
 	}
 	l.quotaAllocator = quota.NewAllocator(l.tolerance.Window, graceEnd)
-	if l.knownControls != nil {
-		l.quotaAllocator.ExpectReports(l.knownControls(now), now)
+	if l.knownHolders != nil {
+		l.quotaAllocator.ExpectReports(l.knownHolders(now), now)
 	}
 	l.boundsRevision = 0
 	l.loans = loanPlan{planner: steer.New(), loads: map[reportKey]domainReport{}}
@@ -100,8 +101,9 @@
 	return int(boundFraction * ((float64(t.Rate)*w+float64(t.Burst))*(1+x.Fraction) + x.Requests))
 }
 
-// allocateShares returns a control instance's shares of the workspace bounds.
-func (l *leaderState) allocateShares(term corianderwing.Term, q *reportRequest, v *model.View, now time.Time) []quota.Share {
+// allocateShares returns a control instance's shares of the workspace bounds for a
+// report that arrived at the given time.
+func (l *leaderState) allocateShares(term corianderwing.Term, q *reportRequest, arrived time.Time, v *model.View, now time.Time) []quota.Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureTerm(term, now)
@@ -115,7 +117,14 @@
 		})
 		l.quotaAllocator.SetBounds(bounds)
 	}
-	l.quotaAllocator.Reported(quorum.AddrOf(q.Replica), now)
+	l.quotaAllocator.Reported(quorum.AddrOf(q.Replica), true, now)
+	for _, e := range q.Entries {
+		// A heartbeat from before the term may precede shares that an earlier
+		// leader granted.
+		if at := arrived.Add(-time.Duration(e.Age) * time.Millisecond); !at.Before(l.termStart) {
+			l.quotaAllocator.Reported(string(e.ID), !e.SharesElsewhere, now)
+		}
+	}
 	return l.quotaAllocator.Allocate(string(q.Replica)+"/"+strconv.FormatUint(uint64(q.Incarnation), 36), q.Demands, now)
 }
 
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -61,7 +61,7 @@
 	localEntries      map[corianderwing.InstanceID]entryRecord // entry instances that send heartbeats to this instance
 	entries           []corianderwing.Instance                 // all live entry instances, as last reported by the leader
 	controls          []ControlInstance
-	controlsSeen      map[string]time.Time // by peer address: when a leader last listed the control instance
+	seen              map[string]time.Time // by peer address or entry ID: when a leader last listed the instance
 	instancesVersion  uint64               // of entries and controls
 	lastLeaderAddr    string               // address of the last known leader
 	quotaAllocator    *quota.Allocator     // divides this instance's token shares among entry instances
@@ -83,6 +83,8 @@
 	entry         corianderwing.Instance
 	lastHeartbeat time.Time
 	trials        []Trial
+	// sharesElsewhere is set if it has valid shares from other control instances.
+	sharesElsewhere bool
 }
 
 // Open starts a control instance and registers its RPCs with a peer server,
@@ -95,7 +97,7 @@
 		peer:         pc,
 		heartbeats:   newHeartbeatTracker(),
 		localEntries: map[corianderwing.InstanceID]entryRecord{},
-		controlsSeen: map[string]time.Time{},
+		seen:         map[string]time.Time{},
 		// Shares granted by a previous incarnation of this process do not count
 		// against the shares of this one, so no grace period is needed.
 		quotaAllocator: quota.NewAllocator(cfg.RateTolerance.Window, time.Time{}),
@@ -114,7 +116,7 @@
 		defer p.mu.Unlock()
 		return p.loans
 	}
-	p.leaderState.knownControls = p.knownControls
+	p.leaderState.knownHolders = p.knownHolders
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
@@ -218,7 +220,7 @@
 	now := clock.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials}
+	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials, sharesElsewhere: hasSharesElsewhere(b.Demands)}
 	r := &HeartbeatResponse{Revision: p.confirmedRevision, Confirmed: !p.confirmedAt.IsZero()}
 	r.Age = corianderwing.Millis(now.Sub(p.confirmedAt).Milliseconds() + 1)
 	p.listInstances(b, r)
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -140,7 +140,7 @@
 			delete(p.localEntries, id)
 			continue
 		}
-		q.Entries = append(q.Entries, reportedEntry{b.entry, corianderwing.Millis(age.Milliseconds())})
+		q.Entries = append(q.Entries, reportedEntry{b.entry, b.sharesElsewhere, corianderwing.Millis(age.Milliseconds())})
 	}
 	slices.SortFunc(q.Entries, func(a, b reportedEntry) int { return compare(a.ID, b.ID) })
 	return q
@@ -190,9 +190,7 @@
 	if r.InstancesVersion != p.instancesVersion {
 		p.instancesVersion, p.entries, p.controls = r.InstancesVersion, r.Entries, r.Controls
 	}
-	for _, c := range p.controls {
-		p.controlsSeen[c.PeerAddr] = sentAt
-	}
+	p.recordSeen(sentAt)
 	if until := corianderwing.HolderDeadline(sentAt, quota.LeaseDuration); until.After(p.sharesValidUntil) {
 		p.sharesValidUntil = until
 		bounds := make(map[corianderwing.WorkspaceID]int, len(r.Shares))
@@ -212,7 +210,8 @@
 		return nil, corianderwing.Errorf(corianderwing.NoLeader, "%s is not the leader", p.replica.Self())
 	}
 	p.replica.SetLocation(q.Replica, q.Domain, q.Region)
-	p.leaderState.recordReport(term, q, clock.Boot())
+	arrived := clock.Boot()
+	p.leaderState.recordReport(term, q, arrived)
 	index, err := p.confirmer.wait(ctx)
 	if err != nil {
 		return nil, err
@@ -223,7 +222,7 @@
 	view := p.machine.View()
 	reply := &reportResponse{
 		Revision:   view.Revision(),
-		Shares:     p.leaderState.allocateShares(term, q, view, clock.Boot()),
+		Shares:     p.leaderState.allocateShares(term, q, arrived, view, clock.Boot()),
 		MoveShares: p.leaderState.recordTrials(term, string(q.Replica), q.Trials, view, time.Now()),
 	}
 	reply.LoansVersion, reply.Loans = p.leaderState.planLoans(term, view, clock.Boot())
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -27,26 +28,39 @@
 	r.LeaseDuration = corianderwing.Millis(max(0, remaining.Milliseconds()))
 }
 
-// knownControls returns the peer addresses of the control instances that may
-// hold shares from an earlier leader: the members of the group, and those that
-// were listed recently. A member that is silent is removed from the group
-// before its shares have expired.
-func (p *Plane) knownControls(now time.Time) []string {
+// recordSeen records the instances on the leader's lists. The caller must hold p.mu.
+func (p *Plane) recordSeen(now time.Time) {
+	for _, c := range p.controls {
+		p.seen[c.PeerAddr] = now
+	}
+	for _, e := range p.entries {
+		p.seen[string(e.ID)] = now
+	}
+	maps.DeleteFunc(p.seen, func(_ string, at time.Time) bool {
+		return now.Sub(at) > quota.GracePeriod(p.cfg.RateTolerance.Window)
+	})
+}
+
+// knownHolders returns the instances that may have shares from an earlier leader,
+// control instances by peer address and entry instances by ID: the members of the
+// group, and the instances that were listed within the last grace period. A silent
+// instance leaves the group and the lists before its shares have expired.
+func (p *Plane) knownHolders(now time.Time) []string {
 	all := p.replica.MemberAddrs()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, seen := range p.controlsSeen {
-		if now.Sub(seen) > quota.GracePeriod(p.cfg.RateTolerance.Window) {
-			delete(p.controlsSeen, addr)
-			continue
-		}
-		if !slices.Contains(all, addr) {
-			all = append(all, addr)
+	for name, at := range p.seen {
+		if now.Sub(at) <= quota.GracePeriod(p.cfg.RateTolerance.Window) {
+			all = append(all, name)
 		}
 	}
 	return all
 }
 
+func hasSharesElsewhere(demands []quota.Demand) bool {
+	return slices.ContainsFunc(demands, func(n quota.Demand) bool { return n.Elsewhere > 0 })
+}
+
 // renewReserve renews the share from which entry instances borrow. The caller
 // must hold p.mu.
 func (p *Plane) renewReserve(until, now time.Time) {
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -177,7 +177,8 @@
 // reportedEntry is an entry instance and the age of its last heartbeat.
 type reportedEntry struct {
 	corianderwing.Instance
-	Age corianderwing.Millis `json:"age,omitempty"`
+	SharesElsewhere bool                 `json:"elsewhere,omitempty"` // it has valid shares from other control instances
+	Age             corianderwing.Millis `json:"age,omitempty"`
 }
 
 // reportResponse answers a report after the leader has confirmed its
