Remove four duplicates in soak, stub and the tests of the command

What lets one fault at a time work on a process or an upstream is one type (claim); the stub waits with clock.Sleep; the ledger of the tests makes both kinds of change through apply; TestWipedDisk and TestCutOff start their instances through meshedControls. Behaviour is unchanged: go test ./io/stub ./io/soak and TestWipedDisk, TestCutOff and TestFreezeLeader pass.

--- a/cmd/corianderwing/ledger_test.go
+++ b/cmd/corianderwing/ledger_test.go
@@ -61,13 +61,9 @@
 	l.top.Store(max(l.top.Load(), uint64(a.Revision)))
 }
 
-// addKey adds one key.
-func (l *ledger) addKey(ctx context.Context, c *admin.Client, id string) error {
-	k := admin.AddKey{Change: admin.Change{Request: corianderwing.RequestID("add-" + id)}, Workspace: shop.Workspace, ID: corianderwing.KeyID(id)}
-	send := func(ctx context.Context, c *admin.Client) (admin.Accepted, error) {
-		done, err := c.AddKey(ctx, k)
-		return done.Accepted, err
-	}
+// apply makes a change with send and notes it. Then expect, which is called with
+// l.mu held, updates the state that is expected.
+func (l *ledger) apply(ctx context.Context, c *admin.Client, send func(context.Context, *admin.Client) (admin.Accepted, error), expect func()) error {
 	done, err := send(ctx, c)
 	if err != nil {
 		return err
@@ -75,10 +71,20 @@
 	l.note(done, made{again: send})
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.keys[k.ID] = true
+	expect()
 	return nil
 }
 
+// addKey adds one key.
+func (l *ledger) addKey(ctx context.Context, c *admin.Client, id string) error {
+	k := admin.AddKey{Change: admin.Change{Request: corianderwing.RequestID("add-" + id)}, Workspace: shop.Workspace, ID: corianderwing.KeyID(id)}
+	send := func(ctx context.Context, c *admin.Client) (admin.Accepted, error) {
+		done, err := c.AddKey(ctx, k)
+		return done.Accepted, err
+	}
+	return l.apply(ctx, c, send, func() { l.keys[k.ID] = true })
+}
+
 // toggle drains an upstream, or ends its drain. Only one writer may do so for
 // an upstream at a time.
 func (l *ledger) toggle(ctx context.Context, c *admin.Client, id string, u corianderwing.UpstreamID) error {
@@ -92,15 +98,7 @@
 		}
 		return c.Drain(ctx, admin.SetDrain{Change: change, Upstream: u})
 	}
-	done, err := send(ctx, c)
-	if err != nil {
-		return err
-	}
-	l.note(done, made{again: send})
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.drains[u] = !drained
-	return nil
+	return l.apply(ctx, c, send, func() { l.drains[u] = !drained })
 }
 
 // setNode creates a service. Only one writer may do so at a time.
--- a/cmd/corianderwing/repair_test.go
+++ b/cmd/corianderwing/repair_test.go
@@ -16,6 +16,17 @@
 	"corianderwing/io/admin"
 )
 
+// meshedControls starts the control instances with links that can be cut, and a
+// writer of changes, which ends with the returned function.
+func meshedControls(t *testing.T) (*processes, mesh, *ledger, func()) {
+	t.Helper()
+	f := newProcesses(t)
+	m := f.mesh()
+	f.startControls()
+	l := newLedger(f)
+	return f, m, l, l.write()
+}
+
 // Guards against an acknowledged change that is lost, or a group that stops,
 // when one control instance loses its disk and a second one dies right after
 // the repair. A replica without its disk must not vote under its old identity,
@@ -23,11 +34,7 @@
 func TestWipedDisk(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newProcesses(t)
-	m := f.mesh()
-	f.startControls()
-	l := newLedger(f)
-	endWrites := l.write()
+	f, m, l, endWrites := meshedControls(t)
 	l.more(300) // more than a learner may lack when it becomes a voter
 	leader := f.leads()
 	wiped := f.Controls[slices.IndexFunc(f.Controls, func(c place) bool { return c.ID != leader })]
@@ -82,11 +89,7 @@
 func TestCutOff(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := newProcesses(t)
-	m := f.mesh()
-	f.startControls()
-	l := newLedger(f)
-	endWrites := l.write()
+	f, m, l, endWrites := meshedControls(t)
 	l.more(50)
 	for _, role := range []raft.Role{raft.Leader, raft.Follower} {
 		id := f.leads()
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -52,11 +52,11 @@
 	Face   string // IP under which others know it
 	Bind   string // its own IP
 
+	claim
 	site   *Site
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	taken  bool      // a fault works on it
 	ending bool      // it was told to stop
 	since  time.Time // when it was told to end in a planned way; zero if it was not
 }
@@ -287,23 +287,6 @@
 	}
 }
 
-// take makes the caller the only one that works on the process.
-func (p *Proc) take() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.taken {
-		return false
-	}
-	p.taken = true
-	return true
-}
-
-func (p *Proc) release() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.taken = false
-}
-
 // stopSince returns when the process was told to stop; zero if it was not.
 func (p *Proc) stopSince() time.Time {
 	p.mu.Lock()
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -43,6 +43,7 @@
 	ID     corianderwing.UpstreamID
 	Domain corianderwing.DomainID
 
+	claim
 	run    *run
 	face   string
 	bind   string
@@ -55,7 +56,6 @@
 	busy   map[corianderwing.RequestID]bool // requests in progress
 	slots  chan struct{}
 	slow   time.Duration // added to the work
-	taken  bool
 }
 
 // start serves, as a new life.
@@ -129,23 +129,6 @@
 	u.slow = d
 }
 
-// take makes the caller the only one that works on the upstream.
-func (u *Upstream) take() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.taken {
-		return false
-	}
-	u.taken = true
-	return true
-}
-
-func (u *Upstream) release() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.taken = false
-}
-
 func (u *Upstream) chance(p float64) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/io/clock"
 )
 
 // Config describes one stand-in upstream. Zero fields take the defaults that
@@ -274,12 +275,5 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return clock.Sleep(ctx, d)
 }
