--- a/core/place/place.go
+++ b/core/place/place.go
@@ -18,6 +18,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -43,6 +44,12 @@
 	RequireGoal        bool // reject unless the goal can be met here
 }
 
+// mayRunIn reports whether a region may run the request. A failure domain that is not
+// in the settings has the region "", which is nobody's home.
+func (r *Request) mayRunIn(region corianderwing.RegionID) bool {
+	return len(r.HomeRegions) == 0 || region != "" && slices.Contains(r.HomeRegions, region)
+}
+
 // Grant is an upstream slot that a request holds until Release.
 type Grant struct {
 	Upstream        *model.Upstream
@@ -89,6 +96,7 @@
 	DialTime time.Duration // time to open a connection; 0 if one was reused
 	Bytes    int           // size of request and response; 0 if unknown
 	Load     LoadReport
+	Leaving  bool // the upstream said that it is leaving
 }
 
 // LoadReport is the load that an upstream reports with a response.
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
@@ -23,6 +24,8 @@
 	ask   corianderwing.CallerRequest
 
 	view        *model.View
+	settings    *items.Set    // from which the home regions were read
+	stateAge    time.Duration // age of the view when the request was admitted
 	rule        *corianderwing.Rule
 	tenure      *corianderwing.WorkspacePolicy
 	pool        *pool
@@ -31,6 +34,12 @@
 	header      []relay.HeaderField
 	placement   place.Request
 	attemptLog  []attemptEntry
+	fingerprint crash.Fingerprint // empty until it is needed
+	suspected   bool              // the request lost a connection, or is a suspect
+	crashed     bool              // an upstream crashed while it ran the request
+	probeUntil  time.Time         // until when the request may be sent although it is quarantined; zero after it was
+	spared      []sparedUpstream  // upstreams that the request avoided
+	sparedSlots int               // slots that it gave back to spare their upstream
 	ctx         context.Context
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
@@ -76,9 +85,10 @@
 	if !known || view.Revision() == 0 {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "no settings received yet")
 	}
-	x.view = view
+	x.view, x.stateAge = view, x.s.cfg.Control.StateAge()
 	fresh := x.s.cfg.Control.IsFresh()
 	set := view.Items()
+	x.settings = set
 	rule, ok := set.MatchRule(x.r.Host, items.RequestPath(x.r.RequestURI))
 	if !ok && !x.s.cfg.Control.IsCurrent() {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "settings are not confirmed as current")
@@ -104,6 +114,9 @@
 		return corianderwing.Errorf(corianderwing.NoUpstream, "pool %s has no upstream", name)
 	}
 	x.buildPlacement()
+	if err := x.checkHomes(); err != nil {
+		return err
+	}
 	return x.takeToken()
 }
 
@@ -175,14 +188,13 @@
 		Rank:        x.rule.Priority,
 		Goal:        x.rule.TargetLatency.After(x.start),
 		Deadline:    x.deadline,
-		HomeRegions: x.rule.HomeRegions,
+		HomeRegions: items.HomeRegions(x.rule, x.tenure),
 		Retried:     since > 0,
 	}
 	if x.tenure != nil {
 		if x.tenure.Priority != nil {
 			x.placement.Rank = *x.tenure.Priority
 		}
-		x.placement.HomeRegions = intersectRegions(x.placement.HomeRegions, x.tenure.HomeRegions)
 	}
 	if x.rule.Sticky && x.ask.Object != "" {
 		x.placement.Object = xxhash.Sum64String(x.ask.Object)
@@ -214,30 +226,12 @@
 	return elapsed
 }
 
-// intersectRegions returns the regions that are in both lists. An empty list means
-// all regions. The result for two non-empty lists also holds the nonexistent region
-// "", so that an empty intersection does not mean all regions.
-func intersectRegions(a, b []corianderwing.RegionID) []corianderwing.RegionID {
-	if len(a) == 0 {
-		return b
-	}
-	if len(b) == 0 {
-		return a
-	}
-	out := []corianderwing.RegionID{""}
-	for _, x := range a {
-		for _, y := range b {
-			if x == y {
-				out = append(out, x)
-			}
-		}
-	}
-	return out
-}
-
 // readRequest reads the request's header and the prefix of its body, and checks
 // their sizes.
 func (x *exchange) readRequest() *corianderwing.Error {
+	if x.ask.ID == "" {
+		return corianderwing.Errorf(corianderwing.InvalidInput, "the request has no ID by which its response could be recognized")
+	}
 	limits := x.view.Items().Limits()
 	var size int
 	x.header, size = relay.EndToEndFields(x.r.Header, x.s.cfg.Dialect.InternalHeader)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -14,9 +14,11 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/io/alloc"
+	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 	"corianderwing/io/meter"
 	"corianderwing/io/plane"
@@ -32,6 +34,9 @@
 	// IsCurrent reports whether the state was confirmed recently enough to
 	// conclude that anything missing from it does not exist.
 	IsCurrent() bool
+	// StateAge returns the time since the state was confirmed, or a negative value
+	// if it never was.
+	StateAge() time.Duration
 	// LeaderMissing reports whether the control role is without a leader, as far
 	// as this instance knows.
 	LeaderMissing() bool
@@ -41,6 +46,12 @@
 	// lender, or the delay until a token may be available; zero means that no
 	// control instance has a share.
 	BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error)
+	// ReportCrashes makes observations of requests that crash upstreams part of the
+	// state. It returns the revision that includes them.
+	ReportCrashes(ctx context.Context, list []crash.Event) (corianderwing.Revision, error)
+	// ClaimProbe asks for the next probe of a quarantined request, after the given
+	// number of earlier ones, and reports whether this instance may make it.
+	ClaimProbe(ctx context.Context, f crash.Fingerprint, probes int) (bool, error)
 	// ReturnToken returns the token of a request that did not run.
 	ReturnToken(lender string, w corianderwing.WorkspaceID)
 	// Acquire requests a slot at an upstream and returns it with its source. It
@@ -52,6 +63,7 @@
 
 // Config configures an entry instance.
 type Config struct {
+	Instance corianderwing.InstanceID // ID of this instance
 	Domain   corianderwing.DomainID
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
 	Control  Control
@@ -60,7 +72,8 @@
 	Dial     relay.DialFunc // default: TCP
 	SourceIP net.IP         // local address of TCP connections; nil for any
 	Log      *log.Logger
-	Meter    *meter.Meter // default: a new one
+	Meter    *meter.Meter     // default: a new one
+	Boot     func() time.Time // boot clock; default: clock.Boot
 	// RetryRatio is the fraction of a pool's requests that may be retried.
 	RetryRatio float64
 }
@@ -71,6 +84,7 @@
 	log       *log.Logger
 	meter     *meter.Meter
 	allocator *alloc.Allocator // allocates slots while the control instance is unreachable
+	suspects  *suspects
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,6 +101,8 @@
 	stopping    atomic.Bool // responses close their client connections
 	draining    atomic.Bool // no longer ready
 	active      atomic.Int64
+
+	invalidLoggedAt atomic.Int64 // boot time of the last line about an invalid pushback, in ns
 }
 
 // syncInterval is how often idle connections are closed, and pools are
@@ -101,6 +117,9 @@
 	if cfg.Meter == nil {
 		cfg.Meter = meter.New()
 	}
+	if cfg.Boot == nil {
+		cfg.Boot = clock.Boot
+	}
 	s := &Server{
 		cfg:           cfg,
 		log:           cfg.Log,
@@ -111,10 +130,12 @@
 		firstTimeouts: map[corianderwing.RouteID]time.Duration{},
 		viewChanged:   make(chan struct{}, 1),
 	}
+	s.suspects = newSuspects(&s.cfg)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.slotWaits, s.endWaits = context.WithCancelCause(s.ctx)
 	s.wg.Go(s.run)
 	s.wg.Go(func() { s.allocator.Run(s.ctx) })
+	s.wg.Go(func() { s.suspects.run(s.ctx) })
 	return s
 }
 
@@ -141,9 +162,10 @@
 	}
 }
 
-// sync updates limits, pools and the allocator from the state.
+// sync updates limits, pools, suspects and the allocator from the state.
 func (s *Server) sync() {
 	view, _ := s.cfg.Control.View()
+	s.suspects.sync(view)
 	limited := map[corianderwing.WorkspaceID]bool{}
 	view.Items().EachPolicy(func(t *corianderwing.WorkspacePolicy) {
 		if t.Rate > 0 {
@@ -159,9 +181,11 @@
 		}
 	}
 	shares := map[corianderwing.RequestID]float64{}
+	boot := s.cfg.Boot()
 	for _, p := range s.pools {
-		move, share := p.sync(view, now)
+		move, share, ended := p.sync(view, now, boot)
 		shares[move] = share
+		s.logEnded(p.name, ended)
 	}
 	s.mu.Unlock()
 	s.allocator.Sync(view, alloc.SyncParams{
@@ -242,7 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.eachUpstream(func(h *upstreamConns) { h.Reset() })
+		p.eachUpstream(func(h *upstreamConns) { h.Close() })
 	}
 }
 
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -22,7 +22,7 @@
 		e = e.Str("run", string(x.err.Execution)).Str("reason", x.err.Detail)
 	}
 	if x.view != nil {
-		e = e.Uint64("revision", uint64(x.view.Revision()))
+		e = e.Uint64("revision", uint64(x.view.Revision())).Int64("age", x.stateAge.Milliseconds())
 	}
 	var workspace corianderwing.WorkspaceID
 	if x.tenure != nil {
@@ -35,10 +35,19 @@
 	if x.pool != nil {
 		e = e.Str("pool", string(x.pool.name))
 	}
+	if len(x.placement.HomeRegions) > 0 {
+		e = e.Any("homes", x.placement.HomeRegions)
+	}
 	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
+	if x.suspected {
+		e = e.Str("fingerprint", string(x.fingerprint))
+	}
 	if len(x.attemptLog) > 0 {
 		e = e.Any("attempts", x.attemptLog)
 	}
+	if len(x.spared) > 0 {
+		e = e.Any("spared", x.spared)
+	}
 	e.Msg("request")
 	x.s.meter.RecordResponse(workspace, corianderwing.Normal, code, took)
 }
@@ -70,5 +79,6 @@
 	From     corianderwing.DomainID   `json:"from,omitempty"` // failure domain whose allocator granted the slot; empty if this instance did
 	Expected corianderwing.Millis     `json:"expected"`       // until the first byte
 	First    corianderwing.Millis     `json:"first"`
-	Known    bool                     `json:"known,omitempty"` // the upstream was expected to know the object
+	Known    bool                     `json:"known,omitempty"`   // the upstream was expected to know the object
+	Crashed  bool                     `json:"crashed,omitempty"` // the upstream refused connections after the attempt had failed
 }
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -6,6 +6,7 @@
 
 	"corianderwing"
 	"corianderwing/core/place"
+	"corianderwing/io/accept"
 	"corianderwing/io/relay"
 )
 
@@ -19,9 +20,29 @@
 	if x.tokenTaken && err.Execution == corianderwing.NotExecuted {
 		x.returnToken()
 	}
+	if err.Code != corianderwing.BodyTruncated { // the body's own deadline has passed
+		x.limitBodyWait()
+	}
 	x.status = x.s.cfg.Dialect.WriteError(x.w, x.ask.ID, err, x.retryAfter(err))
 }
 
+// bodyWait is how long a refusal waits for the rest of the request's body. The HTTP
+// server reads up to 256 KB of it before it responds, so that the connection can be
+// kept, and a caller may send it as late as it likes.
+const bodyWait = 500 * time.Millisecond
+
+// limitBodyWait limits the time for which the refusal waits for a body that has not
+// been read to its end.
+func (x *exchange) limitBodyWait() {
+	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
+		return
+	}
+	if b := x.body; b != nil && (b.Rest == nil || b.RestAtEOF.Load()) {
+		return
+	}
+	http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyWait))
+}
+
 // retryAfter returns the delay for the Retry-After header, or 0 for no header.
 func (x *exchange) retryAfter(err *corianderwing.Error) time.Duration {
 	if err.Execution != corianderwing.NotExecuted {
@@ -61,6 +82,7 @@
 	slot     *slot
 	tracked  *trackedAttempt
 	load     place.LoadReport
+	sentAt   time.Time
 	ttfb     time.Duration // time to first byte
 	done     bool
 }
@@ -71,6 +93,9 @@
 		return
 	}
 	r.done = true
+	if result == place.Succeeded || result == place.ServerError {
+		r.exchange.recordAnswer(r.sentAt)
+	}
 	r.exchange.s.release(r.slot, r.tracked, place.Outcome{Result: result, Latency: r.ttfb - r.DialTime, DialTime: r.DialTime, Bytes: r.size(), Load: r.load})
 }
 
@@ -101,6 +126,10 @@
 	return place.Succeeded
 }
 
+// writeSlack is how long after the request's deadline a caller that does not read
+// its response is given up.
+const writeSlack = 500 * time.Millisecond
+
 // forward sends an upstream's response to the caller. If the response is truncated,
 // it aborts the caller's connection, so that the caller cannot take the response
 // for complete.
@@ -114,8 +143,9 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // disables content sniffing by net/http
 	}
-	x.w.WriteHeader(resp.StatusCode)
 	rc := http.NewResponseController(x.w)
+	rc.SetWriteDeadline(x.deadline.Add(writeSlack)) // net/http resets it after the response
+	x.w.WriteHeader(resp.StatusCode)
 	var flush func() error
 	if resp.ContentLength < 0 {
 		flush = rc.Flush
@@ -128,11 +158,16 @@
 		x.err = corianderwing.Errorf(corianderwing.CallerDisconnected, "%v", writeErr)
 	case readErr != nil:
 		resp.Discard()
-		resp.end(place.ConnectionLost)
 		x.err = corianderwing.Errorf(corianderwing.ResponseTruncated, "%v", readErr)
 		if x.ctx.Err() != nil {
 			x.err = relay.ContextError(x.ctx, corianderwing.Executed)
 		}
+		if x.err.Code == corianderwing.CallerDisconnected {
+			resp.end(place.Canceled) // the connection was closed because of the caller
+		} else {
+			resp.end(place.ConnectionLost)
+		}
+		x.checkCrash(resp.slot, x.err)
 	default:
 		resp.end(resp.result())
 		return
@@ -151,7 +186,11 @@
 		}
 	}
 	x.logRequest()
-	if panicked != nil {
-		panic(http.ErrAbortHandler)
+	if panicked == nil {
+		return
 	}
+	if !x.r.ProtoAtLeast(1, 1) {
+		accept.Reset(x.w)
+	}
+	panic(http.ErrAbortHandler)
 }
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -34,26 +34,41 @@
 func (x *exchange) roundTrip() (*response, *corianderwing.Error) {
 	var last *corianderwing.Error
 	sent := 0
+	spared := false // the last slot was given back unused
 	x.pool.earnRetry()
+	x.takeProbe()
+	defer x.returnProbe()
+	if err := x.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	for {
 		now := time.Now()
 		if !now.Before(x.deadline) {
 			return nil, errorUnlessRan(last, corianderwing.DeadlineUnreachable, "request deadline exceeded")
 		}
-		if sent > 0 && !x.pool.spendRetry() {
+		if sent > 0 && !spared && !x.pool.spendRetry() {
 			return nil, last
 		}
-		sl, wait, err := x.waitForSlot(now)
+		sl, wait, err := x.acquireSlot()
 		x.slotWait += time.Since(now)
 		if err != nil {
 			x.retryDelay = wait
 			return nil, preferMayHaveRun(last, x.slotError(err))
 		}
-		if err := x.recheckKey(); err != nil {
+		if err := x.recheck(); err != nil {
 			x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
 			return nil, preferMayHaveRun(last, err)
 		}
 		resp, err := x.sendTo(sl)
+		if spared = err == errSpared; spared {
+			if x.sparedSlots > maxSparedSlots {
+				return nil, preferMayHaveRun(last, err)
+			}
+			continue
+		}
+		if err == nil || err.Code != corianderwing.ConnectFailed {
+			x.probeUntil = time.Time{}
+		}
 		if err == nil && !x.shouldRetryResponse(resp, sent) {
 			return resp, nil
 		}
@@ -72,16 +87,39 @@
 	}
 }
 
+// acquireSlot gets a slot at an upstream that may run the request now, after the wait
+// for it.
+func (x *exchange) acquireSlot() (*slot, time.Duration, *corianderwing.Error) {
+	for range maxUpstreamsTried {
+		if err := x.checkHomes(); err != nil {
+			return nil, 0, err
+		}
+		sl, wait, err := x.waitForSlot()
+		if err != nil || !x.returnOutsideHomes(sl) {
+			return sl, wait, err
+		}
+	}
+	return nil, 0, errOutsideHomes
+}
+
 // waitForSlot gets a slot for the request. The wait ends early when the instance
 // is about to stop.
-func (x *exchange) waitForSlot(now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+func (x *exchange) waitForSlot() (*slot, time.Duration, *corianderwing.Error) {
 	if x.s.slotWaits.Err() != nil {
 		return nil, 0, errStopping
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
-	return x.s.acquire(ctx, x.pool, x.placement, x.view, now)
+	r := x.placement
+	spare := x.upstreamsToSpare()
+	r.ExcludedUpstreams = spare.exclude(r.ExcludedUpstreams)
+	free, err := x.limitPushback(&spare, &r)
+	if err != nil {
+		return nil, free, err
+	}
+	sl, after, err := x.s.acquire(ctx, x.pool, r, time.Now())
+	return sl, max(after, free), err
 }
 
 // slotError returns the error for a request that got no slot. If its context or
@@ -96,6 +134,14 @@
 	return err
 }
 
+// recheck checks again, after the wait for a slot, what may have changed meanwhile.
+func (x *exchange) recheck() *corianderwing.Error {
+	if err := x.recheckKey(); err != nil {
+		return err
+	}
+	return x.checkQuarantine()
+}
+
 // recheckKey checks that the key is still valid after the wait for a slot.
 func (x *exchange) recheckKey() *corianderwing.Error {
 	if x.rule.Public || x.tenure == nil {
@@ -143,7 +189,7 @@
 	if x.ctx.Err() != nil || !x.body.CanReplay() || sent >= x.maxTries() || len(x.placement.ExcludedUpstreams) >= maxUpstreamsTried {
 		return false
 	}
-	if err.Execution != corianderwing.NotExecuted && x.rule.AtMostOnce {
+	if err.Execution != corianderwing.NotExecuted && (x.rule.AtMostOnce || x.mayCrashAnother()) {
 		return false
 	}
 	switch err.Code {
@@ -157,10 +203,19 @@
 // sendTo makes one attempt at the upstream of a slot.
 func (x *exchange) sendTo(sl *slot) (*response, *corianderwing.Error) {
 	now := time.Now()
-	tracked := sl.startAttempt(x.rule.Name, now)
 	conns := sl.pool.connsTo(sl.upstream)
+	sl.exchange, sl.notice = x, conns.notice
+	if x.judgeSlot(sl).Refused() {
+		x.giveBack(sl, nil)
+		return nil, errSpared
+	}
+	tracked := sl.startAttempt(x.rule.Name, now)
 	resp, err := relay.Send(x.ctx, x.newCall(sl, conns, now))
-	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, ttfb: time.Since(now)}
+	out := &response{Response: resp, exchange: x, slot: sl, tracked: tracked, sentAt: now, ttfb: time.Since(now)}
+	if err == errSpared {
+		x.giveBack(sl, tracked)
+		return nil, err
+	}
 	if err != nil {
 		x.s.release(sl, tracked, place.Outcome{Result: resultForError(err), Latency: out.ttfb})
 		if err.Code == corianderwing.FirstByteTimeout || err.Code == corianderwing.SendFailed {
@@ -169,9 +224,10 @@
 			conns.Reset()
 		}
 		x.logAttempt(sl, err, out.ttfb)
+		x.checkCrash(sl, err)
 		return nil, err
 	}
-	verdict := x.s.cfg.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+	verdict := sl.info
 	out.load = place.LoadReport{Valid: verdict.LoadKnown, Running: verdict.Running, Waiting: verdict.Waiting}
 	if verdict.NotExecuted {
 		resp.Drain()
@@ -208,6 +264,7 @@
 		ExtendDeadline:      x.extendFirstByteDeadline,
 		MaxForeignResponses: maxForeignResponses,
 		AllowCloseDelimited: true,
+		Hooks:               sl,
 	}
 	if x.rule.AtMostOnce {
 		c.MinIdleSince = now.Add(-onceMaxIdle)
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -23,13 +23,19 @@
 	coldStart   bool
 	newVersion  bool
 	acquiredAt  time.Time
+
+	// Set for the attempt at the upstream.
+	exchange *exchange
+	notice   *upstreamNotice
+	info     corianderwing.ResponseInfo // of the response
+	trial    bool                       // the attempt tests a pushback
 }
 
 // acquire gets a slot for the request from the control instance of the failure
 // domain, which sees all requests there. While that instance is unreachable, the
 // slot comes from the local allocator. An error comes with the delay after which the
 // caller should retry.
-func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, v *model.View, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
 	p.mu.Lock()
 	r.CurrentVersionOnly = p.moveStats.guard.Blocks(now)
 	p.mu.Unlock()
@@ -44,6 +50,7 @@
 		HomeRegions:        r.HomeRegions,
 		ExcludedUpstreams:  r.ExcludedUpstreams,
 		CurrentVersionOnly: r.CurrentVersionOnly,
+		NoForward:          r.NoForward,
 	})
 	if !ok {
 		return s.acquireLocal(ctx, p, r)
@@ -51,15 +58,8 @@
 	if a.Error != nil {
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
-	u, known := v.Upstream(a.Upstream)
-	if !known || u.Incarnation != a.Incarnation {
-		// The control instance may have a newer state than the one the request
-		// was admitted with.
-		if newer, ok := s.cfg.Control.View(); ok {
-			u, known = newer.Upstream(a.Upstream)
-		}
-	}
-	if !known || u.Incarnation != a.Incarnation {
+	u, ok := s.grantedUpstream(p.name, a)
+	if !ok {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
 		return s.acquireLocal(ctx, p, r)
 	}
@@ -77,6 +77,19 @@
 	}, 0, nil
 }
 
+// grantedUpstream returns the upstream of a granted slot, if this instance's state
+// allows new work of the pool there. The control instance may be behind: one that was
+// paused grants slots of upstreams that have left or drain since, and the state may
+// have changed while the request waited.
+func (s *Server) grantedUpstream(pool corianderwing.PoolID, a *plane.AcquireResponse) (*model.Upstream, bool) {
+	view, _ := s.cfg.Control.View()
+	u, ok := view.Upstream(a.Upstream)
+	if !ok || u.Pool != pool || u.Incarnation != a.Incarnation {
+		return nil, false
+	}
+	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
+}
+
 // acquireLocal gets a slot from the allocator of this instance.
 func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
 	r.NoForward = true
@@ -100,6 +113,8 @@
 // release returns a slot to its source and reports the outcome of the attempt.
 func (s *Server) release(sl *slot, tracked *trackedAttempt, o place.Outcome) {
 	o.ID = sl.id
+	sl.endTrial()
+	o.Leaving = sl.isLeaving()
 	if tracked != nil {
 		sl.pool.mu.Lock()
 		sl.pool.moveStats.end(tracked, o.Result, time.Now())
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -51,12 +51,12 @@
 
 	wg      sync.WaitGroup
 	failed  chan error
-	servers []*http.Server
+	servers []*server
 
 	plane        *plane.Plane
 	follow       *follow.Follower
 	gate         atomic.Pointer[gate.Server]
-	publicServer *http.Server
+	publicServer *server
 }
 
 // Start starts an instance and returns when its listeners are open.
@@ -135,12 +135,12 @@
 		return err
 	}
 	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log)); err != nil {
+		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), callTimeout); err != nil {
 			return err
 		}
 	}
 	if cfg.Listen.Lookup != "" {
-		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane)); err != nil {
+		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane), callTimeout); err != nil {
 			return err
 		}
 	}
@@ -192,6 +192,7 @@
 		},
 	}, n.peerClient)
 	g := gate.New(gate.Config{
+		Instance: self.ID,
 		Domain:   cfg.Domain,
 		RegionOf: cfg.regionOf,
 		SourceIP: cfg.sourceIP(),
@@ -208,11 +209,11 @@
 		return err
 	}
 	var err error
-	if n.publicServer, err = n.serve(cfg.Listen.Public, g); err != nil {
+	if n.publicServer, err = n.serve(cfg.Listen.Public, g, 0); err != nil {
 		return err
 	}
 	if cfg.Listen.Ready != "" {
-		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready))
+		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready), callTimeout)
 	}
 	return err
 }
@@ -261,6 +262,7 @@
 		all = append(all, n.closeEntry(ctx, g))
 	}
 	if n.plane != nil {
+		n.finishCalls(ctx)
 		all = append(all, n.plane.Close(ctx))
 	}
 	for _, s := range n.servers {
@@ -274,6 +276,22 @@
 	return errors.Join(all...)
 }
 
+// maxCallTime is the longest time that the calls of upstreams and operators take.
+const maxCallTime = time.Second
+
+// finishCalls stops the servers of a control instance once the calls in progress have
+// ended, while the replica that they need still runs. Later calls go to another
+// instance.
+func (n *Node) finishCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range n.servers {
+		wg.Go(func() { _ = s.shutdown(ctx) }) // Close ends the calls that are left
+	}
+	wg.Wait()
+}
+
 func (n *Node) closeEntry(ctx context.Context, g *gate.Server) error {
 	end, ok := ctx.Deadline()
 	if !ok {
@@ -284,42 +302,66 @@
 	clock.Sleep(ctx, drainTime)
 	var err error
 	if n.publicServer != nil {
-		err = n.publicServer.Shutdown(ctx)
+		err = n.publicServer.shutdown(ctx)
 	}
 	n.follow.Close()
 	g.Close()
 	return err
 }
 
-// serve serves h on addr in the background until the instance is closed.
-func (n *Node) serve(addr string, h http.Handler) (*http.Server, error) {
+// serve serves h on addr in the background until the instance is closed. A request
+// and its response may take the given time each; 0 for no limit.
+func (n *Node) serve(addr string, h http.Handler, timeout time.Duration) (*server, error) {
 	l, err := net.Listen("tcp", n.cfg.listenAddr(addr))
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          n.log.Std("", 0),
-		ConnContext:       accept.ConnContext,
-	}
+	s := newServer(l, h, timeout, n.log)
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() {
-		if err := s.Serve(accept.Wrap(l)); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 			n.fail(eris.Wrapf(err, "serving on %s", addr))
 		}
 	})
 	return s, nil
 }
 
+// server is an HTTP server with its listener.
+type server struct {
+	http.Server
+	listener *accept.Listener
+}
+
+func newServer(l net.Listener, h http.Handler, timeout time.Duration, lg *log.Logger) *server {
+	return &server{listener: accept.Wrap(l), Server: http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       timeout,
+		WriteTimeout:      timeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          lg.Std("", 0),
+		ConnContext:       accept.ConnContext,
+	}}
+}
+
+// shutdown stops the server. Connections that have been made are served, until ctx
+// ends.
+func (s *server) shutdown(ctx context.Context) error {
+	s.listener.CloseGracefully()
+	return s.Shutdown(ctx)
+}
+
 // Limits of every HTTP connection. The limits in the shared settings are stricter
 // or about the same.
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = time.Minute
-	maxHeaderBytes    = 64 << 10
+	// callTimeout bounds the time in which a call of an upstream or an operator is
+	// read, and its response written. The largest take seconds on a slow link.
+	// Requests of callers have deadlines of their own.
+	callTimeout    = 30 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 64 << 10
 )
 
 // servePeers serves calls from other instances in the background.
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
@@ -47,8 +48,37 @@
 
 // controlRecord is a control instance that sends reports.
 type controlRecord struct {
-	instance   ControlInstance
-	lastReport time.Time
+	instance    ControlInstance
+	firstReport time.Time
+	lastReport  time.Time
+	freshness   fresh.Tracker // of its state, as far as it reported
+}
+
+// maxStateAge is the age of its state above which a control instance is left out of the
+// list, like a lost one: entry instances leave it too, and all of them must agree which
+// one allocates the slots of its failure domain.
+const maxStateAge = 1500 * time.Millisecond
+
+// lags reports whether the state of the control instance is too old.
+func (c *controlRecord) lags(now time.Time) bool {
+	newest := c.firstReport
+	if reached, ok := c.freshness.Latest(); ok && reached.At.After(newest) {
+		newest = reached.At
+	}
+	return now.Sub(newest) > maxStateAge
+}
+
+// record records a report while the leader's state has the given revision.
+func (c *controlRecord) record(q *reportRequest, newest corianderwing.Revision, now time.Time) {
+	if c.firstReport.IsZero() {
+		c.firstReport = now
+	}
+	have := newest
+	if q.Revision != nil {
+		have = *q.Revision
+	}
+	c.lastReport = now
+	c.freshness = c.freshness.Confirm(fresh.Confirmation{Revision: newest, At: now}, have)
 }
 
 func newLeaderState(heartbeatInterval time.Duration) *leaderState {
@@ -133,7 +163,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureTerm(term, now)
-	l.controls[q.Replica] = controlRecord{ControlInstance{quorum.AddrOf(q.Replica), q.Domain, q.Region}, now}
+	c := l.controls[q.Replica]
+	c.instance = ControlInstance{quorum.AddrOf(q.Replica), q.Domain, q.Region}
+	c.record(q, l.revision(), now)
+	l.controls[q.Replica] = c
 	for _, d := range q.Loads {
 		l.loans.loads[reportKey{q.Replica, d.Domain}] = domainReport{l.regionOf(d.Domain), d.Loads, now}
 	}
@@ -148,7 +181,8 @@
 	}
 }
 
-// liveInstances returns the live entry and control instances and the version of
+// liveInstances returns the live entry instances, the live control instances whose
+// state is not too old, and the version of
 // both lists.
 func (l *leaderState) liveInstances(term corianderwing.Term, now time.Time) (uint64, []corianderwing.Instance, []ControlInstance) {
 	l.mu.Lock()
@@ -169,7 +203,9 @@
 			delete(l.controls, id)
 			continue
 		}
-		controls = append(controls, c.instance)
+		if !c.lags(now) {
+			controls = append(controls, c.instance)
+		}
 	}
 	slices.SortFunc(controls, func(a, b ControlInstance) int { return compare(a.PeerAddr, b.PeerAddr) })
 	if l.instancesVersion == 0 || !slices.EqualFunc(entries, l.entryList, sameInstance) || !slices.Equal(controls, l.controlList) {
@@ -205,18 +241,15 @@
 		return nil
 	}
 	var expired []model.UpstreamRef
-	for _, list := range v.UpstreamsByPool() {
-		for _, u := range list {
-			at, ok := l.lastHeartbeats[u.ShortID]
-			if !ok {
-				l.lastHeartbeats[u.ShortID] = now // the timeout starts now
-				continue
-			}
-			if now.Sub(at) >= timeout {
-				expired = append(expired, model.UpstreamRef{ID: u.ID, Incarnation: u.Incarnation})
-			}
+	v.EachUpstream(func(u *model.Upstream) {
+		at, ok := l.lastHeartbeats[u.ShortID]
+		switch {
+		case !ok:
+			l.lastHeartbeats[u.ShortID] = now // the timeout starts now
+		case now.Sub(at) >= timeout:
+			expired = append(expired, model.UpstreamRef{ID: u.ID, Incarnation: u.Incarnation})
 		}
-	}
+	})
 	return expired
 }
 
@@ -234,15 +267,31 @@
 		if !ok {
 			continue
 		}
+		p.expireSuspects()
 		expired := p.leaderState.expiredUpstreams(term, p.machine.View(), clock.Boot())
 		if len(expired) == 0 {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-		err := p.propose(ctx, &model.Command{Expire: expired})
+		err := p.proposeInTerm(ctx, term, expireCommand(p.machine.View(), expired))
 		cancel()
 		for _, l := range expired {
 			p.log.Info().Str("upstream", string(l.ID)).Int("beats", maxMissedHeartbeats).Err(err).Msg("silent upstream removed")
 		}
 	}
 }
+
+// expireCommand returns the command that removes silent upstreams. One that was
+// ready may return, because its heartbeats may only have been lost. One that was
+// draining must not: a late heartbeat from before its drain says that it is ready.
+func expireCommand(v *model.View, expired []model.UpstreamRef) *model.Command {
+	c := &model.Command{}
+	for _, ref := range expired {
+		if u, ok := v.Upstream(ref.ID); ok && u.Phase == corianderwing.Draining {
+			c.Remove = append(c.Remove, ref)
+			continue
+		}
+		c.Expire = append(c.Expire, ref)
+	}
+	return c
+}
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/core/quota"
@@ -71,8 +72,9 @@
 	trials            []Trial     // received from entry instances since the last report
 	moveShares        []MoveShare // last received from the leader
 	sharesValidUntil  time.Time   // boot time at which the shares of quotaAllocator expire
-	confirmedAt       time.Time   // boot time at which confirmedRevision was confirmed
+	confirmedAt       time.Time   // boot time of the last confirmation by the leader, reached or not
 	confirmedRevision corianderwing.Revision
+	freshness         fresh.Tracker // how recently the state of this instance was the newest
 }
 
 var _ corianderwing.ControlPlane = (*Plane)(nil)
@@ -97,7 +99,6 @@
 		peer:         pc,
 		heartbeats:   newHeartbeatTracker(),
 		localEntries: map[corianderwing.InstanceID]entryRecord{},
-		seen:         map[string]time.Time{},
 		// Shares granted by a previous incarnation of this process do not count
 		// against the shares of this one, so no grace period is needed.
 		quotaAllocator: quota.NewAllocator(cfg.RateTolerance.Window, time.Time{}),
@@ -145,6 +146,7 @@
 	peer.Handle(ps, BorrowMethod, func(_ context.Context, b *BorrowRequest) (*BorrowResponse, error) {
 		return p.borrow(b), nil
 	})
+	peer.Handle(ps, SuspectMethod, p.handleSuspects)
 	peer.Handle(ps, reportMethod, func(ctx context.Context, q *reportRequest) (*reportResponse, error) {
 		return p.handleReport(ctx, q)
 	})
@@ -156,22 +158,39 @@
 // propose commits a command. It returns an error if the state machine rejects
 // the command.
 func (p *Plane) propose(ctx context.Context, c *model.Command) error {
+	_, err := p.commit(ctx, c)
+	return err
+}
+
+// commit commits a command and returns the revision that includes it.
+func (p *Plane) commit(ctx context.Context, c *model.Command) (corianderwing.Revision, error) {
+	return commit(c, func(data []byte) ([]byte, error) { return p.replica.Propose(ctx, data) })
+}
+
+// proposeInTerm commits a decision of the leader of a term, unless another term has
+// begun.
+func (p *Plane) proposeInTerm(ctx context.Context, term corianderwing.Term, c *model.Command) error {
+	_, err := commit(c, func(data []byte) ([]byte, error) { return p.replica.ProposeInTerm(ctx, term, data) })
+	return err
+}
+
+func commit(c *model.Command, propose func([]byte) ([]byte, error)) (corianderwing.Revision, error) {
 	data, err := model.Encode(c)
 	if err != nil {
-		return corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
+		return 0, corianderwing.Errorf(corianderwing.InvalidInput, "encoding a command: %v", err)
 	}
-	reply, err := p.replica.Propose(ctx, data)
+	reply, err := propose(data)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	result, err := model.DecodeResult(reply)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if result.Error != nil {
-		return result.Error
+		return 0, result.Error
 	}
-	return nil
+	return result.Revision, nil
 }
 
 // watchInterval is the minimum time between two updates of a watch. Changes that
@@ -221,12 +240,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials, sharesElsewhere: hasSharesElsewhere(b.Demands)}
-	r := &HeartbeatResponse{Revision: p.confirmedRevision, Confirmed: !p.confirmedAt.IsZero()}
-	r.Age = corianderwing.Millis(now.Sub(p.confirmedAt).Milliseconds() + 1)
+	r := &HeartbeatResponse{}
+	// A revision that this instance has not reached must not be confirmed: the entry
+	// instance would wait here for changes that do not come.
+	p.freshness = p.freshness.Reach(p.machine.View().Revision())
+	if c, ok := p.freshness.Latest(); ok {
+		r.Confirmed, r.Revision = true, c.Revision
+		r.Age = corianderwing.Millis(now.Sub(c.At).Milliseconds() + 1)
+	}
 	p.listInstances(b, r)
 	p.allocateShares(b, r, now)
 	p.trials = append(p.trials, b.Trials...)
-	r.MoveShares = p.moveShares
+	if now.Sub(p.confirmedAt) <= moveShareTTL {
+		r.MoveShares = p.moveShares // without a leader's confirmation they must expire
+	}
 	return r
 }
 
@@ -255,6 +282,9 @@
 func (p *Plane) Measure(gauge func(name string, v int64)) {
 	gauge("revision", int64(p.machine.View().Revision()))
 	gauge("upstreams", int64(p.machine.View().NumUpstreams()))
+	suspects := p.machine.View().Suspects()
+	gauge("suspects", int64(suspects.Len()))
+	gauge("quarantined", int64(suspects.Quarantined()))
 	leads := int64(0)
 	if _, ok := p.replica.IsLeader(); ok {
 		leads = 1
@@ -262,6 +292,7 @@
 	gauge("leader", leads)
 	now := clock.Boot()
 	p.mu.Lock()
+	gauge("lag", int64(p.confirmedRevision)-int64(p.machine.View().Revision()))
 	gauge("confirmed.ms", now.Sub(p.confirmedAt).Milliseconds())
 	gauge("shares.ms", max(0, p.sharesValidUntil.Sub(now).Milliseconds()))
 	gauge("entries", int64(len(p.localEntries)))
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/fresh"
 	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 	"corianderwing/io/peer"
@@ -133,6 +134,8 @@
 		Loads:            p.allocators.loads(),
 		LoansVersion:     p.loansVersion,
 	}
+	revision := p.machine.View().Revision()
+	q.Revision = &revision
 	p.trials = nil
 	for id, b := range p.localEntries {
 		age := now.Sub(b.lastHeartbeat)
@@ -186,6 +189,7 @@
 	}
 	if sentAt.After(p.confirmedAt) {
 		p.confirmedAt, p.confirmedRevision = sentAt, r.Revision
+		p.freshness = p.freshness.Confirm(fresh.Confirmation{Revision: r.Revision, At: sentAt}, p.machine.View().Revision())
 	}
 	if r.InstancesVersion != p.instancesVersion {
 		p.instancesVersion, p.entries, p.controls = r.InstancesVersion, r.Entries, r.Controls
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -30,6 +30,9 @@
 
 // recordSeen records the instances on the leader's lists. The caller must hold p.mu.
 func (p *Plane) recordSeen(now time.Time) {
+	if p.seen == nil {
+		p.seen = map[string]time.Time{}
+	}
 	for _, c := range p.controls {
 		p.seen[c.PeerAddr] = now
 	}
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"corianderwing"
+	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
 	"corianderwing/core/quota"
@@ -43,7 +44,7 @@
 // control instance is.
 type HeartbeatResponse struct {
 	// Age is the time between the confirmation of Revision by the leader and
-	// this response.
+	// this response. The sender's own state has reached Revision.
 	Age       corianderwing.Millis   `json:"age"`
 	Revision  corianderwing.Revision `json:"revision"`
 	Confirmed bool                   `json:"fresh,omitempty"` // Age and Revision are known
@@ -131,6 +132,18 @@
 	DialMicros    int64                `json:"dial,omitempty"`  // time to open a connection, in µs
 	Bytes         int                  `json:"bytes,omitempty"` // size of the request and its response
 	Load          place.LoadReport     `json:"load,omitzero"`
+	Leaving       bool                 `json:"leaving,omitempty"` // the upstream said that it is leaving
+}
+
+// SuspectRequest reports requests that crashed upstreams, or claims a probe.
+type SuspectRequest struct {
+	Events []crash.Event `json:"events"`
+}
+
+// SuspectResponse answers a SuspectRequest once its events are part of the state.
+type SuspectResponse struct {
+	Revision corianderwing.Revision `json:"revision"`
+	Granted  bool                   `json:"granted,omitempty"` // the probe that the request claimed
 }
 
 type emptyResponse struct{}
@@ -165,6 +178,8 @@
 	Trials           []Trial                   `json:"trials,omitempty"`
 	Loads            []domainLoads             `json:"loads,omitempty"`
 	LoansVersion     uint64                    `json:"knownlots,omitempty"`
+	// Revision is that of the sender's own state; nil from earlier versions.
+	Revision *corianderwing.Revision `json:"state,omitempty"`
 }
 
 // domainLoads contains the loads of a failure domain whose slots the sender
@@ -200,6 +215,7 @@
 	AcquireMethod   = peer.Method[AcquireRequest, AcquireResponse]{Name: "SiteAcquire"}
 	ReleaseMethod   = peer.Method[ReleaseRequest, emptyResponse]{Name: "SiteRelease"}
 	HeartbeatMethod = peer.Method[HeartbeatRequest, HeartbeatResponse]{Name: "SiteBeat"}
+	SuspectMethod   = peer.Method[SuspectRequest, SuspectResponse]{Name: "SiteSuspect"}
 	WatchMethod     = peer.Stream[watchRequest, model.Update]{Name: "SiteWatch"}
 	reportMethod    = peer.Method[reportRequest, reportResponse]{Name: "SitePulse", Compressed: true}
 )
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"corianderwing"
@@ -66,9 +68,10 @@
 	AcquireConn func() bool // reserves a new connection; false if the limit is reached; nil for no limit
 	ReleaseConn func()      // releases a reserved connection; may be nil
 
-	mu    sync.Mutex
-	idle  []*conn
-	epoch uint64 // connections of an earlier epoch are not reused
+	mu     sync.Mutex
+	idle   []*conn
+	epoch  uint64 // connections of an earlier epoch are not reused
+	closed bool
 }
 
 // conn is a connection to an upstream or to another entry instance. It serves one
@@ -80,6 +83,7 @@
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	sent        atomic.Int64 // bytes written to the kernel for the current request
+	writing     atomic.Int32 // writes in progress, whose bytes are not in sent yet
 	readLimit   int64        // bytes that may still be read; negative for no limit
 	idleSince   time.Time    // when it was last put into the pool
 	usableUntil time.Time    // not reused after this time; zero for no limit
@@ -104,11 +108,23 @@
 
 // Write counts the bytes, so that after a failure it is known whether any were sent.
 func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	if c.closed.Load() {
+		return 0, net.ErrClosed // another goroutine may not have closed the socket yet
+	}
 	n, err := c.Conn.Write(b)
 	c.sent.Add(int64(n))
 	return n, err
 }
 
+// mayHaveSent reports whether bytes of the current request may have been sent. After
+// the connection was closed, its result is final: later writes send nothing.
+func (c *conn) mayHaveSent() bool {
+	// In this order: a write that ends between the two is counted in sent.
+	return c.writing.Load() > 0 || c.sent.Load() > 0
+}
+
 // Close closes the connection. Later calls do nothing.
 func (c *conn) Close() error {
 	if c.closed.Swap(true) {
@@ -163,6 +179,22 @@
 	return cn, nil
 }
 
+// refusalCheckTime bounds the check whether an address refuses connections. Half of
+// it is for the dial.
+const refusalCheckTime = 2 * minDialTimeout
+
+// RefusesConnections opens a connection and reports whether the peer refused it
+// because nothing listens at the address any more. A connection that opens is kept
+// for later requests.
+func (p *ConnPool) RefusesConnections(ctx context.Context) bool {
+	cn, _, err := p.get(ctx, Call{NewConn: true, FirstByteDeadline: time.Now().Add(refusalCheckTime)})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(cn, "")
+	return false
+}
+
 // pop returns the most recently used idle connection that is still usable, or nil if
 // there is none that became idle at minIdleSince or later.
 func (p *ConnPool) pop(minIdleSince time.Time) *conn {
@@ -191,8 +223,20 @@
 func (p *ConnPool) put(c *conn, keepAlive string) {
 	c.idleSince = time.Now()
 	c.usableUntil = keepAliveDeadline(keepAlive, c.idleSince)
+	p.keep(c)
+}
+
+// putUnused returns a connection to the pool on which nothing was sent.
+func (p *ConnPool) putUnused(c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	p.keep(c)
+}
+
+func (p *ConnPool) keep(c *conn) {
 	p.mu.Lock()
-	keep := c.epoch == p.epoch && len(p.idle) < p.MaxIdle
+	keep := !p.closed && c.epoch == p.epoch && len(p.idle) < p.MaxIdle
 	if keep {
 		p.idle = append(p.idle, c)
 	}
@@ -237,6 +281,15 @@
 	p.CloseIdle(0)
 }
 
+// Close closes the idle connections, and those in use or being opened when their
+// request ends.
+func (p *ConnPool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle(0)
+}
+
 // CloseIdle closes the connections that have been idle for at least d.
 func (p *ConnPool) CloseIdle(d time.Duration) {
 	now := time.Now()
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -50,10 +50,22 @@
 	// AllowCloseDelimited accepts a response without a length, which is delimited by
 	// the close of its connection. A connection reset still fails it.
 	AllowCloseDelimited bool
+	// Hooks are called during the attempt. Optional.
+	Hooks Hooks
 	// WrapWriter wraps the connection for writing, for example to pace it. Optional.
 	WrapWriter func(io.Writer) io.Writer
 }
 
+// Hooks are called during an attempt.
+type Hooks interface {
+	// CheckSend is called when a connection is open, immediately before the first
+	// byte of the request is sent. An error abandons the attempt.
+	CheckSend() *corianderwing.Error
+	// ReceivedHeader is called with the header of the response, before its body is
+	// read.
+	ReceivedHeader(status int, h http.Header)
+}
+
 // Response is the response to a Call. Its body must be read to the end with Read, or
 // closed with Discard.
 type Response struct {
@@ -76,6 +88,12 @@
 	if err != nil {
 		return nil, unsentError(ctx, err)
 	}
+	if c.Hooks != nil {
+		if e := c.Hooks.CheckSend(); e != nil {
+			c.Conns.putUnused(cn)
+			return nil, e
+		}
+	}
 	// Closing the connection on cancellation unblocks every read and write on it, and
 	// signals the peer to stop.
 	r := &Response{ctx: ctx, conn: cn, DialTime: dial}
@@ -92,6 +110,9 @@
 	if e := r.readMatching(c); e != nil {
 		return nil, e
 	}
+	if c.Hooks != nil {
+		c.Hooks.ReceivedHeader(r.StatusCode, r.Header)
+	}
 	cn.SetReadDeadline(time.Time{})
 	if e := r.bufferSmallBody(); e != nil {
 		return nil, e
@@ -99,19 +120,31 @@
 	return r, nil
 }
 
-// awaitFirstByte waits for the first byte of the response.
+// lateReadTimeout bounds the read of a response that the kernel has received.
+const lateReadTimeout = 5 * time.Millisecond
+
+// awaitFirstByte waits for the first byte of the response. A response that has arrived
+// is read even if its deadline has passed: the process did not run meanwhile, and the
+// upstream is not at fault.
 func (r *Response) awaitFirstByte(c Call) error {
 	r.conn.readLimit = maxResponseHeader
 	for {
 		_, err := r.conn.br.Peek(1)
-		if err == nil || c.ExtendDeadline == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		later := c.ExtendDeadline()
-		if !later.After(time.Now()) {
-			return err
+		if c.ExtendDeadline != nil {
+			if later := c.ExtendDeadline(); later.After(time.Now()) {
+				r.conn.SetReadDeadline(later)
+				continue
+			}
+		}
+		if r.conn.isAlive() {
+			return err // nothing has arrived
 		}
-		r.conn.SetReadDeadline(later)
+		r.conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+		_, err = r.conn.br.Peek(1)
+		return err
 	}
 }
 
@@ -219,12 +252,11 @@
 
 // fail closes the connection and returns the error of the request for err.
 func (r *Response) fail(err error) *corianderwing.Error {
-	sent := r.conn.sent.Load() > 0
-	r.Discard()
+	r.Discard() // first, so that nothing is sent after the check below
 	if e := r.bodyErr.Load(); e != nil {
 		return e
 	}
-	if !sent {
+	if !r.conn.mayHaveSent() {
 		return unsentError(r.ctx, err)
 	}
 	late := errors.Is(err, os.ErrDeadlineExceeded)
