--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -62,6 +62,7 @@
 	localEntries      map[corianderwing.InstanceID]entryRecord // entry instances that send heartbeats to this instance
 	entries           []corianderwing.Instance                 // all live entry instances, as last reported by the leader
 	controls          []ControlInstance
+	seen              map[string]time.Time // by peer address or entry ID: when a leader last listed the instance
 	instancesVersion  uint64               // of entries and controls
 	lastLeaderAddr    string               // address of the last known leader
 	quotaAllocator    *quota.Allocator     // divides this instance's token shares among entry instances
@@ -84,6 +85,8 @@
 	entry         corianderwing.Instance
 	lastHeartbeat time.Time
 	trials        []Trial
+	// sharesElsewhere is set if it has valid shares from other control instances.
+	sharesElsewhere bool
 }
 
 // Open starts a control instance and registers its RPCs with a peer server,
@@ -114,6 +117,7 @@
 		defer p.mu.Unlock()
 		return p.loans
 	}
+	p.leaderState.knownHolders = p.knownHolders
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
@@ -235,7 +239,7 @@
 	now := clock.Boot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials}
+	p.localEntries[b.Entry.ID] = entryRecord{entry: b.Entry, lastHeartbeat: now, trials: b.Trials, sharesElsewhere: hasSharesElsewhere(b.Demands)}
 	r := &HeartbeatResponse{}
 	// A revision that this instance has not reached must not be confirmed: the entry
 	// instance would wait here for changes that do not come.
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -1,6 +1,8 @@
 package plane
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +28,42 @@
 	r.LeaseDuration = corianderwing.Millis(max(0, remaining.Milliseconds()))
 }
 
+// recordSeen records the instances on the leader's lists. The caller must hold p.mu.
+func (p *Plane) recordSeen(now time.Time) {
+	if p.seen == nil {
+		p.seen = map[string]time.Time{}
+	}
+	for _, c := range p.controls {
+		p.seen[c.PeerAddr] = now
+	}
+	for _, e := range p.entries {
+		p.seen[string(e.ID)] = now
+	}
+	maps.DeleteFunc(p.seen, func(_ string, at time.Time) bool {
+		return now.Sub(at) > quota.GracePeriod(p.cfg.RateTolerance.Window)
+	})
+}
+
+// knownHolders returns the instances that may have shares from an earlier leader,
+// control instances by peer address and entry instances by ID: the members of the
+// group, and the instances that were listed within the last grace period. A silent
+// instance leaves the group and the lists before its shares have expired.
+func (p *Plane) knownHolders(now time.Time) []string {
+	all := p.replica.MemberAddrs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, at := range p.seen {
+		if now.Sub(at) <= quota.GracePeriod(p.cfg.RateTolerance.Window) {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+func hasSharesElsewhere(demands []quota.Demand) bool {
+	return slices.ContainsFunc(demands, func(n quota.Demand) bool { return n.Elsewhere > 0 })
+}
+
 // renewReserve renews the share from which entry instances borrow. The caller
 // must hold p.mu.
 func (p *Plane) renewReserve(until, now time.Time) {
