Split the attempt loop of a request, and name the platform's header once

Ruled out: moving the stand-ins to platform/; they test io/gate.

Change: checkedSlot gets a slot and checks again what may have changed during the wait; platform.HeaderNotExecuted for stand-ins.

--- a/io/gate/homes_test.go
+++ b/io/gate/homes_test.go
@@ -15,6 +15,7 @@
 	"corianderwing/core/model"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
+	"corianderwing/platform"
 )
 
 // movingControl is a Control under which the home regions of the rule move while the
@@ -67,7 +68,7 @@
 				return func(w http.ResponseWriter, r *http.Request) {
 					c.view = withHomes(t, c.view, 3, "s")
 					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-					w.Header().Set("X-Not-Executed", "1")
+					w.Header().Set(platform.HeaderNotExecuted, "1")
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
 			},
--- a/io/gate/refusal_test.go
+++ b/io/gate/refusal_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"corianderwing/io/relay"
+	"corianderwing/platform"
 )
 
 // answerLate is what a stand-in does with a request on a kept connection that has
@@ -67,11 +68,11 @@
 		return true
 	},
 	"close notice": func(c *standInConn, r *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nX-Not-Executed: idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\n"+platform.HeaderNotExecuted+": idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		return afterRun(c, r)
 	},
 	"close notice without length": func(c *standInConn, r *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: leaving\r\n\r\n")
+		io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+platform.HeaderNotExecuted+": leaving\r\n\r\n")
 		return afterRun(c, r)
 	},
 	"then the end": func(c *standInConn, r *http.Request) bool {
@@ -79,7 +80,7 @@
 		return afterRun(c, r)
 	},
 	"longer than its length": func(c *standInConn, r *http.Request) bool {
-		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: full\r\nContent-Length: 2\r\n\r\nfull", c.first)
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\n"+platform.HeaderNotExecuted+": full\r\nContent-Length: 2\r\n\r\nfull", c.first)
 		c.run(r)
 		return true
 	},
@@ -181,13 +182,13 @@
 	for _, broken := range []string{
 		"HTTP/1.1 503 ",
 		"HTTP/1.1 503 Service Unav",
-		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: ",
-		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: fu",
-		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: full\r\nRetry-After: 1",
-		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r\nX-A: \t",
-		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r\n",
-		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed: full\r",
-		"HTTP/1.1 429 Too Many Requests\r\nX-Not-Executed",
+		"HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderNotExecuted + ": ",
+		"HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderNotExecuted + ": fu",
+		"HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderNotExecuted + ": full\r\nRetry-After: 1",
+		"HTTP/1.1 429 Too Many Requests\r\n" + platform.HeaderNotExecuted + ": full\r\nX-A: \t",
+		"HTTP/1.1 429 Too Many Requests\r\n" + platform.HeaderNotExecuted + ": full\r\n",
+		"HTTP/1.1 429 Too Many Requests\r\n" + platform.HeaderNotExecuted + ": full\r",
+		"HTTP/1.1 429 Too Many Requests\r\n" + platform.HeaderNotExecuted,
 	} {
 		t.Run(broken, func(t *testing.T) {
 			testStaleRefusal(t, func(c *standInConn, r *http.Request) bool {
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -42,21 +42,14 @@
 		return nil, err
 	}
 	for {
-		now := time.Now()
-		if !now.Before(x.deadline) {
+		if !time.Now().Before(x.deadline) {
 			return nil, errorUnlessRan(last, corianderwing.DeadlineUnreachable, "request deadline exceeded")
 		}
 		if sent > 0 && !spared && !x.pool.spendRetry() {
 			return nil, last
 		}
-		sl, wait, err := x.acquireSlot()
-		x.slotWait += time.Since(now)
+		sl, err := x.checkedSlot()
 		if err != nil {
-			x.retryDelay = wait
-			return nil, preferMayHaveRun(last, x.slotError(err))
-		}
-		if err := x.recheck(); err != nil {
-			x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
 			return nil, preferMayHaveRun(last, err)
 		}
 		resp, err := x.sendTo(sl)
@@ -87,6 +80,23 @@
 	}
 }
 
+// checkedSlot gets a slot for an attempt, and checks again what may have changed during
+// the wait for it.
+func (x *exchange) checkedSlot() (*slot, *corianderwing.Error) {
+	now := time.Now()
+	sl, wait, err := x.acquireSlot()
+	x.slotWait += time.Since(now)
+	if err != nil {
+		x.retryDelay = wait
+		return nil, x.slotError(err)
+	}
+	if err := x.recheck(); err != nil {
+		x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
+		return nil, err
+	}
+	return sl, nil
+}
+
 // acquireSlot gets a slot at an upstream that may run the request now, after the wait
 // for it.
 func (x *exchange) acquireSlot() (*slot, time.Duration, *corianderwing.Error) {
--- a/io/gate/standin_run_test.go
+++ b/io/gate/standin_run_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"corianderwing/platform"
 )
 
 // record reads the body of a request and records that it runs.
@@ -26,7 +28,7 @@
 
 // refuse writes a refusal with the given header lines.
 func (c *standInConn) refuse(status, lines string) {
-	fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sX-Not-Executed: full\r\nContent-Length: 4\r\n\r\nfull", status, lines)
+	fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s"+platform.HeaderNotExecuted+": full\r\nContent-Length: 4\r\n\r\nfull", status, lines)
 }
 
 // connections returns the number of connections so far.
