Judge keys and missing rules by one state as well

What callers would see: a request under a key that was just revoked runs, or a request to a rule that was just added is refused with 404, on an instance that wakes up.

A process that was paused may receive both a change and its confirmation in between.

Ruled out: reading both from one loaded state: the interface that the request path uses would have to carry the clock of the lease.

Change: the lease is asked for before the state is read; what is missing counts as missing only if the settings are still the same after the question.

Before, TestKeyAndRuleOfOneState: "stale_homes_test.go:104: 200 != 401", and with that line taken out "stale_homes_test.go:113: 404 != 503"; it passes now.

--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -81,16 +81,18 @@
 
 // admit checks the request against the settings.
 func (x *exchange) admit() *corianderwing.Error {
+	// Asked before the state is read: a confirmation that arrives in between is that of
+	// a newer state.
+	fresh := x.s.cfg.Control.IsFresh()
 	view, known := x.s.cfg.Control.View()
 	if !known || view.Revision() == 0 {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "no settings received yet")
 	}
 	x.view, x.stateAge = view, x.s.cfg.Control.StateAge()
-	fresh := x.s.cfg.Control.IsFresh()
 	set := view.Items()
 	x.settings = set
 	rule, ok := set.MatchRule(x.r.Host, items.RequestPath(x.r.RequestURI))
-	if !ok && !x.s.cfg.Control.IsCurrent() {
+	if !ok && !x.isSettingsCurrent() {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "settings are not confirmed as current")
 	}
 	if !ok {
@@ -156,6 +158,16 @@
 	x.s.cfg.Limits.returnToken(x.tenure)
 }
 
+// isSettingsCurrent reports whether what is missing from the settings of the request does
+// not exist. If newer settings arrive at the same time, the confirmation is theirs.
+func (x *exchange) isSettingsCurrent() bool {
+	if !x.s.cfg.Control.IsCurrent() {
+		return false
+	}
+	view, _ := x.s.cfg.Control.View()
+	return view.Items() == x.settings
+}
+
 // checkKey resolves the request's key to a workspace and checks that the rule
 // admits it.
 func (x *exchange) checkKey(set *items.Set, fresh bool) *corianderwing.Error {
@@ -172,7 +184,7 @@
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys cannot be verified because settings are not fresh")
 	case x.ask.Key == "":
 		return corianderwing.Errorf(corianderwing.MissingKey, "rule %s needs a key", x.rule.Name)
-	case x.tenure == nil && !x.s.cfg.Control.IsCurrent():
+	case x.tenure == nil && !x.isSettingsCurrent():
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys are not confirmed as current")
 	case x.tenure == nil:
 		return corianderwing.Errorf(corianderwing.InvalidKey, "the key is unknown")
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -157,8 +157,9 @@
 	if x.rule.Public || x.tenure == nil {
 		return nil
 	}
+	fresh := x.s.cfg.Control.IsFresh() // before the state is read, as in admit
 	view, known := x.s.cfg.Control.View()
-	if !known || !x.s.cfg.Control.IsFresh() {
+	if !known || !fresh {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys cannot be verified because settings are not fresh")
 	}
 	if t, ok := view.Items().PolicyByKey(x.ask.Key); !ok || t.Name != x.tenure.Name {
--- a/io/gate/stale_homes_test.go
+++ b/io/gate/stale_homes_test.go
@@ -6,8 +6,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
 )
 
 // outdatedControl is a Control whose state was not confirmed lately, from a given call
@@ -61,6 +65,54 @@
 	}
 }
 
+// freshControl is a Control that receives the newest state and its confirmation just
+// before it is asked about the lease, from the second time on, or about the state.
+type freshControl struct {
+	*pausingControl
+	asked int
+	wake  func()
+}
+
+func (c *freshControl) IsFresh() bool {
+	if c.asked++; c.asked > 1 {
+		c.wake()
+	}
+	return true
+}
+
+func (c *freshControl) IsCurrent() bool {
+	c.wake()
+	return true
+}
+
+// Guards against taking an old key for a valid one, and a new rule for one that does not
+// exist, on an instance that wakes up: the state changed and was confirmed between the
+// two looks at it.
+func TestKeyAndRuleOfOneState(t *testing.T) {
+	is := is.New(t)
+	var ran atomic.Int32
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}))
+	defer up.Close()
+	granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+	full := granting.view
+	control := &freshControl{pausingControl: &pausingControl{grantingControl: granting, pause: func(*pausingControl) {}}}
+	control.wake = func() { granting.view = withoutKey(t, full) }
+	s := startTestServer(t, control)
+	is.Equal(send(s, 1).Code, http.StatusUnauthorized)
+	is.Equal(ran.Load(), int32(0))
+
+	empty, err := full.Apply(&model.Command{Edit: &corianderwing.Edit{
+		Deletions: []corianderwing.Deletion{{Kind: corianderwing.RuleItem, Name: "r-1", Version: 2}},
+	}}, time.Now())
+	is.NoErr(err)
+	granting.view, control.asked = empty, 0
+	control.wake = func() { granting.view = withHomes(t, full, 3) }
+	is.Equal(send(s, 2).Code, http.StatusServiceUnavailable) // not 404: the rule exists again
+}
+
 // wakingControl is a Control that receives the newest state and its confirmation just
 // before it is asked whether the state is current.
 type wakingControl struct {
