Delay probes only after those that crashed an upstream

What callers saw: a request that crashes nothing is refused for 15 s, a minute or five.

Ruled out: taking such probes back, which needs a report for each.

Change: the delay follows the probes that a crash followed (Failed), one at most for each probe. The last delay is an hour, not five minutes: a request that goes on crashing upstreams reaches three in the first hour. Suspects are forgotten after three hours.

Before, TestProbeWithoutResultDelaysNothing: "table_test.go:151: ...00:16:56 != ...00:16:42"; it passes now. TestOneInstanceProbes expects an hour in place of five minutes: stricter.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -19,16 +19,17 @@
 	// suspectTTL is how long after its last change a suspect is forgotten. It exceeds
 	// the longest delay of a probe, so that a quarantine does not end while its request
 	// still comes.
-	suspectTTL = 10 * time.Minute
+	suspectTTL = 3 * time.Hour
 	// maxSuspects bounds the suspects that are remembered.
 	maxSuspects = 1024
 )
 
 // probeDelays is how long after the last change of a quarantined suspect one attempt
-// is allowed, by the number of probes so far; the last delay repeats. The first is
-// short because the crashes may have another cause: if all upstreams of a pool crash
-// at once, the most frequent requests have run at several of them.
-var probeDelays = [...]time.Duration{time.Second, 15 * time.Second, time.Minute, 5 * time.Minute}
+// is allowed, by the number of probes that crashed an upstream; the last delay repeats.
+// The first is short because the crashes may have another cause: if all upstreams of a
+// pool crash at once, the most frequent requests have run at several of them. A request
+// that goes on crashing upstreams reaches three in the first hour.
+var probeDelays = [...]time.Duration{time.Second, 15 * time.Second, time.Minute, time.Hour}
 
 // Upstream identifies one incarnation of an upstream.
 type Upstream struct {
@@ -61,6 +62,8 @@
 	Crashes []Upstream               `json:"crashes"`          // the first quarantineCrashes upstreams that crashed
 	Last    Upstream                 `json:"last"`             // the latest one
 	Probes  int                      `json:"probes,omitempty"` // number of probes so far
+	Failed  int                      `json:"failed,omitempty"` // probes that a crash followed
+	Judged  int                      `json:"judged,omitempty"` // number of probes when Failed last changed
 	ProbeBy corianderwing.InstanceID `json:"by,omitempty"`     // entry instance that may make the latest probe
 	// CrashedAt is when the latest upstream crashed, and Changed when the suspect last
 	// changed. Each process counts from when it received the event.
@@ -74,9 +77,11 @@
 // Retryable reports whether an attempt that failed may be retried.
 func (s *Suspect) Retryable() bool { return len(s.Crashes) < retryCrashes }
 
-// NextProbe returns when the next probe of a quarantined request is due.
+// NextProbe returns when the next probe of a quarantined request is due. A probe that
+// ended without a crash or an answer, because its caller left or its upstream was full,
+// proves nothing and delays the next one no further.
 func (s *Suspect) NextProbe() time.Time {
-	return s.Changed.Add(probeDelays[min(s.Probes, len(probeDelays)-1)])
+	return s.Changed.Add(probeDelays[min(s.Failed, len(probeDelays)-1)])
 }
 
 // Granted reports whether an entry instance holds the probe that it claimed after
@@ -185,6 +190,8 @@
 	next.Last, next.CrashedAt, next.Changed = u, now, now
 	if !s.Quarantined() {
 		next.Crashes = append(slices.Clip(s.Crashes), u)
+	} else if s.Probes > s.Judged {
+		next.Failed, next.Judged = s.Failed+1, s.Probes
 	}
 	return &next, true
 }
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -50,7 +50,7 @@
 	is := is.New(t)
 	q := apply(nil, start, crashed("a", 1), crashed("a", 2), crashed("a", 3))
 	now := start
-	for n, delay := range []time.Duration{time.Second, 15 * time.Second, time.Minute, 5 * time.Minute, 5 * time.Minute} {
+	for n, delay := range []time.Duration{time.Second, 15 * time.Second, time.Minute, time.Hour, time.Hour} {
 		s, _ := q.Lookup("a")
 		is.Equal(s.NextProbe(), now.Add(delay))
 		now = now.Add(delay)
@@ -139,3 +139,20 @@
 	}
 	return list
 }
+
+// Guards against refusing a request that crashes nothing for minutes: its probes met no
+// upstream, a full one, or a caller that left.
+func TestProbeWithoutResultDelaysNothing(t *testing.T) {
+	is := is.New(t)
+	q := apply(nil, start, crashed("a", 1), crashed("a", 2), crashed("a", 3), crashed("a", 4)) // all upstreams at once
+	now := start
+	for n := range 5 {
+		s, _ := q.Lookup("a")
+		is.Equal(s.NextProbe(), now.Add(time.Second))
+		now = now.Add(time.Second)
+		q = apply(q, now, Event{Kind: Probe, Fingerprint: "a", By: "e", Probes: n})
+	}
+	q = apply(q, now, crashed("a", 5), crashed("a", 6)) // one probe and a request sent before
+	s, _ := q.Lookup("a")
+	is.Equal(s.NextProbe(), now.Add(15*time.Second))
+}
