Keep the suspects with the most crashes when the table is full

Ruled out: a larger table; it is part of the replicated state.

Change: the oldest of those with the fewest crashes goes.

Before, TestFullTableKeepsWhatCrashedMost: "table_test.go:177: not true: ok"; it passes now.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -203,12 +204,13 @@
 	}
 }
 
-// add makes room for a suspect. If the table is full, the oldest suspect that is
-// not quarantined is forgotten, or else the oldest one.
+// add makes room for a suspect. If the table is full, the oldest of those with the
+// fewest crashes is forgotten.
 func (t *Table) add(f Fingerprint) {
 	if len(t.order) >= maxSuspects {
-		i := slices.IndexFunc(t.order, func(f Fingerprint) bool { return !t.suspects[f].Quarantined() })
-		t.remove(t.order[max(0, i)])
+		t.remove(slices.MinFunc(t.order, func(a, b Fingerprint) int {
+			return cmp.Compare(len(t.suspects[a].Crashes), len(t.suspects[b].Crashes))
+		}))
 	}
 	t.order = append(t.order, f)
 }
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -156,3 +156,25 @@
 	s, _ := q.Lookup("a")
 	is.Equal(s.NextProbe(), now.Add(15*time.Second))
 }
+
+// Guards against forgetting the request that crashes upstreams because others that ran
+// beside it are newer.
+func TestFullTableKeepsWhatCrashedMost(t *testing.T) {
+	is := is.New(t)
+	var q *Table
+	n := 0
+	for up := 1; up <= 3; up++ {
+		q = apply(q, start, crashed("a", up))
+		for range maxSuspects {
+			n++
+			q = apply(q, start, crashed(Fingerprint(fmt.Sprint("x", n)), up))
+			if up == 1 && n == maxSuspects/2 {
+				q = apply(q, start, crashed("a", 9)) // its second
+			}
+		}
+	}
+	s, ok := q.Lookup("a")
+	is.True(ok)
+	is.True(s.Quarantined())
+	is.Equal(q.Len(), maxSuspects)
+}
