Let an answer end a suspicion only if nothing crashed since

Ruled out: the time of the answer; clocks of instances differ.

Change: the report of an answer names the last upstream that had crashed when it was seen.

Before, TestLateAnswerEndsNothing: "table_test.go:190: 0 != 1"; it passes now.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -52,7 +52,7 @@
 type Event struct {
 	Kind        Kind                     `json:"kind"`
 	Fingerprint Fingerprint              `json:"request"`
-	Upstream    Upstream                 `json:"upstream,omitzero"` // of Crashed
+	Upstream    Upstream                 `json:"upstream,omitzero"` // of Crashed; of Answered: the last one that crashed before
 	By          corianderwing.InstanceID `json:"by,omitempty"`      // of Probe
 	Probes      int                      `json:"probes,omitempty"`  // of Probe: number of probes before
 }
@@ -160,7 +160,12 @@
 func (t *Table) apply(e *Event, now time.Time) {
 	old, known := t.suspects[e.Fingerprint]
 	switch e.Kind {
-	case Answered, Expired:
+	case Answered:
+		// An answer reported late says nothing of crashes since.
+		if known && (e.Upstream == old.Last || e.Upstream == Upstream{}) {
+			t.remove(e.Fingerprint)
+		}
+	case Expired:
 		t.remove(e.Fingerprint)
 	case Probe:
 		if known && old.Probes == e.Probes {
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -178,3 +178,16 @@
 	is.True(s.Quarantined())
 	is.Equal(q.Len(), maxSuspects)
 }
+
+// Guards against a quarantine that ends with an answer from before its last crash: the
+// instance that saw the answer could not report it at the time.
+func TestLateAnswerEndsNothing(t *testing.T) {
+	is := is.New(t)
+	q := apply(nil, start, crashed("a", 1))
+	s, _ := q.Lookup("a")
+	late := Event{Kind: Answered, Fingerprint: "a", Upstream: s.Last}
+	q = apply(q, start, crashed("a", 2), crashed("a", 3))
+	is.Equal(apply(q, start, late).Len(), 1)
+	s, _ = q.Lookup("a")
+	is.Equal(apply(q, start, Event{Kind: Answered, Fingerprint: "a", Upstream: s.Last}).Len(), 0)
+}
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -259,7 +259,7 @@
 // begun to crash upstreams since.
 func (x *exchange) recordAnswer(sentAt time.Time) {
 	if s, ok := x.suspect(); ok && (x.crashed || s.CrashedAt.Before(sentAt)) {
-		x.s.suspects.observe(crash.Event{Kind: crash.Answered, Fingerprint: x.fingerprint}, time.Now())
+		x.s.suspects.observe(crash.Event{Kind: crash.Answered, Fingerprint: x.fingerprint, Upstream: s.Last}, time.Now())
 	}
 }
 
