Take no evidence from upstreams of a version that was replaced

Frequent requests lose three of them in a row and look like requests that crash upstreams.

Ruled out: ignoring crashes while a version moves; a request may crash both versions.

Change: a crash counts if the upstream runs the version of its pool, or the one being moved to.

Before, TestStoppedVersionIsNoCrash: "crash_test.go:94: 1 != 0"; it passes now.

--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -78,6 +78,23 @@
 	})
 }
 
+// Guards against evidence from upstreams of the old version, which are stopped without
+// warning once a version move is completed.
+func TestStoppedVersionIsNoCrash(t *testing.T) {
+	onCrashSite(t, 1, func(is *is.I, c *crashSite) {
+		c.beforeCrash = func() {
+			m := corianderwing.Move{ID: "files.v2", Pool: "files", To: "v2"}
+			c.apply(&model.Command{Move: &m})
+			m.Outcome = corianderwing.Done
+			c.apply(&model.Command{EndMove: &m})
+		}
+		c.setBad("/bad", true)
+		c.send(0, "/bad", "k-1")
+		synctest.Wait()
+		is.Equal(c.machine.View().Suspects().Len(), 0)
+	})
+}
+
 // Guards against refusing a request for good that crashes upstreams no longer.
 func TestMendedRequestIsServedAgain(t *testing.T) {
 	onCrashSite(t, 3, func(is *is.I, c *crashSite) {
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -252,7 +252,7 @@
 	}
 	x.attemptLog[len(x.attemptLog)-1].Crashed = true
 	view, _ := x.s.cfg.Control.View()
-	if u, ok := view.Upstream(sl.upstream.ID); !ok || u.Incarnation != sl.upstream.Incarnation || u.Phase != corianderwing.Ready {
+	if u, ok := view.Upstream(sl.upstream.ID); !ok || u.Incarnation != sl.upstream.Incarnation || u.Phase != corianderwing.Ready || !servesPool(view, u) {
 		return
 	}
 	x.crashed = true
@@ -263,6 +263,16 @@
 	x.s.suspects.observe(crash.Event{Kind: crash.Crashed, Fingerprint: x.fingerprint, Upstream: crashed}, time.Now())
 }
 
+// servesPool reports whether the upstream runs a version that its pool uses. When a
+// version move is completed, the upstreams of the old version are stopped at once.
+func servesPool(v *model.View, u *model.Upstream) bool {
+	if u.Version == v.CurrentVersion(u.Pool) {
+		return true
+	}
+	m, ok := v.LatestMove(u.Pool)
+	return ok && m.Outcome == corianderwing.Moving && u.Version == m.To
+}
+
 // recordAnswer clears the suspicion of a request that an upstream has answered. An
 // attempt that was sent before the last crash proves nothing: the request may have
 // begun to crash upstreams since.
