Stop a peer server that has not begun to serve

Stopped before Serve had begun, it would have served on.

Ruled out: a fault of the test only; nodes start and stop their server in the same way.

Change: both take a lock, and Serve of a stopped server returns at once.

(The hang is by reading; it was not run without the change.)

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"net"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,7 +52,10 @@
 type Server struct {
 	desc  grpc.ServiceDesc
 	token string
-	grpc  *grpc.Server
+
+	mu      sync.Mutex
+	grpc    *grpc.Server // nil before Serve
+	stopped bool
 }
 
 // NewServer returns a server without registered methods.
@@ -115,18 +119,27 @@
 
 // Serve serves connections from l until Stop is called.
 func (s *Server) Serve(l net.Listener) error {
-	s.grpc = grpc.NewServer(
+	g := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
 	)
-	s.grpc.RegisterService(&s.desc, nil)
-	return eris.Wrap(s.grpc.Serve(l), "serve peers")
+	g.RegisterService(&s.desc, nil)
+	s.mu.Lock()
+	s.grpc = g
+	if s.stopped {
+		g.Stop() // its Serve closes l and returns at once
+	}
+	s.mu.Unlock()
+	return eris.Wrap(g.Serve(l), "serve peers")
 }
 
 // Stop closes all connections without waiting for pending calls.
 func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
 	if s.grpc != nil {
 		s.grpc.Stop()
 	}
