--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -28,11 +27,10 @@
 
 // Answer is what a client got.
 type Answer struct {
-	Status     int // 0 for none
-	Stamp      string
-	Body       string
-	RetryAfter time.Duration
-	Err        error
+	Status int // 0 for none
+	Stamp  string
+	Body   string
+	Err    error
 }
 
 // fresh makes a connection for each request and follows no redirects.
@@ -69,9 +67,6 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	a := Answer{Status: resp.StatusCode, Stamp: resp.Header.Get("X-Server-Stamp"), Body: string(body), Err: err}
-	if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		a.RetryAfter = time.Duration(sec * float64(time.Second))
-	}
 	s.Record.Add("answered", "id", q.ID, "status", a.Status, "stamp", a.Stamp, "whole", err == nil)
 	return a
 }
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -35,13 +34,8 @@
 	mu   sync.Mutex
 	runs []Run
 	all  []Run // every request that arrived, run or rejected
-	shed atomic.Int32
 }
 
-// Shed makes the server reject a share of its requests, in percent, as not executed.
-// Its heartbeats go on.
-func (v *Server) Shed(percent int) { v.shed.Store(int32(percent)) }
-
 // Arrivals returns the requests that arrived, whether they were run or rejected.
 func (v *Server) Arrivals() []Run {
 	v.mu.Lock()
@@ -140,7 +134,7 @@
 	v.mu.Lock()
 	v.all = append(v.all, arrived)
 	v.mu.Unlock()
-	if int(v.busy.Add(1)) > v.Slots || rand.IntN(100) < int(v.shed.Load()) {
+	if int(v.busy.Add(1)) > v.Slots {
 		v.busy.Add(-1)
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -172,7 +172,6 @@
 // Close ends all processes and removes the files of the deployment.
 func (s *Site) Close() {
 	for _, n := range s.Nodes() {
-		n.Continue()
 		n.Kill()
 	}
 	s.Proxy.Close()
@@ -266,15 +265,19 @@
 	return nil
 }
 
-// Kill ends the process at once.
+// Kill ends the process at once, and returns when it has ended.
 func (n *Node) Kill() {
-	n.signal(syscall.SIGKILL, "kill")
 	n.mu.Lock()
-	exited := n.exited
+	cmd, exited := n.cmd, n.exited
+	n.ended = true
 	n.mu.Unlock()
-	if exited != nil {
-		<-exited
+	if cmd == nil {
+		return
+	}
+	if cmd.Process.Signal(syscall.SIGKILL) == nil {
+		n.site.Record.Add("kill", "node", n.Name)
 	}
+	<-exited
 }
 
 // Wipe empties the disk of a process that does not run.
@@ -283,42 +286,6 @@
 	n.site.Record.Add("disk lost", "node", n.Name)
 }
 
-// Freeze stops the process until Continue is called.
-func (n *Node) Freeze() { n.signal(syscall.SIGSTOP, "freeze") }
-
-// Continue lets a frozen process run again.
-func (n *Node) Continue() { n.signal(syscall.SIGCONT, "") }
-
-// Terminate sends SIGTERM.
-func (n *Node) Terminate() { n.signal(syscall.SIGTERM, "SIGTERM") }
-
-func (n *Node) signal(sig syscall.Signal, what string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return
-	}
-	select {
-	case <-n.exited:
-		return
-	default:
-	}
-	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
-		n.ended = true
-	}
-	n.cmd.Process.Signal(sig)
-	if what != "" {
-		n.site.Record.Add(what, "node", n.Name)
-	}
-}
-
-// LogContains reports whether the log of the process holds a text. It is used only to
-// choose which processes a disruption hits, never to judge.
-func (n *Node) LogContains(text string) bool {
-	data, err := os.ReadFile(filepath.Join(n.site.dir, n.Name, "log"))
-	return err == nil && strings.Contains(string(data), text)
-}
-
 // Leads reports whether the latest change of role that the process logged made it the
 // leader. It is used only to choose which processes a disruption hits.
 func (n *Node) Leads() bool {
@@ -356,21 +323,3 @@
 	s.servers++
 	return net.Listen("tcp", address(fmt.Sprintf("127.%d.%d.1", s.octet+2, s.servers), serverPort))
 }
-
-// Hup sends SIGHUP, which says that the settings file has changed.
-func (n *Node) Hup() { n.signal(syscall.SIGHUP, "SIGHUP") }
-
-// Running reports whether the process runs.
-func (n *Node) Running() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return false
-	}
-	select {
-	case <-n.exited:
-		return false
-	default:
-		return true
-	}
-}
