--- a/review/4/main.go
+++ b/review/4/main.go
@@ -12,9 +12,10 @@
 
 const (
 	// Requests are sent this long after the ack: with a key after the bound for a change
-	// of the desired state, without one near the end of the cut.
-	keyedAfter = stand.ConfigApply + 300*time.Millisecond
-	openAfter  = 8 * time.Second
+	// of the desired state, without one while clients may still keep an answer of the
+	// directory from before the cut (three times its ttl of 2 s).
+	keyedAfter = stand.ConfigApply + 100*time.Millisecond
+	openAfter  = 5 * time.Second
 	attempts   = 10
 )
 
@@ -59,7 +60,7 @@
 		setCut(site, cut, true)
 		r.Say("%s is cut off from all control instances", cut.Name)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	status, _ = site.Order(site.Controls, "POST", "/Config.Patch", stand.Patch{Upsert: map[string]any{
 		"routes": routes("r5", []string{"nairobi"}),
 	}}, 2*stand.Ack)
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,23 @@
 	r.file.Close()
 }
 
+// longest is how long a case may run.
+const longest = 115 * time.Second
+
+// endEarly ends the processes of all deployments when the case is told to end, or takes
+// too long, and exits with NotRun.
+func endEarly() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-told:
+	case <-time.After(longest):
+	}
+	fmt.Println("ended early")
+	closeAll()
+	os.Exit(NotRun)
+}
+
 // Main runs a case in the folder given as the first argument and ends the process with
 // its status. Without the disruption, trouble is false.
 func Main(run func(r *Record, trouble bool) int) {
@@ -71,6 +90,7 @@
 		fmt.Println(err)
 		os.Exit(NotRun)
 	}
+	go endEarly()
 	status := run(r, os.Getenv("TROUBLE") != "0")
 	r.Say("exit status %d", status)
 	r.Close()
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -123,6 +123,15 @@
 	at := time.Now()
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
+	if r.Method == http.MethodGet && r.URL.Path == "/health" {
+		h.Set("X-Instance-Id", v.ID)
+		return
+	}
+	if id == "" {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	h.Set("X-Request-Id", id)
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != v.ID {
 		h.Set("X-Not-Executed", "1")
@@ -146,11 +155,18 @@
 	v.runs = append(v.runs, arrived)
 	v.mu.Unlock()
 	v.site.Record.Add("run", "id", id, "server", v.ID, "zone", v.Zone, "tenant", tenant, "path", r.URL.Path)
+	limit := time.Minute
+	if ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err == nil {
+		limit = time.Duration(ms) * time.Millisecond
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	select {
 	case <-time.After(v.Work):
+	case <-time.After(limit):
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	case <-r.Context().Done():
 		return
 	}
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -4,6 +4,7 @@
 package stand
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,6 +84,22 @@
 	octet   int
 	servers int
 	founded bool
+	closed  atomic.Bool // no process is started any more
+}
+
+// openSites are the deployments that were laid out.
+var openSites struct {
+	sync.Mutex
+	list []*Site
+}
+
+// closeAll ends the processes of all deployments.
+func closeAll() {
+	openSites.Lock()
+	defer openSites.Unlock()
+	for _, s := range openSites.list {
+		s.Close()
+	}
 }
 
 // New lays out a deployment. Its processes do not run yet. The second octet of its
@@ -98,6 +116,9 @@
 	for octet := 10; octet < 250; octet += 3 {
 		s := &Site{Record: r, Proxy: soak.NewProxy(), opts: o, program: program, dir: dir, octet: octet}
 		if err = s.open(); err == nil {
+			openSites.Lock()
+			openSites.list = append(openSites.list, s)
+			openSites.Unlock()
 			return s, nil
 		}
 		s.Proxy.Close()
@@ -171,6 +192,7 @@
 
 // Close ends all processes and removes the files of the deployment.
 func (s *Site) Close() {
+	s.closed.Store(true)
 	for _, n := range s.Nodes() {
 		n.Kill()
 	}
@@ -231,6 +253,9 @@
 func (n *Node) Start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.site.closed.Load() {
+		return errors.New("the deployment is closed")
+	}
 	dir := filepath.Join(n.site.dir, n.Name)
 	if err := os.MkdirAll(n.disk(), 0o755); err != nil {
 		return err
