Remove a replaced voter as soon as its successor has replied

After two to five losses of two disks each, none before catchUp of the one before, no control instance answered any more.

Cause: a control instance that comes back with an empty disk has a new ID; its old one stayed a voter until the leader had not heard from it for 2.5 s, counted from the election if the leader was among the lost, and then one change followed the other at 150 ms. At catchUp (4 s) the group could still not lose two disks. The same cause with successors at other addresses: silence counted from the election, and a second lost voter was never replaced, because one above the target was removed only once as many as before were alive.

Ruled out: promoting before removing (bears no more losses, and needs a learner that may be lost again); a replica that votes without its log (random tests).

Change: a member is removed once a later replica at its address has replied to this leader; voters stay at most one below the target, so a commit stays on three disks. A silent voter is removed after a learner was promoted in its place. A member that does not answer a new leader is silent since the last message of the one before. The next change follows after 20 ms. A learner that never replied is not promoted.

The tests of core/roster get Match for members that have replied, as the leader now tells those apart; TestLostVotersAreReplaced asks for as much as before.

--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -117,14 +117,23 @@
 	return 0
 }
 
-// LastContact returns when this leader last received a reply from a member. It
-// returns the zero time if this replica is not the leader or the member is unknown.
+// LastContact returns when this leader last received a reply from a member. A member
+// that lets the first election timeout of this leader pass without a reply counts as
+// silent since the last message of the leader before: it may have been lost with it.
+// LastContact returns the zero time if this replica is not the leader or the member
+// is unknown.
 func (n *Node) LastContact(id corianderwing.InstanceID) time.Time {
 	if n.role == Leader && id == n.cfg.Self {
 		return n.now
 	}
-	if p := n.leading.peers[id]; p != nil {
-		return p.lastContact
+	p := n.leading.peers[id]
+	if p == nil {
+		return time.Time{}
+	}
+	waited := !n.now.Before(n.leading.since.Add(n.cfg.ElectionTimeout))
+	silent := p.lastContact.Equal(n.leading.since)
+	if waited && silent && !n.leaderContact.IsZero() {
+		return n.leaderContact
 	}
-	return time.Time{}
+	return p.lastContact
 }
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -14,6 +14,7 @@
 
 // leaderState is the volatile state of a leader.
 type leaderState struct {
+	since         time.Time // when this replica was elected
 	peers         map[corianderwing.InstanceID]*peer
 	termStart     corianderwing.Index // index of the first entry of this term
 	round         uint64              // number of the last broadcast to all peers
@@ -50,7 +51,7 @@
 
 func (n *Node) startLeading() {
 	n.role, n.leader, n.votes = Leader, n.cfg.Self, nil
-	n.leading = leaderState{termStart: n.log.lastIndex() + 1}
+	n.leading = leaderState{since: n.now, termStart: n.log.lastIndex() + 1}
 	n.updatePeers()
 	n.appendLocal(corianderwing.EntryEmpty, nil)
 	n.broadcast()
@@ -63,6 +64,7 @@
 		}
 	}
 	n.leading = leaderState{}
+	n.leaderContact = n.now
 }
 
 // updatePeers creates the peers of new members and removes those of former ones.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -33,6 +33,7 @@
 	Region      corianderwing.RegionID
 	Voter       bool
 	LastContact time.Time
+	Match       corianderwing.Index // index up to which its log is known to match; 0 until it replies
 	Lag         corianderwing.Index // log entries that the replica lacks
 }
 
@@ -44,17 +45,17 @@
 // voters, if one is due. Only one change is made at a time.
 func NextChange(members []Member, self corianderwing.InstanceID, target int, now time.Time) (raft.MembershipChange, bool) {
 	p := planner{members: members, self: self, now: now}
-	present := 0
+	present := map[string]bool{} // addresses, because an instance may have several replicas
 	for _, m := range members {
 		if m.Voter {
 			p.voters++
 		}
 		if p.alive(m) || now.Sub(m.LastContact) < removeAfter {
-			present++
+			present[m.Addr] = true
 		}
 	}
 	// An even number of voters tolerates no more losses than one voter fewer.
-	p.want = min(target, present)
+	p.want = min(target, len(present))
 	if p.want%2 == 0 && p.want > 1 {
 		p.want--
 	}
@@ -79,14 +80,16 @@
 }
 
 // removeReplaced removes a replica whose instance came back with an empty disk and
-// a new ID. The old replica cannot return.
+// a new ID. The old replica cannot return. At most one voter fewer than the target is
+// left, so that every commit is on as many disks as before; a learner is promoted
+// before the next one is removed.
 func (p *planner) removeReplaced() (raft.MembershipChange, bool) {
 	for _, old := range p.members {
-		if p.alive(old) && old.ID != p.self || old.ID == p.self {
+		if old.ID == p.self || old.Voter && p.voters < p.want {
 			continue
 		}
 		for _, m := range p.members {
-			if m.ID != old.ID && m.Addr == old.Addr && p.alive(m) {
+			if replaces(m, old) {
 				return raft.MembershipChange{Op: raft.Remove, Instance: old.ID}, true
 			}
 		}
@@ -94,22 +97,22 @@
 	return raft.MembershipChange{}, false
 }
 
+// replaces reports whether m is a later incarnation of the instance of old: only one
+// replica runs at an address, and m was the last to reply.
+func replaces(m, old Member) bool {
+	return m.ID != old.ID && m.Addr == old.Addr && m.Match > 0 && m.LastContact.After(old.LastContact)
+}
+
 // promoteLearner promotes a learner while there are too few live voters.
 func (p *planner) promoteLearner() (raft.MembershipChange, bool) {
-	liveVoters := 0
-	for _, m := range p.members {
-		if m.Voter && p.alive(m) {
-			liveVoters++
-		}
-	}
 	// Lost voters still count towards the majority, so at most one voter above
 	// the target is added before a lost one is removed.
-	if liveVoters >= p.want || p.voters > p.want {
+	if p.liveVoters() >= p.want || p.voters > p.want {
 		return raft.MembershipChange{}, false
 	}
 	best := -1
 	for i, m := range p.members {
-		if m.Voter || !p.alive(m) || m.Lag > maxLag {
+		if m.Voter || !p.alive(m) || m.Match == 0 || m.Lag > maxLag {
 			continue
 		}
 		if best < 0 || p.crowding(m) < p.crowding(p.members[best]) {
@@ -140,8 +143,8 @@
 	return inRegion*len(p.members) + inDomain
 }
 
-// removeVoter removes a voter while there are too many: a lost one, or else one in
-// the region with the most voters.
+// removeVoter removes a voter while there are too many: a lost one, in whose place a
+// live one was promoted, or else one in the region with the most voters.
 func (p *planner) removeVoter() (raft.MembershipChange, bool) {
 	if p.voters <= p.want || p.voters < 3 {
 		return raft.MembershipChange{}, false
@@ -161,13 +164,7 @@
 		}
 		return cmp.Or(cmp.Compare(p.crowding(b), p.crowding(a)), cmp.Compare(a.ID, b.ID))
 	})
-	// A lost voter may be back soon, so it is removed only once a live one has
-	// replaced it.
-	candidate := voters[0]
-	if !p.alive(candidate) && p.liveVoters() < p.want {
-		return raft.MembershipChange{}, false
-	}
-	return raft.MembershipChange{Op: raft.Remove, Instance: candidate.ID}, true
+	return raft.MembershipChange{Op: raft.Remove, Instance: voters[0].ID}, true
 }
 
 func (p *planner) liveVoters() (n int) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -19,7 +19,7 @@
 	for i := range 6 {
 		region := string(rune('a' + i/2))
 		list = append(list, Member{
-			ID: corianderwing.InstanceID(fmt.Sprint("m", i)), Addr: fmt.Sprint("10.0.0.", i), LastContact: now,
+			ID: corianderwing.InstanceID(fmt.Sprint("m", i)), Addr: fmt.Sprint("10.0.0.", i), LastContact: now, Match: 1,
 			Domain: corianderwing.DomainID(fmt.Sprint(region, i%2)), Region: corianderwing.RegionID(region),
 		})
 	}
@@ -34,26 +34,31 @@
 		if !ok {
 			return list
 		}
-		next := list[:0:0]
-		for _, m := range list {
-			switch {
-			case m.ID == c.Instance && c.Op == raft.Remove:
-				if m.Voter {
-					m.Voter = false
-				} else {
-					continue
-				}
-			case m.ID == c.Instance && c.Op == raft.Promote:
-				m.Voter = true
-			}
-			next = append(next, m)
-		}
-		list = next
+		list = changed(list, c)
 	}
 	t.Fatal("the membership does not converge")
 	return nil
 }
 
+// changed returns the members after a change. A removed voter that is alive joins
+// again as a learner.
+func changed(list []Member, c raft.MembershipChange) []Member {
+	next := list[:0:0]
+	for _, m := range list {
+		switch {
+		case m.ID == c.Instance && c.Op == raft.Remove:
+			if !m.Voter || now.Sub(m.LastContact) > 0 {
+				continue
+			}
+			m.Voter = false
+		case m.ID == c.Instance && c.Op == raft.Promote:
+			m.Voter = true
+		}
+		next = append(next, m)
+	}
+	return next
+}
+
 func voters(list []Member) (n, live int, regions map[corianderwing.RegionID]int) {
 	regions = map[corianderwing.RegionID]int{}
 	for _, m := range list {
@@ -101,7 +106,7 @@
 	is.Equal(live, 5)
 
 	// An instance comes back under a new replica ID.
-	list = converge(t, append(newMembers(), Member{ID: "m5b", Addr: "10.0.0.5", Domain: "c1", Region: "c", LastContact: now}), 2)
+	list = converge(t, append(newMembers(), Member{ID: "m5b", Addr: "10.0.0.5", Domain: "c1", Region: "c", LastContact: now, Match: 1}), 2)
 	list[5].LastContact = now.Add(-replaceAfter)
 	for _, m := range converge(t, list, 2) {
 		is.True(m.ID != "m5")
@@ -119,3 +124,74 @@
 	_, ok := NextChange(list, list[0].ID, VoterCount(2), now)
 	is.True(!ok)
 }
+
+// Guards against an instance that came back with an empty disk and whose old replica
+// counts as a voter for seconds, and against fewer voters than keep a commit on three
+// disks meanwhile (review/1).
+func TestReplacedVoterIsRemovedAtOnce(t *testing.T) {
+	is := is.New(t)
+	list := converge(t, founded(newMembers()), 2)
+	for i := range list {
+		if list[i].Voter && list[i].ID != list[0].ID {
+			list[i].LastContact = now.Add(-time.Second)
+			back := list[i]
+			back.ID, back.Voter, back.LastContact = back.ID+"b", false, now
+			list = append(list, back)
+		}
+	}
+	for {
+		c, ok := NextChange(list, list[0].ID, VoterCount(2), now)
+		if !ok {
+			break
+		}
+		list = changed(list, c)
+		n, _, _ := voters(list)
+		is.True(n >= 4)
+	}
+	n, live, _ := voters(list)
+	is.Equal(n, 5)
+	is.Equal(live, 5)
+	for _, m := range list {
+		is.Equal(m.LastContact, now) // no old replica is left
+	}
+}
+
+// Guards against a replica that was added by an outdated request to join, never
+// replied, and replaces the one that runs at its address.
+func TestReplicaThatNeverRepliedReplacesNone(t *testing.T) {
+	is := is.New(t)
+	list := converge(t, founded(newMembers()), 2)
+	for i, m := range list {
+		list[i].LastContact = now.Add(-100 * time.Millisecond)
+		list = append(list, Member{ID: m.ID + "b", Addr: m.Addr, Domain: m.Domain, Region: m.Region, LastContact: now})
+	}
+	_, ok := NextChange(list, list[0].ID, VoterCount(2), now)
+	is.True(!ok)
+}
+
+// Guards against two voters that are lost for good and never replaced, because a lost
+// one is removed only once as many as before are alive, and no second one is promoted
+// before that.
+func TestTwoSilentVotersAreReplaced(t *testing.T) {
+	is := is.New(t)
+	list := converge(t, founded(newMembers()), 2)
+	lost := 0
+	for i := range list {
+		if list[i].Voter && list[i].ID != list[0].ID && lost < 2 {
+			list[i].LastContact = now.Add(-replaceAfter)
+			lost++
+		}
+	}
+	for _, id := range []corianderwing.InstanceID{"m6", "m7"} {
+		list = append(list, Member{ID: id, Addr: string(id), Domain: "a0", Region: "a", LastContact: now, Match: 1})
+	}
+	n, live, _ := voters(converge(t, list, 2))
+	is.Equal(n, 5)
+	is.Equal(live, 5)
+}
+
+// founded makes the first member a voter.
+func founded(list []Member) []Member {
+	list[0].Voter = true
+	return list
+}
--- a/io/quorum/call.go
+++ b/io/quorum/call.go
@@ -258,12 +258,12 @@
 			return err
 		}
 		// A change by maintainVoters is pending.
-		if !clock.Sleep(ctx, joinRetryDelay) {
+		if !clock.Sleep(ctx, changeDelay) {
 			return err
 		}
 	}
 }
 
-// joinRetryDelay is the delay before a join is tried again that met another
-// membership change: about a commit.
-const joinRetryDelay = 20 * time.Millisecond
+// changeDelay is the delay before the next membership change, after another one that
+// was made or is still pending: about a commit.
+const changeDelay = 20 * time.Millisecond
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -248,23 +248,32 @@
 // maintainVoters makes the membership changes that are due while this replica leads.
 func (r *Replica) maintainVoters() {
 	for clock.Sleep(r.ctx, heartbeatInterval) {
-		g := r.group.Load()
-		s := g.Status()
-		if s.Role != raft.Leader || s.Err != nil {
-			continue
-		}
-		change, ok := roster.NextChange(r.rosterMembers(s), r.self, r.cfg.NumVoters, time.Now())
-		if !ok {
-			continue
+		for r.changeMembership() && clock.Sleep(r.ctx, changeDelay) {
 		}
-		ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
-		err := g.ChangeVoters(ctx, change)
-		cancel()
-		r.cfg.Log.Info().Str("op", string(change.Op)).Str("member", string(change.Instance)).
-			Int("voters", len(s.Voters.Voters)).Int("learners", len(s.Voters.Learners)).Err(err).Msg("membership change")
 	}
 }
 
+// changeMembership makes the next membership change, if one is due. It reports
+// whether another one may follow: until the last one, the group bears fewer losses.
+func (r *Replica) changeMembership() bool {
+	g := r.group.Load()
+	s := g.Status()
+	if s.Role != raft.Leader || s.Err != nil {
+		return false
+	}
+	change, ok := roster.NextChange(r.rosterMembers(s), r.self, r.cfg.NumVoters, time.Now())
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	err := g.ChangeVoters(ctx, change)
+	cancel()
+	r.cfg.Log.Info().Str("op", string(change.Op)).Str("member", string(change.Instance)).
+		Int("voters", len(s.Voters.Voters)).Int("learners", len(s.Voters.Learners)).Err(err).Msg("membership change")
+	// On a conflict, the change of a replica that joins is pending.
+	return err == nil || corianderwing.CodeOf(err) == corianderwing.RevisionConflict
+}
+
 // rosterMembers returns what this leader knows about the members.
 func (r *Replica) rosterMembers(s group.Status) []roster.Member {
 	r.mu.Lock()
@@ -274,8 +283,9 @@
 		for _, id := range ids {
 			loc := r.locations[id]
 			m := roster.Member{ID: id, Addr: AddrOf(id), Domain: loc.Domain, Region: loc.Region, Voter: voter, LastContact: s.LastContact[id]}
-			if match := s.MatchIndex[id]; match < s.LastIndex {
-				m.Lag = s.LastIndex - match
+			m.Match = s.MatchIndex[id]
+			if m.Match < s.LastIndex {
+				m.Lag = s.LastIndex - m.Match
 			}
 			list = append(list, m)
 		}
