Keep checking keys once the last workspace policy is deleted

After the last of two tenants was dropped, withdrawn and invented keys ran requests, 10 of 10 each.

Cause: KeysRequired was "a workspace policy exists", so that deleting the last one switched the checks off.

Ruled out: entry instances with old settings, and leases; the set alone gives the wrong answer.

The deletion of one that never was does not close a deployment without workspaces, and public rules stay open.

--- a/core/items/find.go
+++ b/core/items/find.go
@@ -74,9 +74,10 @@
 	}
 }
 
-// KeysRequired reports whether requests need an API key, which is the case as soon
-// as a workspace exists.
-func (s *Set) KeysRequired() bool { return len(s.policies) > 0 }
+// KeysRequired reports whether requests need an API key, which is the case from the
+// first workspace policy on. Deleting the last one withdraws its keys; it does not
+// open the rules to everybody.
+func (s *Set) KeysRequired() bool { return s.keyed }
 
 // Pool returns a pool by name.
 func (s *Set) Pool(name corianderwing.PoolID) (*corianderwing.Pool, bool) {
--- a/core/items/items.go
+++ b/core/items/items.go
@@ -24,6 +24,7 @@
 	pools     map[corianderwing.PoolID]*corianderwing.Pool
 	limits    *corianderwing.Limits
 	deletions map[itemKey]corianderwing.Version // versions of deleted items, kept forever
+	keyed     bool                              // a workspace policy is in force, or was
 
 	rulesByHost map[string][]*corianderwing.Rule          // by host, longest prefix first
 	policyByKey map[string]*corianderwing.WorkspacePolicy // by API key
@@ -71,6 +72,7 @@
 		pools:     maps.Clone(s.pools),
 		limits:    s.limits,
 		deletions: maps.Clone(s.deletions),
+		keyed:     s.keyed,
 	}
 }
 
@@ -84,6 +86,7 @@
 		t := &e.WorkspacePolicies[i]
 		changed = putItem(s, s.policies, corianderwing.WorkspacePolicyItem, t.Name, t.Version, t) || changed
 	}
+	s.keyed = s.keyed || len(s.policies) > 0
 	for i := range e.Pools {
 		p := &e.Pools[i]
 		changed = putItem(s, s.pools, corianderwing.PoolItem, p.Name, p.Version, p) || changed
@@ -149,6 +152,9 @@
 type Saved struct {
 	Items     corianderwing.Edit       `json:"items"`
 	Deletions []corianderwing.Deletion `json:"drops,omitempty"`
+	// Keyless is set if no workspace policy was ever in force, although one may have
+	// been deleted.
+	Keyless bool `json:"keyless,omitempty"`
 }
 
 // All returns the items that are not deleted, sorted by name.
@@ -168,7 +174,7 @@
 
 // Save returns the set in serializable form, including its deletions.
 func (s *Set) Save() Saved {
-	out := Saved{Items: s.All()}
+	out := Saved{Items: s.All(), Keyless: !s.keyed}
 	for k, v := range s.deletions {
 		out.Deletions = append(out.Deletions, corianderwing.Deletion{Kind: k.kind, Name: k.name, Version: v})
 	}
@@ -186,6 +192,17 @@
 	s := New()
 	s.putNewer(in.Items)
 	s.deleteItems(in.Deletions)
+	s.keyed = s.keyed || !in.Keyless && s.deletedPolicy()
 	s.buildIndexes()
 	return s
 }
+
+// deletedPolicy reports whether a workspace policy was deleted.
+func (s *Set) deletedPolicy() bool {
+	for k := range s.deletions {
+		if k.kind == corianderwing.WorkspacePolicyItem {
+			return true
+		}
+	}
+	return false
+}
--- a/core/items/items_test.go
+++ b/core/items/items_test.go
@@ -118,6 +118,51 @@
 	})
 }
 
+// Guards against keys that are not checked any more once the last workspace policy
+// is deleted, so that withdrawn and invented keys run requests (review/3), and against
+// keys that are required although no workspace policy was ever in force.
+func TestKeysRequiredAfterLastPolicyIsDeleted(t *testing.T) {
+	is := is.New(t)
+	edit := func(s *Set, e corianderwing.Edit) *Set {
+		t.Helper()
+		next, err := s.Merge(e)
+		is.NoErr(err)
+		is.Equal(Load(next.Save()).KeysRequired(), next.KeysRequired()) // the same after a snapshot
+		return next
+	}
+	deletion := func(name string, v corianderwing.Version) corianderwing.Edit {
+		return corianderwing.Edit{Deletions: []corianderwing.Deletion{{Kind: corianderwing.WorkspacePolicyItem, Name: name, Version: v}}}
+	}
+	put := func(p corianderwing.WorkspacePolicy) corianderwing.Edit {
+		return corianderwing.Edit{WorkspacePolicies: []corianderwing.WorkspacePolicy{p}}
+	}
+
+	s := edit(New(), corianderwing.Edit{Pools: []corianderwing.Pool{{Name: "files", Version: 1}}})
+	is.True(!s.KeysRequired())
+	s = edit(s, deletion("nobody", 2))
+	is.True(!s.KeysRequired()) // never in force
+	s = edit(s, put(policy("nobody", 1, "k0")))
+	is.True(!s.KeysRequired()) // its deletion is newer
+
+	s = edit(s, put(policy("mvule", 3, "k1")))
+	is.True(s.KeysRequired())
+	s = edit(s, put(policy("mvule", 4)))
+	is.True(s.KeysRequired()) // without any key
+	s = edit(s, deletion("mvule", 5))
+	is.True(s.KeysRequired())
+	_, ok := s.PolicyByKey("k1")
+	is.True(!ok)
+	s = edit(s, deletion("mvule", 7)) // deleted once more
+	is.True(s.KeysRequired())
+	s = edit(s, put(policy("mvule", 9, "k1")))
+	is.True(s.KeysRequired())
+
+	// Saved by a version that did not tell whether a policy was in force.
+	old := Saved{Deletions: []corianderwing.Deletion{{Kind: corianderwing.WorkspacePolicyItem, Name: "mvule", Version: 5}}}
+	is.True(Load(old).KeysRequired())
+	is.True(!Load(Saved{}).KeysRequired())
+}
+
 // Guards against a request that matches a rule with a shorter prefix, or one of a
 // host whose name only begins the same.
 func TestLongestPrefixWins(t *testing.T) {
