Ask other entry instances for the state while no control instance answers

Requests to an entry instance that was cut off from the control role ran outside the home that their rules had gained meanwhile: 10 of 10 without a key, 10 of 10 with one.

Cause: the state reaches an entry instance from control instances only, although such a cut leaves its links to other entry instances alone.

Ruled out: a state that arrived and was not used; the lease.

One whose last heartbeat failed, and whose state is older than 1.2 s, asks them every 0.4 s for the changes and the confirmation, whose age counts as before. A conflict leaves its state alone.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -89,11 +89,14 @@
 	sharesMissing atomic.Bool
 	stateReceived chan struct{} // buffered (1); signals the first state
 
+	applying sync.Mutex // held while an update is applied: by the watch, or from another entry instance
+
 	mu              sync.Mutex
 	seeds           []string // peer addresses of control instances to try first
 	controls        []plane.ControlInstance
 	neighbors       []corianderwing.Instance // other live entry instances of the failure domain
-	listsVersion    uint64                   // version of controls and neighbors; 0 if unknown
+	relays          []corianderwing.Instance // live entry instances of other failure domains
+	listsVersion    uint64                   // version of these lists; 0 if unknown
 	current         string                   // peer address of the followed control instance
 	lastReply       time.Time                // last reply to a heartbeat
 	avoidUntil      map[string]time.Time     // by peer address: no slot requests before this time
@@ -115,6 +118,7 @@
 	view       *model.View
 	known      bool      // the view has reached a confirmed revision since it was last empty
 	freshUntil time.Time // end of the lease, on the boot clock
+	history    model.History
 
 	// confirmations holds what control instances confirmed. In place of a time each
 	// has the end of the lease that it gives.
@@ -154,6 +158,7 @@
 	f.current = f.controls[xxhash.Sum64String(string(cfg.Self().ID))%uint64(len(f.controls))].PeerAddr
 	f.wg.Go(f.heartbeatLoop)
 	f.wg.Go(f.watchLoop)
+	f.wg.Go(f.relayLoop)
 	return f
 }
 
@@ -262,11 +267,12 @@
 	}
 }
 
-// apply applies one update to the state. After a conflict it discards the state, so
-// that the next watch starts with a snapshot.
+// apply applies one update of the watch to the state. After a conflict it discards the
+// state, so that the next watch starts with a snapshot.
 func (f *Follower) apply(u *model.Update) error {
-	old, _ := f.View()
-	next, err := old.Update(*u, time.Now())
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	err := f.applyUpdate(u)
 	if err != nil && corianderwing.CodeOf(err) == corianderwing.RevisionConflict {
 		f.cfg.Log.Error().Uint64("revision", uint64(u.Revision)).Err(err).Msg("update does not apply to the current state; requesting a snapshot")
 		// The next state may come from a control instance that lags behind, so it
@@ -275,11 +281,30 @@
 			*s = state{view: model.New(), confirmations: s.confirmations.Discard()}
 		})
 	}
+	return err
+}
+
+// applyRelayed applies one update from another entry instance. A conflict leaves the
+// state as it is.
+func (f *Follower) applyRelayed(u *model.Update) error {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	return f.applyUpdate(u)
+}
+
+// applyUpdate applies one update to the state. The caller must hold f.applying.
+func (f *Follower) applyUpdate(u *model.Update) error {
+	old, _ := f.View()
+	next, err := old.Update(*u, time.Now())
 	if err != nil {
 		return err
 	}
+	if next == old {
+		return nil // the state has it already
+	}
 	f.update(func(s *state) {
 		s.view = next
+		s.history = s.history.Add(*u, old.Revision())
 		s.reach()
 	})
 	if old.Revision() == 0 {
@@ -291,7 +316,7 @@
 	if f.cfg.OnChange != nil {
 		f.cfg.OnChange()
 	}
-	f.cfg.Log.Info().Uint64("revision", uint64(next.Revision())).Bool("snapshot", u.Snapshot != nil).
+	f.cfg.Log.Info().Uint64("revision", uint64(next.Revision())).Bool("snapshot", u.Snapshot != nil || u.Packed != nil).
 		Int("rules", next.Items().NumRules()).Int("upstreams", next.NumUpstreams()).Msg("state changed")
 	return nil
 }
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -287,7 +287,7 @@
 	slices.SortStableFunc(list, func(a, b plane.ControlInstance) int { return rank(a) - rank(b) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.controls, f.neighbors, f.listsVersion = list, r.Neighbors, r.InstancesVersion
+	f.controls, f.neighbors, f.relays, f.listsVersion = list, r.Neighbors, r.Relays, r.InstancesVersion
 	for _, s := range f.seeds {
 		if !slices.ContainsFunc(f.controls, func(c plane.ControlInstance) bool { return c.PeerAddr == s }) {
 			f.controls = append(f.controls, plane.ControlInstance{PeerAddr: s})
--- /dev/null
+++ b/io/follow/relay.go
@@ -0,0 +1,147 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/clock"
+	"corianderwing/io/peer"
+)
+
+// An entry instance that no control instance answers asks other entry instances for
+// the state. It may be cut off from the control role alone, and would otherwise go on
+// with old settings, under which a request may run outside its new home regions.
+
+const (
+	// relayInterval is the interval at which other entry instances are asked.
+	relayInterval = 400 * time.Millisecond
+	// minRelayAge is the age of the state from which on they are asked.
+	minRelayAge = 1200 * time.Millisecond
+	// relayTimeout bounds one call to another entry instance.
+	relayTimeout = 500 * time.Millisecond
+	// maxNeighborRelays is the number of instances of the same failure domain that
+	// are asked: those are likely to be cut off as well.
+	maxNeighborRelays = 2
+)
+
+// relayRequest asks an entry instance for its state.
+type relayRequest struct {
+	After corianderwing.Revision `json:"after"` // revision of the sender's own state
+}
+
+// relayResponse holds the updates after the revision of the request, and the last
+// confirmation that the state with them has reached.
+type relayResponse struct {
+	Confirmed bool                   `json:"fresh,omitempty"` // Age and Revision are known
+	Age       corianderwing.Millis   `json:"age"`
+	Revision  corianderwing.Revision `json:"revision"`
+	Updates   []model.Update         `json:"updates,omitempty"`
+}
+
+var relayMethod = peer.Method[relayRequest, relayResponse]{Name: "SiteRelay"}
+
+// Register registers the method with which this instance passes its state on.
+func (f *Follower) Register(ps *peer.Server) {
+	peer.Handle(ps, relayMethod, func(_ context.Context, q *relayRequest) (*relayResponse, error) {
+		return f.handleRelay(q)
+	})
+}
+
+func (f *Follower) handleRelay(q *relayRequest) (*relayResponse, error) {
+	s := f.state.Load()
+	c, ok := s.confirmations.Latest()
+	if !ok {
+		return &relayResponse{}, nil
+	}
+	confirmedAt := c.At.Add(-f.cfg.Lease)
+	r := &relayResponse{
+		Confirmed: true,
+		Age:       corianderwing.Millis(f.cfg.Now().Sub(confirmedAt).Milliseconds() + 1),
+		Revision:  c.Revision,
+	}
+	if q.After >= s.view.Revision() {
+		return r, nil
+	}
+	if list, ok := s.history.After(q.After); ok {
+		r.Updates = list
+		return r, nil
+	}
+	u, err := s.view.Pack(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	r.Updates = []model.Update{u}
+	return r, nil
+}
+
+// relayLoop asks other entry instances for the state while no control instance
+// answers.
+func (f *Follower) relayLoop() {
+	for clock.Sleep(f.ctx, relayInterval) {
+		if f.isCutOff() {
+			f.askRelays(f.ctx)
+		}
+	}
+}
+
+// isCutOff reports whether the last heartbeat failed and the state is getting old.
+// Before it has a state, an instance knows no other entry instances.
+func (f *Follower) isCutOff() bool {
+	_, known := f.View()
+	return known && f.failures() > 0 && f.StateAge() > minRelayAge
+}
+
+// askRelays asks other entry instances in turn, until one has a more recent
+// confirmation.
+func (f *Follower) askRelays(ctx context.Context) {
+	for _, addr := range f.relayAddrs() {
+		before := f.FreshUntil()
+		err := f.askRelay(ctx, addr)
+		if err != nil {
+			f.cfg.Log.Debug().Str("entry", addr).Err(err).Msg("no state from another entry instance")
+			continue
+		}
+		if f.FreshUntil().After(before) {
+			f.cfg.Log.Info().Str("entry", addr).Int64("age", f.StateAge().Milliseconds()).Msg("state confirmed by another entry instance")
+			return
+		}
+	}
+}
+
+// relayAddrs returns the peer addresses of the entry instances to ask.
+func (f *Follower) relayAddrs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, e := range f.relays {
+		list = append(list, e.PeerAddr)
+	}
+	for _, e := range f.neighbors[:min(len(f.neighbors), maxNeighborRelays)] {
+		list = append(list, e.PeerAddr)
+	}
+	return list
+}
+
+// askRelay gets the state of one entry instance.
+func (f *Follower) askRelay(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	sent := f.cfg.Now()
+	view, _ := f.View()
+	r, err := peer.Call(ctx, f.peer, addr, relayMethod, &relayRequest{After: view.Revision()})
+	if err != nil {
+		return err
+	}
+	for i := range r.Updates {
+		if err := f.applyRelayed(&r.Updates[i]); err != nil {
+			return err
+		}
+	}
+	if r.Confirmed {
+		age := time.Duration(r.Age) * time.Millisecond
+		f.confirm(r.Revision, corianderwing.HolderDeadline(sent.Add(-age), f.cfg.Lease))
+	}
+	return nil
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -191,6 +191,7 @@
 			}
 		},
 	}, n.peerClient)
+	n.follow.Register(n.peerServer)
 	g := gate.New(gate.Config{
 		Instance: self.ID,
 		Domain:   cfg.Domain,
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -276,6 +276,7 @@
 			r.Neighbors = append(r.Neighbors, e)
 		}
 	}
+	r.Relays = relaysFor(b.Entry, p.entries)
 }
 
 // Measure reports the gauges of this instance.
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -48,7 +48,7 @@
 	Age       corianderwing.Millis   `json:"age"`
 	Revision  corianderwing.Revision `json:"revision"`
 	Confirmed bool                   `json:"fresh,omitempty"` // Age and Revision are known
-	// InstancesVersion is the version of Controls and Neighbors, which are
+	// InstancesVersion is the version of Controls, Neighbors and Relays, which are
 	// omitted if the sender has it. It is 0 until the leader has sent lists.
 	InstancesVersion uint64 `json:"version,omitempty"`
 	// Controls lists the control instances that report to the leader. Until the
@@ -57,6 +57,9 @@
 	// Neighbors lists the other live entry instances in the same failure
 	// domain.
 	Neighbors []corianderwing.Instance `json:"neighbors,omitempty"`
+	// Relays lists some live entry instances in other failure domains, which an
+	// instance asks for the state while no control instance answers it.
+	Relays []corianderwing.Instance `json:"relays,omitempty"`
 	// Shares contains the shares of workspace rate limits. They are valid for
 	// LeaseDuration after the heartbeat was sent.
 	Shares        []quota.Share        `json:"shares,omitempty"`
