Test more parts of a response that never end

Report: a faulty server sent bytes that were no answer, without end, in a head or a body, until the caller closed; the machine that called it kept them all and ran out of memory.

It does not happen here. A head and the interim responses before it are read up to 64 KB (io/relay, conn.Read), a body of another request up to 256 KB (skipForeign), chunk sizes, extensions and trailers up to the limits of net/http; a body is passed on through one buffer of 32 KB and ends with the request.

New cases: header lines of three bytes, chunk sizes, extensions and trailers of the request's own response, and bytes after a complete response. All pass on the code as it is. With the limits raised to 8 MB in a scratch copy, four cases of TestEndlessHead fail ("not true: <-taken <= maxForeignBody+2*maxResponseHeader").

--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -37,6 +37,7 @@
 		"garbage":          {"", strings.Repeat("x", 1000)},
 		"header line":      {"HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("x", 1000)},
 		"header lines":     {"HTTP/1.1 200 OK\r\n", "X-A: " + strings.Repeat("x", 1000) + "\r\n"},
+		"short lines":      {"HTTP/1.1 200 OK\r\n", "a:\n"},
 		"interim":          {"", "HTTP/1.1 100 Continue\r\nX-A: " + strings.Repeat("x", 1000) + "\r\n\r\n"},
 		"foreign body":     {"HTTP/1.1 200 OK\r\nEcho: other\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"},
 		"foreign trailers": {"HTTP/1.1 200 OK\r\nEcho: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: " + strings.Repeat("x", 1000) + "\r\n"},
@@ -103,3 +104,61 @@
 		})
 	}
 }
+
+// Guards against an upstream whose response to this request never gets to its end, in
+// a part that is no body: the response must end with an error after a bounded number
+// of bytes beside those of the body.
+func TestEndlessFraming(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ prefix, text string }{
+		"chunk size":       {chunked, "0"},
+		"chunk extension":  {chunked + "3;", strings.Repeat("x", 1000)},
+		"chunk extensions": {chunked, "1;" + strings.Repeat("x", 100) + "\r\nx\r\n"},
+		"garbage":          {chunked, strings.Repeat("x", 1000)},
+		"trailer line":     {chunked + "0\r\nX-A: ", strings.Repeat("x", 1000)},
+		"trailer lines":    {chunked + "0\r\n", "X-A: " + strings.Repeat("x", 1000) + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				taken := make(chan int, 1)
+				h := newPipePool(func(conn net.Conn, br *bufio.Reader) {
+					http.ReadRequest(br)
+					taken <- flood(conn, c.prefix, c.text)
+				})
+				call := newCall(h, "1")
+				call.EchoHeader = "Echo"
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				resp, e := Send(ctx, call)
+				is.True(e == nil)
+				n, err := io.Copy(io.Discard, resp)
+				is.True(err != nil)
+				is.True(<-taken-int(n) <= maxResponseHeader)
+				is.Equal(h.Idle(), 0)
+			})
+		})
+	}
+}
+
+// Guards against bytes without end after a complete response: they belong to no
+// request, so the connection is closed in place of being used again.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		taken := make(chan int, 2)
+		h := newPipePool(func(conn net.Conn, br *bufio.Reader) {
+			http.ReadRequest(br)
+			taken <- flood(conn, "HTTP/1.1 200 OK\r\nEcho: 1\r\nContent-Length: 2\r\n\r\nok", strings.Repeat("x", 1000))
+		})
+		call := newCall(h, "1")
+		call.EchoHeader = "Echo"
+		resp, e := Send(t.Context(), call)
+		is.True(e == nil)
+		body, err := io.ReadAll(resp)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		h.Close() // the connection may not have been found out yet
+		is.True(<-taken <= 2*4096)
+	})
+}
