Replay observations of crashes at their own times

Cause: while the control role cannot be reached, an entry instance keeps its observations and replays all of them, at the time of the last one, at each change of the state. A suspicion became younger with each new observation of any request: an answer to a request that was sent before then did not clear it, and its next lone probe was put off. In the test, a replay during the 60 ms of the probe makes the crash as young as the probe.

Change: crash.Table.Replay applies each observation at its own time.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -144,17 +144,42 @@
 // Apply returns the table after events that were received at now. The result
 // depends on now only in the times of changes.
 func (t *Table) Apply(list []Event, now time.Time) *Table {
-	next := &Table{suspects: map[Fingerprint]*Suspect{}}
-	if t != nil {
-		next.suspects, next.order = maps.Clone(t.suspects), slices.Clone(t.order)
-	}
+	next := t.clone()
 	for i := range list {
 		next.apply(&list[i], now)
 	}
-	if len(next.suspects) == 0 {
+	return next.orNil()
+}
+
+// Observation is an event and the time at which it was received.
+type Observation struct {
+	Event
+	At time.Time
+}
+
+// Replay returns the table after observations, each at its own time.
+func (t *Table) Replay(list []Observation) *Table {
+	next := t.clone()
+	for i := range list {
+		next.apply(&list[i].Event, list[i].At)
+	}
+	return next.orNil()
+}
+
+// clone returns a copy that may be changed.
+func (t *Table) clone() *Table {
+	if t == nil {
+		return &Table{suspects: map[Fingerprint]*Suspect{}}
+	}
+	return &Table{suspects: maps.Clone(t.suspects), order: slices.Clone(t.order)}
+}
+
+// orNil returns the table, or nil if it is empty.
+func (t *Table) orNil() *Table {
+	if len(t.suspects) == 0 {
 		return nil
 	}
-	return next
+	return t
 }
 
 func (t *Table) apply(e *Event, now time.Time) {
--- a/io/gate/crash_test.go
+++ b/io/gate/crash_test.go
@@ -215,3 +215,23 @@
 		is.True(!suspected)
 	})
 }
+
+// Guards against a suspicion that is taken for younger each time the state changes,
+// while the control role cannot be reached: an answer to a request that was sent after
+// the crash did not clear it, and its own probes were put off.
+func TestObservationsKeepTheirTimes(t *testing.T) {
+	is := is.New(t)
+	q := newSuspects(&Config{Log: quiet})
+	view := model.New()
+	q.sync(view)
+	crashed := time.Unix(1000, 0)
+	for i, f := range []crash.Fingerprint{"first", "second"} {
+		u := crash.Upstream{ID: corianderwing.UpstreamID(f), Incarnation: 1}
+		q.observe(crash.Event{Kind: crash.Crashed, Fingerprint: f, Upstream: u}, crashed.Add(time.Duration(i)*time.Minute))
+	}
+	q.sync(view)
+	s, ok := q.table.Load().Lookup("first")
+	is.True(ok)
+	is.Equal(s.CrashedAt, crashed)
+	is.Equal(s.Changed, crashed)
+}
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -50,8 +50,7 @@
 
 // observation is an event that this instance observed.
 type observation struct {
-	event    crash.Event
-	at       time.Time
+	crash.Observation
 	revision corianderwing.Revision // of the state that includes it; 0 until reported
 }
 
@@ -83,11 +82,11 @@
 func (q *suspects) rebuild() {
 	t := q.state
 	if n := len(q.observed); n > 0 {
-		events := make([]crash.Event, n)
+		list := make([]crash.Observation, n)
 		for i, o := range q.observed {
-			events[i] = o.event
+			list[i] = o.Observation
 		}
-		t = t.Apply(events, q.observed[n-1].at)
+		t = t.Replay(list)
 	}
 	q.table.Store(t)
 }
@@ -99,7 +98,7 @@
 	if len(q.observed) >= maxObservations {
 		q.observed = q.observed[1:]
 	}
-	q.observed = append(q.observed, &observation{event: e, at: now})
+	q.observed = append(q.observed, &observation{Observation: crash.Observation{Event: e, At: now}})
 	q.table.Store(q.table.Load().Apply([]crash.Event{e}, now))
 	select {
 	case q.changed <- struct{}{}:
@@ -150,7 +149,7 @@
 	defer q.mu.Unlock()
 	for _, o := range q.observed {
 		if o.revision == 0 {
-			list, events = append(list, o), append(events, o.event)
+			list, events = append(list, o), append(events, o.Event)
 		}
 	}
 	return list, events
