Count a member as silent before an election for two election timeouts at most

Found while reading again: after a time without a majority, the last message of the leader before may be minutes old. Members that come back a second after the election would count as silent since then, voters would be removed as if lost for over 10 s, and fewer would be left than two lost disks need.

Ruled out: a restart of all control instances (no earlier leader is known then).

Change: the time before the election counts for two election timeouts at most, which covers an election that has a majority.

Measured: TestLastContactAfterLongElection, without the bound: scenario_test.go:342: 1m3s != 2s With it: passes.

--- a/core/raft/change.go
+++ b/core/raft/change.go
@@ -122,6 +122,9 @@
 // silent since the last message of the leader before: it may have been lost with it.
 // LastContact returns the zero time if this replica is not the leader or the member
 // is unknown.
+//
+// That adds the time of one election at most. Without a majority, replicas may have
+// had no leader for much longer, and members that come back late are not lost.
 func (n *Node) LastContact(id corianderwing.InstanceID) time.Time {
 	if n.role == Leader && id == n.cfg.Self {
 		return n.now
@@ -130,10 +133,15 @@
 	if p == nil {
 		return time.Time{}
 	}
-	waited := !n.now.Before(n.leading.since.Add(n.cfg.ElectionTimeout))
-	silent := p.lastContact.Equal(n.leading.since)
-	if waited && silent && !n.leaderContact.IsZero() {
-		return n.leaderContact
+	since := n.leading.since
+	waited := !n.now.Before(since.Add(n.cfg.ElectionTimeout))
+	silent := p.lastContact.Equal(since)
+	if !waited || !silent || n.leaderContact.IsZero() {
+		return p.lastContact
 	}
-	return p.lastContact
+	earliest := since.Add(-2 * n.cfg.ElectionTimeout)
+	if n.leaderContact.Before(earliest) {
+		return earliest
+	}
+	return n.leaderContact
 }
--- a/core/raft/scenario_test.go
+++ b/core/raft/scenario_test.go
@@ -314,3 +314,31 @@
 		t.Errorf("the median election time is %v, want less than the election timeout", most)
 	}
 }
+
+// Guards against members that count as lost for longer than one election after a time
+// without a majority: they would be removed while they come back.
+func TestLastContactAfterLongElection(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedCluster(t, "abc", disabledRules{}, nil)
+	all := func(Message) bool { return true }
+	s.timeout("a")
+	s.deliver(all)
+	is.Equal(s.nodes["a"].role, Leader)
+	s.now = s.now.Add(time.Minute) // nobody reaches anybody
+	without := func(m Message) bool { return m.From != "a" && m.To != "a" }
+	s.timeout("b")
+	s.deliver(without)
+	b := s.nodes["b"]
+	is.Equal(b.role, Leader)
+	elected := s.now
+	is.Equal(b.LastContact("a"), elected) // it has had no time to reply
+	s.now = s.now.Add(defaultElectionTimeout / 2)
+	s.step("b", Tick{})
+	s.deliver(without)
+	s.now = s.now.Add(defaultElectionTimeout / 2)
+	s.step("b", Tick{})
+	s.deliver(without)
+	is.Equal(b.role, Leader)
+	is.Equal(elected.Sub(b.LastContact("a")), 2*defaultElectionTimeout)
+	is.True(b.LastContact("c").After(elected))
+}
