Close a listener whose server was shut down before it served

Callers would connect to a process that never reads.

Cause: a graceful Close only wakes Accept, which accepts what the kernel holds and then closes the listener. If Shutdown comes before http.Server.Serve has begun, Serve returns at once and nothing calls Accept.

Ruled out: another process that took the port (the failure needs no other process).

Change: Listener.Serve closes the listener when the server has returned.

--- a/io/accept/listener.go
+++ b/io/accept/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -25,6 +26,13 @@
 	closeBy  atomic.Pointer[time.Time] // end of a graceful close; nil before it
 }
 
+// Serve serves the connections with s, and returns once l is closed. If s was shut down
+// before, nothing calls Accept, which ends a graceful close.
+func (l *Listener) Serve(s *http.Server) error {
+	defer l.Listener.Close() // an error means that it is closed already
+	return s.Serve(l)
+}
+
 // CloseGracefully makes Close accept the connections that the kernel holds first.
 // Close then returns at once, and Accept, which must be called until it fails, closes
 // the listener.
--- a/io/accept/listener_test.go
+++ b/io/accept/listener_test.go
@@ -72,7 +72,7 @@
 	l := listen(t)
 	s := &http.Server{ConnContext: ConnContext}
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- l.Serve(s) }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	is.NoErr(err)
 	is.NoErr(c.Close())
@@ -84,3 +84,16 @@
 	_, err = net.Dial("tcp", l.Addr().String())
 	is.True(err != nil)
 }
+
+// Guards against a listener that stays open because the stop came before the server
+// began to accept: callers then connect to a server that never reads.
+func TestShutdownBeforeServeClosesListener(t *testing.T) {
+	is := is.New(t)
+	l := listen(t)
+	s := &http.Server{ConnContext: ConnContext}
+	l.CloseGracefully()
+	is.NoErr(s.Shutdown(t.Context()))
+	is.True(errors.Is(l.Serve(s), http.ErrServerClosed))
+	_, err := net.Dial("tcp", l.Addr().String())
+	is.True(err != nil)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -320,7 +320,7 @@
 	s := newServer(l, h, timeout, n.log)
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() {
-		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.listener.Serve(&s.Server); !errors.Is(err, http.ErrServerClosed) {
 			n.fail(eris.Wrapf(err, "serving on %s", addr))
 		}
 	})
