Ask other entry instances for the state before a heartbeat has failed, and together

Cause of the small margin: other entry instances were asked only after a heartbeat had failed (up to 1 s) and 1.2 s without a confirmation, every 0.4 s, and one after the other, 0.5 s for each silent one. Two silent ones first, and the change came after the 2.5 s bound.

Ruled out: the age of what the relays have (they had the change 0.1 s after the ack).

Change: an instance that no control instance has answered for 0.8 s asks, every 0.2 s; the next one is asked 0.1 s after the one before, and the one that answered last is first. While a control instance answers, nothing is asked, also in an election.

Tests before: TestOverdueReplyCountsAsCutOff: relay_test.go:220: not true: f.isCutOff() TestSilentRelaysDoNotDelay: fails with the delay of the sequential calls TestCutOffInstanceLearnsNewHomes now names its age (2.2 s, as before) itself.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -99,6 +99,8 @@
 	listsVersion    uint64                   // version of these lists; 0 if unknown
 	current         string                   // peer address of the followed control instance
 	lastReply       time.Time                // last reply to a heartbeat
+	lastHeard       time.Time                // last reply of any control instance
+	lastRelay       string                   // peer address of the entry instance that had a recent confirmation last
 	avoidUntil      map[string]time.Time     // by peer address: no slot requests before this time
 	noBorrowUntil   map[string]time.Time     // by peer address: no borrow calls before this time
 	rtts            map[string]rttEstimator  // by peer address
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -146,6 +146,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	f.mu.Lock()
+	f.lastHeard = f.cfg.Now()
+	f.mu.Unlock()
 	if followed {
 		f.recordShares(addr, len(demands), len(reply.Shares))
 	}
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -16,11 +17,16 @@
 
 const (
 	// relayInterval is the interval at which other entry instances are asked.
-	relayInterval = 400 * time.Millisecond
-	// minRelayAge is the age of the state from which on they are asked.
-	minRelayAge = 1200 * time.Millisecond
+	relayInterval = 200 * time.Millisecond
+	// minRelayAge is the age of the state, and of the last reply of a control
+	// instance, from which on they are asked. In touch, a reply comes every
+	// heartbeatInterval.
+	minRelayAge = 800 * time.Millisecond
 	// relayTimeout bounds one call to another entry instance.
 	relayTimeout = 500 * time.Millisecond
+	// relayHedgeDelay is how long an entry instance may take before the next one is
+	// asked as well. It is above the round trip between two regions.
+	relayHedgeDelay = 100 * time.Millisecond
 	// maxNeighborRelays is the number of instances of the same failure domain that
 	// are asked: those are likely to be cut off as well.
 	maxNeighborRelays = 2
@@ -86,31 +92,70 @@
 	}
 }
 
-// isCutOff reports whether the last heartbeat failed and the state is getting old.
-// Before it has a state, an instance knows no other entry instances.
+// isCutOff reports whether no control instance has replied for minRelayAge and the
+// state is as old. A heartbeat need not have failed yet: on a silent link that takes
+// heartbeatTimeout. Before it has a state, an instance knows no other entry instances.
 func (f *Follower) isCutOff() bool {
 	_, known := f.View()
-	return known && f.failures() > 0 && f.StateAge() > minRelayAge
+	f.mu.Lock()
+	heard := f.lastHeard
+	f.mu.Unlock()
+	return known && f.cfg.Now().Sub(heard) > minRelayAge && f.StateAge() > minRelayAge
 }
 
-// askRelays asks other entry instances in turn, until one has a more recent
-// confirmation.
+// askRelays asks other entry instances, until one has a more recent confirmation. The
+// first is the one that had it last.
 func (f *Follower) askRelays(ctx context.Context) {
-	for _, addr := range f.relayAddrs() {
-		before := f.FreshUntil()
-		err := f.askRelay(ctx, addr)
-		if err != nil {
+	before := f.FreshUntil()
+	hedge(ctx, f.relayAddrs(), relayHedgeDelay, func(ctx context.Context, addr string) bool {
+		if err := f.askRelay(ctx, addr); err != nil {
 			f.cfg.Log.Debug().Str("entry", addr).Err(err).Msg("no state from another entry instance")
-			continue
+			return false
+		}
+		if !f.FreshUntil().After(before) {
+			return false
 		}
-		if f.FreshUntil().After(before) {
-			f.cfg.Log.Info().Str("entry", addr).Int64("age", f.StateAge().Milliseconds()).Msg("state confirmed by another entry instance")
+		f.mu.Lock()
+		f.lastRelay = addr
+		f.mu.Unlock()
+		f.cfg.Log.Info().Str("entry", addr).Int64("age", f.StateAge().Milliseconds()).Msg("state confirmed by another entry instance")
+		return true
+	})
+}
+
+// hedge calls ask for each address in turn until one call returns true. A call that has
+// failed, or takes longer than delay, is followed by the next one; it goes on meanwhile.
+// The calls that are left when hedge returns are canceled.
+func hedge(ctx context.Context, addrs []string, delay time.Duration, ask func(context.Context, string) bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(addrs))
+	for started, pending := 0, 0; started < len(addrs) || pending > 0; {
+		var next <-chan time.Time
+		if started < len(addrs) {
+			addr := addrs[started]
+			go func() { results <- ask(ctx, addr) }()
+			started++
+			pending++
+		}
+		if started < len(addrs) {
+			next = time.After(delay)
+		}
+		select {
+		case ok := <-results:
+			pending--
+			if ok {
+				return
+			}
+		case <-next:
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// relayAddrs returns the peer addresses of the entry instances to ask.
+// relayAddrs returns the peer addresses of the entry instances to ask, the one that
+// had a recent confirmation last first.
 func (f *Follower) relayAddrs() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,6 +166,9 @@
 	for _, e := range f.neighbors[:min(len(f.neighbors), maxNeighborRelays)] {
 		list = append(list, e.PeerAddr)
 	}
+	if i := slices.Index(list, f.lastRelay); i > 0 {
+		list[0], list[i] = list[i], list[0]
+	}
 	return list
 }
 
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -107,7 +108,7 @@
 			cut.mu.Lock()
 			cut.relays = []corianderwing.Instance{{PeerAddr: "127.0.0.1:1"}, servePeer(t, other.Register)}
 			cut.mu.Unlock()
-			confirmAt(cut, 1, minRelayAge+time.Second)
+			confirmAt(cut, 1, 2200*time.Millisecond) // longer ago than CurrentFor
 			is.True(!cut.IsCurrent())
 
 			deadline := time.Now().Add(20 * time.Second)
@@ -168,3 +169,63 @@
 	}
 	is.Equal(homesOf(f), []corianderwing.RegionID{"r"})
 }
+
+// Guards against an instance that asks one silent entry instance after the other, and
+// learns new homes only after the bound for a change: each takes relayTimeout.
+func TestSilentRelaysDoNotDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		addrs := []string{"silent 1", "silent 2", "silent 3", "silent 4", "silent 5", "refusing", "answering"}
+		var answered time.Duration
+		hedge(t.Context(), addrs, relayHedgeDelay, func(ctx context.Context, addr string) bool {
+			if addr == "answering" {
+				answered = time.Since(start)
+				return true
+			}
+			if addr == "refusing" {
+				return false
+			}
+			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+			defer cancel()
+			<-ctx.Done()
+			return false
+		})
+		is.True(answered > 0)
+		is.True(answered < time.Second)
+		synctest.Wait() // no call is left
+	})
+}
+
+// Guards against asking a silent entry instance first each time.
+func TestAnsweringRelayIsAskedFirst(t *testing.T) {
+	is := is.New(t)
+	other, cut := newUncontrolled(t), newUncontrolled(t)
+	is.NoErr(other.apply(homesUpdate(t, 1)))
+	confirmAt(other, 1, 0)
+	is.NoErr(cut.apply(homesUpdate(t, 1)))
+	confirmAt(cut, 1, 500*time.Millisecond)
+	relays := []corianderwing.Instance{{PeerAddr: "127.0.0.1:1"}, {PeerAddr: "127.0.0.1:2"}, servePeer(t, other.Register)}
+	cut.mu.Lock()
+	cut.relays = relays
+	cut.mu.Unlock()
+	cut.askRelays(t.Context())
+	is.Equal(cut.relayAddrs()[0], relays[2].PeerAddr)
+}
+
+// Guards against waiting until a heartbeat has timed out, with the next one to be sent
+// before that, while a change must be in force soon.
+func TestOverdueReplyCountsAsCutOff(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f := &Follower{cfg: Config{Now: func() time.Time { return now }, Lease: testLease}}
+	f.state.Store(&state{view: model.New(), known: true, freshUntil: now.Add(testLease)})
+	f.lastHeard = now
+	is.True(!f.isCutOff())
+	now = now.Add(2*heartbeatInterval - time.Millisecond) // one late reply
+	is.True(!f.isCutOff())
+	now = now.Add(heartbeatInterval)
+	is.True(f.isCutOff())
+	f.lastHeard = now // a control instance replies, without a recent confirmation
+	is.True(!f.isCutOff())
+}
