Return a token to the entry from which it was taken

Cause: Limiter.Return removed the newest token in use, that of a request that ran; the older one of the request that did not run became available earlier.

Ruled out: shares of two control instances (one entry instance alone shows it).

Change: a token is returned by the time at which it was taken; the reserve of a control instance sends that time along and gets it back.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"corianderwing"
@@ -76,17 +77,22 @@
 	return true
 }
 
-// Return returns the token of a request that did not run.
-func (l *Limiter) Return(w corianderwing.WorkspaceID, now time.Time) {
+// Return returns the token that was taken at the given time, for a request that did
+// not run. The tokens of other requests, taken earlier or later, stay in use. Nothing
+// changes if the token is available again already.
+func (l *Limiter) Return(w corianderwing.WorkspaceID, takenAt, now time.Time) {
 	acct := l.account(w, now)
 	acct.releaseUsed(now)
-	n := len(acct.used)
-	if n == 0 {
+	i := slices.IndexFunc(acct.used, func(u usedTokens) bool {
+		first := u.freeAt.Add(-l.window - l.window/windowParts)
+		return !takenAt.Before(first) && takenAt.Add(l.window).Before(u.freeAt)
+	})
+	if i < 0 {
 		return
 	}
 	acct.inUse--
-	if acct.used[n-1].count--; acct.used[n-1].count == 0 {
-		acct.used = acct.used[:n-1]
+	if acct.used[i].count--; acct.used[i].count == 0 {
+		acct.used = slices.Delete(acct.used, i, i+1)
 	}
 }
 
--- a/io/follow/borrow.go
+++ b/io/follow/borrow.go
@@ -18,12 +18,18 @@
 // turn, and take the CPU time that answers need.
 const lenderBackoff = 500 * time.Millisecond
 
+// BorrowedToken is a token of a rate limit that a control instance lent.
+type BorrowedToken struct {
+	Lender string          // peer address of the control instance; empty for no token
+	Taken  plane.TokenTime // by which the lender recognizes the token
+}
+
 // BorrowToken requests a token from a workspace's rate limit. It asks the followed
 // control instance first, then the others of the region, whose tokens may be
-// unused. It returns the lender, or the delay until a token may be available; zero
+// unused. If it gets none, it returns the delay until a token may be available; zero
 // means that no control instance is known to have a share of the limit. The error is
 // that of the last one that did not answer.
-func (f *Follower) BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error) {
+func (f *Follower) BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (t BorrowedToken, after time.Duration, err error) {
 	return askLenders(f.lenders(), func(addr string) (*plane.BorrowResponse, error) {
 		r, err := f.borrowAt(ctx, addr, &plane.BorrowRequest{Workspace: w})
 		if err != nil && ctx.Err() == nil {
@@ -41,7 +47,7 @@
 }
 
 // askLenders asks the lenders in order until one has a token. See BorrowToken.
-func askLenders(lenders []string, ask func(addr string) (*plane.BorrowResponse, error)) (lender string, after time.Duration, err error) {
+func askLenders(lenders []string, ask func(addr string) (*plane.BorrowResponse, error)) (t BorrowedToken, after time.Duration, err error) {
 	for _, addr := range lenders {
 		r, callErr := ask(addr)
 		if callErr != nil {
@@ -49,22 +55,22 @@
 			continue
 		}
 		if r.OK {
-			return addr, 0, nil
+			return BorrowedToken{Lender: addr, Taken: r.Taken}, 0, nil
 		}
 		if d := time.Duration(r.RetryAfter) * time.Millisecond; after == 0 || d > 0 && d < after {
 			after = d
 		}
 	}
-	return "", after, err
+	return BorrowedToken{}, after, err
 }
 
 // ReturnToken returns the token of a request that did not run to its lender. It does
 // not block.
-func (f *Follower) ReturnToken(lender string, w corianderwing.WorkspaceID) {
+func (f *Follower) ReturnToken(t BorrowedToken, w corianderwing.WorkspaceID) {
 	go func() {
-		if _, err := f.borrowAt(f.ctx, lender, &plane.BorrowRequest{Workspace: w, Return: true}); err != nil {
+		if _, err := f.borrowAt(f.ctx, t.Lender, &plane.BorrowRequest{Workspace: w, Return: true, Taken: t.Taken}); err != nil {
 			// The token becomes available again after its window in any case.
-			f.cfg.Log.Debug().Str("control", lender).Err(err).Msg("failed to return a rate limit token")
+			f.cfg.Log.Debug().Str("control", t.Lender).Err(err).Msg("failed to return a rate limit token")
 		}
 	}()
 }
--- a/io/follow/borrow_test.go
+++ b/io/follow/borrow_test.go
@@ -45,8 +45,8 @@
 		}
 		return nil, context.DeadlineExceeded
 	}
-	lender, _, _ := askLenders([]string{"a", "b", "c", "d"}, ask)
-	is.Equal(lender, "d")
+	token, _, _ := askLenders([]string{"a", "b", "c", "d"}, ask)
+	is.Equal(token.Lender, "d")
 	_, after, err := askLenders([]string{"a", "b", "c"}, ask)
 	is.True(err != nil) // a did not answer
 	is.Equal(after, 200*time.Millisecond)
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -12,6 +12,8 @@
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/io/clock"
+	"corianderwing/io/follow"
 	"corianderwing/io/relay"
 )
 
@@ -44,10 +46,11 @@
 	err         *corianderwing.Error // the error sent to the caller or logged
 	status      int
 	wroteHeader bool
-	tokenTaken  bool          // a token of the workspace's rate limit was taken
-	lender      string        // lender of the token; empty if from the local share
-	retryDelay  time.Duration // Retry-After for the caller; 0 if unknown
-	slotWait    time.Duration // total time spent waiting for slots
+	tokenTaken  bool                 // a token of the workspace's rate limit was taken
+	tokenTime   time.Time            // when it was taken from the local share, on the boot clock
+	borrowed    follow.BorrowedToken // the token, if it is not from the local share
+	retryDelay  time.Duration        // Retry-After for the caller; 0 if unknown
+	slotWait    time.Duration        // total time spent waiting for slots
 }
 
 // serve handles the request.
@@ -128,13 +131,14 @@
 	if x.tenure == nil {
 		return nil
 	}
-	ok, borrow, wait := x.s.cfg.Limits.takeToken(x.tenure)
+	x.tokenTime = clock.Boot()
+	ok, borrow, wait := x.s.cfg.Limits.takeToken(x.tenure, x.tokenTime)
 	if !ok && borrow {
-		lender, after, err := x.s.cfg.Control.BorrowToken(x.r.Context(), x.tenure.Name)
+		token, after, err := x.s.cfg.Control.BorrowToken(x.r.Context(), x.tenure.Name)
 		if err != nil {
 			x.s.log.Warn().Str("request", string(x.ask.ID)).Err(err).Msg("failed to borrow a rate limit token")
 		}
-		x.lender, ok = lender, lender != ""
+		x.borrowed, ok = token, token.Lender != ""
 		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after)
 		wait = max(wait, after)
 	}
@@ -151,11 +155,11 @@
 
 // returnToken returns the token of a request that did not run.
 func (x *exchange) returnToken() {
-	if x.lender != "" {
-		x.s.cfg.Control.ReturnToken(x.lender, x.tenure.Name)
+	if x.borrowed.Lender != "" {
+		x.s.cfg.Control.ReturnToken(x.borrowed, x.tenure.Name)
 		return
 	}
-	x.s.cfg.Limits.returnToken(x.tenure)
+	x.s.cfg.Limits.returnToken(x.tenure, x.tokenTime)
 }
 
 // isSettingsCurrent reports whether what is missing from the settings of the request does
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -60,8 +60,8 @@
 func (c *grantingControl) StateAge() time.Duration             { return 0 }
 func (c *grantingControl) LeaderMissing() bool                 { return false }
 func (c *grantingControl) Neighbors() []corianderwing.Instance { return nil }
-func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (string, time.Duration, error) {
-	return "", 0, nil
+func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (follow.BorrowedToken, time.Duration, error) {
+	return follow.BorrowedToken{}, 0, nil
 }
 func (c *grantingControl) ReportCrashes(context.Context, []crash.Event) (corianderwing.Revision, error) {
 	return 0, errors.New("no control instance")
@@ -69,7 +69,7 @@
 func (c *grantingControl) ClaimProbe(context.Context, crash.Fingerprint, int) (bool, error) {
 	return false, errors.New("no control instance")
 }
-func (c *grantingControl) ReturnToken(string, corianderwing.WorkspaceID) {}
+func (c *grantingControl) ReturnToken(follow.BorrowedToken, corianderwing.WorkspaceID) {}
 func (c *grantingControl) Acquire(context.Context, *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool) {
 	return &plane.AcquireResponse{ID: 1, Upstream: c.upstream.ID, Incarnation: c.upstream.Incarnation, ExpectedLatency: 1000, MissLatency: 3000, ExpectHit: true},
 		follow.SlotSource{Peer: "control", Domain: "a"}, true
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -42,10 +42,10 @@
 	LeaderMissing() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
-	// BorrowToken requests a token from a workspace's rate limit. It returns the
-	// lender, or the delay until a token may be available; zero means that no
-	// control instance has a share.
-	BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (lender string, after time.Duration, err error)
+	// BorrowToken requests a token from a workspace's rate limit. If it gets none, it
+	// returns the delay until a token may be available; zero means that no control
+	// instance has a share.
+	BorrowToken(ctx context.Context, w corianderwing.WorkspaceID) (t follow.BorrowedToken, after time.Duration, err error)
 	// ReportCrashes makes observations of requests that crash upstreams part of the
 	// state. It returns the revision that includes them.
 	ReportCrashes(ctx context.Context, list []crash.Event) (corianderwing.Revision, error)
@@ -53,7 +53,7 @@
 	// number of earlier ones, and reports whether this instance may make it.
 	ClaimProbe(ctx context.Context, f crash.Fingerprint, probes int) (bool, error)
 	// ReturnToken returns the token of a request that did not run.
-	ReturnToken(lender string, w corianderwing.WorkspaceID)
+	ReturnToken(t follow.BorrowedToken, w corianderwing.WorkspaceID)
 	// Acquire requests a slot at an upstream and returns it with its source. It
 	// returns false if no control instance can be reached.
 	Acquire(ctx context.Context, q *plane.AcquireRequest) (*plane.AcquireResponse, follow.SlotSource, bool)
--- a/io/gate/limit.go
+++ b/io/gate/limit.go
@@ -62,11 +62,10 @@
 // takeToken takes a token for a request of a workspace. If none is available, it
 // returns whether to borrow one, and the delay until the next token of the local
 // share; 0 means that no share has been received.
-func (l *Limits) takeToken(t *corianderwing.WorkspacePolicy) (ok, borrow bool, after time.Duration) {
+func (l *Limits) takeToken(t *corianderwing.WorkspacePolicy, now time.Time) (ok, borrow bool, after time.Duration) {
 	if t.Rate <= 0 {
 		return true, false, 0
 	}
-	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.purses.Take(t.Name, now) {
@@ -95,12 +94,13 @@
 	l.noBorrowUntil[w] = now.Add(max(minBorrowInterval, min(after, time.Second)))
 }
 
-// returnToken returns the token of a request that did not run to the local share.
-func (l *Limits) returnToken(t *corianderwing.WorkspacePolicy) {
+// returnToken returns the token that a request which did not run took at the given
+// time to the local share.
+func (l *Limits) returnToken(t *corianderwing.WorkspacePolicy, takenAt time.Time) {
 	if t.Rate <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.purses.Return(t.Name, clock.Boot())
+	l.purses.Return(t.Name, takenAt, clock.Boot())
 }
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -87,10 +87,12 @@
 	defer p.mu.Unlock()
 	r := &BorrowResponse{}
 	if b.Return {
-		p.reserve.Return(b.Workspace, now)
+		p.reserve.Return(b.Workspace, time.Unix(0, int64(b.Taken)), now)
 		return r
 	}
-	if r.OK = p.reserve.Take(b.Workspace, now); !r.OK {
+	if r.OK = p.reserve.Take(b.Workspace, now); r.OK {
+		r.Taken = TokenTime(now.UnixNano())
+	} else {
 		r.RetryAfter = corianderwing.Millis(p.reserve.RetryAfter(b.Workspace, now).Milliseconds())
 	}
 	return r
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -68,17 +68,23 @@
 	MoveShares []MoveShare `json:"moves,omitempty"`
 }
 
+// TokenTime is the time at which a token was taken from a share, in ns on the boot
+// clock of the instance that has the share.
+type TokenTime int64
+
 // BorrowRequest requests a token from the control instance's own share of a
 // workspace's rate limit, for a waiting request, or returns one.
 type BorrowRequest struct {
 	Workspace corianderwing.WorkspaceID `json:"workspace"`
 	Return    bool                      `json:"back,omitempty"`
+	Taken     TokenTime                 `json:"taken,omitempty"` // of the response, with Return
 }
 
 // BorrowResponse answers a BorrowRequest. If no token is available, RetryAfter
 // is the estimated time until there is one.
 type BorrowResponse struct {
 	OK         bool                 `json:"ok,omitempty"`
+	Taken      TokenTime            `json:"taken,omitempty"` // when the token was taken
 	RetryAfter corianderwing.Millis `json:"after,omitempty"`
 }
 
