Keep the number of voters while members are silent

Cause: NextChange limited the voters to the instances heard from within 10 s. With four of six they fell from 5 to 3, and two disks were a majority of them.

Change: silent members count. Lost voters are replaced by live learners; with four instances alive, four of five voters are, which bears one more silent one, as three of three did.

--- a/core/roster/losses_test.go
+++ b/core/roster/losses_test.go
@@ -364,3 +364,32 @@
 		}
 	}
 }
+
+// Guards against a majority that is lost for good when two disks are lost after two
+// other instances were silent for long (review/2): the group then had three voters, and
+// what it had acknowledged was on two disks.
+func TestTwoDisksLostAfterLongSilence(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSite(t, seed)
+		s.run(8 * time.Second)
+		region := s.leader().region
+		silent := s.oldest(region).region
+		const outage = 17 * time.Second
+		for _, in := range s.instances {
+			if in.region == silent {
+				s.stop(in, outage)
+			}
+		}
+		s.run(outage - time.Second)
+		region = s.leader().region
+		for _, in := range s.instances {
+			if in.region == region {
+				s.loseDisk(in, false)
+			}
+		}
+		s.run(time.Second + 2*catchUp)
+		if !s.check(fmt.Sprintf("seed %d", seed)) {
+			return
+		}
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -17,8 +17,8 @@
 	// replaces it. A killed process is back within about a second, and a
 	// membership change costs two commits.
 	replaceAfter = 2500 * time.Millisecond
-	// removeAfter is how long a member must be silent before the group no
-	// longer counts it. A learner is then removed; it rejoins when it is back.
+	// removeAfter is how long a learner must be silent before it is removed. It
+	// rejoins when it is back.
 	removeAfter = 10 * time.Second
 	// maxLag is the number of log entries that a learner may lack when it is
 	// promoted to voter.
@@ -45,17 +45,18 @@
 // voters, if one is due. Only one change is made at a time.
 func NextChange(members []Member, self corianderwing.InstanceID, target int, now time.Time) (raft.MembershipChange, bool) {
 	p := planner{members: members, self: self, now: now}
-	present := map[string]bool{} // addresses, because an instance may have several replicas
+	instances := map[string]bool{} // addresses, because an instance may have several replicas
 	for _, m := range members {
 		if m.Voter {
 			p.voters++
 		}
-		if p.alive(m) || now.Sub(m.LastContact) < removeAfter {
-			present[m.Addr] = true
-		}
+		instances[m.Addr] = true
 	}
+	// Silent instances count: with fewer voters, a commit would be on fewer disks, and
+	// the loss of as many disks as must be borne could take all of them.
+	//
 	// An even number of voters tolerates no more losses than one voter fewer.
-	p.want = min(target, len(present))
+	p.want = min(target, len(instances))
 	if p.want%2 == 0 && p.want > 1 {
 		p.want--
 	}
