Count the attempts that are sent to upstreams

Change: usage.Recorder counts in the windows of the estimated wall-clock time once a control instance has told their length; io/gate counts an attempt right before its first byte is sent and takes it back if its error says that it did not run. An attempt whose connection broke counts. Ruled out: counting at the response, because a response of 8 s comes after its window was reported.

--- a/core/usage/tally.go
+++ b/core/usage/tally.go
@@ -201,3 +201,10 @@
 	c.ackedSent = max(c.ackedSent, n.Sent)
 	c.ackedRefused = max(c.ackedRefused, n.Refused)
 }
+
+// clear drops all counts.
+func (t *Tally) clear() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pages.Store(nil)
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 	"corianderwing/core/crash"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/core/usage"
 	"corianderwing/io/alloc"
 	"corianderwing/io/clock"
 	"corianderwing/io/follow"
@@ -74,6 +75,9 @@
 	Log      *log.Logger
 	Meter    *meter.Meter     // default: a new one
 	Boot     func() time.Time // boot clock; default: clock.Boot
+	// Usage counts the requests that upstreams begin to run. Default: a new one, which
+	// counts nothing.
+	Usage *usage.Recorder
 	// RetryRatio is the fraction of a pool's requests that may be retried.
 	RetryRatio float64
 }
@@ -121,6 +125,9 @@
 	if cfg.Boot == nil {
 		cfg.Boot = clock.Boot
 	}
+	if cfg.Usage == nil {
+		cfg.Usage = &usage.Recorder{}
+	}
 	s := &Server{
 		cfg:           cfg,
 		log:           cfg.Log,
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -235,6 +235,7 @@
 	if v.Refused() || v == notice.Trial && !sl.trial {
 		return errSpared
 	}
+	sl.countSent()
 	return nil
 }
 
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -250,6 +250,7 @@
 		return nil, err
 	}
 	if err != nil {
+		sl.uncount(err)
 		x.s.release(sl, tracked, place.Outcome{Result: resultForError(err), Latency: out.ttfb})
 		if err.Code == corianderwing.FirstByteTimeout || err.Code == corianderwing.SendFailed {
 			// After a timeout or a broken connection, the other connections to the
@@ -266,6 +267,7 @@
 		resp.Drain()
 		out.end(resultForRejection(verdict))
 		err = corianderwing.Errorf(corianderwing.Shed, "upstream %s responded with status %d", sl.upstream.ID, resp.StatusCode)
+		sl.uncount(err)
 	}
 	x.logAttempt(sl, err, out.ttfb)
 	if err != nil {
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -8,6 +8,7 @@
 	"corianderwing"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/core/usage"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
 )
@@ -30,6 +31,8 @@
 	notice   *upstreamNotice
 	info     corianderwing.ResponseInfo // of the response
 	trial    bool                       // the attempt tests a pushback
+	counted  bool                       // the attempt is counted in window
+	window   usage.Window
 }
 
 // acquire gets a slot for the request from the control instance of the failure
