Read load headers with more than three figures

What was seen: upstreams of two deployments report four figures: requests running, requests waiting, slots, and how long work takes there now in percent of the usual. Their load was not read at all, because only headers of exactly three figures were. A figure of slots that is not a number was accepted, and a header that cannot be read left no trace.

Change: platform/load.go reads all known figures into corianderwing.UpstreamLoad, a type that says what each holds; further figures are ignored. A header in which a known figure is missing, negative, not a number or out of bounds is ignored as a whole and counted in load.invalid. The work time reaches the owner of the slots with the outcome of the attempt (place.LoadReport). Nothing decides by it yet. Upstreams that report three figures are read as before.

Measured: ParseResponse of "3,2,4,250" before: LoadKnown:false; now 2 running (without the answered request), 2 waiting, 4 slots, 250 percent (TestLoadFigures). go test -run x -fuzz FuzzResponse -fuzztime 8s ./platform: 24,837 executions, passed.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -101,9 +101,10 @@
 
 // LoadReport is the load that an upstream reports with a response.
 type LoadReport struct {
-	Running int  `json:"running,omitempty"`
-	Waiting int  `json:"waiting,omitempty"`
-	Valid   bool `json:"known,omitempty"`
+	Running  int                   `json:"running,omitempty"`
+	Waiting  int                   `json:"waiting,omitempty"`
+	WorkTime corianderwing.Percent `json:"worktime,omitempty"` // how long work takes now, relative to the usual; 0 if not reported
+	Valid    bool                  `json:"known,omitempty"`
 }
 
 // Config configures a Pool.
--- a/dialect.go
+++ b/dialect.go
@@ -25,9 +25,9 @@
 type ResponseInfo struct {
 	NotExecuted       bool // the upstream did not execute the request
 	AddressReassigned bool // the address now belongs to another upstream
-	LoadKnown         bool // Running and Waiting are set
-	Running           int  // requests in progress at the upstream, excluding this one
-	Waiting           int
+	Load              UpstreamLoad
+	LoadKnown         bool   // Load is set
+	LoadInvalid       bool   // the upstream reported a load that cannot be read
 	Warmup            Millis // remaining warm-up time of the upstream
 	Leaving           bool   // the upstream announces that it is leaving
 	Pushback          Millis // the upstream rejected the request and wants no others for this time
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -262,6 +262,9 @@
 	if sl.info.AddressReassigned {
 		return // another upstream responded
 	}
+	if sl.info.LoadInvalid {
+		sl.exchange.s.meter.Counter("load.invalid").Inc(1)
+	}
 	if sl.info.PushbackInvalid {
 		sl.exchange.s.logInvalidPushback(sl)
 	}
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -261,7 +261,12 @@
 		return nil, err
 	}
 	verdict := sl.info
-	out.load = place.LoadReport{Valid: verdict.LoadKnown, Running: verdict.Running, Waiting: verdict.Waiting}
+	out.load = place.LoadReport{
+		Valid:    verdict.LoadKnown,
+		Running:  verdict.Load.Running,
+		Waiting:  verdict.Load.Waiting,
+		WorkTime: verdict.Load.WorkTime,
+	}
 	if verdict.NotExecuted {
 		resp.Drain()
 		out.end(resultForRejection(verdict))
