Choose upstreams by how long work takes there at the moment

Upstreams that share their machines are slow for a moment, and say so with each response; nothing read it. Such hits also passed for cache misses and shrank the estimated cache: objects at positions 8 to 15 were expected to miss and took 429 to 552 ms, as hits do.

Change (core/place): the allocator keeps the last report of each upstream and learns from successive reports how fast one loses its worth. The expected time at an upstream follows it, among upstreams that cache the object a clearly faster one goes first, and what is learned from a latency is learned from it at the usual pace, so a slow moment passes neither for a miss nor for a failing upstream. The cache size of such pools is the position at which hits turn into misses over all samples. Pools whose upstreams report no pace are served as before.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -122,13 +122,8 @@
 	if s := order[0].server; r.Object != 0 && s.isUnused(now) && p.canServe(r, s, now) {
 		return s
 	}
-	for _, s := range order {
-		if (r.Object == 0 || p.expectsHit(s.server, r)) && p.canServe(r, s.server, now) {
-			return s.server
-		}
-	}
-	if r.Object == 0 {
-		return nil
+	if s := p.fastestHit(r, order, now); s != nil || r.Object == 0 {
+		return s
 	}
 	if p.hitWithinGoal(r, order, now) {
 		return nil
@@ -136,15 +131,50 @@
 	// No upstream that caches the object has a free slot in time, so another one
 	// loads it. Taking the first in rendezvous order makes repeated requests
 	// choose the same upstream.
+	loaded := p.highLoad(now)
+	var best *server
 	for i, s := range order {
-		if i > 0 && p.highLoad(now) {
+		if i > 0 && loaded || best != nil && i >= maxPaceChoices {
 			break
 		}
-		if p.canServe(r, s.server, now) {
-			return s.server
+		if p.canServe(r, s.server, now) && (best == nil || p.isFaster(s.server, best, now)) {
+			best = s.server
+		}
+	}
+	return best
+}
+
+// maxPaceChoices is the number of upstreams, in rendezvous order, among which the pace
+// decides which one loads an object. With more, the objects would spread over more
+// caches than they need.
+const maxPaceChoices = 3
+
+// isFaster reports whether work is expected to be clearly faster at a than at b now.
+func (p *Pool) isFaster(a, b *server, now time.Time) bool {
+	return p.expectedPace(a, now)*minPaceGain < p.expectedPace(b, now)
+}
+
+// minPaceGain is the ratio of two paces from which the faster upstream is preferred to
+// the one that ranks higher.
+const minPaceGain = 1.2
+
+// fastestHit returns the upstream that should run a request without a cache miss, or
+// nil: the first in rendezvous order that can serve it, or one that is clearly faster
+// now.
+func (p *Pool) fastestHit(r *Request, order []scoredServer, now time.Time) *server {
+	var best *server
+	for _, s := range order {
+		if r.Object != 0 && !p.expectsHit(s.server, r) || !p.canServe(r, s.server, now) {
+			continue
+		}
+		if best == nil || p.isFaster(s.server, best, now) {
+			best = s.server
+		}
+		if r.Object == 0 && p.pace.mean == 0 {
+			break
 		}
 	}
-	return nil
+	return best
 }
 
 // expectsHit reports whether the upstream is expected to cache the object of
@@ -165,7 +195,7 @@
 
 // expectedLatency returns the expected time from the grant to the response.
 func (p *Pool) expectedLatency(r *Request, s *server, now time.Time) time.Duration {
-	return seconds(p.latencyOf(r.Class).expected(p.expectsHit(s, r))*s.slowdownAt(now)) + p.rtt(s)
+	return seconds(p.latencyOf(r.Class).expected(p.expectsHit(s, r))*p.expectedPace(s, now)*s.slowdownAt(now)) + p.rtt(s)
 }
 
 // hitWithinGoal reports whether an upstream that caches the object is expected
--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -119,6 +119,7 @@
 	s := h.server
 	s.leaving = s.leaving || o.Leaving
 	s.applyLoadReport(o.Load, now)
+	p.observePace(s, o.Load, now)
 	p.observeDial(s, o.DialTime)
 	if c, ok := p.classStats[h.Class]; ok && o.Bytes > 0 {
 		c.sizeKB = smooth(c.sizeKB, float64(o.Bytes)/1000)
@@ -156,10 +157,13 @@
 // upstream and the estimated cache size from the latency of a response.
 func (p *Pool) learnLatency(h *activeGrant, took time.Duration, now time.Time) {
 	s := h.server
-	sec := max(0.001, (took - p.rtt(s)).Seconds())
+	held := max(0.001, (took - p.rtt(s)).Seconds())
+	// Latencies of hits and misses are kept as if all work ran at the usual pace, so
+	// that a slow moment passes neither for a miss nor for a slow upstream.
+	sec := held / p.paceDuring(h, now)
 	w := p.latencyOf(h.Class)
 	expectHit := h.grant.ExpectHit
-	w.mean = smooth(w.mean, sec)
+	w.mean = smooth(w.mean, held)
 	if !h.grant.ColdStart {
 		slowdown := s.slowdownAt(now)
 		slowdown += (sec/w.expected(expectHit) - slowdown) * smoothing
@@ -184,6 +188,11 @@
 // object at position h.depth in the upstream's cache.
 func (p *Pool) learnCacheSize(h *activeGrant, hit bool) {
 	depth := float64(h.depth)
+	if p.pace.mean > 0 {
+		p.cacheDepths.add(h.depth, hit)
+		p.cacheSize = p.cacheDepths.size()
+		return
+	}
 	switch {
 	case h.depth < 0:
 	case hit && depth >= p.cacheSize:
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -152,11 +152,13 @@
 	demand        decayingRate                             // slots needed by the arriving requests, for loans
 	work          decayingRate                             // the same by measured latencies only, for waits
 	arrivals      decayingRate                             // requests per second
-	cacheSize     float64                                  // estimated number of objects that an upstream caches
-	domainSlots   map[corianderwing.DomainID]float64       // slots of the usable upstreams
-	classStats    map[corianderwing.RouteID]*classStats    // objects requested in each class
-	sharedClasses map[corianderwing.RouteID]bool           // classes whose objects have one home domain in the region
-	rankings      int                                      // number of calls to rankServers, for tests
+	pace          paceMemory
+	cacheDepths   *cacheDepths
+	cacheSize     float64                               // estimated number of objects that an upstream caches
+	domainSlots   map[corianderwing.DomainID]float64    // slots of the usable upstreams
+	classStats    map[corianderwing.RouteID]*classStats // objects requested in each class
+	sharedClasses map[corianderwing.RouteID]bool        // classes whose objects have one home domain in the region
+	rankings      int                                   // number of calls to rankServers, for tests
 
 	available []*server // buffer of availableServers
 	effects   []Effect
@@ -169,6 +171,9 @@
 	grant  Grant
 	depth  int // position of the object in the upstream's cache, most recent first; -1 if absent
 	at     time.Time
+	pace   float64 // expected pace of the upstream at the grant
+	// paceWorth is how much the upstream's last report was worth then.
+	paceWorth float64
 }
 
 // New returns a Pool without upstreams.
@@ -181,6 +186,7 @@
 		active:        map[ID]*activeGrant{},
 		latencies:     map[corianderwing.RouteID]*classLatency{},
 		rtts:          map[corianderwing.DomainID]time.Duration{},
+		cacheDepths:   newCacheDepths(),
 		cacheSize:     initialCacheSize,
 		classStats:    map[corianderwing.RouteID]*classStats{},
 		sharedClasses: map[corianderwing.RouteID]bool{},
@@ -357,17 +363,21 @@
 	if cold {
 		s.coldTokens--
 	}
+	pace := p.expectedPace(s, now)
 	g := Grant{
 		Upstream:        s.upstream,
-		ExpectedLatency: seconds(p.latencyOf(r.Class).expected(hit)*s.slowdownAt(now)) + p.rtt(s),
+		ExpectedLatency: seconds(p.latencyOf(r.Class).expected(hit)*pace*s.slowdownAt(now)) + p.rtt(s),
 		ExpectHit:       hit,
 		ColdStart:       cold,
 		NextVersion:     next,
 	}
 	if w := p.latencyOf(r.Class); w.miss > 0 {
-		g.MissLatency = seconds(w.miss*s.slowdownAt(now)) + p.rtt(s)
+		g.MissLatency = seconds(w.miss*max(pace, 1)*s.slowdownAt(now)) + p.rtt(s)
+	}
+	p.active[r.ID] = &activeGrant{
+		Request: *r, server: s, grant: g, depth: depth, at: now,
+		pace: pace, paceWorth: p.pace.worthAt(now.Sub(s.pace.at)),
 	}
-	p.active[r.ID] = &activeGrant{Request: *r, server: s, grant: g, depth: depth, at: now}
 	p.effects = append(p.effects, Effect{ID: r.ID, Grant: g})
 }
 
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -32,6 +32,15 @@
 	faults      []fault
 	shifts      []shift
 	bursts      []burst
+	moments     moments
+}
+
+// moments makes single upstreams slow for a moment, now and then.
+type moments struct {
+	part     float64       // of the time in which an upstream is slow
+	factor   float64       // of the processing time in a slow moment
+	every    time.Duration // mean time between changes
+	reported bool          // upstreams report how long work takes at the moment
 }
 
 // shift sends a part of a domain's callers to the entry instances of another
@@ -161,6 +170,7 @@
 	queue     []func()
 	cache     []string // objects, most recent last
 	down      bool
+	pace      corianderwing.Percent // processing time at the moment, relative to the usual; 0 for as usual
 }
 
 // request is one request of a caller, over both of its attempts.
@@ -278,6 +288,9 @@
 	for _, f := range w.faults {
 		w.after(f.at, func() { w.failDomain(f) })
 	}
+	if w.moments.part > 0 {
+		w.startMoments()
+	}
 	w.ticks()
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
@@ -437,6 +450,9 @@
 	life := u.model.Incarnation
 	finish := func(result place.Result) {
 		r := place.LoadReport{Running: u.running, Waiting: len(u.queue), Valid: result != place.ConnectionLost}
+		if w.moments.reported {
+			r.WorkTime = u.pace
+		}
 		w.after(way, func() {
 			took := w.now - sent
 			w.placer.end(q, u, id, result, took, r)
@@ -486,6 +502,9 @@
 		u.cache = slices.Delete(u.cache, i, i+1)
 		work *= hitWorkFraction
 	}
+	if u.pace > 0 {
+		work *= float64(u.pace) / 100
+	}
 	u.cache = append(u.cache, q.object)
 	if len(u.cache) > u.cacheSize {
 		u.cache = u.cache[1:]
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -60,6 +60,7 @@
 	errorRate       float64   // moving average of failed attempts, 0 to 1
 	slowdown        float64   // moving average of actual to expected latency
 	measuredAt      time.Time // of slowdown
+	pace            paceReport
 }
 
 func newServer(u *model.Upstream) *server {
