Test both roles with crowds of clients that do not behave

Change: io/crowd starts a control and an entry instance as processes of their own, with 48 MB in their settings (184 MB where configuration patches of 8 MB are decoded), and sends a seeded crowd to each listener: public, ready, metrics and peers of the entry role; operators' API, lookup, metrics and peers of the control role. Each test checks that both processes live, that their peak resident size stays within `memory` and their open descriptors within 1,024, and that each listener answers one ordinary request while the crowd stays and after it has left. Nothing depends on a time or on a share of served requests. The crowds and the bounds are fixed from here on.

Ruled out: a bound on the memory by the operating system (the process must hold its own), and sites that several tests share (a peak would be that of an earlier test).

--- /dev/null
+++ b/io/crowd/control_test.go
@@ -0,0 +1,97 @@
+//go:build crowd
+
+package crowd
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const (
+	patchSize   = 8 << 20 // the largest legal configuration patch, in bytes
+	manyPatches = 30
+)
+
+var (
+	patchCall     = door{method: "POST", path: "/Config.Patch"}
+	getCall       = door{method: "GET", path: "/Config.Get"}
+	heartbeatCall = door{method: "POST", path: "/Instances.Heartbeat/crowd"}
+	lookupCall    = door{method: "GET", path: "/resolve?name=shop.example&region=a&zone=a-1"}
+)
+
+// Each test guards against a process that runs out of memory or descriptors, ends or no
+// longer serves because of the crowd in its name.
+
+func patchesAt(t *testing.T, b behavior) {
+	t.Helper()
+	s := startSite(t, patchMemory, smallMemory)
+	s.attack(s.addr(admin), manyPatches, b)
+}
+
+func TestAdminPatchesInOnePiece(t *testing.T) {
+	patchesAt(t, patchCall.bodyInOnePiece(patchSize))
+}
+
+func TestAdminPatchesInChunks(t *testing.T) { patchesAt(t, patchCall.bodyInChunks(patchSize)) }
+
+// manyValues is the number of rows of a patch with the most values that are decoded.
+const manyValues = 190_000
+
+// TestAdminPatchesOfManyValues sends whole patches of many empty rows, whose decoded form
+// takes far more memory than their text.
+func TestAdminPatchesOfManyValues(t *testing.T) {
+	text := `{"upsert":{"routes":{"columns":[],"rows":[[]` + strings.Repeat(",[]", manyValues/2) + `]}}}`
+	patchesAt(t, func(c *client) func() {
+		c.write(fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", patchCall.head(c), len(text), text))
+		return nil
+	})
+}
+
+func TestAdminEndlessChunks(t *testing.T) {
+	crowdAt(t, admin, manyOver, heartbeatCall.endlessChunks)
+}
+
+func TestAdminHeartbeatsInOnePiece(t *testing.T) {
+	crowdAt(t, admin, manyBodies, heartbeatCall.bodyInOnePiece(64<<10))
+}
+
+func TestAdminHeartbeatsInChunks(t *testing.T) {
+	crowdAt(t, admin, manyBodies, heartbeatCall.bodyInChunks(64<<10))
+}
+
+func TestAdminShortFields(t *testing.T) {
+	crowdAt(t, admin, manyHeads, heartbeatCall.shortFields)
+}
+
+func TestAdminSentAhead(t *testing.T) { crowdAt(t, admin, manyAhead, getCall.sentAhead) }
+
+func TestAdminSlow(t *testing.T) { crowdAt(t, admin, manySlow, heartbeatCall.slow) }
+
+func TestLookupBodiesInOnePiece(t *testing.T) {
+	crowdAt(t, lookup, manyBodies, lookupCall.bodyInOnePiece(bodySize))
+}
+
+func TestLookupEndlessChunks(t *testing.T) {
+	crowdAt(t, lookup, manyOver, lookupCall.endlessChunks)
+}
+
+func TestLookupShortFields(t *testing.T) {
+	crowdAt(t, lookup, manyHeads, lookupCall.shortFields)
+}
+
+func TestLookupSentAhead(t *testing.T) { crowdAt(t, lookup, manyAhead, lookupCall.sentAhead) }
+
+func TestLookupSlow(t *testing.T) { crowdAt(t, lookup, manySlow, lookupCall.slow) }
+
+func TestControlMetricsShortFields(t *testing.T) {
+	crowdAt(t, controlMetrics, manyHeads, metrics.shortFields)
+}
+
+func TestControlMetricsSentAhead(t *testing.T) {
+	crowdAt(t, controlMetrics, manyAhead, metrics.sentAhead)
+}
+
+func TestControlMetricsSlow(t *testing.T) {
+	crowdAt(t, controlMetrics, manySlow, metrics.slow)
+}
