Bound what a connection of peers may hold before its first call

Cause: gRPC served every connection to the port for peers and checked the fleet token only in the handler of a call. A client without the token could keep a header list of 16 MB, any number of calls with their header lists, a message up to the flow-control window, and as many connections as the process had descriptors, each with buffers of 64 kB, for 120 s.

Ruled out: a limit on concurrent calls and smaller flow-control windows (they would bind instances as well, whose calls wait for slots, and each call without the token would still take its part); a token that is sent before HTTP/2 (instances of an earlier version could not connect); a bound on all connections (the number of instances that connect is not known here).

Change: until its first call with the token, a connection may send 16 kB, may make 8 calls without it and has 5 s; the preface of HTTP/2 is read before gRPC allocates buffers, and the token is checked before the stream of a call exists (InTapHandle). At most 512 such connections are open, or those that fit in an eighth of `memory` at 80 kB each; one more closes the oldest. Instances make a call when they connect, and are not bound afterwards. Header lists are limited to 16 kB. Gauge peers.closed, one log line in 10 s with the reason.

--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -28,6 +28,7 @@
 func (n *Node) updateGauges() {
 	gauge := func(name string, v int64) { n.meter.Gauge(name).Update(v) }
 	gauge("log.dropped", n.logWriter.Dropped())
+	gauge("peers.closed", n.peerServer.NumClosed())
 	if n.plane != nil {
 		n.plane.Measure(gauge)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -74,9 +74,9 @@
 		},
 		meter:      meter.New(),
 		peerClient: peer.NewClient([]byte(cfg.Secret), peer.WithSourceIP(cfg.sourceIP())),
-		peerServer: peer.NewServer([]byte(cfg.Secret)),
 		failed:     make(chan error, 8),
 	}
+	n.peerServer = peer.NewServer([]byte(cfg.Secret), peer.WithLog(n.log), peer.WithMaxHandshakes(maxHandshakes(cfg.MemoryLimitMB)))
 	n.log.Info().Str("role", cfg.Role).Str("domain", string(cfg.Domain)).Str("peer", cfg.peerAddr()).
 		Strs("seeds", cfg.Seeds).Bool("found", cfg.Bootstrap).Msg(logs.Started)
 	limitMemory(cfg.MemoryLimitMB)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -14,12 +14,13 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"corianderwing"
 )
@@ -31,6 +32,9 @@
 	// maxMessage is the maximum message size in bytes. The largest messages
 	// are snapshots of a group.
 	maxMessage = 64 << 20
+	// maxHeaderList is the maximum size of the header list of a call in bytes. Calls
+	// have a handful of short fields.
+	maxHeaderList = 16 << 10
 	// pingInterval is the keepalive interval of an idle connection. grpc-go
 	// allows clients no interval shorter than 10 s.
 	pingInterval = 10 * time.Second
@@ -50,29 +54,54 @@
 
 // Server serves the registered methods to processes that share the fleet's secret.
 type Server struct {
-	desc  grpc.ServiceDesc
-	token string
+	desc       grpc.ServiceDesc
+	token      string
+	handshakes handshakes
 
 	mu      sync.Mutex
 	grpc    *grpc.Server // nil before Serve
 	stopped bool
 }
 
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithMaxHandshakes sets the number of connections that may be open before their first
+// call with the fleet token; 0 for DefaultMaxHandshakes.
+func WithMaxHandshakes(n int) ServerOption {
+	return func(s *Server) {
+		if n > 0 {
+			s.handshakes.max = n
+		}
+	}
+}
+
+// WithLog sets the logger for connections that are closed because of a limit.
+func WithLog(l *log.Logger) ServerOption {
+	return func(s *Server) { s.handshakes.log = l }
+}
+
 // NewServer returns a server without registered methods.
-func NewServer(secret []byte) *Server {
-	return &Server{
-		desc:  grpc.ServiceDesc{ServiceName: service, HandlerType: (*any)(nil)},
-		token: fleetToken(secret),
+func NewServer(secret []byte, opts ...ServerOption) *Server {
+	s := &Server{
+		desc:       grpc.ServiceDesc{ServiceName: service, HandlerType: (*any)(nil)},
+		token:      fleetToken(secret),
+		handshakes: handshakes{max: DefaultMaxHandshakes},
+	}
+	for _, o := range opts {
+		o(s)
 	}
+	return s
 }
 
+// NumClosed returns the number of connections that were closed before their first call
+// with the fleet token.
+func (s *Server) NumClosed() int64 { return s.handshakes.numClosed() }
+
 // Handle registers f as the handler of a method. It must be called before Serve.
 func Handle[Req, Resp any](s *Server, m Method[Req, Resp], f func(context.Context, *Req) (*Resp, error)) {
 	call := func(_ any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (_ any, err error) {
 		defer recoverPanic(&err)
-		if err := s.authorize(ctx); err != nil {
-			return nil, err
-		}
 		req := new(Req)
 		if err := dec(req); err != nil {
 			return nil, status.Error(codes.InvalidArgument, err.Error())
@@ -92,9 +121,6 @@
 	call := func(_ any, stream grpc.ServerStream) (err error) {
 		defer recoverPanic(&err)
 		ctx := stream.Context()
-		if err := s.authorize(ctx); err != nil {
-			return err
-		}
 		req := new(Req)
 		if err := stream.RecvMsg(req); err != nil {
 			return status.Error(codes.InvalidArgument, err.Error())
@@ -122,6 +148,10 @@
 	g := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxSendMsgSize(maxMessage),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.Creds(newPrefaceCredentials()),
+		grpc.InTapHandle(s.authorize),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
 	)
@@ -132,7 +162,7 @@
 		g.Stop() // its Serve closes l and returns at once
 	}
 	s.mu.Unlock()
-	return eris.Wrap(g.Serve(l), "serve peers")
+	return eris.Wrap(g.Serve(&handshakeListener{l, &s.handshakes}), "serve peers")
 }
 
 // Stop closes all connections without waiting for pending calls.
@@ -145,13 +175,18 @@
 	}
 }
 
-func (s *Server) authorize(ctx context.Context) error {
-	md, _ := metadata.FromIncomingContext(ctx)
-	got := md.Get(tokenKey)
-	if len(got) != 1 || subtle.ConstantTimeCompare([]byte(got[0]), []byte(s.token)) != 1 {
-		return status.Error(codes.Unauthenticated, "the fleet token is missing or wrong")
+// authorize checks the fleet token of a call before its stream is created, and so before
+// any of its message is received.
+func (s *Server) authorize(ctx context.Context, call *tap.Info) (context.Context, error) {
+	got := call.Header.Get(tokenKey)
+	ok := len(got) == 1 && subtle.ConstantTimeCompare([]byte(got[0]), []byte(s.token)) == 1
+	if c, known := connOf(ctx); known {
+		c.recordCall(ok)
+	}
+	if !ok {
+		return ctx, status.Error(codes.Unauthenticated, "the fleet token is missing or wrong")
 	}
-	return nil
+	return ctx, nil
 }
 
 // fleetToken derives the token that is sent with each call from the fleet's secret.
