Decide in one place who may use the memory of a process

Weighed in docs/design/clients.md: a fixed share for each connection is less than one legal head; a pool that serves the first leaves stalled clients in place. core/budget is the pool with reservations, and names the connections with the least progress to close when one does not fit. It is pure and not used yet.

Measured: go test ./core/budget passes, with a replay of each crowd in virtual time and a rapid test of the sums (limits, reserves, release).

--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,237 @@
+package budget
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"corianderwing"
+)
+
+var start = time.Unix(1000, 0)
+
+func addr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}) }
+
+// world plays clients of a pool in virtual time.
+type world struct {
+	t      *testing.T
+	pool   *Pool
+	now    time.Time
+	honest *Account // makes progress whenever time passes
+}
+
+func newWorld(t *testing.T, l Limits, classes ...Class) *world {
+	return &world{t: t, pool: New(l, classes...), now: start}
+}
+
+// open opens n connections, each from an address of its own.
+func (w *world) open(c Class, n int) (list []*Account) {
+	for i := range n {
+		a, _, ok := w.pool.Open(c, addr(int(c)<<12+i), w.now)
+		if !ok {
+			break
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
+// hold reserves n for each account in the given phase, and returns how many got it.
+func (w *world) hold(list []*Account, p Phase, n corianderwing.Bytes) (held int) {
+	for _, a := range list {
+		if a.closed {
+			continue
+		}
+		a.SetPhase(p)
+		a.Move(int(n))
+		if _, ok := w.pool.Reserve(a, n, w.now); ok {
+			held++
+		}
+	}
+	return held
+}
+
+// pass lets seconds pass in which each of the accounts moves rate bytes a second.
+func (w *world) pass(seconds int, rate int, list ...*Account) {
+	for range seconds * 4 {
+		w.now = w.now.Add(time.Second / 4)
+		for _, a := range list {
+			a.Move(rate / 4)
+		}
+		if w.honest != nil {
+			w.honest.Move(int(MinProgress))
+		}
+		w.pool.Sample(w.now)
+	}
+}
+
+var small = Limits{Memory: 100 * ConnCost, Held: 50 * ConnCost, Conns: 80}
+
+// Guards against crowds that leave no room for an ordinary client: of each, the
+// connections without progress are closed for it.
+func TestCrowdGivesWay(t *testing.T) {
+	for name, crowd := range map[string]struct {
+		phase Phase
+		held  corianderwing.Bytes
+		rate  int // bytes per second
+	}{
+		"bodies that stop":          {Body, ConnCost, 0},
+		"bodies that trickle":       {Body, ConnCost, 10},
+		"heads of many fields":      {Head, ConnCost, 0},
+		"responses not read":        {Response, ConnCost, 0},
+		"connections that say none": {Head, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, small)
+			honest := w.open(Callers, 1)
+			is.Equal(w.hold(honest, Body, ConnCost), 1)
+			list := w.open(Callers, 200)
+			w.hold(list, crowd.phase, crowd.held)
+			w.honest = honest[0]
+			w.pass(2, crowd.rate, list...)
+			late := w.open(Callers, 1)
+			is.Equal(len(late), 1)
+			is.Equal(w.hold(late, Body, ConnCost), 1)
+			is.True(!honest[0].closed)
+		})
+	}
+}
+
+// Guards against closing anything while there is room, however slow it is.
+func TestCalmClosesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, small)
+	list := w.open(Callers, 40)
+	is.Equal(w.hold(list, Body, ConnCost), 40)
+	w.pass(60, 1, list...)
+	is.Equal(len(w.open(Callers, 5)), 5)
+	is.Equal(w.pool.Usage().Conns, corianderwing.Conns(45))
+}
+
+// Guards against a crowd that keeps up its progress: nobody is closed for a newcomer,
+// which is refused; and a request that waits for its upstream is never closed.
+func TestProgressIsKept(t *testing.T) {
+	for _, phase := range []Phase{Body, Response, Work} {
+		is := is.New(t)
+		w := newWorld(t, Limits{Memory: 120 * ConnCost, Held: 50 * ConnCost, Conns: 80})
+		list := w.open(Callers, 50)
+		is.Equal(w.hold(list, phase, ConnCost), 50)
+		rate := 4 * int(MinProgress)
+		if phase == Work {
+			rate = 0
+		}
+		w.pass(5, rate, list...)
+		late := w.open(Callers, 1)
+		is.Equal(w.hold(late, Body, ConnCost), 0)
+		is.Equal(w.pool.Usage().Conns, corianderwing.Conns(51))
+	}
+}
+
+// Guards against one address that takes all: it gives way to another one although its
+// connections make progress, and closes none of the other's.
+func TestAddressGivesWay(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, Limits{Memory: 100 * ConnCost, Held: 70 * ConnCost, Conns: 200})
+	other := w.open(Callers, 1)
+	w.hold(other, Body, 1)
+	var greedy []*Account
+	for range 35 {
+		a, _, ok := w.pool.Open(Callers, addr(999), w.now)
+		is.True(ok)
+		greedy = append(greedy, a)
+	}
+	w.hold(greedy, Body, 2*ConnCost)
+	w.pass(2, 8*int(MinProgress), append(greedy, other...)...)
+	w.hold(greedy, Body, 2*ConnCost)
+	is.True(!other[0].closed)
+	is.Equal(w.hold(other, Body, 4*ConnCost), 1)
+}
+
+// Guards against a crowd at one door that starves another one.
+func TestReserves(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, small, Control, Lookups, Status)
+	crowd := w.open(Lookups, 1000)
+	w.hold(crowd, Work, 4*ConnCost)
+	control := w.open(Control, 20)
+	is.Equal(len(control), 20)
+	is.Equal(w.hold(control, Body, ConnCost/4), 20)
+	is.Equal(len(w.open(Status, 2)), 2)
+}
+
+// Guards against too few connections on the smallest machine in use, and against more
+// than its descriptors allow.
+func TestLimitsOf(t *testing.T) {
+	is := is.New(t)
+	l := LimitsOf(184<<20, 4096)
+	is.True(l.Conns >= 2500 && l.Conns <= 3900)
+	is.True(corianderwing.Bytes(l.Conns)*ConnCost <= l.Memory)
+	is.True(LimitsOf(0, 0).Conns >= 10_000)
+}
+
+// Guards against accounts that do not add up: over their limits, or not given back.
+func TestLedgersAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := New(small, Control, Lookups, Status), start
+		var open []*Account
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			c := Class(rapid.IntRange(0, int(NumClasses)-1).Draw(t, "class"))
+			if a, _, ok := p.Open(c, addr(rapid.IntRange(0, 3).Draw(t, "addr")), now); ok {
+				open = append(open, a)
+			}
+			if len(open) == 0 {
+				continue
+			}
+			a := open[rapid.IntRange(0, len(open)-1).Draw(t, "account")]
+			n := corianderwing.Bytes(rapid.IntRange(1, int(8*ConnCost)).Draw(t, "bytes"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				p.Release(a, n)
+			case 1:
+				p.Close(a)
+			case 2:
+				a.SetPhase(Phase(rapid.IntRange(0, int(Idle)).Draw(t, "phase")))
+				a.Move(int(n))
+			default:
+				p.Reserve(a, n, now)
+			}
+			checkSums(t, p)
+		}
+		for _, a := range open {
+			p.Close(a)
+		}
+		if u := p.Usage(); u != (Usage{}) || len(p.byAddr) != 0 || len(p.accounts) != 0 {
+			t.Fatalf("left over: %+v, %v", u, p.byAddr)
+		}
+	})
+}
+
+func checkSums(t *rapid.T, p *Pool) {
+	var held, conns [NumClasses]int64
+	for _, a := range p.accounts {
+		held[a.class] += int64(a.held)
+		conns[a.class]++
+	}
+	if held != p.held.used || conns != p.conns.used {
+		t.Fatalf("accounts hold %v, %v; booked %v, %v", held, conns, p.held.used, p.conns.used)
+	}
+	for name, l := range map[string]*ledger{"memory": &p.memory, "held": &p.held, "conns": &p.conns} {
+		var others int64
+		for c, used := range l.used {
+			others += max(0, used-l.reserve[c])
+		}
+		var reserved int64
+		for _, r := range l.reserve {
+			reserved += r
+		}
+		if l.total() > l.limit || others > l.limit-reserved {
+			t.Fatalf("%s over its limit: %s", name, fmt.Sprint(*l))
+		}
+	}
+}
