Charge connections to a budget and close those that give way

Connections knew nothing of each other: heads of thousands of fields, bodies that stop short of their end and calls of operators added up without a bound, and nothing was closed before its own deadline.

accept.Guard owns the pool of core/budget. Its connections count the bytes and fields of a head as they arrive, what is read ahead, and, at other doors than that of callers, bodies and responses, which their handlers keep as a whole. While a response is not taken, nothing is read ahead. Any goroutine can close a connection: closing ends its reads and writes, which a deadline could not, since the server sets its own. A connection now passes CloseWrite on, so that a response is not lost when the server closes a connection on which the caller still sends.

Progress is the mean of the last two windows: in a single second, a client that sends a packet in a second may send none, and the test of the slow client failed ("0 != 200").

Not wired yet.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -43,6 +43,9 @@
 
 	// Window is the time over which progress is measured.
 	Window = time.Second
+	// minWindows is the number of windows after which progress is judged. In a single
+	// one, a client that sends a packet in a second may send none.
+	minWindows = 2
 	// MinProgress is the progress per second below which a connection may be closed
 	// in favor of another one. The slowest mobile links carry more.
 	MinProgress corianderwing.BytesPerSecond = 1 << 10
@@ -176,6 +179,17 @@
 	return victims, ok
 }
 
+// ReserveSpare adds n to what the connection holds if it fits. It closes nothing.
+func (p *Pool) ReserveSpare(a *Account, n corianderwing.Bytes) bool {
+	q := need{class: a.class, addr: a.addr, held: int64(n), self: a}
+	if a.closed || !p.fits(q) {
+		return false
+	}
+	a.held += n
+	p.add(q, 1)
+	return true
+}
+
 // Release takes n off what the connection holds, and at most all of it.
 func (p *Pool) Release(a *Account, n corianderwing.Bytes) {
 	if a.closed {
--- a/core/budget/evict.go
+++ b/core/budget/evict.go
@@ -8,16 +8,14 @@
 	"corianderwing"
 )
 
-// Phase is what a connection waits for.
+// Phase is the part of an exchange that a connection is in.
 type Phase int32
 
 // Phases of a connection.
 const (
-	Head     Phase = iota // the head of a request; also that of the first one
-	Body                  // the body of a request
-	Work                  // the handler of a request
-	Response              // the client takes a response
-	Idle                  // the next request
+	Head Phase = iota // the head of a request is read; also before the first one
+	Work              // a request is handled, from its head to the end of its response
+	Idle              // between requests
 )
 
 // Account is the share of one connection in a pool.
@@ -28,16 +26,18 @@
 	index  int // in Pool.accounts
 	closed bool
 
-	phase  atomic.Int32
-	phases atomic.Int64 // number of phases begun
-	moved  atomic.Int64 // bytes read and written
+	phase   atomic.Int32
+	phases  atomic.Int64 // number of phases begun
+	waiting atomic.Int32 // reads and writes in progress while a request is handled
+	moved   atomic.Int64 // bytes read and written
 
 	phaseAt    time.Time // when the phase was first seen
 	markAt     time.Time // start of the window
 	markMoved  int64     // moved at markAt
 	markPhases int64     // phases at markAt
-	measured   bool      // rate is that of a whole window within one phase
-	rate       float64   // in bytes per second
+	windows    int       // whole windows within the phase
+	last       float64   // progress in the last window, in bytes per second
+	rate       float64   // mean of the last two windows
 }
 
 // SetPhase begins a phase. It is safe for concurrent use.
@@ -50,6 +50,13 @@
 // Phase returns the current phase. It is safe for concurrent use.
 func (a *Account) Phase() Phase { return Phase(a.phase.Load()) }
 
+// BeginWait records that the handler of a request waits for the client to send or to
+// take bytes. It is safe for concurrent use.
+func (a *Account) BeginWait() { a.waiting.Add(1) }
+
+// EndWait ends what BeginWait began. It is safe for concurrent use.
+func (a *Account) EndWait() { a.waiting.Add(-1) }
+
 // Move records bytes that were read or written. It is safe for concurrent use.
 func (a *Account) Move(n int) { a.moved.Add(int64(n)) }
 
@@ -73,12 +80,13 @@
 	elapsed := now.Sub(a.markAt)
 	switch {
 	case phases != a.markPhases:
-		a.measured, a.phaseAt = false, now
+		a.windows, a.phaseAt = 0, now
 	case elapsed < Window:
 		return
 	default:
-		a.measured = true
-		a.rate = float64(moved-a.markMoved) / elapsed.Seconds()
+		r := float64(moved-a.markMoved) / elapsed.Seconds()
+		a.rate, a.last = (a.last+r)/2, r
+		a.windows++
 	}
 	a.markAt, a.markMoved, a.markPhases = now, moved, phases
 }
@@ -168,14 +176,13 @@
 // an address that exceeds its share may be closed as long as it is the client's turn.
 func (a *Account) rank(exceeds bool) (rank, bool) {
 	r := rank{rate: a.rate, since: a.phaseAt}
-	phase := a.Phase()
-	switch {
-	case phase == Work:
+	switch phase := a.Phase(); {
+	case phase == Work && a.waiting.Load() == 0:
 		return r, false
 	case phase == Idle:
 		r.group, r.rate = 1, 0
 		return r, true
-	case a.measured && a.rate < float64(MinProgress):
+	case a.windows >= minWindows && a.rate < float64(MinProgress):
 		return r, true
 	}
 	r.group = 2
--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -16,6 +16,10 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+
+	"corianderwing"
+	"corianderwing/core/budget"
 )
 
 // maxReadAhead is the maximum number of bytes that a connection reads ahead. A
@@ -29,7 +33,11 @@
 // listener. The context ends when the caller closes the connection.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	if c, ok := c.(*conn); ok {
-		ctx, c.cancel = context.WithCancel(ctx)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.WithValue(ctx, connKey{}, c))
+		c.mu.Lock() // another connection may close this one at any time
+		c.cancel = cancel
+		c.mu.Unlock()
 	}
 	return ctx
 }
@@ -40,9 +48,19 @@
 	net.Conn
 	cancel context.CancelFunc // set by ConnContext, before the first Read
 
+	guard      *Guard          // nil without a budget
+	account    *budget.Account // nil without a budget
+	held       atomic.Int64    // bytes charged to the current request
+	bodyBytes  atomic.Int64    // of the current request
+	headBytes  int             // of the head that is read; used by Read only
+	headFields int
+
 	mu      sync.Mutex
 	changed *sync.Cond
-	reading bool   // readAhead is running
+	reading bool // readAhead is running
+	closed  bool
+	writing bool   // the client has not taken all of a response
+	ahead   int    // bytes charged for buf
 	buf     []byte // bytes read ahead
 	err     error  // why the connection ended, returned after buf
 }
@@ -56,6 +74,23 @@
 // Read implements net.Conn. Like the connection below, it supports one reader at a
 // time.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.account == nil {
+		return c.read(p)
+	}
+	background := len(p) == 1 // the server waits for the end of the connection
+	if !background {
+		c.account.BeginWait()
+		defer c.account.EndWait()
+	}
+	n, err := c.read(p)
+	if n > 0 && !background && !c.arrived(p[:n]) {
+		c.reset()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *conn) read(p []byte) (int, error) {
 	c.mu.Lock()
 	for c.reading && len(c.buf) == 0 {
 		c.changed.Wait()
@@ -73,13 +108,46 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readConn(p)
 	if n == 1 && len(p) == 1 && err == nil {
 		c.startReadAhead()
 	}
 	return n, err
 }
 
+// readConn reads from the connection below.
+func (c *conn) readConn(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.account != nil {
+		c.account.Move(n)
+	}
+	return n, err
+}
+
+// Write implements net.Conn. While the client does not take the bytes, nothing is read
+// ahead.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.account == nil {
+		return c.Conn.Write(p)
+	}
+	c.account.BeginWait()
+	c.setWriting(true)
+	n, err := c.Conn.Write(p)
+	c.setWriting(false)
+	c.account.EndWait()
+	c.account.Move(n)
+	return n, err
+}
+
+func (c *conn) setWriting(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = on
+	if c.reading {
+		c.changed.Broadcast()
+	}
+}
+
 func (c *conn) startReadAhead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,20 +160,23 @@
 // readAhead reads until the caller closes the connection, a read deadline passes,
 // or the server has taken all that was read ahead.
 func (c *conn) readAhead() {
-	p := make([]byte, 4<<10)
+	p := make([]byte, aheadStep)
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.readConn(p)
 		c.mu.Lock()
 		c.buf = append(c.buf, p[:n]...)
 		expired := errors.Is(err, os.ErrDeadlineExceeded)
 		if !expired { // Read reports an expired deadline itself, as long as it is set
 			c.err = err
 		}
-		for err == nil && len(c.buf) >= maxReadAhead {
+		for err == nil && !c.closed && (len(c.buf) >= maxReadAhead || len(c.buf) > 0 && c.writing || !c.chargeAhead()) {
 			c.changed.Wait()
 		}
 		done := err != nil || len(c.buf) == 0
 		c.reading = !done
+		if done {
+			c.releaseAhead()
+		}
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		if err != nil && !expired {
@@ -117,13 +188,54 @@
 	}
 }
 
+// aheadStep is the number of bytes that are read ahead at once.
+const aheadStep = 4 << 10
+
+// chargeAhead charges the next step of reading ahead. It closes no other connection for
+// it: without room, the caller is not read until its earlier requests are handled.
+func (c *conn) chargeAhead() bool {
+	if c.account == nil {
+		return true
+	}
+	missing := len(c.buf) + aheadStep - freeAhead - c.ahead
+	if missing <= 0 {
+		return true
+	}
+	if !c.guard.reserveSpare(c, corianderwing.Bytes(missing)) {
+		return false
+	}
+	c.ahead += missing
+	return true
+}
+
+func (c *conn) releaseAhead() {
+	if c.ahead > 0 {
+		c.guard.release(c, corianderwing.Bytes(c.ahead))
+		c.ahead = 0
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.mu.Lock()
-	c.buf = nil
+	c.buf, c.closed = nil, true
+	cancel := c.cancel
 	c.changed.Broadcast()
 	c.mu.Unlock()
-	c.cancel()
+	cancel()
+	if c.account != nil {
+		c.guard.remove(c)
+	}
 	return err
 }
+
+// CloseWrite closes the connection for writing, if the connection below can. The server
+// does so before it closes a connection on which the caller may still send, because
+// the caller could otherwise lose the response.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/io/accept/listener.go
+++ b/io/accept/listener.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"corianderwing/core/budget"
 )
 
 const (
@@ -22,6 +24,8 @@
 // connections that were not accepted, and such a request gets no response.
 type Listener struct {
 	net.Listener
+	guard    *Guard // nil without a budget
+	class    budget.Class
 	graceful atomic.Bool
 	closeBy  atomic.Pointer[time.Time] // end of a graceful close; nil before it
 }
@@ -50,16 +54,25 @@
 	return t.SetDeadline(now) // ends a call of Accept that waits
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which the budget has no room is
+// closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if end := l.closeBy.Load(); err != nil && end != nil {
-		c, err = l.acceptPending(*end)
-	}
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if end := l.closeBy.Load(); err != nil && end != nil {
+			c, err = l.acceptPending(*end)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if l.guard == nil {
+			return newConn(c), nil
+		}
+		if x := l.guard.open(c, l.class); x != nil {
+			return x, nil
+		}
+		c.Close()
 	}
-	return newConn(c), nil
 }
 
 // acceptPending accepts a connection that the kernel holds. If there is none, it
