Let the kept part of a body grow with the bytes that arrive

The prefix now starts at 4 KiB and doubles as it fills. Each growth is reserved in the budget of the process; without room the request is refused with the new code 306, 503 with Retry-After, which says truly that it has not run.

A caller at fault (no route, no key, a head or body over its limit) with an unread body over 4 KiB, or of unknown length, gets the response at once and its connection is closed. Smaller bodies are treated as before, so that their connections are kept.

--- a/code.go
+++ b/code.go
@@ -47,6 +47,7 @@
 	NoCapacity          Code = 303
 	LinkFull            Code = 304
 	NoShare             Code = 305
+	MemoryShort         Code = 306
 
 	StaleSettings  Code = 400
 	Stopping       Code = 401
@@ -103,6 +104,7 @@
 	NoCapacity:          {http.StatusServiceUnavailable, NotExecuted, "nocapacity", "no upstream has spare capacity"},
 	LinkFull:            {http.StatusServiceUnavailable, NotExecuted, "linkfull", "the link to every upstream is at its cap"},
 	NoShare:             {http.StatusServiceUnavailable, NotExecuted, "noshare", "no share of the workspace's rate could be had in time; the workspace may be inside its rate"},
+	MemoryShort:         {http.StatusServiceUnavailable, NotExecuted, "nomemory", "this instance has no memory left for the request"},
 
 	StaleSettings:  {http.StatusServiceUnavailable, NotExecuted, "notfresh", "this instance cannot confirm keys and settings"},
 	Stopping:       {http.StatusServiceUnavailable, NotExecuted, "stopping", "this instance is stopping"},
--- a/code_page_test.go
+++ b/code_page_test.go
@@ -35,6 +35,7 @@
 	NoCapacity:          "send again later; operators: add upstreams to the pool",
 	LinkFull:            "send again later; operators: add upstreams in the caller's region",
 	NoShare:             "try an alternate of the lookup; operators: check that the home group has a leader",
+	MemoryShort:         "send again after `Retry-After`; operators: look for clients that do not behave",
 
 	StaleSettings:  "try an alternate of the lookup; operators: check that the home group has a majority and can be reached",
 	Stopping:       "try an alternate of the lookup, and look up again",
--- a/io/entry/internal.go
+++ b/io/entry/internal.go
@@ -42,7 +42,7 @@
 	s.registry.add(&active, false, corianderwing.KeyHash{byte(s.active.Load())}, j.workspace, cancel)
 	defer s.registry.remove(&active)
 	rc := http.NewResponseController(w)
-	if j.body, e = relay.ReadBody(r, maxForwardedBody, false); e != nil {
+	if j.body, e = relay.ReadBody(r, maxForwardedBody, false, nil); e != nil {
 		writeError(w, e)
 		return
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -238,7 +238,7 @@
 		rc.SetReadDeadline(x.deadline.Add(time.Second))
 	}
 	var e *corianderwing.Error
-	if x.body, e = relay.ReadBody(x.r, int64(x.eff.Body), x.hasOrder); e != nil {
+	if x.body, e = relay.ReadBody(x.r, int64(x.eff.Body), x.hasOrder, nil); e != nil {
 		s.reject(x, e)
 		return
 	}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -12,6 +12,7 @@
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/io/accept"
 	"corianderwing/io/relay"
 )
 
@@ -257,7 +258,7 @@
 		rc.SetReadDeadline(x.deadline.Add(time.Second))
 	}
 	var err *corianderwing.Error
-	if x.body, err = relay.ReadBody(x.r, int64(limits.Body), false); err != nil {
+	if x.body, err = relay.ReadBody(x.r, int64(limits.Body), false, x.reserve); err != nil {
 		return err
 	}
 	if x.body.Rest == nil && x.body != relay.NoBody {
@@ -267,3 +268,6 @@
 	}
 	return nil
 }
+
+// reserve reserves memory until the request ends.
+func (x *exchange) reserve(n corianderwing.Bytes) bool { return accept.Reserve(x.r.Context(), n) }
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/budget"
 	"corianderwing/core/place"
 	"corianderwing/io/accept"
 	"corianderwing/io/relay"
@@ -21,7 +22,7 @@
 		x.returnToken()
 	}
 	if err.Code != corianderwing.BodyTruncated { // the body's own deadline has passed
-		x.limitBodyWait()
+		x.limitBodyWait(err.Code)
 	}
 	x.status = x.s.cfg.Dialect.WriteError(x.w, x.ask.ID, err, x.retryAfter(err))
 }
@@ -31,18 +32,37 @@
 // kept, and a caller may send it as late as it likes.
 const bodyWait = 500 * time.Millisecond
 
+// maxUnreadBody is the size of an unread body, in bytes, for which the connection of a
+// caller at fault is kept.
+const maxUnreadBody = 4 << 10
+
 // limitBodyWait limits the time for which the refusal waits for a body that has not
-// been read to its end.
-func (x *exchange) limitBodyWait() {
+// been read to its end. A caller at fault with a large body gets the response at once,
+// and its connection is closed.
+func (x *exchange) limitBodyWait(code corianderwing.Code) {
 	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
 		return
 	}
 	if b := x.body; b != nil && (b.Rest == nil || b.RestAtEOF.Load()) {
 		return
 	}
+	if n := x.r.ContentLength; closesBody(code) && (n < 0 || n > maxUnreadBody) {
+		x.w.Header().Set("Connection", "close")
+	}
 	http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyWait))
 }
 
+// closesBody reports whether a refusal closes the connection rather than read a large
+// body.
+func closesBody(code corianderwing.Code) bool {
+	switch code {
+	case corianderwing.NoRoute, corianderwing.MissingKey, corianderwing.InvalidKey, corianderwing.InvalidInput,
+		corianderwing.HeaderTooLarge, corianderwing.BodyTooLarge, corianderwing.MemoryShort:
+		return true
+	}
+	return false
+}
+
 // retryAfter returns the delay for the Retry-After header, or 0 for no header.
 func (x *exchange) retryAfter(err *corianderwing.Error) time.Duration {
 	if err.Execution != corianderwing.NotExecuted {
@@ -57,6 +77,8 @@
 			return electionRetryAfter
 		}
 		return defaultRetryAfter
+	case corianderwing.MemoryShort:
+		return memoryRetryAfter
 	case corianderwing.NoCapacity, corianderwing.DeadlineUnreachable, corianderwing.NoUpstream, corianderwing.Shed,
 		corianderwing.ConnectFailed, corianderwing.RateExceeded:
 		return defaultRetryAfter
@@ -69,6 +91,10 @@
 // deadline keeps running.
 const defaultRetryAfter = 100 * time.Millisecond
 
+// memoryRetryAfter is the retry delay while the memory of the process is used up. After
+// this time, stalled connections that held it have been closed.
+const memoryRetryAfter = 2 * budget.Window
+
 // electionRetryAfter is the retry delay while the control role has no leader. After
 // the loss of all instances, a leader is elected and shares of rate limits are
 // divided anew within about this time. Callers that may retry once only would use
--- a/io/relay/body.go
+++ b/io/relay/body.go
@@ -28,8 +28,14 @@
 // NoBody is the shared Body of all requests without one.
 var NoBody = &Body{}
 
-// ReadBody reads the prefix of r's body, or the whole body if all is set.
-func ReadBody(r *http.Request, limit int64, all bool) (*Body, *corianderwing.Error) {
+// Reserve reserves memory for a request until it ends, and reports whether there is
+// enough.
+type Reserve func(corianderwing.Bytes) bool
+
+// ReadBody reads the prefix of r's body, or the whole body if all is set. Its buffer
+// grows with the bytes that arrive. If reserve is not nil, it is called before each
+// growth; without memory the error is MemoryShort.
+func ReadBody(r *http.Request, limit int64, all bool, reserve Reserve) (*Body, *corianderwing.Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return NoBody, nil
 	}
@@ -43,15 +49,19 @@
 	b := &Body{ContentLength: r.ContentLength}
 	var err error
 	if n := r.ContentLength; n >= 0 && n <= readLimit {
-		b.Prefix = make([]byte, n)
-		_, err = io.ReadFull(r.Body, b.Prefix)
-		if err == nil {
+		b.Prefix, err = readPrefix(r.Body, n, reserve)
+		switch {
+		case err == nil && int64(len(b.Prefix)) < n:
+			err = io.ErrUnexpectedEOF
+		case err == nil:
 			err = expectEOF(r.Body)
 		}
 	} else {
-		b.Prefix, err = io.ReadAll(io.LimitReader(r.Body, readLimit+1))
+		b.Prefix, err = readPrefix(r.Body, readLimit+1, reserve)
 	}
 	switch {
+	case errors.Is(err, errMemoryShort):
+		return nil, corianderwing.Errorf(corianderwing.MemoryShort, "no memory for more than %d bytes of the body", len(b.Prefix))
 	case err != nil:
 		return nil, BodyError(err, corianderwing.NotExecuted)
 	case int64(len(b.Prefix)) <= readLimit:
@@ -68,6 +78,34 @@
 	return b, nil
 }
 
+// firstPrefix is the size of the first buffer of a prefix. It is not reserved.
+const firstPrefix = 4 << 10
+
+var errMemoryShort = errors.New("no memory for the body")
+
+// readPrefix reads up to size bytes.
+func readPrefix(r io.Reader, size int64, reserve Reserve) ([]byte, error) {
+	p := make([]byte, 0, min(size, firstPrefix))
+	for int64(len(p)) < size {
+		if len(p) == cap(p) {
+			next := min(size, 2*int64(cap(p)))
+			if reserve != nil && !reserve(corianderwing.Bytes(next)-corianderwing.Bytes(cap(p))) {
+				return p, errMemoryShort
+			}
+			p = append(make([]byte, 0, next), p...)
+		}
+		n, err := r.Read(p[len(p):cap(p)])
+		p = p[:len(p)+n]
+		if err == io.EOF {
+			return p, nil
+		}
+		if err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
 // expectEOF reads the end of the body. Only after it does net/http detect that the
 // caller closes the connection.
 func expectEOF(r io.Reader) error {
