Apply the budget at every HTTP listener of an instance

One budget for each process, from memory and the new files in its settings: callers on the public listener; on control instances, upstreams and operators, and look-ups, with a reserve each; readiness and metrics with a reserve on both roles.

memory below 16 MB and files below 64 are now faults of the settings: the instance could serve nobody.

--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"corianderwing/core/budget"
 	"corianderwing/io/clock"
 )
 
@@ -19,7 +20,7 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = io.WriteString(w, n.meter.Report().Text()) // fails only if the client disconnected
 	})
-	_, err := n.serve(n.cfg.Listen.Metrics, mux, callTimeout)
+	_, err := n.serve(n.cfg.Listen.Metrics, mux, budget.Status, callTimeout)
 	return err
 }
 
@@ -28,6 +29,10 @@
 func (n *Node) updateGauges() {
 	gauge := func(name string, v int64) { n.meter.Gauge(name).Update(v) }
 	gauge("log.dropped", n.logWriter.Dropped())
+	u := n.guard.Usage()
+	gauge("clients.conns", int64(u.Conns))
+	gauge("clients.memory", int64(u.Memory))
+	gauge("clients.held", int64(u.Held))
 	if n.plane != nil {
 		n.plane.Measure(gauge)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderwing"
+	"corianderwing/core/budget"
 	"corianderwing/io/accept"
 	"corianderwing/io/clock"
 	"corianderwing/io/follow"
@@ -51,6 +52,7 @@
 
 	wg      sync.WaitGroup
 	failed  chan error
+	guard   *accept.Guard
 	servers []*server
 
 	plane        *plane.Plane
@@ -77,6 +79,7 @@
 		peerServer: peer.NewServer([]byte(cfg.Secret)),
 		failed:     make(chan error, 8),
 	}
+	n.guard = accept.NewGuard(budget.LimitsOf(cfg.memory(), cfg.maxFiles()), n.log, n.meter, cfg.classes()...)
 	n.log.Info().Str("role", cfg.Role).Str("domain", string(cfg.Domain)).Str("peer", cfg.peerAddr()).
 		Strs("seeds", cfg.Seeds).Bool("found", cfg.Bootstrap).Msg(logs.Started)
 	limitMemory(cfg.MemoryLimitMB)
@@ -135,12 +138,12 @@
 		return err
 	}
 	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), callTimeout); err != nil {
+		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), budget.Control, callTimeout); err != nil {
 			return err
 		}
 	}
 	if cfg.Listen.Lookup != "" {
-		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane), callTimeout); err != nil {
+		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane), budget.Lookups, callTimeout); err != nil {
 			return err
 		}
 	}
@@ -210,11 +213,11 @@
 		return err
 	}
 	var err error
-	if n.publicServer, err = n.serve(cfg.Listen.Public, g, 0); err != nil {
+	if n.publicServer, err = n.serve(cfg.Listen.Public, g, budget.Callers, 0); err != nil {
 		return err
 	}
 	if cfg.Listen.Ready != "" {
-		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready), callTimeout)
+		_, err = n.serve(cfg.Listen.Ready, n.adapter.Ready(g.Ready), budget.Status, callTimeout)
 	}
 	return err
 }
@@ -272,6 +275,7 @@
 	n.peerServer.Stop()
 	n.peerClient.Close()
 	n.wg.Wait()
+	n.guard.Close()
 	n.log.Info().Int64("dropped", n.logWriter.Dropped()).Msg(logs.Stopped)
 	n.logWriter.Close(time.Now().Add(time.Second))
 	return errors.Join(all...)
@@ -310,14 +314,15 @@
 	return err
 }
 
-// serve serves h on addr in the background until the instance is closed. A request
-// and its response may take the given time each; 0 for no limit.
-func (n *Node) serve(addr string, h http.Handler, timeout time.Duration) (*server, error) {
+// serve serves h on addr in the background until the instance is closed. Its connections
+// belong to a class of the budget. A request and its response may take the given time
+// each; 0 for no limit.
+func (n *Node) serve(addr string, h http.Handler, class budget.Class, timeout time.Duration) (*server, error) {
 	l, err := net.Listen("tcp", n.cfg.listenAddr(addr))
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
-	s := newServer(l, h, timeout, n.log)
+	s := newServer(n.guard.Wrap(l, class), n.guard.Handler(h), timeout, n.log)
 	n.servers = append(n.servers, s)
 	n.wg.Go(func() {
 		if err := s.listener.Serve(&s.Server); !errors.Is(err, http.ErrServerClosed) {
@@ -333,8 +338,8 @@
 	listener *accept.Listener
 }
 
-func newServer(l net.Listener, h http.Handler, timeout time.Duration, lg *log.Logger) *server {
-	return &server{listener: accept.Wrap(l), Server: http.Server{
+func newServer(l *accept.Listener, h http.Handler, timeout time.Duration, lg *log.Logger) *server {
+	return &server{listener: l, Server: http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       timeout,
@@ -343,6 +348,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          lg.Std("", 0),
 		ConnContext:       accept.ConnContext,
+		ConnState:         accept.ConnState,
 	}}
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -5,16 +5,19 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/goccy/go-yaml"
 
 	"corianderwing"
+	"corianderwing/core/budget"
 )
 
 // Settings are the settings of one instance. Durations are written with a unit.
@@ -37,6 +40,7 @@
 	Listen        Listen                                            `yaml:"listen"`
 	MaxLosses     int                                               `yaml:"losses"` // number of control instances that may fail at once
 	MemoryLimitMB int                                               `yaml:"memory"` // in MB; 0 for no limit
+	MaxFiles      int                                               `yaml:"files"`  // descriptors of the process; 0 for the limit of the system
 	Bounds        Bounds                                            `yaml:"bounds"`
 }
 
@@ -184,6 +188,12 @@
 			addf("seeds: %q is not an address with a port", a)
 		}
 	}
+	if s.MemoryLimitMB < 0 || s.MemoryLimitMB > 0 && s.MemoryLimitMB < minMemoryMB {
+		addf("memory is %d MB, allowed: %d or more, or 0 for no limit", s.MemoryLimitMB, minMemoryMB)
+	}
+	if s.MaxFiles < 0 || s.MaxFiles > 0 && s.MaxFiles < minFiles {
+		addf("files is %d, allowed: %d or more, or 0 for the limit of the system", s.MaxFiles, minFiles)
+	}
 	if s.Role == Control && s.DataDir == "" {
 		addf("data is empty")
 	}
@@ -193,6 +203,37 @@
 	return problems
 }
 
+// The smallest limits with which an instance works.
+const (
+	minMemoryMB = 16
+	minFiles    = 64
+)
+
+// memory returns the memory of the machine; 0 if it is not limited.
+func (s *Settings) memory() corianderwing.Bytes {
+	return corianderwing.Bytes(s.MemoryLimitMB) << 20
+}
+
+// maxFiles returns the number of descriptors that the process can have; 0 if unknown.
+func (s *Settings) maxFiles() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return s.MaxFiles
+	}
+	if s.MaxFiles > 0 {
+		return min(s.MaxFiles, int(limit.Cur))
+	}
+	return int(limit.Cur)
+}
+
+// classes returns the classes of work with a reserve.
+func (s *Settings) classes() []budget.Class {
+	if s.Role == Control {
+		return []budget.Class{budget.Control, budget.Lookups, budget.Status}
+	}
+	return []budget.Class{budget.Status}
+}
+
 // peerAddr returns the address of this instance's peer server. Control instances
 // always use the first port, so that the peer addresses of seeds are known.
 func (s *Settings) peerAddr() string {
--- a/io/node/settings_test.go
+++ b/io/node/settings_test.go
@@ -26,3 +26,16 @@
 		s.listenAddr(s.Listen.Public)
 	})
 }
+
+// Guards against limits with which an instance could serve nobody.
+func TestLimitsAreChecked(t *testing.T) {
+	const text = "role: entry\nip: 127.0.0.1\ndomain: d\nports: [1,2]\nseeds: [\"127.0.0.1:1\"]\nlisten: {public: \"127.0.0.1:3\"}\n"
+	for limit, ok := range map[string]bool{
+		"": true, "memory: 0": true, "memory: 16": true, "memory: 15": false, "memory: -1": false,
+		"files: 0": true, "files: 64": true, "files: 63": false, "files: -1": false,
+	} {
+		if _, err := Parse([]byte(text + limit)); (err == nil) != ok {
+			t.Errorf("%q: %v", limit, err)
+		}
+	}
+}
--- a/io/node/slow_test.go
+++ b/io/node/slow_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
+
+	"corianderwing/io/accept"
 )
 
 // pipes is a listener for connections in memory.
@@ -49,7 +51,7 @@
 				mux.HandleFunc("/read", func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
 				mux.HandleFunc("/long", func(w http.ResponseWriter, _ *http.Request) { w.Write(make([]byte, 1<<20)) })
 				l := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
-				s := newServer(l, mux, callTimeout, &log.Logger{Level: log.PanicLevel})
+				s := newServer(accept.Wrap(l), mux, callTimeout, &log.Logger{Level: log.PanicLevel})
 				closed := make(chan struct{})
 				s.ConnState = func(_ net.Conn, state http.ConnState) {
 					if state == http.StateClosed {
