Fit the budget to small machines, and charge heads until their requests end

- The pool and the limit of the Go runtime were parts of the whole memory, though the process takes about 24 MB before the first client, half of it not counted by the runtime.
Both are now derived from what is beyond these 24 MB. memory may not be below 32 MB.
- A connection cost 16 KiB in the books and about 21 KB in fact (1,200 slow ones: 49.8 MB, 23.7 MB idle).
- A head was released when its handler returned.
The server keeps it until the rest of an unread body has come or is given up, up to 30 s at the other doors: 400 heads of short fields took 54.8 MB on a path without a route and 50.0 MB at the readiness check.
They are now released when the connection is idle again.

TestHeadIsChargedUntilBodyEnds guards the last cause.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -35,7 +35,7 @@
 const (
 	// ConnCost is the memory of a connection and of a request with a short head and
 	// no body: the stacks of its goroutines and the buffers of the HTTP server.
-	ConnCost corianderwing.Bytes = 16 << 10
+	ConnCost corianderwing.Bytes = 24 << 10
 	// FieldCost is the memory of a header field besides its bytes.
 	FieldCost corianderwing.Bytes = 160
 	// DefaultMemory is assumed for a machine whose memory is not in the settings.
@@ -50,8 +50,16 @@
 	// in favor of another one. The slowest mobile links carry more.
 	MinProgress corianderwing.BytesPerSecond = 1 << 10
 
-	// poolFraction is the part of the machine's memory that connections may use. The
-	// rest is for the state, the runtime and garbage.
+	// baseMemory is the memory of a process without clients: its program and a small
+	// state.
+	baseMemory corianderwing.Bytes = 24 << 20
+	// MinMemory is the smallest memory with which a process can serve.
+	MinMemory = baseMemory + 8<<20
+	// runtimeFraction is the part of the memory beyond baseMemory at which the garbage
+	// collector works harder.
+	runtimeFraction = 0.75
+	// poolFraction is the part of the memory beyond baseMemory that connections may use.
+	// The rest is for a larger state and garbage.
 	poolFraction = 0.5
 	// heldFraction is the part of the pool that heads, bodies and responses may use.
 	// The rest is for further connections with short requests.
@@ -79,7 +87,8 @@
 	if memory <= 0 {
 		memory = DefaultMemory
 	}
-	l := Limits{Memory: corianderwing.Bytes(float64(memory) * poolFraction)}
+	memory = max(memory, MinMemory)
+	l := Limits{Memory: corianderwing.Bytes(float64(memory-baseMemory) * poolFraction)}
 	l.Held = corianderwing.Bytes(float64(l.Memory) * heldFraction)
 	l.Conns = corianderwing.Conns(l.Memory / ConnCost)
 	if files > 0 {
@@ -88,6 +97,13 @@
 	return l
 }
 
+// RuntimeLimit returns the memory limit of the Go runtime for a machine with the given
+// memory. The runtime does not count the program itself, which is part of baseMemory.
+func RuntimeLimit(memory corianderwing.Bytes) corianderwing.Bytes {
+	memory = max(memory, MinMemory)
+	return corianderwing.Bytes(float64(memory-baseMemory)*runtimeFraction) + baseMemory/2
+}
+
 // shares are the reserves of the classes as fractions of each limit.
 var shares = [NumClasses]float64{Control: 0.25, Lookups: 0.125, Status: 0.03125}
 
--- a/io/accept/charge.go
+++ b/io/accept/charge.go
@@ -43,7 +43,8 @@
 	return c == nil || c.charge(n)
 }
 
-// Handler charges requests to their connections until h has handled them.
+// Handler charges requests to their connections until their responses are written, for
+// which the server needs ConnState.
 func (g *Guard) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := fromContext(r.Context())
@@ -54,7 +55,6 @@
 		if !c.beginRequest(r) {
 			panic(http.ErrAbortHandler)
 		}
-		defer c.endRequest()
 		if c.account.Class() != budget.Callers { // their responses are bounded by the slots of the upstreams
 			w = &chargingWriter{w, c}
 		}
@@ -62,9 +62,11 @@
 	})
 }
 
-// ConnState is the http.Server.ConnState of a server with a guard.
+// ConnState is the http.Server.ConnState of a server with a guard. The server keeps a
+// request beyond its handler, until it has read or given up the rest of the body.
 func ConnState(nc net.Conn, s http.ConnState) {
 	if c, ok := nc.(*conn); ok && c.account != nil && s == http.StateIdle {
+		c.endRequest()
 		c.account.SetPhase(budget.Idle)
 	}
 }
--- a/io/accept/guard_test.go
+++ b/io/accept/guard_test.go
@@ -177,3 +177,21 @@
 		}
 	})
 }
+
+// Guards against memory that is in use but not charged: the server keeps the head of a
+// request until it gives up the rest of a body that the handler did not read.
+func TestHeadIsChargedUntilBodyEnds(t *testing.T) {
+	limits := budget.Limits{Memory: 1 << 20, Held: 600 << 10, Conns: 8}
+	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\nbegin"
+	h := func(http.ResponseWriter, *http.Request) {}
+	serveGuarded(t, limits, budget.Callers, h, func(is *is.I, g *Guard, l *pipes) {
+		c := l.dial()
+		go io.WriteString(c, head)
+		time.Sleep(time.Second)
+		is.True(g.Usage().Held >= 1000*budget.FieldCost-freeHead)
+		go io.WriteString(c, "s end")
+		readPath(t, bufio.NewReader(c))
+		synctest.Wait()
+		is.Equal(int(g.Usage().Held), 0)
+	})
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -82,7 +82,7 @@
 	n.guard = accept.NewGuard(budget.LimitsOf(cfg.memory(), cfg.maxFiles()), n.log, n.meter, cfg.classes()...)
 	n.log.Info().Str("role", cfg.Role).Str("domain", string(cfg.Domain)).Str("peer", cfg.peerAddr()).
 		Strs("seeds", cfg.Seeds).Bool("found", cfg.Bootstrap).Msg(logs.Started)
-	limitMemory(cfg.MemoryLimitMB)
+	limitMemory(cfg.memory())
 	start := n.startEntry
 	if cfg.Role == Control {
 		start = n.startControl
@@ -96,11 +96,11 @@
 	return n, nil
 }
 
-// limitMemory sets the memory limit of the Go runtime to 3/4 of a limit in MB, so
-// that the garbage collector runs more often before the limit is reached.
-func limitMemory(mb int) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 3 / 4)
+// limitMemory sets the memory limit of the Go runtime, so that the garbage collector
+// runs more often before the memory of the machine is used up.
+func limitMemory(memory corianderwing.Bytes) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(budget.RuntimeLimit(memory)))
 	}
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -205,7 +205,7 @@
 
 // The smallest limits with which an instance works.
 const (
-	minMemoryMB = 16
+	minMemoryMB = int(budget.MinMemory >> 20)
 	minFiles    = 64
 )
 
--- a/io/node/settings_test.go
+++ b/io/node/settings_test.go
@@ -31,7 +31,7 @@
 func TestLimitsAreChecked(t *testing.T) {
 	const text = "role: entry\nip: 127.0.0.1\ndomain: d\nports: [1,2]\nseeds: [\"127.0.0.1:1\"]\nlisten: {public: \"127.0.0.1:3\"}\n"
 	for limit, ok := range map[string]bool{
-		"": true, "memory: 0": true, "memory: 16": true, "memory: 15": false, "memory: -1": false,
+		"": true, "memory: 0": true, "memory: 32": true, "memory: 31": false, "memory: -1": false,
 		"files: 0": true, "files: 64": true, "files: 63": false, "files: -1": false,
 	} {
 		if _, err := Parse([]byte(text + limit)); (err == nil) != ok {
