--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -33,6 +33,7 @@
 	gauge("clients.conns", int64(u.Conns))
 	gauge("clients.memory", int64(u.Memory))
 	gauge("clients.held", int64(u.Held))
+	gauge("peers.closed", n.peerServer.NumClosed())
 	if n.plane != nil {
 		n.plane.Measure(gauge)
 	}
