--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -12,6 +12,7 @@
 	"corianderwing/core/items"
 	"corianderwing/core/model"
 	"corianderwing/core/place"
+	"corianderwing/io/accept"
 	"corianderwing/io/clock"
 	"corianderwing/io/follow"
 	"corianderwing/io/relay"
@@ -261,7 +262,7 @@
 		rc.SetReadDeadline(x.deadline.Add(time.Second))
 	}
 	var err *corianderwing.Error
-	if x.body, err = relay.ReadBody(x.r, int64(limits.Body), false); err != nil {
+	if x.body, err = relay.ReadBody(x.r, int64(limits.Body), false, x.reserve); err != nil {
 		return err
 	}
 	if x.body.Rest == nil && x.body != relay.NoBody {
@@ -271,3 +272,6 @@
 	}
 	return nil
 }
+
+// reserve reserves memory until the request ends.
+func (x *exchange) reserve(n corianderwing.Bytes) bool { return accept.Reserve(x.r.Context(), n) }
