Log a wall clock that differs from the estimated time

Cause: an operator cannot see that an instance counts by another time than its wall clock shows.

Change: entry and control instances write a line with the correction when their wall clock is found wrong or right again. A test covers a control instance whose clock is an hour behind.

--- a/core/usage/recorder.go
+++ b/core/usage/recorder.go
@@ -65,6 +65,14 @@
 	r.offset.Store(int64(wall.Correct(r.clock.Offset(), r.reference)))
 }
 
+// Correction returns the difference between the estimated wall-clock time and that of
+// the wall clock, or 0 if it is small.
+func (r *Recorder) Correction() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Correction(wall.Offset(r.offset.Load()))
+}
+
 // Configure sets the length of the windows, 0 for no counting, and compares the time
 // with that of a control instance. Counts in windows of another length are dropped.
 func (r *Recorder) Configure(length time.Duration, s Sample) {
--- a/core/usage/recorder_test.go
+++ b/core/usage/recorder_test.go
@@ -27,6 +27,7 @@
 	check(false) // a thawed instance: the sample is old
 	r.Configure(length, Sample{truth, boot.Add(-10 * time.Millisecond), boot.Add(10 * time.Millisecond)})
 	check(true)
+	is.True(r.Correction().Round(time.Minute) == time.Hour)
 	pass(8 * time.Second)
 	is.Equal(r.Observe(truth.Add(time.Minute), boot), truth.Add(-time.Hour)) // without the jump, uncorrected
 	check(true)
--- a/core/wall/wall.go
+++ b/core/wall/wall.go
@@ -41,11 +41,13 @@
 	known    bool
 	jumped   Offset    // offset after a jump that is ignored so far
 	jumpedAt time.Time // on the boot clock; zero if there is none
+	latest   Offset    // as observed, with jumps
 }
 
 // Observe records the time on the instance's wall clock and boot clock.
 func (c *Clock) Observe(wall, boot time.Time) {
 	now := OffsetOf(wall, boot)
+	c.latest = now
 	switch {
 	case !c.known:
 		c.offset, c.known = now, true
@@ -63,6 +65,15 @@
 // Offset returns the offset of the clock without jumps.
 func (c *Clock) Offset() Offset { return c.offset }
 
+// Correction returns the difference between an estimated offset and that of the
+// latest observation, or 0 if it is small: what the clock is wrong by.
+func (c *Clock) Correction(estimate Offset) time.Duration {
+	if near(estimate, c.latest, tolerance) {
+		return 0
+	}
+	return time.Duration(estimate - c.latest)
+}
+
 // Correct returns the instance's own offset, or the reference if the two differ too
 // much.
 func Correct(own, reference Offset) Offset {
--- a/core/wall/wall_test.go
+++ b/core/wall/wall_test.go
@@ -30,8 +30,10 @@
 		now := observe(&c, 0, 10*time.Second, 0)
 		now = observe(&c, now, 30*time.Second, jump)
 		is.Equal(c.Offset().At(boot.Add(now)), start.Add(now))
+		is.Equal(c.Correction(c.Offset()), -jump)
 		now = observe(&c, now, 10*time.Second, 0)
 		is.Equal(c.Offset().At(boot.Add(now)), start.Add(now))
+		is.Equal(c.Correction(c.Offset()), time.Duration(0))
 	}
 }
 
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -90,6 +90,8 @@
 	leaderMissing atomic.Bool
 	// sharesMissing is whether the last reply held none of the shares asked for.
 	sharesMissing atomic.Bool
+	// clockWrong is whether the wall clock differs from the estimated time.
+	clockWrong    atomic.Bool
 	stateReceived chan struct{} // buffered (1); signals the first state
 
 	applying sync.Mutex // held while an update is applied: by the watch, or from another entry instance
--- a/io/follow/usage.go
+++ b/io/follow/usage.go
@@ -28,6 +28,10 @@
 		Sent:     sent,
 		Received: f.cfg.Now(),
 	})
+	c := f.cfg.Usage.Correction()
+	if wrong := f.cfg.Usage.Enabled() && c != 0; f.clockWrong.Swap(wrong) != wrong {
+		f.cfg.Log.Warn().Str("control", addr).Bool("wrong", wrong).Int64("correction_ms", c.Milliseconds()).Msg("wall clock wrong or right again")
+	}
 }
 
 // ReportUsage sends a heartbeat if there are counted requests that the followed control
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -110,7 +110,7 @@
 		waiting:        map[place.ID]waitingRequest{},
 		incarnation:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
-	p.usage.init(cfg.UsageWindow, p.incarnation)
+	p.usage.init(cfg.UsageWindow, p.incarnation, cfg.Log)
 	p.quotaAllocator.SetReserve(reserveHolder)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.allocators = newAllocators(p.ctx, cfg.Quorum.Domain, cfg.RegionOf)
--- a/io/plane/usage.go
+++ b/io/plane/usage.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"corianderwing"
 	"corianderwing/core/usage"
 	"corianderwing/core/wall"
@@ -18,6 +20,7 @@
 // which their windows refer. The zero value counts nothing.
 type usageState struct {
 	window      time.Duration // length; 0 if nothing is counted
+	log         *log.Logger
 	incarnation corianderwing.Incarnation
 	ledger      *usage.Ledger
 
@@ -26,11 +29,12 @@
 	votes     wall.Votes
 	sender    *usage.Sender // to the leader
 	forwarded time.Time     // boot time of the last report with usage
+	wrong     bool          // the wall clock differs from the estimated time
 }
 
 // init prepares the state for windows of the given length.
-func (u *usageState) init(window time.Duration, i corianderwing.Incarnation) {
-	u.window, u.incarnation = window, i
+func (u *usageState) init(window time.Duration, i corianderwing.Incarnation, l *log.Logger) {
+	u.window, u.incarnation, u.log = window, i, l
 	u.ledger = usage.NewLedger()
 	u.sender = usage.NewSender(u.ledger)
 }
@@ -48,7 +52,13 @@
 	defer u.mu.Unlock()
 	u.clock.Observe(now.Round(0), boot)
 	own := u.clock.Offset()
-	return wall.Correct(own, u.votes.Median(own, boot)).At(boot)
+	estimate := wall.Correct(own, u.votes.Median(own, boot))
+	c := u.clock.Correction(estimate)
+	if wrong := c != 0; u.log != nil && wrong != u.wrong {
+		u.wrong = wrong
+		u.log.Warn().Bool("wrong", wrong).Int64("correction_ms", c.Milliseconds()).Msg("wall clock wrong or right again")
+	}
+	return estimate.At(boot)
 }
 
 // handleHeartbeat merges the usage in a heartbeat and adds to the response what the
--- a/io/plane/usage_test.go
+++ b/io/plane/usage_test.go
@@ -5,16 +5,51 @@
 	"compress/gzip"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
 
 	"corianderwing"
 	"corianderwing/core/quota"
 	"corianderwing/core/usage"
 )
 
+// Guards against a control instance whose wall clock is wrong, that leads entry
+// instances astray and ignores their counts.
+func TestWrongClockOfControlInstance(t *testing.T) {
+	is := is.New(t)
+	var lines bytes.Buffer
+	const window = 5 * time.Second
+	var u usageState
+	u.init(window, 7, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &lines}})
+	boot, truth := time.Unix(5000, 0), time.Unix(1_800_000_000, 0)
+	current := usage.At(truth, window)
+	heartbeat := func(i int) (*HeartbeatResponse, int) {
+		r := &HeartbeatResponse{}
+		ignored := u.handleHeartbeat(&HeartbeatRequest{
+			Entry: corianderwing.Instance{ID: corianderwing.InstanceID(fmt.Sprint("e-", i)), Incarnation: 1},
+			Wall:  truth.UnixMicro(),
+			Usage: []usage.WindowCounts{{Window: current, Counts: []usage.Count{{Workspace: "w", Sent: 1}}}},
+		}, r, truth.Add(-time.Hour), boot)
+		return r, ignored
+	}
+	r, ignored := heartbeat(1)
+	is.Equal(ignored, 1) // two clocks do not tell which of them is wrong
+	is.Equal(r.Wall, truth.Add(-time.Hour).UnixMicro())
+	for i := range 3 {
+		r, ignored = heartbeat(i)
+	}
+	is.Equal(ignored, 0)
+	is.Equal(r.Wall, truth.UnixMicro())
+	is.Equal(r.UsageWindow, corianderwing.Millis(5000))
+	is.Equal(u.ledger.Totals(current), map[corianderwing.WorkspaceID]uint64{"w": 3})
+	is.True(strings.Contains(lines.String(), `"correction_ms":3600000`))
+}
+
 // sentSize returns the size of a message as it is sent: compressed CBOR.
 func sentSize(b *testing.B, v any) int {
 	b.Helper()
