--- a/io/plane/usage_test.go
+++ b/io/plane/usage_test.go
@@ -64,68 +64,103 @@
 	return out.Len()
 }
 
+const (
+	sizeWindow     = 5 * time.Second
+	sizeWorkspaces = 87
+	sizeControls   = 6
+	sizeRate       = 23 // requests per second at each entry instance
+)
+
+// usageSizes plays the entry instances of one of several control instances, and adds up
+// the bytes that usage adds to their messages.
+type usageSizes struct {
+	b         *testing.B
+	rand      *rand.Rand
+	workspace *rand.Zipf // a few workspaces are large
+	demands   []quota.Demand
+	recorders []usage.Recorder
+	ledger    *usage.Ledger
+	sender    *usage.Sender
+
+	heartbeats, heartbeatBytes, reports, reportBytes int
+}
+
+var sizeStart, sizeBoot = time.Unix(1_800_000_000, 0), time.Unix(5000, 0)
+
+func newUsageSizes(b *testing.B, instances int) *usageSizes {
+	r := rand.New(rand.NewPCG(1, 1))
+	s := &usageSizes{
+		b: b, rand: r, workspace: rand.NewZipf(r, 1.3, 3, sizeWorkspaces-1),
+		recorders: make([]usage.Recorder, (instances+sizeControls-1)/sizeControls),
+		ledger:    usage.NewLedger(),
+	}
+	s.sender = usage.NewSender(s.ledger)
+	for i := range s.recorders {
+		s.recorders[i].Observe(sizeStart, sizeBoot)
+		s.recorders[i].Configure(sizeWindow, usage.Sample{Wall: sizeStart, Sent: sizeBoot, Received: sizeBoot})
+	}
+	for i := range sizeWorkspaces {
+		s.demands = append(s.demands, quota.Demand{Workspace: corianderwing.WorkspaceID(fmt.Sprintf("sese%03d", i)), Rate: r.Float64() * 9, Used: r.IntN(9)})
+	}
+	return s
+}
+
+// serve counts the requests of 200 ms at an entry instance.
+func (s *usageSizes) serve(i int, boot time.Time) {
+	for range sizeRate {
+		if s.rand.IntN(5) == 0 {
+			s.recorders[i].Sent(s.demands[s.workspace.Uint64()].Workspace, boot)
+		}
+	}
+}
+
+// heartbeat sends a heartbeat of an entry instance.
+func (s *usageSizes) heartbeat(i int, boot time.Time) {
+	q := HeartbeatRequest{Demands: s.demands, Entry: corianderwing.Instance{
+		ID: corianderwing.InstanceID(fmt.Sprintf("front-cnx-a-%d", i)), PublicAddr: "10.0.0.1:7000",
+	}}
+	without := sentSize(s.b, q)
+	q.Wall, q.Usage = boot.UnixMicro(), s.recorders[i].Report("control")
+	s.heartbeats++
+	s.heartbeatBytes += sentSize(s.b, q) - without
+	source := usage.Source{Instance: q.Entry.ID, Incarnation: 1_800_000_000_000}
+	s.ledger.Merge(usage.Report{Source: source, Windows: q.Usage}, usage.At(sizeStart.Add(boot.Sub(sizeBoot)), sizeWindow))
+	s.recorders[i].Acknowledge(usage.Receiver{Addr: "control", Incarnation: 1}, q.Usage)
+}
+
+// report sends a report to the leader.
+func (s *usageSizes) report() {
+	q := reportRequest{Demands: s.demands}
+	without := sentSize(s.b, q)
+	q.Usage = s.sender.Next("leader")
+	s.sender.Acknowledge(usage.Receiver{Addr: "leader", Incarnation: 1})
+	s.reports++
+	s.reportBytes += sentSize(s.b, q) - without
+}
+
 // BenchmarkUsageBytes measures what usage adds to the messages of entry and control
-// instances: 6 control instances, 87 workspaces of which a few are large, and 23
-// requests per second at each entry instance.
+// instances: 6 control instances, 87 workspaces, and 23 requests per second at each
+// entry instance.
 func BenchmarkUsageBytes(b *testing.B) {
-	const (
-		workspaces, controls = 87, 6
-		window               = 5 * time.Second
-		rate                 = 23
-	)
 	for _, instances := range []int{22, 44, 88, 176} {
 		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
-			r := rand.New(rand.NewPCG(1, 1))
-			zipf := rand.NewZipf(r, 1.3, 3, workspaces-1)
-			start := time.Unix(1_800_000_000, 0)
-			boot := time.Unix(5000, 0)
-			recorders := make([]usage.Recorder, (instances+controls-1)/controls)
-			for i := range recorders {
-				recorders[i].Observe(start, boot)
-				recorders[i].Configure(window, usage.Sample{Wall: start, Sent: boot, Received: boot})
-			}
-			var demands []quota.Demand
-			for i := range workspaces {
-				demands = append(demands, quota.Demand{Workspace: corianderwing.WorkspaceID(fmt.Sprintf("sese%03d", i)), Rate: r.Float64() * 9, Used: r.IntN(9)})
-			}
-			ledger := usage.NewLedger()
-			sender := usage.NewSender(ledger)
-			heartbeats, heartbeatBytes, reports, reportBytes := 0, 0, 0, 0
-			const step = 200 * time.Millisecond
+			s := newUsageSizes(b, instances)
 			for n := 0; b.Loop(); n++ {
-				now := boot.Add(time.Duration(n) * step)
-				for i := range recorders {
-					for range rate {
-						if r.IntN(int(time.Second/step)) == 0 {
-							recorders[i].Sent(demands[zipf.Uint64()].Workspace, now)
-						}
-					}
+				boot := sizeBoot.Add(time.Duration(n) * 200 * time.Millisecond)
+				for i := range s.recorders {
+					s.serve(i, boot)
 					if n%2 == 1 {
-						q := HeartbeatRequest{Entry: corianderwing.Instance{ID: corianderwing.InstanceID(fmt.Sprintf("front-cnx-a-%d", i)), PublicAddr: "10.0.0.1:7000"}, Demands: demands}
-						without := sentSize(b, q)
-						q.Wall, q.Usage = now.UnixMicro(), recorders[i].Report("control")
-						heartbeats++
-						heartbeatBytes += sentSize(b, q) - without
-						source := usage.Source{Instance: q.Entry.ID, Incarnation: 1_800_000_000_000}
-						ledger.Merge(usage.Report{Source: source, Windows: q.Usage}, usage.At(start.Add(now.Sub(boot)), window))
-						recorders[i].Acknowledge(usage.Receiver{Addr: "control", Incarnation: 1}, q.Usage)
+						s.heartbeat(i, boot)
 					}
 				}
 				if n%5 == 4 {
-					q := reportRequest{Demands: demands}
-					without := sentSize(b, q)
-					q.Usage = sender.Next("leader")
-					sender.Acknowledge(usage.Receiver{Addr: "leader", Incarnation: 1})
-					reports++
-					reportBytes += sentSize(b, q) - without
+					s.report()
 				}
 			}
-			full := sentSize(b, HeartbeatRequest{Usage: recorders[0].Report("another")})
-			everything := sentSize(b, reportRequest{Usage: sender.Next("another")})
-			b.ReportMetric(float64(heartbeatBytes)/float64(heartbeats), "B/heartbeat")
-			b.ReportMetric(float64(reportBytes)/float64(reports), "B/report")
-			b.ReportMetric(float64(full), "B/full-heartbeat")
-			b.ReportMetric(float64(everything), "B/full-report")
+			b.ReportMetric(float64(s.heartbeatBytes)/float64(s.heartbeats), "B/heartbeat")
+			b.ReportMetric(float64(s.reportBytes)/float64(s.reports), "B/report")
+			b.ReportMetric(float64(sentSize(b, HeartbeatRequest{Usage: s.recorders[0].Report("another")})), "B/full-heartbeat")
+			b.ReportMetric(float64(sentSize(b, reportRequest{Usage: s.sender.Next("another")})), "B/full-report")
 		})
 	}
 }
