Keep duties in the replicated state, beside the view

Entry instances follow each revision of the view and do not need duties, so a change of a duty makes no revision and no update.

go test ./core/model ./core/duty: ok.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -7,6 +7,7 @@
 
 	"corianderwing"
 	"corianderwing/core/crash"
+	"corianderwing/core/duty"
 )
 
 // Announcement is an announced upstream in a command. WarmupRemaining is a duration,
@@ -31,6 +32,7 @@
 // Command is one change to the replicated state. Exactly one of its fields is
 // set, except for Announce, Remove and Expire, which a control instance batches
 // into one command, and for Suspect, which NewSuspectCommand combines with Expire.
+// Duty changes the duties of a Machine, and not the view.
 type Command struct {
 	Edit     *corianderwing.Edit `json:"edit,omitempty"`
 	Announce []Announcement      `json:"announce,omitempty"`
@@ -40,6 +42,7 @@
 	Evacuate *Evacuation         `json:"evacuate,omitempty"`
 	Move     *corianderwing.Move `json:"move,omitempty"`    // starts a move
 	EndMove  *corianderwing.Move `json:"endmove,omitempty"` // records its outcome
+	Duty     *duty.Change        `json:"duty,omitempty"`
 }
 
 // NewSuspectCommand returns a command with observations of requests that crash
--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/duty"
 )
 
 // maxUpdates is the number of recent changes that a Machine keeps for its
@@ -54,6 +55,7 @@
 // past the end of this slice.
 type published struct {
 	view     *View
+	duties   duty.Table // not part of the view, which entry instances follow
 	index    corianderwing.Index
 	updates  []Update
 	replaced chan struct{} // closed when the next state replaces this one
@@ -71,6 +73,9 @@
 // View returns the current view.
 func (m *Machine) View() *View { return m.current.Load().view }
 
+// Duty returns the state of a duty.
+func (m *Machine) Duty(n duty.Name) duty.State { return m.current.Load().duties.State(n) }
+
 // Applied returns the index of the last command that the view includes.
 func (m *Machine) Applied() corianderwing.Index { return m.current.Load().index }
 
@@ -137,9 +142,13 @@
 		return encodeResult(Result{Revision: p.view.revision})
 	}
 	m.applied = i
-	next, err := p.view, error(nil)
+	next, duties := p.view, p.duties
 	c, err := Decode(data)
-	if err == nil {
+	switch {
+	case err != nil:
+	case c.Duty != nil:
+		duties, err = p.duties.Apply(c.Duty)
+	default:
 		next, err = p.view.Apply(c, m.now())
 	}
 	updates := p.updates
@@ -149,15 +158,16 @@
 			updates = updates[extra:]
 		}
 	}
-	m.current.Store(&published{view: next, index: i, updates: updates, replaced: make(chan struct{})})
+	m.current.Store(&published{view: next, duties: duties, index: i, updates: updates, replaced: make(chan struct{})})
 	close(p.replaced)
 	return encodeResult(Result{Revision: next.revision, Error: asError(err)})
 }
 
 // machineSnapshot is the encoded form of a Machine.
 type machineSnapshot struct {
-	Index corianderwing.Index `json:"index"`
-	View  []byte              `json:"view"`
+	Index  corianderwing.Index      `json:"index"`
+	View   []byte                   `json:"view"`
+	Duties map[duty.Name]duty.State `json:"duties,omitempty"`
 }
 
 // Save implements corianderwing.StateMachine.
@@ -167,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encMode.Marshal(machineSnapshot{Index: p.index, View: view})
+	return encMode.Marshal(machineSnapshot{Index: p.index, View: view, Duties: p.duties.Save()})
 }
 
 // Restore implements corianderwing.StateMachine. It ignores a snapshot that is not
@@ -188,7 +198,7 @@
 	}
 	m.applied = r.Index
 	p := m.current.Load()
-	m.current.Store(&published{view: view, index: r.Index, replaced: make(chan struct{})})
+	m.current.Store(&published{view: view, duties: duty.Load(r.Duties), index: r.Index, replaced: make(chan struct{})})
 	close(p.replaced)
 	return nil
 }
