--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -41,6 +41,9 @@
 // State returns the last state that the process has seen.
 func (m Member) State() State { return m.state }
 
+// Self returns the process itself.
+func (m Member) Self() Holder { return m.self }
+
 // Holds reports whether the last state that the process has seen names it as the
 // holder. Its lease may have ended.
 func (m Member) Holds() bool { return m.state.Holder == m.self && m.state.Seq > 0 }
--- a/core/outbox/sender.go
+++ b/core/outbox/sender.go
@@ -16,7 +16,7 @@
 	arrivalMargin = 200 * time.Millisecond
 	// collectTime is how long a new leader waits before it records counts: the other
 	// control instances have to report all counts to it first.
-	collectTime = 1500 * time.Millisecond
+	collectTime = 2 * time.Second
 )
 
 // Input is what a process knows at one moment.
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -38,8 +38,22 @@
 	MaxLosses     int                                               `yaml:"losses"` // number of control instances that may fail at once
 	MemoryLimitMB int                                               `yaml:"memory"` // in MB; 0 for no limit
 	Bounds        Bounds                                            `yaml:"bounds"`
+	Usage         Usage                                             `yaml:"usage"`
 }
 
+// Usage holds the settings for reports of the requests that upstreams ran for each
+// workspace. Nothing is counted or reported without a receiver.
+type Usage struct {
+	Receiver  string   `yaml:"to"`     // address of the receiver
+	Window    Duration `yaml:"window"` // length of the windows of wall-clock time that are reported
+	Late      Duration `yaml:"late"`   // time after the end of a window when its report is late
+	Lease     Duration `yaml:"lease"`  // lease of the duty to report
+	PerSecond float64  `yaml:"rate"`   // calls that the receiver accepts each second; 0 for no limit
+}
+
+// Enabled reports whether usage is counted and reported.
+func (u *Usage) Enabled() bool { return u.Receiver != "" && u.Window > 0 }
+
 // Listen holds the listen addresses of an instance.
 type Listen struct {
 	Public  string `yaml:"public"`  // callers
@@ -124,8 +138,13 @@
 	defaultGracePeriod       = Duration(6 * time.Second)
 	defaultRateWindow        = Duration(time.Second)
 	defaultRetryRatio        = 0.2
+	defaultUsageLate         = Duration(10 * time.Second)
+	defaultUsageLease        = Duration(3 * time.Second)
 )
 
+// minUsageLease is the shortest lease in which a report can be sent.
+const minUsageLease = Duration(time.Second)
+
 func (s *Settings) applyDefaults() {
 	for _, f := range []struct {
 		field *Duration
@@ -137,6 +156,8 @@
 		{&s.Bounds.MaxRevokeDelay, defaultMaxRevokeDelay},
 		{&s.Bounds.GracePeriod, defaultGracePeriod},
 		{&s.Bounds.RateWindow, defaultRateWindow},
+		{&s.Usage.Late, defaultUsageLate},
+		{&s.Usage.Lease, defaultUsageLease},
 	} {
 		if *f.field <= 0 {
 			*f.field = f.def
@@ -184,6 +205,12 @@
 			addf("seeds: %q is not an address with a port", a)
 		}
 	}
+	if s.Usage.Lease < minUsageLease {
+		addf("usage.lease is %v, allowed: at least %v", time.Duration(s.Usage.Lease), time.Duration(minUsageLease))
+	}
+	if s.Usage.PerSecond < 0 {
+		addf("usage.rate is %v, allowed: 0 or more", s.Usage.PerSecond)
+	}
 	if s.Role == Control && s.DataDir == "" {
 		addf("data is empty")
 	}
--- a/io/node/settings_test.go
+++ b/io/node/settings_test.go
@@ -1,7 +1,11 @@
 package node
 
 import (
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"corianderwing"
 )
@@ -26,3 +30,20 @@
 		s.listenAddr(s.Listen.Public)
 	})
 }
+
+// Guards against reports where the settings name no receiver, and against a lease in
+// which nothing can be sent.
+func TestUsageSettings(t *testing.T) {
+	is := is.New(t)
+	base := "name: a\nrole: control\nip: 10.0.0.1\ndomain: d\nports: [7600,7615]\nseeds: [\"10.0.0.1:1\"]\ndata: d\n"
+	s, err := Parse([]byte(base))
+	is.NoErr(err)
+	is.True(!s.Usage.Enabled())
+	s, err = Parse([]byte(base + "usage:\n  to: \"10.0.0.9:80\"\n  window: 5s\n  rate: 50.0\n"))
+	is.NoErr(err)
+	is.True(s.Usage.Enabled())
+	is.Equal(s.Usage, Usage{"10.0.0.9:80", Duration(5 * time.Second), defaultUsageLate, defaultUsageLease, 50})
+	_, err = Parse([]byte(base + "usage:\n  lease: 200ms\n  rate: -1\n"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "usage.lease is 200ms, allowed: at least 1s; usage.rate is -1"))
+}
