--- a/core/usage/tally.go
+++ b/core/usage/tally.go
@@ -137,6 +137,23 @@
 		t.receiver = Receiver{Addr: addr}
 		t.acks++
 	}
+	return t.unacknowledged()
+}
+
+// pending returns the number of counts that the last receiver has not acknowledged.
+func (t *Tally) pending() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, w := range t.unacknowledged() {
+		n += len(w.Counts)
+	}
+	return n
+}
+
+// unacknowledged returns the counts that the receiver has not acknowledged. The
+// caller must hold t.mu.
+func (t *Tally) unacknowledged() []WindowCounts {
 	list := t.pages.Load()
 	if list == nil {
 		return nil
@@ -201,3 +218,10 @@
 	c.ackedSent = max(c.ackedSent, n.Sent)
 	c.ackedRefused = max(c.ackedRefused, n.Refused)
 }
+
+// clear drops all counts.
+func (t *Tally) clear() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pages.Store(nil)
+}
