--- a/io/node/node.go
+++ b/io/node/node.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -25,13 +24,14 @@
 	"corianderwing/io/meter"
 	"corianderwing/io/peer"
 	"corianderwing/io/plane"
-	"corianderwing/io/quorum"
+	"corianderwing/io/report"
 )
 
 // Adapter implements the protocols of a deployment's callers, upstreams and
 // operators.
 type Adapter interface {
 	corianderwing.Dialect
+	corianderwing.UsageDialect
 	// Admin returns the handler for upstreams and operators.
 	Admin(s corianderwing.ControlPlane, l *log.Logger) http.Handler
 	// Lookup returns the handler for callers that look up entry instances.
@@ -55,6 +55,7 @@
 	servers []*server
 
 	plane        *plane.Plane
+	reporter     *report.Reporter // nil if usage is not reported
 	follow       *follow.Follower
 	gate         atomic.Pointer[gate.Server]
 	publicServer *server
@@ -102,57 +103,6 @@
 	}
 }
 
-func (n *Node) startControl() error {
-	cfg := n.cfg
-	var err error
-	n.plane, err = plane.Open(plane.Config{
-		Quorum: quorum.Config{
-			PeerAddr:  cfg.peerAddr(),
-			Domain:    cfg.Domain,
-			Region:    cfg.Region,
-			DataDir:   filepath.Join(cfg.DataDir, "site"),
-			Seeds:     cfg.seedPeerAddrs(),
-			Bootstrap: cfg.Bootstrap,
-			NumVoters: 2*max(1, cfg.MaxLosses) + 1,
-			Log:       n.log,
-			OnViolation: func(invariant, _ string) {
-				n.meter.RecordViolation(invariant) // io/group logs the detail
-			},
-		},
-		RegionOf:          cfg.regionOf,
-		HeartbeatInterval: time.Duration(cfg.HeartbeatInterval),
-		LookupTTL:         min(time.Duration(cfg.Bounds.LookupTTL), maxLookupTTL),
-		RateTolerance: plane.RateTolerance{
-			Window:   time.Duration(cfg.Bounds.RateWindow),
-			Fraction: cfg.Bounds.ToleranceFraction,
-			Requests: cfg.Bounds.ToleranceRequests,
-		},
-		Log: n.log,
-	}, n.peerClient, n.peerServer)
-	if err != nil {
-		return eris.Wrap(err, "start control role")
-	}
-	if err := n.servePeers(cfg.peerAddr()); err != nil {
-		return err
-	}
-	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), callTimeout); err != nil {
-			return err
-		}
-	}
-	if cfg.Listen.Lookup != "" {
-		if _, err := n.serve(cfg.Listen.Lookup, n.adapter.Lookup(n.plane), callTimeout); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// maxLookupTTL is the maximum time for which callers may cache a lookup. It bounds
-// how long they keep sending to a stopping instance. Each lookup costs a control
-// instance about 0.2 ms.
-const maxLookupTTL = 2 * time.Second
-
 func (n *Node) startEntry() error {
 	cfg := n.cfg
 	self := corianderwing.Instance{
@@ -234,8 +184,9 @@
 	}
 }
 
-// Reload applies the settings that may change at run time: the seeds and the log
-// level. If the settings could not be read, it logs err and changes nothing.
+// Reload applies the settings that may change at run time: the seeds, the log level
+// and the receiver of usage reports. If the settings could not be read, it logs err and
+// changes nothing.
 func (n *Node) Reload(cfg *Settings, err error) {
 	if err != nil {
 		n.log.Error().Err(err).Msg("failed to reload settings")
@@ -248,6 +199,9 @@
 	if n.plane != nil {
 		n.plane.SetSeeds(cfg.seedPeerAddrs())
 	}
+	if n.reporter != nil && cfg.Usage.Enabled() {
+		n.reporter.SetAddr(cfg.Usage.Receiver)
+	}
 	n.log.Info().Strs("seeds", cfg.Seeds).Msg("settings reloaded")
 }
 
@@ -266,6 +220,9 @@
 	if g := n.gate.Load(); g != nil {
 		all = append(all, n.closeEntry(ctx, g))
 	}
+	if n.reporter != nil {
+		n.reporter.Close()
+	}
 	if n.plane != nil {
 		n.finishCalls(ctx)
 		all = append(all, n.plane.Close(ctx))
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -54,6 +54,14 @@
 // Enabled reports whether usage is counted and reported.
 func (u *Usage) Enabled() bool { return u.Receiver != "" && u.Window > 0 }
 
+// window returns the length of the windows in which usage is counted, or 0.
+func (u *Usage) window() time.Duration {
+	if !u.Enabled() {
+		return 0
+	}
+	return time.Duration(u.Window)
+}
+
 // Listen holds the listen addresses of an instance.
 type Listen struct {
 	Public  string `yaml:"public"`  // callers
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -18,6 +18,7 @@
 // slowAdapter is an Adapter whose Admin calls wait, and then need the group.
 type slowAdapter struct {
 	corianderwing.Dialect
+	corianderwing.UsageDialect
 	started chan struct{} // receives a value when a call of /slow has begun
 	release chan struct{} // ends its wait when closed
 }
