--- a/core/outbox/outbox_test.go
+++ b/core/outbox/outbox_test.go
@@ -217,3 +217,25 @@
 	is.NoErr(err)
 	is.Equal(back, b)
 }
+
+// BenchmarkEncode measures the bytes that one change of the duty adds to the log.
+func BenchmarkEncode(b *testing.B) {
+	for _, size := range []struct{ workspaces, pending int }{{87, 1}, {87, MaxPending}, {3000, 1}, {3000, MaxPending}} {
+		b.Run(fmt.Sprintf("workspaces=%d/pending=%d", size.workspaces, size.pending), func(b *testing.B) {
+			var box Box
+			for w := range size.pending {
+				c := counts{}
+				for i := range size.workspaces {
+					c[corianderwing.WorkspaceID(fmt.Sprintf("name%04d", i))] = uint64(300 + i)
+				}
+				box.Pending = append(box.Pending, Report{usage.Window(356022982 + w), c})
+			}
+			n := 0
+			for range b.N {
+				data, _ := box.Encode()
+				n = len(data)
+			}
+			b.ReportMetric(float64(n), "bytes")
+		})
+	}
+}
