Measure requests on guarded connections

BenchmarkRequest served on a plain listener, so neither the read-ahead nor the budget was in its figure. It now uses both, as an instance does.

--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -14,9 +14,12 @@
 	"github.com/phuslu/log"
 
 	"corianderwing"
+	"corianderwing/core/budget"
 	"corianderwing/core/place"
+	"corianderwing/io/accept"
 	"corianderwing/io/follow"
 	"corianderwing/io/logs"
+	"corianderwing/io/meter"
 	"corianderwing/io/soak"
 	"corianderwing/platform"
 )
@@ -52,7 +55,12 @@
 			s := newTestServer(newGrantingControl(b, upstream.Listener.Addr().String()), &log.Logger{Level: level, Writer: lines})
 			defer s.Close()
 			s.NotifyChange()
-			entry := httptest.NewServer(s)
+			guard := accept.NewGuard(budget.LimitsOf(0, 0), quiet, meter.New(), budget.Status)
+			defer guard.Close()
+			entry := httptest.NewUnstartedServer(guard.Handler(s))
+			entry.Listener = guard.Wrap(entry.Listener, budget.Callers)
+			entry.Config.ConnContext, entry.Config.ConnState = accept.ConnContext, accept.ConnState
+			entry.Start()
 			defer entry.Close()
 			call := func(i int) {
 				r, err := client.Request(b.Context(), entry.Listener.Addr().String(), soak.Query{
