Divide scarce slots between workspaces by their agreed rates

What callers saw: the queue for slots ordered by rank, earlier rejection and goal, and knew no workspace. With more requests than slots, a workspace at eight times its rate took the slots of the small ones in proportion to what it sent.

Ruled out: a queue for each workspace served in turn (its order would not follow the goals, and a slot suits only requests whose object its upstream caches); slots reserved for each workspace (they idle while others wait).

Change: the request for a slot names the workspace (io/gate, io/plane). While requests wait, core/place divides the slots used lately between the workspaces that used them, by their agreed rates. Requests of a workspace over its share come after those of the same rank that are not, and get what these leave. Workspaces without an agreed rate, and requests of older instances, are queued as before. Gauges D.P.over and D.P.pace, the same figures in the log line of the loans.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -33,8 +33,9 @@
 	ID                 ID
 	Object             uint64 // hash of the affinity key; 0 for none
 	Class              corianderwing.RouteID
-	Rank               int  // 0 is the most urgent
-	Retried            bool // the caller was rejected before
+	Workspace          corianderwing.WorkspaceID // empty if the request has no key
+	Rank               int                       // 0 is the most urgent
+	Retried            bool                      // the caller was rejected before
 	Goal               time.Time
 	Deadline           time.Time
 	HomeRegions        []corianderwing.RegionID // regions that may run the request; empty for all
@@ -42,6 +43,7 @@
 	CurrentVersionOnly bool // never run on the new version during a version move
 	NoForward          bool // never forward to another failure domain
 	RequireGoal        bool // reject unless the goal can be met here
+	overShare          bool // the workspace has used more than its share of the slots
 }
 
 // mayRunIn reports whether a region may run the request. A failure domain that is not
@@ -133,6 +135,9 @@
 	Version     corianderwing.VersionID
 	NextVersion corianderwing.VersionID // target of the current move; empty without a move
 	NextShare   float64                 // fraction of the requests that NextVersion gets
+	// Weight returns the weight with which a workspace shares scarce slots, or 0 if
+	// its requests are not limited to a share. If nil, slots are not divided.
+	Weight func(corianderwing.WorkspaceID) float64
 }
 
 // Pool schedules the requests of one failure domain on the upstreams of one
@@ -153,6 +158,7 @@
 	work          decayingRate                             // the same by measured latencies only, for waits
 	arrivals      decayingRate                             // requests per second
 	pace          paceMemory
+	shares        workspaceShares
 	cacheDepths   *cacheDepths
 	cacheSize     float64                               // estimated number of objects that an upstream caches
 	domainSlots   map[corianderwing.DomainID]float64    // slots of the usable upstreams
@@ -186,6 +192,7 @@
 		active:        map[ID]*activeGrant{},
 		latencies:     map[corianderwing.RouteID]*classLatency{},
 		rtts:          map[corianderwing.DomainID]time.Duration{},
+		shares:        workspaceShares{used: map[corianderwing.WorkspaceID]*workspaceUse{}},
 		cacheDepths:   newCacheDepths(),
 		cacheSize:     initialCacheSize,
 		classStats:    map[corianderwing.RouteID]*classStats{},
@@ -264,6 +271,7 @@
 		p.demand.add(w.demand(&r, now), now)
 		p.work.add(max(w.mean, w.expected(true)), now)
 	}
+	r.overShare = len(p.queue) > 0 && p.exceedsShare(r.Workspace, now)
 	p.schedule(&r, now)
 	return p.effects
 }
@@ -302,6 +310,7 @@
 			h.server.inFlight--
 		}
 	}
+	p.reorder(now)
 	p.dispatch(now)
 	p.expire(now)
 	return p.effects
@@ -322,6 +331,8 @@
 	// Its demand is then a guess, and the load that its predecessor reported last
 	// may still be counted as well.
 	Provisional bool
+	OverShare   int                   // waiting requests of workspaces over their share
+	Pace        corianderwing.Percent // mean work time that the upstreams report; 0 if none does
 }
 
 // provisionalPeriod is how long after its first request the load of a Pool is
@@ -332,6 +343,12 @@
 func (p *Pool) Load(now time.Time) Load {
 	l := Load{Demand: p.demand.rate(now), ArrivalRate: p.arrivals.rate(now)}
 	l.Provisional = now.Sub(p.arrivals.started) < provisionalPeriod
+	l.Pace = corianderwing.Percent(100 * p.pace.mean)
+	for _, w := range p.queue {
+		if w.overShare {
+			l.OverShare++
+		}
+	}
 	for _, s := range p.sorted {
 		l.InFlight += s.inFlight
 		if !s.usable(now) || s.upstream.Version != p.setup.Version && s.upstream.Version != p.setup.NextVersion {
@@ -378,6 +395,7 @@
 		Request: *r, server: s, grant: g, depth: depth, at: now,
 		pace: pace, paceWorth: p.pace.worthAt(now.Sub(s.pace.at)),
 	}
+	p.recordUse(r, g.ExpectedLatency, now)
 	p.effects = append(p.effects, Effect{ID: r.ID, Grant: g})
 }
 
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -25,11 +25,15 @@
 )
 
 // precedes reports whether a is served before b: the more urgent rank first,
-// then requests whose caller was rejected before, then the earlier goal.
+// then requests of workspaces within their share of the slots, then requests whose
+// caller was rejected before, then the earlier goal.
 func precedes(a, b *Request) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if a.overShare != b.overShare {
+		return b.overShare
+	}
 	if a.Retried != b.Retried {
 		return a.Retried
 	}
@@ -67,11 +71,12 @@
 }
 
 // admitLate reports whether a late request may wait: it is expected to be
-// served well before its deadline, and few other late requests are queued.
+// served well before its deadline, and few other late requests are queued. Those of
+// workspaces over their share do not keep others out.
 func (p *Pool) admitLate(r *Request, takes time.Duration, now time.Time) bool {
 	n, room := 0, 0
 	for _, w := range p.queue {
-		if w.late {
+		if w.late && (r.overShare || !w.overShare) {
 			n++
 		}
 	}
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -33,6 +33,14 @@
 	shifts      []shift
 	bursts      []burst
 	moments     moments
+	workspaces  []workspace // of the callers; empty for none
+	divided     bool        // slots are divided between workspaces
+}
+
+// workspace has a weight, and a part of all requests in proportion to its load.
+type workspace struct {
+	id           corianderwing.WorkspaceID
+	weight, load float64
 }
 
 // moments makes single upstreams slow for a moment, now and then.
@@ -183,6 +191,7 @@
 	retried   bool
 	settled   bool
 	grantedBy corianderwing.DomainID // domain that granted the slot
+	workspace corianderwing.WorkspaceID
 }
 
 // tally counts the results of requests.
@@ -214,6 +223,7 @@
 	total    tally
 	domain   map[corianderwing.DomainID]*tally
 	class    map[corianderwing.RouteID]*tally
+	spaces   map[corianderwing.WorkspaceID]*tally
 	windows  []tally
 	regions  map[corianderwing.RegionID][]tally // by window; only granted and elsewhere
 }
@@ -225,7 +235,7 @@
 		deployment: s, rng: rand.New(rand.NewPCG(seed, 7)), workRand: rand.New(rand.NewPCG(seed, 8)),
 		ups: map[corianderwing.UpstreamID]*upstream{}, byPool: map[corianderwing.PoolID][]*upstream{},
 		domain: map[corianderwing.DomainID]*tally{}, class: map[corianderwing.RouteID]*tally{},
-		regions: map[corianderwing.RegionID][]tally{},
+		regions: map[corianderwing.RegionID][]tally{}, spaces: map[corianderwing.WorkspaceID]*tally{},
 	}
 	for _, p := range s.pools {
 		for i, d := range s.domains {
@@ -363,6 +373,7 @@
 			q.domain = w.find(x.to)
 		}
 	}
+	q.workspace = w.pickWorkspace(rng)
 	w.count(q, func(t *tally) {
 		t.requests++
 		t.maxValue += c.value
@@ -379,8 +390,12 @@
 	if w.class[q.class.id] == nil {
 		w.class[q.class.id] = &tally{}
 	}
+	if w.spaces[q.workspace] == nil {
+		w.spaces[q.workspace] = &tally{}
+	}
 	f(w.domain[q.domain.id])
 	f(w.class[q.class.id])
+	f(w.spaces[q.workspace])
 	i := int(q.arrivedAt / window)
 	for len(w.windows) <= i {
 		w.windows = append(w.windows, tally{})
@@ -608,7 +623,7 @@
 		now := d.w.clock()
 		born := now.Add(q.arrivedAt - d.w.now)
 		d.deliver(d.pools[q.class.pool][at].Submit(place.Request{
-			ID: d.last, Object: q.hash, Class: q.class.id, Rank: q.class.rank, Retried: q.retried, NoForward: stay, RequireGoal: timely,
+			ID: d.last, Object: q.hash, Class: q.class.id, Workspace: q.workspace, Rank: q.class.rank, Retried: q.retried, NoForward: stay, RequireGoal: timely,
 			Goal: born.Add(q.class.goal - 5*time.Millisecond), Deadline: born.Add(q.class.deadline),
 		}, now))
 	})
@@ -711,6 +726,9 @@
 				Lent:      map[corianderwing.UpstreamID]int{},
 				Borrowed:  map[corianderwing.UpstreamID]int{},
 			}
+			if d.w.divided {
+				set.Weight = d.w.weightOf
+			}
 			for _, l := range d.lots {
 				if l.Borrower == x.id {
 					set.Borrowed[l.Upstream] += l.Slots
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -150,6 +150,7 @@
 		Lent:      params.Lent,
 		Borrowed:  params.Borrowed,
 		Version:   v.CurrentVersion(name),
+		Weight:    func(w corianderwing.WorkspaceID) float64 { return agreedRate(v, w) },
 	}
 	if item, ok := v.Items().Pool(name); ok {
 		set.ColdRate = float64(item.WarmupRate)
@@ -160,6 +161,16 @@
 	return set
 }
 
+// agreedRate returns the rate limit of a workspace, by which it shares scarce slots. A
+// workspace without one shares none: its requests are queued as if nobody had a limit.
+func agreedRate(v *model.View, name corianderwing.WorkspaceID) float64 {
+	w, ok := v.Items().Policy(name)
+	if !ok {
+		return 0
+	}
+	return float64(w.Rate)
+}
+
 // deliver sends effects to the waiting requests. The caller must hold a.mu.
 func (a *Allocator) deliver(list []place.Effect) {
 	for _, e := range list {
@@ -259,14 +270,16 @@
 
 // PoolLoad is the load of one pool in the allocator's failure domain.
 type PoolLoad struct {
-	Pool        corianderwing.PoolID `json:"pool"`
-	Slots       int                  `json:"slots"`          // available to the requests of this failure domain
-	OwnSlots    int                  `json:"own"`            // of the domain's own upstreams, including lent ones
-	InFlight    int                  `json:"busy,omitempty"` // requests in flight
-	Waiting     int                  `json:"waiting,omitempty"`
-	Demand      float64              `json:"demand,omitempty"`  // slots needed by the arriving requests
-	ArrivalRate float64              `json:"arrived,omitempty"` // requests per second
-	Provisional bool                 `json:"new,omitempty"`     // see place.Load
+	Pool        corianderwing.PoolID  `json:"pool"`
+	Slots       int                   `json:"slots"`          // available to the requests of this failure domain
+	OwnSlots    int                   `json:"own"`            // of the domain's own upstreams, including lent ones
+	InFlight    int                   `json:"busy,omitempty"` // requests in flight
+	Waiting     int                   `json:"waiting,omitempty"`
+	OverShare   int                   `json:"over,omitempty"`    // waiting requests of workspaces over their share
+	Pace        corianderwing.Percent `json:"pace,omitempty"`    // mean work time that the upstreams report
+	Demand      float64               `json:"demand,omitempty"`  // slots needed by the arriving requests
+	ArrivalRate float64               `json:"arrived,omitempty"` // requests per second
+	Provisional bool                  `json:"new,omitempty"`     // see place.Load
 }
 
 // Loads returns the load of every pool.
@@ -283,6 +296,8 @@
 			OwnSlots:    l.OwnSlots,
 			InFlight:    l.InFlight,
 			Waiting:     p.QueueLen(),
+			OverShare:   l.OverShare,
+			Pace:        l.Pace,
 			Demand:      l.Demand,
 			ArrivalRate: l.ArrivalRate,
 			Provisional: l.Provisional,
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -204,6 +204,7 @@
 		Retried:     since > 0,
 	}
 	if x.tenure != nil {
+		x.placement.Workspace = x.tenure.Name
 		if x.tenure.Priority != nil {
 			x.placement.Rank = *x.tenure.Priority
 		}
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -44,6 +44,7 @@
 		Pool:               p.name,
 		Object:             r.Object,
 		Class:              r.Class,
+		Workspace:          r.Workspace,
 		Rank:               r.Rank,
 		Retried:            r.Retried,
 		Goal:               corianderwing.Millis(r.Goal.Sub(now).Milliseconds()),
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -304,6 +304,8 @@
 			gauge(name+"slots", int64(l.Slots))
 			gauge(name+"busy", int64(l.InFlight))
 			gauge(name+"waiting", int64(l.Waiting))
+			gauge(name+"pace", int64(l.Pace))
+			gauge(name+"over", int64(l.OverShare))
 		}
 	}
 }
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -112,6 +112,7 @@
 	w, err := d.Submit(q.Pool, place.Request{
 		Object:             q.Object,
 		Class:              q.Class,
+		Workspace:          q.Workspace,
 		Rank:               q.Rank,
 		Retried:            q.Retried,
 		Goal:               q.Goal.After(now),
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -90,6 +90,7 @@
 	Pool               corianderwing.PoolID       `json:"pool"`
 	Object             uint64                     `json:"object,omitempty"`
 	Class              corianderwing.RouteID      `json:"class"`
+	Workspace          corianderwing.WorkspaceID  `json:"workspace,omitempty"`
 	Rank               int                        `json:"rank,omitempty"`
 	Retried            bool                       `json:"again,omitempty"`
 	Goal               corianderwing.Millis       `json:"goal"` // time left until the target latency is exceeded
