Read ahead only while most of the room for requests is free

Cause: 2,500 connections with 400 requests sent ahead each were read 32 KiB ahead until the room for heads, bodies and responses was full.

Reading ahead only notices disconnects early. It now stops where a quarter of that room is in use.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -64,6 +64,8 @@
 	// heldFraction is the part of the pool that heads, bodies and responses may use.
 	// The rest is for further connections with short requests.
 	heldFraction = 0.5
+	// spareFraction is the part of Held up to which spare reservations are granted.
+	spareFraction = 0.25
 	// addrFraction is the part of the pool beyond which the connections of one address
 	// give way to those of others, also if they make progress.
 	addrFraction = 0.5
@@ -196,10 +198,12 @@
 	return victims, ok
 }
 
-// ReserveSpare adds n to what the connection holds if it fits. It closes nothing.
+// ReserveSpare adds n to what the connection holds, for something that it can do without.
+// It closes nothing, and leaves most of the room to others.
 func (p *Pool) ReserveSpare(a *Account, n corianderwing.Bytes) bool {
 	q := need{class: a.class, addr: a.addr, held: int64(n), self: a}
-	if a.closed || !p.fits(q) {
+	room := int64(float64(p.limits.Held)*spareFraction) - p.held.total()
+	if a.closed || int64(n) > room || !p.fits(q) {
 		return false
 	}
 	a.held += n
