Lower the limit of the Go runtime to seven tenths of the free memory

At 184 MB, 2,500 connections with requests sent ahead to the readiness check peaked at 173.1 MB at a load of 33 on 7 cores: beside load, the runtime allocates further beyond its limit before a collection ends.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -57,7 +57,7 @@
 	MinMemory = baseMemory + 8<<20
 	// runtimeFraction is the part of the memory beyond baseMemory at which the garbage
 	// collector works harder.
-	runtimeFraction = 0.75
+	runtimeFraction = 0.7
 	// poolFraction is the part of the memory beyond baseMemory that connections may use.
 	// The rest is for a larger state and garbage.
 	poolFraction = 0.5
