--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -24,6 +24,11 @@
 	return err
 }
 
+// measurer reports gauges.
+type measurer interface {
+	Measure(gauge func(name string, v int64))
+}
+
 // updateGauges updates the gauges that are computed only when metrics are
 // requested.
 func (n *Node) updateGauges() {
@@ -34,6 +39,9 @@
 	gauge("clients.memory", int64(u.Memory))
 	gauge("clients.held", int64(u.Held))
 	gauge("peers.closed", n.peerServer.NumClosed())
+	if n.adminMeasurer != nil {
+		n.adminMeasurer.Measure(gauge)
+	}
 	if n.plane != nil {
 		n.plane.Measure(gauge)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,10 +56,11 @@
 	guard   *accept.Guard
 	servers []*server
 
-	plane        *plane.Plane
-	follow       *follow.Follower
-	gate         atomic.Pointer[gate.Server]
-	publicServer *server
+	plane         *plane.Plane
+	adminMeasurer measurer // nil if the API for upstreams and operators has no gauges
+	follow        *follow.Follower
+	gate          atomic.Pointer[gate.Server]
+	publicServer  *server
 }
 
 // Start starts an instance and returns when its listeners are open.
@@ -139,7 +140,9 @@
 		return err
 	}
 	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), budget.Control, callTimeout); err != nil {
+		h := n.adapter.Admin(n.plane, n.log)
+		n.adminMeasurer, _ = h.(measurer)
+		if _, err := n.serve(cfg.Listen.Admin, h, budget.Control, callTimeout); err != nil {
 			return err
 		}
 	}
