Check heartbeats, and the largest patch in calm, in the crowd tests

A crowd at any listener could stop the answers to upstreams' heartbeats without a test that fails before the upstreams time out. Each test now waits for an answered heartbeat as well, while the crowd stays and after it has left. Crowds and bounds are unchanged.

--- a/io/crowd/control_test.go
+++ b/io/crowd/control_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -48,6 +49,21 @@
 	})
 }
 
+// TestAdminLargestPatchInCalm guards against limits that refuse the largest legal patch
+// when there is no crowd.
+func TestAdminLargestPatchInCalm(t *testing.T) {
+	s := startSite(t, patchMemory, smallMemory)
+	text := strings.ReplaceAll(initialItems, `"r1"`, `"r2"`)
+	text += strings.Repeat(" ", patchSize-len(text))
+	s.eventually("the patch is accepted", func() bool {
+		status, _ := s.send("POST", "http://"+s.addr(admin)+"/Config.Patch", text)
+		return status == http.StatusOK
+	})
+	s.ordinary()
+	s.entry.check(t)
+	s.control.check(t)
+}
+
 func TestAdminEndlessChunks(t *testing.T) {
 	crowdAt(t, admin, manyOver, heartbeatCall.endlessChunks)
 }
--- a/io/crowd/site_test.go
+++ b/io/crowd/site_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -44,6 +45,7 @@
 	t              *testing.T
 	control, entry *process
 	ports          int
+	heartbeats     atomic.Int64 // answered with 200
 }
 
 // Addresses of the listeners, as offsets from the site's first port.
@@ -140,7 +142,9 @@
 	})
 	go func() {
 		for seq := 1; ctx.Err() == nil; seq++ {
-			s.heartbeat(l.Addr().String(), seq)
+			if s.heartbeat(l.Addr().String(), seq) == http.StatusOK {
+				s.heartbeats.Add(1)
+			}
 			time.Sleep(500 * time.Millisecond)
 		}
 	}()
@@ -191,9 +195,12 @@
 	}
 }
 
-// ordinary waits until each listener has answered one ordinary request.
+// ordinary waits until each listener has answered one ordinary request, and a heartbeat of
+// the upstream was answered.
 func (s *site) ordinary() {
 	s.t.Helper()
+	n := s.heartbeats.Load()
+	s.eventually("answer to a heartbeat", func() bool { return s.heartbeats.Load() > n })
 	for _, q := range []struct{ name, method, addr, path, body string }{
 		{"public listener, open route", "POST", s.addr(public), "/open/1", "ordinary"},
 		{"public listener, keyed route", "POST", s.addr(public), "/keyed/1", "ordinary"},
