--- a/io/node/control.go
+++ b/io/node/control.go
@@ -50,7 +50,9 @@
 	}
 	n.startReporter()
 	if cfg.Listen.Admin != "" {
-		if _, err := n.serve(cfg.Listen.Admin, n.adapter.Admin(n.plane, n.log), budget.Control, callTimeout); err != nil {
+		h := n.adapter.Admin(n.plane, n.log)
+		n.adminMeasurer, _ = h.(measurer)
+		if _, err := n.serve(cfg.Listen.Admin, h, budget.Control, callTimeout); err != nil {
 			return err
 		}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,11 +56,12 @@
 	guard   *accept.Guard
 	servers []*server
 
-	plane        *plane.Plane
-	reporter     *report.Reporter // nil if usage is not reported
-	follow       *follow.Follower
-	gate         atomic.Pointer[gate.Server]
-	publicServer *server
+	plane         *plane.Plane
+	reporter      *report.Reporter // nil if usage is not reported
+	adminMeasurer measurer // nil if the API for upstreams and operators has no gauges
+	follow        *follow.Follower
+	gate          atomic.Pointer[gate.Server]
+	publicServer  *server
 }
 
 // Start starts an instance and returns when its listeners are open.
