--- a/dialect.go
+++ b/dialect.go
@@ -25,13 +25,13 @@
 type ResponseInfo struct {
 	NotExecuted       bool // the upstream did not execute the request
 	AddressReassigned bool // the address now belongs to another upstream
+	Leaving           bool // the upstream announces that it is leaving
+	LoadKnown         bool // Load is set
+	LoadInvalid       bool // the upstream reported a load that cannot be read
+	PushbackInvalid   bool // Pushback could not be read
 	Load              UpstreamLoad
-	LoadKnown         bool   // Load is set
-	LoadInvalid       bool   // the upstream reported a load that cannot be read
 	Warmup            Millis // remaining warm-up time of the upstream
-	Leaving           bool   // the upstream announces that it is leaving
 	Pushback          Millis // the upstream rejected the request and wants no others for this time
-	PushbackInvalid   bool   // it gave a time that cannot be read
 }
 
 // Dialect maps between the HTTP headers and statuses of a deployment and the
--- a/load.go
+++ b/load.go
@@ -1,7 +1,7 @@
 package corianderwing
 
 // Percent is a ratio in hundredths: 100 is a ratio of 1.
-type Percent int
+type Percent int32
 
 // UpstreamLoad is the load that an upstream reports in the header of a response.
 type UpstreamLoad struct {
