Return to the control instance that granted the present shares

Seen by callers: after a loss of all control instances for 1.8 s, 305 and 300 for workspaces within their rates until 7 s, although a leader was there at 3.6 s.

Cause: during the loss each entry instance moves on from one control instance to the next, and stays with the first that answers for 1.2 s or more. It reports as held only the tokens of the one that it follows, because two grantors must not count the same tokens. So all tokens counted as unknown to the new leader, which kept them back until the old shares had expired and 0.6 s more.

Ruled out: reporting tokens of other grantors as held (both count them if that one lives, and the shares exceed the bound).

Change: while an entry instance has valid shares from a control instance that did not answer, that one gets a heartbeat beside the followed one, and is followed again as soon as it answers, unless its confirmation is old while that of the followed one is not. Counted as shares.returns. core/quota is unchanged, so the bounds hold as before.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -116,6 +116,9 @@
 	confirmationAge time.Duration            // age of the last confirmation from current
 	lastProbe       time.Time                // when another control instance was last probed
 	probeIndex      int                      // rotates over controls
+	grantor         grantor                  // of the present shares
+	lostGrantor     grantor                  // one that did not answer and was left; see grantorToProbe
+	returns         int64                    // returns to a lost grantor
 	laggingSince    time.Time                // since when the state lags behind a confirmed revision; zero if it does not
 	cancelWatch     context.CancelFunc
 }
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -50,7 +50,7 @@
 
 func (f *Follower) heartbeatLoop() {
 	for n := 0; ; n++ {
-		f.heartbeat(f.ctx)
+		f.heartbeatBoth(f.ctx)
 		f.probeAlternative(f.ctx)
 		if !f.waitForHeartbeat(f.heartbeatDelay(n)) {
 			return
@@ -110,6 +110,9 @@
 	addr := f.current
 	f.mu.Unlock()
 	reply, age, err := f.sendHeartbeat(ctx, addr, f.cfg.TakeTrials())
+	if err != nil && !f.follows(addr) {
+		return // the lost grantor has answered meanwhile
+	}
 	f.recordLeader(addr, err != nil || !reply.Confirmed, err)
 	if err != nil {
 		f.recordMiss(addr, err.Error())
@@ -124,6 +127,13 @@
 	f.recordReply(addr, age)
 }
 
+// follows reports whether this instance follows the control instance at an address.
+func (f *Follower) follows(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current == addr
+}
+
 // sendHeartbeat sends a heartbeat to a control instance and returns its reply and the
 // age of its confirmation. A confirmation extends the lease no matter which control
 // instance it comes from.
@@ -160,7 +170,11 @@
 		f.recordShares(addr, len(demands), len(reply.Shares))
 	}
 	left := time.Duration(reply.LeaseDuration) * time.Millisecond
-	f.cfg.Limits.SetShares(addr, reply.Shares, corianderwing.HolderDeadline(sent, left))
+	until := corianderwing.HolderDeadline(sent, left)
+	f.cfg.Limits.SetShares(addr, reply.Shares, until)
+	if len(reply.Shares) > 0 {
+		f.recordGrantor(addr, until)
+	}
 	if !reply.Confirmed {
 		return reply, neverConfirmed, nil
 	}
@@ -257,6 +271,7 @@
 	if _, known := f.View(); f.current != addr || known && !f.failedOver && f.misses < maxMisses {
 		return
 	}
+	f.leaveGrantor(addr)
 	i := slices.IndexFunc(f.controls, func(c plane.ControlInstance) bool { return c.PeerAddr == addr })
 	f.switchTo(f.controls[(i+1)%len(f.controls)].PeerAddr, reason)
 	f.failedOver = true
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -41,6 +41,7 @@
 		view, _ := n.follow.View()
 		gauge("revision", int64(view.Revision()))
 		gauge("lease.ms", max(0, n.follow.FreshUntil().Sub(clock.Boot()).Milliseconds()))
+		gauge("shares.returns", n.follow.Returns())
 		gauge("requests", g.Active())
 		gauge("upstreams", int64(view.NumUpstreams()))
 	}
