--- a/io/node/node.go
+++ b/io/node/node.go
@@ -58,7 +58,7 @@
 
 	plane         *plane.Plane
 	reporter      *report.Reporter // nil if usage is not reported
-	adminMeasurer measurer // nil if the API for upstreams and operators has no gauges
+	adminMeasurer measurer         // nil if the API for upstreams and operators has no gauges
 	follow        *follow.Follower
 	gate          atomic.Pointer[gate.Server]
 	publicServer  *server
