Close pending connections of the busiest address of peers first

Cause: one connection too many before its first call closed the oldest of all. A client that connects again and again could so close the connections of instances that need longer for their first call, over a link between regions.

Ruled out: a fixed share for each address (instances behind one translated address would be bound by it in calm); refusing the newcomer (a crowd that stays silent would keep instances out until its 5 s are over).

Change: the connection that gives way is the oldest of the address with the most pending ones, the newcomer counted.

Measured: go test -run OfOneAddress ./io/peer. With the oldest of all: FAIL, 'handshake_test.go:130: err: EOF' (the settings of the server are not read). After: ok, go test -count=3 ./io/peer.

--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -56,9 +57,10 @@
 	log *log.Logger // may be nil
 
 	mu       sync.Mutex
-	pending  list.List // of *serverConn, oldest first
-	closed   int64     // connections closed
-	unlogged int64     // those since the latest log line
+	pending  list.List          // of *serverConn, oldest first
+	byAddr   map[netip.Addr]int // pending connections by address
+	closed   int64              // connections closed
+	unlogged int64              // those since the latest log line
 	loggedAt time.Time
 }
 
@@ -82,6 +84,7 @@
 type serverConn struct {
 	net.Conn
 	h       *handshakes
+	addr    netip.Addr    // of the peer; zero if unknown
 	timer   *time.Timer   // ends the handshake
 	element *list.Element // in h.pending; nil afterwards. Guarded by h.mu
 
@@ -92,23 +95,45 @@
 	unread     []byte // bytes that the handshake has read
 }
 
-// add adds a connection. It closes the oldest one if there are too many.
+// add adds a connection. It closes another one if there are too many.
 func (h *handshakes) add(conn net.Conn) *serverConn {
 	c := &serverConn{Conn: conn, h: h, left: maxHandshakeBytes}
-	var oldest *serverConn
-	h.mu.Lock()
-	if h.pending.Len() >= h.max {
-		oldest = h.pending.Front().Value.(*serverConn)
+	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		c.addr = a.AddrPort().Addr().Unmap()
 	}
+	h.mu.Lock()
 	c.element = h.pending.PushBack(c)
+	if h.byAddr == nil {
+		h.byAddr = map[netip.Addr]int{}
+	}
+	h.byAddr[c.addr]++
 	c.timer = time.AfterFunc(handshakeTimeout, func() { c.abort(errHandshakeTimeout) })
+	var excess *serverConn
+	if h.pending.Len() > h.max {
+		excess = h.excess()
+	}
 	h.mu.Unlock()
-	if oldest != nil {
-		oldest.abort(errTooManyHandshakes)
+	if excess != nil {
+		excess.abort(errTooManyHandshakes)
 	}
 	return c
 }
 
+// excess returns the oldest connection of an address that has the most, so that one
+// address does not displace the instances at others. The caller holds h.mu.
+func (h *handshakes) excess() *serverConn {
+	most := 0
+	for _, n := range h.byAddr {
+		most = max(most, n)
+	}
+	for e := h.pending.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*serverConn); h.byAddr[c.addr] == most {
+			return c
+		}
+	}
+	return nil
+}
+
 // remove removes a connection and reports whether it was pending.
 func (h *handshakes) remove(c *serverConn) bool {
 	h.mu.Lock()
@@ -118,6 +143,9 @@
 	}
 	h.pending.Remove(c.element)
 	c.element = nil
+	if h.byAddr[c.addr]--; h.byAddr[c.addr] == 0 {
+		delete(h.byAddr, c.addr)
+	}
 	c.timer.Stop()
 	return true
 }
--- a/io/peer/handshake_test.go
+++ b/io/peer/handshake_test.go
@@ -106,3 +106,26 @@
 	}
 	is.Equal(s.NumClosed(), int64(1))
 }
+
+// Guards against one address whose connections displace those of instances elsewhere
+// that need longer for their first call.
+func TestHandshakesOfOneAddressGiveWayFirst(t *testing.T) {
+	is := is.New(t)
+	_, addr := serveLimited(t)
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	slow, err := d.Dial("tcp", addr)
+	is.NoErr(err)
+	defer slow.Close()
+	slow.SetDeadline(time.Now().Add(time.Minute))
+	var crowd []net.Conn
+	for range 4 {
+		crowd = append(crowd, dial(t, addr, nil))
+	}
+	for _, c := range crowd[:3] {
+		waitClosed(t, c)
+	}
+	_, err = slow.Write([]byte(clientPreface + "\x00\x00\x00\x04\x00\x00\x00\x00\x00"))
+	is.NoErr(err)
+	_, err = slow.Read(make([]byte, 9)) // the settings of the server
+	is.NoErr(err)
+}
