Play usage reports in the soak, against a receiver that judges them

The soak has a receiver that refuses, delays or drops one report in eight each while faults work, and two further promises: usage (one count for each window; reports come again after all faults) and holder (tokens, A, B, A within the lease).

--- a/io/soak/ledger.go
+++ b/io/soak/ledger.go
@@ -29,12 +29,14 @@
 	Kept       Promise = "kept"     // what was confirmed is there at the end
 	Checked    Promise = "checked"  // an invalid change is refused, a repeated one is not
 	Whole      Promise = "whole"    // a planned stop cuts no request off
+	Reported   Promise = "usage"    // each window of usage is reported with one count, also after all faults
+	OneHolder  Promise = "holder"   // one machine at a time reports, under a token of its own
 	Recovered  Promise = "recover"  // requests are served again after all faults have ended
 	Alive      Promise = "alive"    // no process ends by itself
 )
 
 // Promises lists all promises.
-var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Told, Pushback, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Recovered, Alive}
+var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Told, Pushback, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Reported, OneHolder, Recovered, Alive}
 
 // Breach is a broken promise.
 type Breach struct {
@@ -80,6 +82,7 @@
 	drained map[corianderwing.UpstreamID]time.Time
 	said    said
 	emptied map[corianderwing.DomainID]time.Time
+	reports reports
 	acting  int       // faults at work
 	calm    time.Time // end of the last fault
 	breach  []Breach
@@ -100,6 +103,7 @@
 		drained: map[corianderwing.UpstreamID]time.Time{},
 		said:    newSaid(),
 		emptied: map[corianderwing.DomainID]time.Time{},
+		reports: newReports(),
 		counts:  map[string]int{},
 	}
 }
--- a/io/soak/ledger_test.go
+++ b/io/soak/ledger_test.go
@@ -53,6 +53,27 @@
 			l.Revoke("k-main", at(0))
 			l.Arrived(call(l, "a", "", at(revokeBound+time.Second)), "u", "d", true, at(revokeBound+time.Second))
 		}},
+		{Reported, func(l *Ledger) {
+			l.Report(corianderwing.UsageReport{Window: 1, Token: 1}, "a", at(0))
+			l.Report(corianderwing.UsageReport{Window: 1, Token: 1, Counts: map[corianderwing.WorkspaceID]uint64{"w": 1}}, "a", at(0))
+		}},
+		{Reported, func(l *Ledger) {
+			l.Fault()(at(0))
+			l.checkReports(at(time.Minute))
+		}},
+		{OneHolder, func(l *Ledger) {
+			l.Report(corianderwing.UsageReport{Window: 1, Token: 1}, "a", at(0))
+			l.Report(corianderwing.UsageReport{Window: 2, Token: 1}, "b", at(time.Minute))
+		}},
+		{OneHolder, func(l *Ledger) {
+			l.Report(corianderwing.UsageReport{Window: 1, Token: 2}, "a", at(0))
+			l.Report(corianderwing.UsageReport{Window: 2, Token: 1}, "b", at(time.Minute))
+		}},
+		{OneHolder, func(l *Ledger) {
+			l.Report(corianderwing.UsageReport{Window: 1, Token: 1}, "a", at(0))
+			l.Report(corianderwing.UsageReport{Window: 2, Token: 2}, "b", at(time.Second))
+			l.Report(corianderwing.UsageReport{Window: 3, Token: 3}, "a", at(usageLease-1))
+		}},
 		{Drained, func(l *Ledger) {
 			l.Drain("u", at(0))
 			l.Arrived(call(l, "a", "", at(0)), "u", "d", true, at(drainBound+time.Second))
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -67,8 +67,10 @@
 	Dir     string
 	Proxy   *Proxy
 	Procs   []*Proc
-	octet   int
-	domains map[corianderwing.DomainID]corianderwing.RegionID
+	// Receiver is the address to which usage is reported.
+	Receiver string
+	octet    int
+	domains  map[corianderwing.DomainID]corianderwing.RegionID
 	// Ended is called when a process ends by itself.
 	Ended func(p *Proc, err error)
 }
@@ -214,7 +216,15 @@
 bounds: {apply: %s, revoke: %s, grace: %s, window: %s, over: %g, slack: %g, lookup: 2s}
 `, p.Name, p.Role, p.Face, p.Bind, p.Domain, p.Region, peerPort, entryPeer, strings.Join(seeds, "', '"),
 		err != nil, beatEvery, strings.Join(domains, ", "), losses, filepath.Join(s.Dir, p.Name, "data"), listen,
-		applyBound, revokeBound, graceBound, windowBound, overBound, slackBound)
+		applyBound, revokeBound, graceBound, windowBound, overBound, slackBound) + s.usageSettings(p)
+}
+
+// usageSettings returns the settings of usage reports.
+func (s *Site) usageSettings(p *Proc) string {
+	if p.Role == "entry" || s.Receiver == "" {
+		return ""
+	}
+	return fmt.Sprintf("usage: {to: '%s', window: %s, late: %s, lease: %s}\n", s.Receiver, usageWindow, usageLate, usageLease)
 }
 
 // Start starts the process. Its output goes to a file in the site's directory.
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -77,6 +77,7 @@
 	site       *Site
 	ledger     *Ledger
 	upstreams  []*Upstream
+	receiver   *receiver
 	keys       keyring
 	start      time.Time
 	disk       sync.Mutex // held while a disk is lost
@@ -115,6 +116,10 @@
 		return nil, err
 	}
 	defer r.site.Close()
+	if r.site.Receiver, err = r.startReceiver(); err != nil {
+		return nil, err
+	}
+	defer r.receiver.close()
 	r.site.Ended = func(p *Proc, err error) {
 		r.ledger.Break(Alive, time.Now(), "", "%s ended by itself: %v", p.Name, err)
 	}
@@ -290,6 +295,7 @@
 
 // finish checks that the site serves again, and what it still knows.
 func (r *run) finish(ctx context.Context, op *operator) error {
+	r.receiver.settle()
 	r.pause(ctx, recoveryTime/3)
 	last := newCaller(r, 1001, siteDomains[0].domain, r.random("last"))
 	served := 0
@@ -301,6 +307,7 @@
 		}
 		r.pause(ctx, beatEvery/5)
 	}
+	r.ledger.checkReports(time.Now())
 	if float64(served) < servedPart*lastTries {
 		r.ledger.Break(Recovered, time.Now(), "", "%d of %d requests are served", served, lastTries)
 	}
--- a/io/soak/wire.go
+++ b/io/soak/wire.go
@@ -47,6 +47,8 @@
 	// leaves. AnnouncesLeaving reports whether an answer says so.
 	AnnounceLeaving(h http.Header)
 	AnnouncesLeaving(h http.Header) bool
+	// Report reads a usage report.
+	Report(r *http.Request) (corianderwing.UsageReport, error)
 	// PushBack adds to the header of Decline that the upstream wants no requests
 	// for a time.
 	PushBack(h http.Header, d time.Duration)
