Use upstreams that reject some requests although they have free slots

In a trial's logs all 5,291 such rejections (code 505) came with a load header, most with 1 to 7 of 9 slots in use. Each made the allocator take the upstream for full for about 0.4 s and forget that it caches the object. The other requests for the object were then expected to miss, and at high load rejected with 303: about 1,500 in each failure domain, against 50 to 400 for the other services.

Ruled out: full upstreams; they wait with 27 requests before they reject.

Change: a rejection whose load report shows free slots says nothing about the load, and nothing about objects that the upstream cached before. The rejection counts as a failed attempt as before. Only where upstreams report their pace; others are served as before.

--- a/core/place/learn.go
+++ b/core/place/learn.go
@@ -131,9 +131,7 @@
 		p.learnLatency(h, o.Latency, now)
 	case Overloaded:
 		s.recordResult(true)
-		s.evictObject(h.Object)
-		// The upstream reported itself full; its actual load is unknown.
-		s.foreignLoad, s.reportedAt = max(s.foreignInFlight(now), float64(s.slots-s.inFlight)), now
+		p.observeRejection(h, o.Load, now)
 	case AddressReused:
 		s.ejectedUntil = now.Add(maxEjection)
 	case ConnectFailed, TimedOut:
@@ -145,6 +143,22 @@
 	}
 }
 
+// observeRejection updates the load of an upstream that rejected a request, and what
+// it caches.
+func (p *Pool) observeRejection(h *activeGrant, load LoadReport, now time.Time) {
+	s := h.server
+	if load.WorkTime > 0 && load.Running+load.Waiting < int(s.upstream.Slots) {
+		// It has free slots: it rejects some requests, and caches what it did before.
+		if h.depth < 0 {
+			s.evictObject(h.Object)
+		}
+		return
+	}
+	s.evictObject(h.Object)
+	// The upstream reported itself full; its actual load is unknown.
+	s.foreignLoad, s.reportedAt = max(s.foreignInFlight(now), float64(s.slots-s.inFlight)), now
+}
+
 func (s *server) recordResult(yes bool) {
 	v := 0.0
 	if yes {
--- a/core/place/replay_test.go
+++ b/core/place/replay_test.go
@@ -33,6 +33,7 @@
 	shifts      []shift
 	bursts      []burst
 	moments     moments
+	sheds       []shed
 	workspaces  []workspace // of the callers; empty for none
 	divided     bool        // slots are divided between workspaces
 }
@@ -43,6 +44,14 @@
 	weight, load float64
 }
 
+// shed makes the upstreams of a pool reject a part of the requests for a while,
+// although they have free slots.
+type shed struct {
+	pool       corianderwing.PoolID
+	part       float64
+	at, length time.Duration
+}
+
 // moments makes single upstreams slow for a moment, now and then.
 type moments struct {
 	part     float64       // of the time in which an upstream is slow
@@ -500,6 +509,8 @@
 			})
 		}
 		switch {
+		case w.isShed(u):
+			finish(place.Overloaded)
 		case u.running < u.slots:
 			start()
 		case len(u.queue) < 3*u.slots:
