--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -24,6 +24,11 @@
 	return err
 }
 
+// measurer reports gauges.
+type measurer interface {
+	Measure(gauge func(name string, v int64))
+}
+
 // updateGauges updates the gauges that are computed only when metrics are
 // requested.
 func (n *Node) updateGauges() {
@@ -34,6 +39,9 @@
 	gauge("clients.memory", int64(u.Memory))
 	gauge("clients.held", int64(u.Held))
 	gauge("peers.closed", n.peerServer.NumClosed())
+	if n.adminMeasurer != nil {
+		n.adminMeasurer.Measure(gauge)
+	}
 	if n.plane != nil {
 		n.plane.Measure(gauge)
 	}
@@ -41,6 +49,10 @@
 		view, _ := n.follow.View()
 		gauge("revision", int64(view.Revision()))
 		gauge("lease.ms", max(0, n.follow.FreshUntil().Sub(clock.Boot()).Milliseconds()))
+		gauge("shares.returns", n.follow.Returns())
+		lent, borrowed := n.follow.LendStats()
+		gauge("shares.lent", lent)
+		gauge("shares.borrowed", borrowed)
 		gauge("requests", g.Active())
 		gauge("upstreams", int64(view.NumUpstreams()))
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,11 +56,12 @@
 	guard   *accept.Guard
 	servers []*server
 
-	plane        *plane.Plane
-	reporter     *report.Reporter // nil if usage is not reported
-	follow       *follow.Follower
-	gate         atomic.Pointer[gate.Server]
-	publicServer *server
+	plane         *plane.Plane
+	reporter      *report.Reporter // nil if usage is not reported
+	adminMeasurer measurer         // nil if the API for upstreams and operators has no gauges
+	follow        *follow.Follower
+	gate          atomic.Pointer[gate.Server]
+	publicServer  *server
 }
 
 // Start starts an instance and returns when its listeners are open.
@@ -134,6 +135,7 @@
 		Log:        n.log,
 		OnChange:   func() { n.notifyChange() },
 		Limits:     limits,
+		Lender:     limits,
 		Usage:      recorder,
 		TakeTrials: func() []plane.Trial {
 			if g := n.gate.Load(); g != nil {
