Count usage by the own clock until it has been compared

Cause: Recorder.Configure takes the length of the windows from each response, but the time only from one that took 0.5 s or less. Until then the reference offset was 0, and wall.Correct prefers the reference when the two differ: requests were counted in windows of 1970, which control instances ignore, and the counts were dropped with the first comparison. An entry instance that starts while control instances are slow lost all of its counts until a heartbeat took 0.5 s or less.

Ruled out: counting nothing until the first comparison (loses the same requests).

Change: without a comparison the instance's own clock counts, as at control instances with too few votes.

Test: TestRecorderCountsBeforeComparison, before: 200 !=; after: ok.

--- a/core/usage/recorder.go
+++ b/core/usage/recorder.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex
 	clock     wall.Clock
 	reference wall.Offset // according to the control instance
+	compared  bool        // reference is known
 }
 
 // Sample is a time that a control instance sent, and what is known of its age.
@@ -60,9 +61,14 @@
 	return r.clock.Offset().At(boot)
 }
 
-// setOffset updates the estimated wall-clock time. The caller must hold r.mu.
+// setOffset updates the estimated wall-clock time. Until it has been compared with that
+// of a control instance, it is the instance's own. The caller must hold r.mu.
 func (r *Recorder) setOffset() {
-	r.offset.Store(int64(wall.Correct(r.clock.Offset(), r.reference)))
+	offset := r.clock.Offset()
+	if r.compared {
+		offset = wall.Correct(offset, r.reference)
+	}
+	r.offset.Store(int64(offset))
 }
 
 // Correction returns the difference between the estimated wall-clock time and that of
@@ -79,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if took := s.Received.Sub(s.Sent); length > 0 && took <= maxSampleTime {
-		r.reference = wall.OffsetOf(s.Wall.Add(took/2), s.Received)
+		r.reference, r.compared = wall.OffsetOf(s.Wall.Add(took/2), s.Received), true
 		r.setOffset()
 	}
 	if r.length.Swap(int64(length)) != int64(length) {
--- a/core/usage/recorder_test.go
+++ b/core/usage/recorder_test.go
@@ -33,6 +33,20 @@
 	check(true)
 }
 
+// Guards against counts in windows of 1970, which no control instance accepts, while
+// each response takes too long for a comparison of the clocks.
+func TestRecorderCountsBeforeComparison(t *testing.T) {
+	is := is.New(t)
+	const length = 5 * time.Second
+	var r Recorder
+	boot, truth := time.Unix(1000, 0), time.Unix(1_800_000_000, 0)
+	r.Observe(truth, boot)
+	r.Configure(length, Sample{truth, boot.Add(-maxSampleTime - 1), boot})
+	w, ok := r.Sent("a", boot)
+	is.True(ok)
+	is.Equal(w, At(truth, length))
+}
+
 // Guards against counts in windows of one length that are reported as those of
 // another, and against counting that goes on after it was switched off.
 func TestRecorderFollowsLength(t *testing.T) {
