Probe a lost grantor of shares only once between two heartbeats

Cause: while an entry instance holds shares from a control instance that it left, each round of the heartbeat loop waits for a probe of that one. It is mostly the nearest one too, which probeAlternative probes in the same round. If it is frozen or cut off, both probes take heartbeatTimeout (0.6 s), one after the other, and the followed instance gets its next heartbeat 1.6 s after the last one. It takes an entry instance for lost after 1.8 s.

Ruled out: a shorter timeout for probes (a first call after a restart takes several round trips). Not changed: a single silent probe still delays a heartbeat by 0.6 s, as before.

Change: a probe of the lost grantor counts as the probe of the nearest instance.

Test: TestLostGrantorIsProbedOnce, before: 2 != 1; after: ok.

--- a/io/follow/grantor.go
+++ b/io/follow/grantor.go
@@ -74,10 +74,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.lostGrantor
-	if g.addr == f.current || !g.valid(f.cfg.Now()) {
+	now := f.cfg.Now()
+	if g.addr == f.current || !g.valid(now) {
 		f.lostGrantor = grantor{}
 		return "", false
 	}
+	if g.addr == f.controls[0].PeerAddr {
+		f.lastProbe = now // probeAlternative would wait for it a second time
+	}
 	return g.addr, true
 }
 
--- a/io/follow/grantor_test.go
+++ b/io/follow/grantor_test.go
@@ -23,12 +23,15 @@
 	addr string
 	lost atomic.Bool
 	age  atomic.Int64 // of its confirmation, in ms
+
+	heartbeats atomic.Int64 // received
 }
 
 func newFakeControl(t *testing.T) *fakeControl {
 	c := &fakeControl{}
 	c.addr = servePeer(t, func(s *peer.Server) {
 		peer.Handle(s, plane.HeartbeatMethod, func(context.Context, *plane.HeartbeatRequest) (*plane.HeartbeatResponse, error) {
+			c.heartbeats.Add(1)
 			if c.lost.Load() {
 				return nil, errors.New("lost")
 			}
@@ -115,3 +118,17 @@
 		is.Equal(f.current, first.addr)
 	})
 }
+
+// Guards against two probes of the same silent control instance between two heartbeats:
+// each takes heartbeatTimeout, and the followed one takes this instance for lost.
+func TestLostGrantorIsProbedOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f, first, grantor := newGranted(t, &now)
+	f.controls = []plane.ControlInstance{{PeerAddr: grantor.addr}, {PeerAddr: first.addr}}
+	now = now.Add(nearestProbeInterval)
+	before := grantor.heartbeats.Load()
+	f.heartbeatBoth(t.Context())
+	f.probeAlternative(t.Context())
+	is.Equal(grantor.heartbeats.Load()-before, int64(1))
+}
