Ignore times that waited while a control instance was suspended

Cause: a control instance takes the wall-clock time of each heartbeat as that of its arrival. One that was suspended for 8 s reads the heartbeats that waited for it, and the median of all entry instances then says that its clock is 8 s ahead. Until over half of them follow it again, or for 10 s, it tells that time to those that return: they count in windows that are over, and it ignores counts of the present one. As the leader it records windows 8 s late.

Ruled out: trusting the own clock of an instance that has seen no jump (it may have been wrong from the start, which is what the median is for).

Change: a time that was delayed gives a smaller offset, so one that is smaller by more than the tolerance is ignored while the last one of the same instance is not older than 10 s.

Test: TestDelayedTimesDoNotCount, before: !=; after: ok.

--- a/core/wall/wall.go
+++ b/core/wall/wall.go
@@ -93,11 +93,17 @@
 	at     time.Time // on the boot clock
 }
 
-// Add records the offset of an instance, relative to the boot clock of this one.
+// Add records the offset of an instance, relative to the boot clock of this one. A time
+// that was delayed on its way gives a smaller offset. So a much smaller one is ignored
+// until the one before has expired: after a suspension, all times that waited for this
+// instance are late, and would outvote its own clock.
 func (v *Votes) Add(instance string, o Offset, boot time.Time) {
 	if v.byInstance == nil {
 		v.byInstance = map[string]vote{}
 	}
+	if last, ok := v.byInstance[instance]; ok && boot.Sub(last.at) <= voteTTL && time.Duration(last.offset-o) > tolerance {
+		return
+	}
 	v.byInstance[instance] = vote{o, boot}
 }
 
--- a/core/wall/wall_test.go
+++ b/core/wall/wall_test.go
@@ -77,3 +77,25 @@
 	is.Equal(Correct(truth+1, truth), truth+1)
 	is.Equal(votes.Median(wrong, boot.Add(voteTTL+1)), wrong) // nobody was heard of late
 }
+
+// Guards against an instance that was suspended for 8 s and reads the times that waited
+// for it: its clock would be 8 s behind until the other instances call it again.
+func TestDelayedTimesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	const truth = Offset(1000 * time.Second)
+	var v Votes
+	add := func(o Offset, boot time.Time) {
+		for _, id := range []string{"a", "b", "c"} {
+			v.Add(id, o, boot)
+		}
+	}
+	boot := time.Unix(5000, 0)
+	add(truth, boot)
+	boot = boot.Add(8 * time.Second)
+	add(truth-Offset(8*time.Second), boot)
+	is.Equal(v.Median(truth, boot), truth)
+	// Clocks that were set back count once the earlier times have expired.
+	boot = boot.Add(3 * time.Second)
+	add(truth-Offset(8*time.Second), boot)
+	is.Equal(v.Median(truth, boot), truth-Offset(8*time.Second))
+}
