Record usage at most five windows after its window

Cause: counts are recorded a third of usage.late after the end of their window, but a window is given up once it is 10 windows old. With usage.late of 30 windows or more, for example windows of 1 s and 30 s, each window was given up before it was recorded: no report at all, and a line 'usage windows given up' for each.

Change: the time until counts are recorded is at most half of the windows that are kept.

Test: TestManyWindowsUntilLate, before: <nil> != [{"windowId":1000,"counts":{"w":5}}]; after: ok.

--- a/io/report/report.go
+++ b/io/report/report.go
@@ -33,6 +33,9 @@
 	// settleFraction is the part of the time until a report is due that is left for
 	// late counts. The rest is for another holder and for retries.
 	settleFraction = 3
+	// maxSettleWindows is the number of windows after which counts are recorded at the
+	// latest. After outbox.MaxPending, a window is given up.
+	maxSettleWindows = outbox.MaxPending / 2
 )
 
 // Group is the part of the control plane that a Reporter needs.
@@ -91,7 +94,7 @@
 		interval = time.Duration(float64(time.Second) / cfg.PerSecond)
 	}
 	member := duty.NewMember(cfg.Self, corianderwing.Millis(cfg.Lease.Milliseconds()))
-	schedule := outbox.Schedule{Length: cfg.Window, Settle: cfg.Late / settleFraction}
+	schedule := outbox.Schedule{Length: cfg.Window, Settle: min(cfg.Late/settleFraction, maxSettleWindows*cfg.Window)}
 	r := &Reporter{
 		cfg: cfg, group: g, boot: boot,
 		sender: outbox.NewSender(Duty, member, schedule, outbox.Pacer{Interval: interval}),
--- a/io/report/report_test.go
+++ b/io/report/report_test.go
@@ -181,3 +181,21 @@
 	bodies, _ := rec.calls()
 	is.Equal(bodies, []string{`{"windowId":1000,"counts":{}}`, `{"windowId":1001,"counts":{}}`})
 }
+
+// Guards against windows that are given up before they are recorded, where reports are
+// due only many windows later.
+func TestManyWindowsUntilLate(t *testing.T) {
+	is := is.New(t)
+	rec := newReceiver(t)
+	g := &fakeGroup{ledger: usage.NewLedger(), now: usage.Window(1000).End(5 * time.Second).Add(-time.Second)}
+	f := newFixture(rec.Listener.Addr().String(), 1, g)
+	cfg := f.cfg
+	cfg.Late = 40 * cfg.Window
+	f.Reporter = newReporter(cfg, g, func() time.Time { return f.now })
+	g.count(1000, "e1", 5)
+	f.run(30 * time.Second)
+	bodies, _ := rec.calls()
+	is.Equal(bodies, []string{`{"windowId":1000,"counts":{"w":5}}`})
+	f.run(30 * time.Second)
+	is.Equal(cfg.Meter.Counter(countGivenUp).Count(), int64(0))
+}
