Compare upstreams only where they report their pace

Pools whose upstreams report no pace went through all upstreams that cache an object, though the first was always taken. They stop at it again, as before; the choice is the same. Choosing the upstream that loads an object has a function of its own. The tests of core/place, io/gate and io/plane pass, as before.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -128,13 +128,21 @@
 	if p.hitWithinGoal(r, order, now) {
 		return nil
 	}
-	// No upstream that caches the object has a free slot in time, so another one
-	// loads it. Taking the first in rendezvous order makes repeated requests
-	// choose the same upstream.
+	return p.pickLoader(r, order, now)
+}
+
+// pickLoader returns the upstream that should load an object because none that caches
+// it has a free slot in time, or nil. Taking the first in rendezvous order, or one of
+// the first if it is clearly faster now, makes repeated requests choose the same one.
+func (p *Pool) pickLoader(r *Request, order []scoredServer, now time.Time) *server {
 	loaded := p.highLoad(now)
+	choices := maxPaceChoices
+	if p.pace.mean == 0 {
+		choices = 1
+	}
 	var best *server
 	for i, s := range order {
-		if i > 0 && loaded || best != nil && i >= maxPaceChoices {
+		if i > 0 && loaded || best != nil && i >= choices {
 			break
 		}
 		if p.canServe(r, s.server, now) && (best == nil || p.isFaster(s.server, best, now)) {
@@ -167,12 +175,12 @@
 		if r.Object != 0 && !p.expectsHit(s.server, r) || !p.canServe(r, s.server, now) {
 			continue
 		}
+		if p.pace.mean == 0 {
+			return s.server
+		}
 		if best == nil || p.isFaster(s.server, best, now) {
 			best = s.server
 		}
-		if r.Object == 0 && p.pace.mean == 0 {
-			break
-		}
 	}
 	return best
 }
