--- a/io/follow/borrow.go
+++ b/io/follow/borrow.go
@@ -9,7 +9,8 @@
 	"corianderwing/io/plane"
 )
 
-// borrowTimeout bounds each borrow call, because a request waits for it. An instance of the same failure domain replies within 2 ms.
+// borrowTimeout bounds each borrow call, because a request waits for it. An instance of
+// the same failure domain replies within 2 ms.
 const borrowTimeout = 60 * time.Millisecond
 
 // lenderBackoff is how long an instance that did not answer a borrow call is
