Judge a client's progress only while it has the turn

What callers saw: when the memory or the connections of an entry instance are short, a client whose upstream worked for two seconds or more was the first to be closed at the moment its response was written, or the rest of its body read. Its windows went on while the process waited for the upstream, and it had moved nothing in them. The documentation says that progress counts only while it is the client's turn.

Ruled out: the check in rank covers only the moment of the search, not the windows before it.

Change: a sample taken while the client does not have the turn begins a new window and judges nothing.

TestProgressIsMeasuredInTurn before: budget_test.go: 1 != 0 --- FAIL: TestProgressIsMeasuredInTurn (0.00s) after: ok corianderwing/core/budget, ok corianderwing/io/accept

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// Guards against closing a client that did not have the turn until now: while the
+// upstream worked, nothing was sent or taken, which counted as a lack of progress.
+func TestProgressIsMeasuredInTurn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, Limits{Memory: 120 * ConnCost, Held: 2 * ConnCost, Conns: 80})
+	list := w.open(Callers, 2)
+	is.Equal(w.hold(list, Work, ConnCost), 2)
+	list[0].EndWait()
+	w.pass(10, 4*int(MinProgress), list[1]) // the upstream works for list[0]
+	list[0].BeginWait()                     // its response is written
+	late := w.open(Callers, 1)
+	is.Equal(w.hold(late, Work, ConnCost), 0)
+	is.True(!list[0].closed)
+	w.pass(4, 4*int(MinProgress), list[1]) // the client takes nothing of it
+	is.Equal(w.hold(late, Work, ConnCost), 1)
+	is.True(list[0].closed)
+}
+
 // Guards against one address that takes all: it gives way to another one although its
 // connections make progress, and closes none of the other's.
 func TestAddressGivesWay(t *testing.T) {
--- a/core/budget/evict.go
+++ b/core/budget/evict.go
@@ -57,6 +57,9 @@
 // EndWait ends what BeginWait began. It is safe for concurrent use.
 func (a *Account) EndWait() { a.waiting.Add(-1) }
 
+// hasTurn reports whether the process waits for the client, rather than for an upstream.
+func (a *Account) hasTurn() bool { return a.Phase() != Work || a.waiting.Load() > 0 }
+
 // Move records bytes that were read or written. It is safe for concurrent use.
 func (a *Account) Move(n int) { a.moved.Add(int64(n)) }
 
@@ -74,13 +77,16 @@
 	}
 }
 
-// sample ends the account's window if it is over, or if another phase has begun.
+// sample ends the account's window if it is over, or if another phase has begun. While
+// the client does not have the turn, its progress is not judged.
 func (a *Account) sample(now time.Time) {
 	moved, phases := a.moved.Load(), a.phases.Load()
 	elapsed := now.Sub(a.markAt)
 	switch {
 	case phases != a.markPhases:
 		a.windows, a.phaseAt = 0, now
+	case !a.hasTurn():
+		a.windows = 0
 	case elapsed < Window:
 		return
 	default:
@@ -177,7 +183,7 @@
 func (a *Account) rank(exceeds bool) (rank, bool) {
 	r := rank{rate: a.rate, since: a.phaseAt}
 	switch phase := a.Phase(); {
-	case phase == Work && a.waiting.Load() == 0:
+	case !a.hasTurn():
 		return r, false
 	case phase == Idle:
 		r.group, r.rate = 1, 0
