--- a/io/crowd/control_test.go
+++ b/io/crowd/control_test.go
@@ -64,6 +64,32 @@
 	s.control.check(t)
 }
 
+const (
+	// coreMemory is the memory of the smallest control instance in use, in MB.
+	coreMemory = 280
+	manyRoutes = 6000
+)
+
+// TestAdminReadsOfLargeState sends one read of a large configuration from each client,
+// which does not take the response.
+func TestAdminReadsOfLargeState(t *testing.T) {
+	s := startSite(t, coreMemory, smallMemory)
+	rows := make([]string, manyRoutes)
+	for i := range rows {
+		rows[i] = fmt.Sprintf(`["r-%d","shop.example","/p%d/","safe","20s","600ms",2,2,true,false,"r2","files"]`, i, i)
+	}
+	text := `{"upsert":{"routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency","priority","maxAttempts","public","sticky","version","service"],"rows":[` +
+		strings.Join(rows, ",") + `]}}}`
+	s.eventually("the routes are accepted", func() bool {
+		status, _ := s.send("POST", "http://"+s.addr(admin)+"/Config.Patch", text)
+		return status == http.StatusOK
+	})
+	s.attack(s.addr(admin), manyAhead, func(c *client) func() {
+		c.write([]byte(getCall.head(c) + "\r\n"))
+		return nil
+	})
+}
+
 func TestAdminEndlessChunks(t *testing.T) {
 	crowdAt(t, admin, manyOver, heartbeatCall.endlessChunks)
 }
