Count the bytes of a response while its write waits

What callers saw: when memory or connections are short, a client on a slow link that takes its response all the time is closed like one that stopped. A response is written in parts of 32 KiB, and their bytes counted only when the whole part was with the kernel: at up to 16 KiB/s a client seemed to make no progress for two seconds, where the bound is 1 KiB/s.

Ruled out: writing smaller parts, which needs 16 times the system calls.

Change: on Linux, a TCP connection is written with the same system calls as before, and each count that the kernel returns is recorded at once. Elsewhere nothing changes.

--- a/core/budget/evict.go
+++ b/core/budget/evict.go
@@ -63,6 +63,9 @@
 // Move records bytes that were read or written. It is safe for concurrent use.
 func (a *Account) Move(n int) { a.moved.Add(int64(n)) }
 
+// Moved returns the number of bytes that were recorded. It is safe for concurrent use.
+func (a *Account) Moved() int64 { return a.moved.Load() }
+
 // Class returns the class of the connection.
 func (a *Account) Class() Class { return a.class }
 
--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -132,10 +132,16 @@
 	}
 	c.account.BeginWait()
 	c.setWriting(true)
-	n, err := c.Conn.Write(p)
+	n, err := writeParts(c.Conn, p, c.account.Move)
 	c.setWriting(false)
 	c.account.EndWait()
-	c.account.Move(n)
+	return n, err
+}
+
+// writeWhole writes p to c, and calls moved when all of it is written.
+func writeWhole(c net.Conn, p []byte, moved func(int)) (int, error) {
+	n, err := c.Write(p)
+	moved(n)
 	return n, err
 }
 
--- a/io/accept/guard_test.go
+++ b/io/accept/guard_test.go
@@ -195,3 +195,35 @@
 		is.Equal(int(g.Usage().Held), 0)
 	})
 }
+
+// Guards against closing a slow client that takes its response all the time: its bytes
+// counted only once a whole part of 32 KiB was written.
+func TestBytesCountWhileWriteWaits(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	g := NewGuard(budget.Limits{Memory: 1 << 20, Held: 512 << 10, Conns: 2}, &log.Logger{Level: log.PanicLevel}, meter.New())
+	defer g.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	server, err := g.Wrap(inner, budget.Callers).Accept()
+	is.NoErr(err)
+	defer server.Close()
+	written := make(chan error, 1)
+	go func() {
+		_, err := server.Write(make([]byte, 64<<20)) // more than the kernel holds
+		written <- err
+	}()
+	for end := time.Now().Add(time.Minute); server.(*conn).account.Moved() == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	select {
+	case err := <-written:
+		t.Fatalf("the write has ended: %v", err)
+	default:
+	}
+	client.Close()
+	is.True(<-written != nil)
+}
