Test that a call to a silent receiver is reset

The end of a call that is under way had no test: with the close at the end of its context switched off, or without SO_LINGER, all tests of io/report passed.

Test: TestSilentReceiver. Without the close: 'the call goes on'; without SO_LINGER: not true: errors.Is(err, syscall.ECONNRESET); as it is: ok.

--- a/io/report/report_test.go
+++ b/io/report/report_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -199,3 +202,34 @@
 	f.run(30 * time.Second)
 	is.Equal(cfg.Meter.Counter(countGivenUp).Count(), int64(0))
 }
+
+// Guards against a call to a receiver that does not answer that goes on, or whose bytes
+// arrive later over a broken link.
+func TestSilentReceiver(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, conn)
+		}
+		ended <- err
+	}()
+	g := &fakeGroup{ledger: usage.NewLedger(), now: usage.Window(1000).End(5 * time.Second).Add(-time.Second)}
+	f := newFixture(l.Addr().String(), 1, g)
+	failed := f.cfg.Meter.Counter(countFailed)
+	go func() {
+		for failed.Count() == 0 {
+			f.run(pollInterval)
+		}
+	}()
+	select {
+	case err := <-ended:
+		is.True(errors.Is(err, syscall.ECONNRESET)) // not closed after bytes that wait
+	case <-time.After(3 * time.Second):
+		t.Fatal("the call goes on")
+	}
+}
