Keep the counts of later windows while the estimated time goes back

Cause: an entry instance drops the counts of windows above the current one plus one when a new window begins. Its estimated time can go back by two windows for a moment and return, for example after it followed a control instance that had been suspended for 8 s. The counts of the present window then began again at zero. As counts are cumulative and the ledger keeps the larger one, requests before or after the moment were lost.

Change: windows are dropped that are 12 or more away in either direction, as in the ledger.

Test: TestTimeGoesBackAndForth, before: {100 [{a 1 0}]} in place of {100 [{a 2 0}]}; after: ok.

--- a/core/usage/ledger.go
+++ b/core/usage/ledger.go
@@ -65,7 +65,7 @@
 // future because they were accepted before the clock was corrected.
 func (l *Ledger) forget(current Window) {
 	maps.DeleteFunc(l.windows, func(w Window, _ *ledgerWindow) bool {
-		return w <= current-maxWindows || w >= current+maxWindows
+		return !isNear(w, current)
 	})
 }
 
--- a/core/usage/tally.go
+++ b/core/usage/tally.go
@@ -104,8 +104,9 @@
 }
 
 // addPage adds a page for the current window, with counters for the workspaces that
-// the newest page counted, and drops the pages that are not kept. The caller must
-// hold t.mu.
+// the newest page counted, and drops the pages that are not kept. Later pages are kept:
+// the estimated time may go back and forth, and counts that begin again at zero are taken
+// for outdated ones. The caller must hold t.mu.
 func (t *Tally) addPage(current Window) *page {
 	counters := map[corianderwing.WorkspaceID]*counter{}
 	p := &page{window: current}
@@ -118,7 +119,7 @@
 			}
 		}
 		for _, other := range *old {
-			if keeps(other.window, current) {
+			if isNear(other.window, current) {
 				list = append(list, other)
 			}
 		}
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -98,3 +98,14 @@
 		tally.Refused(1, "a")
 	}), 0.0)
 }
+
+// Guards against counts of a window that begin again at zero after the estimated time
+// went back by some windows for a moment: the ledger keeps the larger count, not the sum.
+func TestTimeGoesBackAndForth(t *testing.T) {
+	is := is.New(t)
+	var tally Tally
+	for _, w := range []Window{100, 98, 100} {
+		tally.Sent(w, "a")
+	}
+	is.Equal(tally.Report("x"), []WindowCounts{{98, []Count{{"a", 1, 0}}}, {100, []Count{{"a", 2, 0}}}})
+}
--- a/core/usage/window.go
+++ b/core/usage/window.go
@@ -32,15 +32,21 @@
 	return time.Unix(0, (int64(w)+1)*int64(length))
 }
 
-// maxWindows is the number of windows that a Tally and a Ledger keep.
+// maxWindows is the number of windows up to the current one that a Tally and a Ledger
+// keep.
 const maxWindows = 12
 
-// keeps reports whether a window is kept during the current one. The next window
-// is accepted too, because the clocks of instances differ slightly.
+// keeps reports whether counts of a window are accepted during the current one. The next
+// window is accepted too, because the clocks of instances differ slightly.
 func keeps(w, current Window) bool {
 	return w > current-maxWindows && w <= current+1
 }
 
+// isNear reports whether a window is less than maxWindows away from the current one.
+func isNear(w, current Window) bool {
+	return w > current-maxWindows && w < current+maxWindows
+}
+
 // Source is the incarnation of an entry instance that counted requests.
 type Source struct {
 	Instance    corianderwing.InstanceID  `json:"instance"`
