Renew the lease of usage reports without the backlog

Cause: while the receiver is down, the holder renews its lease every 2.5 s, and each renewal wrote all recorded reports to the log again.

Change: a renewal that records and removes nothing has no data, and the state keeps its own. Commands that record a window still hold the backlog.

Test: TestRenewalHasNoData, before: not true: renewals > 0; after: ok. TestReports as before.

--- a/core/outbox/outbox_test.go
+++ b/core/outbox/outbox_test.go
@@ -218,6 +218,41 @@
 	is.Equal(back, b)
 }
 
+// Guards against a log that grows by the whole backlog with each renewal of the lease,
+// while the receiver is down.
+func TestRenewalHasNoData(t *testing.T) {
+	is := is.New(t)
+	s := NewSender("usage", duty.NewMember(duty.Holder{Instance: "c"}, testLease), testSchedule, Pacer{})
+	in := Input{
+		Term: 1, Boot: time.Unix(100, 0), Now: usage.Window(1000).End(testSchedule.Length),
+		Totals:  func(usage.Window) counts { return counts{"w": 1} },
+		Windows: func() []usage.Window { return []usage.Window{1000} },
+	}
+	renewals := 0
+	for range 90 {
+		in.Boot, in.Now = in.Boot.Add(100*time.Millisecond), in.Now.Add(100*time.Millisecond)
+		next, action, err := s.Step(in)
+		is.NoErr(err)
+		s = next
+		if c := action.Send; c != nil {
+			s = s.Answered(c.Report.Window, corianderwing.UsageResult{}, in.Boot)
+		}
+		if c := action.Propose; c != nil {
+			before := in.State.Data
+			in.State, err = in.State.Apply(c)
+			is.NoErr(err)
+			if len(c.Data) == 0 {
+				renewals++
+				is.Equal(in.State.Data, before)
+			}
+		}
+	}
+	is.True(renewals > 0)
+	box, err := Decode(in.State.Data)
+	is.NoErr(err)
+	is.Equal(len(box.Pending), 2)
+}
+
 // BenchmarkEncode measures the bytes that one change of the duty adds to the log.
 func BenchmarkEncode(b *testing.B) {
 	for _, size := range []struct{ workspaces, pending int }{{87, 1}, {87, MaxPending}, {3000, 1}, {3000, MaxPending}} {
--- a/core/outbox/sender.go
+++ b/core/outbox/sender.go
@@ -83,7 +83,7 @@
 	due := len(box.Pending) > 0 && !in.Boot.Before(s.pacer.Next())
 	switch {
 	case next.Next != box.Next || due && s.member.Until().Sub(in.Boot) < minCallTime:
-		return s.propose(next, out, in.Boot)
+		return s.propose(recorded, next, out, in.Boot)
 	case due:
 		call := &Call{box.Pending[0], s.member.State().Token, s.member.Until().Add(-arrivalMargin)}
 		s.pacer = s.pacer.Begin(in.Boot)
@@ -104,10 +104,15 @@
 	return box.Record(s.schedule, in.Now, in.Totals)
 }
 
-func (s Sender) propose(box Box, out Outcome, boot time.Time) (Sender, Action, error) {
-	data, err := box.Encode()
-	if err != nil {
-		return s, Action{}, err
+// propose proposes to renew the lease and to record a box in place of another one. The
+// log gets the box only if it differs.
+func (s Sender) propose(recorded, box Box, out Outcome, boot time.Time) (Sender, Action, error) {
+	var data []byte
+	if box.Next != recorded.Next || len(box.Pending) != len(recorded.Pending) {
+		var err error
+		if data, err = box.Encode(); err != nil {
+			return s, Action{}, err
+		}
 	}
 	next, c, ok := s.member.Propose(s.name, data, boot)
 	if !ok {
