Ask other entry instances only while a heartbeat waits or has failed

Cause: measured the time since the last reply, not since the last question.

Change: an instance asks when its heartbeat has waited 0.3 s for the reply, or failed, and its state is older than 0.8 s.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -107,7 +107,7 @@
 	listsVersion    uint64                   // version of these lists; 0 if unknown
 	current         string                   // peer address of the followed control instance
 	lastReply       time.Time                // last reply to a heartbeat
-	lastHeard       time.Time                // last reply of any control instance
+	heartbeatAt     time.Time                // when the heartbeat without a reply was sent to current; zero if there is none
 	lastRelay       string                   // peer address of the entry instance that had a recent confirmation last
 	avoidUntil      map[string]time.Time     // by peer address: no slot requests before this time
 	noBorrowUntil   map[string]time.Time     // by peer address: no borrow calls before this time
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -108,8 +108,12 @@
 func (f *Follower) heartbeat(ctx context.Context) {
 	f.mu.Lock()
 	addr := f.current
+	f.heartbeatAt = f.cfg.Now()
 	f.mu.Unlock()
 	reply, age, err := f.sendHeartbeat(ctx, addr, f.cfg.TakeTrials())
+	f.mu.Lock()
+	f.heartbeatAt = time.Time{}
+	f.mu.Unlock()
 	if err != nil && !f.follows(addr) {
 		return // the lost grantor has answered meanwhile
 	}
@@ -163,9 +167,6 @@
 	if followed {
 		f.acknowledgeUsage(q, addr, reply, sent)
 	}
-	f.mu.Lock()
-	f.lastHeard = f.cfg.Now()
-	f.mu.Unlock()
 	if followed {
 		f.recordShares(addr, len(demands), len(reply.Shares))
 	}
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -19,10 +19,11 @@
 const (
 	// relayInterval is the interval at which other entry instances are asked.
 	relayInterval = 200 * time.Millisecond
-	// minRelayAge is the age of the state, and of the last reply of a control
-	// instance, from which on they are asked. In touch, a reply comes every
-	// heartbeatInterval.
-	minRelayAge = 800 * time.Millisecond
+	// minRelayAge is the age of the state from which on they are asked, and
+	// maxReplyDelay how long the followed control instance may take to reply to a
+	// heartbeat before.
+	minRelayAge   = 800 * time.Millisecond
+	maxReplyDelay = 300 * time.Millisecond
 	// relayTimeout bounds one call to another entry instance.
 	relayTimeout = 500 * time.Millisecond
 	// relayHedgeDelay is how long an entry instance may take before the next one is
@@ -100,15 +101,18 @@
 	}
 }
 
-// isCutOff reports whether no control instance has replied for minRelayAge and the
-// state is as old. A heartbeat need not have failed yet: on a silent link that takes
-// heartbeatTimeout. Before it has a state, an instance knows no other entry instances.
+// isCutOff reports whether the last heartbeat failed, or has been waiting for its reply
+// for maxReplyDelay, and the state is getting old. A heartbeat need not have failed yet:
+// on a silent link that takes heartbeatTimeout. Before it has a state, an instance knows
+// no other entry instances.
 func (f *Follower) isCutOff() bool {
-	_, known := f.View()
+	if _, known := f.View(); !known || f.StateAge() <= minRelayAge {
+		return false
+	}
 	f.mu.Lock()
-	heard := f.lastHeard
-	f.mu.Unlock()
-	return known && f.cfg.Now().Sub(heard) > minRelayAge && f.StateAge() > minRelayAge
+	defer f.mu.Unlock()
+	waiting := !f.heartbeatAt.IsZero() && f.cfg.Now().Sub(f.heartbeatAt) > maxReplyDelay
+	return f.failed > 0 || waiting
 }
 
 // askRelays asks other entry instances, until one has a more recent confirmation. The
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -213,19 +213,22 @@
 	is.Equal(cut.relayAddrs()[0], relays[2].PeerAddr)
 }
 
-// Guards against waiting until a heartbeat has timed out, with the next one to be sent
-// before that, while a change must be in force soon.
+// Guards against waiting until a heartbeat has timed out, while a change must be in
+// force soon, and against asking entry instances while the followed control instance
+// answers: a probe of a silent one delays the next heartbeat, not its reply.
 func TestOverdueReplyCountsAsCutOff(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	f := &Follower{cfg: Config{Now: func() time.Time { return now }, Lease: testLease}}
 	f.state.Store(&state{view: model.New(), known: true, freshUntil: now.Add(testLease)})
-	f.lastHeard = now
+	now = now.Add(heartbeatInterval + heartbeatTimeout)
+	is.True(!f.isCutOff()) // a probe has timed out
+	f.heartbeatAt = now
 	is.True(!f.isCutOff())
-	now = now.Add(2*heartbeatInterval - time.Millisecond) // one late reply
-	is.True(!f.isCutOff())
-	now = now.Add(heartbeatInterval)
+	now = now.Add(maxReplyDelay + time.Millisecond)
 	is.True(f.isCutOff())
-	f.lastHeard = now // a control instance replies, without a recent confirmation
+	f.heartbeatAt = time.Time{} // a control instance replies, without a recent confirmation
 	is.True(!f.isCutOff())
+	f.failed = 1
+	is.True(f.isCutOff())
 }
