Renew the lease of the usage duty without the reports that wait

While the receiver is down, the lease is renewed about every 2.5 s, and each time the log got all reports that wait again: 10,676 B for 87 workspaces (BenchmarkEncode). Now such a change holds none.

--- a/core/outbox/sender.go
+++ b/core/outbox/sender.go
@@ -83,7 +83,14 @@
 	due := len(box.Pending) > 0 && !in.Boot.Before(s.pacer.Next())
 	switch {
 	case next.Next != box.Next || due && s.member.Until().Sub(in.Boot) < minCallTime:
-		return s.propose(next, out, in.Boot)
+		if next.Next == recorded.Next && len(next.Pending) == len(recorded.Pending) {
+			return s.propose(nil, out, in.Boot)
+		}
+		data, err := next.Encode()
+		if err != nil {
+			return s, Action{}, err
+		}
+		return s.propose(data, out, in.Boot)
 	case due:
 		call := &Call{box.Pending[0], s.member.State().Token, s.member.Until().Add(-arrivalMargin)}
 		s.pacer = s.pacer.Begin(in.Boot)
@@ -104,11 +111,9 @@
 	return box.Record(s.schedule, in.Now, in.Totals)
 }
 
-func (s Sender) propose(box Box, out Outcome, boot time.Time) (Sender, Action, error) {
-	data, err := box.Encode()
-	if err != nil {
-		return s, Action{}, err
-	}
+// propose returns the change that renews the lease and replaces the recorded reports,
+// unless data is empty.
+func (s Sender) propose(data []byte, out Outcome, boot time.Time) (Sender, Action, error) {
 	next, c, ok := s.member.Propose(s.name, data, boot)
 	if !ok {
 		return s, Action{}, nil
