Let the kernel drop a usage report that is not acknowledged within the lease

A call is reset when the lease ends, by the process. If the process is stopped just then and the link is broken, the kernel would repeat the bytes after the lease. The connection now has a TCP_USER_TIMEOUT of what is left of the lease.

--- a/io/report/call.go
+++ b/io/report/call.go
@@ -48,7 +48,7 @@
 
 // exchange writes a message and reads the header of the answer.
 func (r *Reporter) exchange(ctx context.Context, addr string, until time.Time, message []byte, req *http.Request) (*http.Response, error) {
-	var d net.Dialer
+	d := net.Dialer{Control: userTimeout(until.Sub(r.boot()))}
 	if r.cfg.SourceIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: r.cfg.SourceIP}
 	}
