--- a/core/outbox/sender.go
+++ b/core/outbox/sender.go
@@ -83,14 +83,7 @@
 	due := len(box.Pending) > 0 && !in.Boot.Before(s.pacer.Next())
 	switch {
 	case next.Next != box.Next || due && s.member.Until().Sub(in.Boot) < minCallTime:
-		if next.Next == recorded.Next && len(next.Pending) == len(recorded.Pending) {
-			return s.propose(nil, out, in.Boot)
-		}
-		data, err := next.Encode()
-		if err != nil {
-			return s, Action{}, err
-		}
-		return s.propose(data, out, in.Boot)
+		return s.propose(recorded, next, out, in.Boot)
 	case due:
 		call := &Call{box.Pending[0], s.member.State().Token, s.member.Until().Add(-arrivalMargin)}
 		s.pacer = s.pacer.Begin(in.Boot)
@@ -111,9 +104,16 @@
 	return box.Record(s.schedule, in.Now, in.Totals)
 }
 
-// propose returns the change that renews the lease and replaces the recorded reports,
-// unless data is empty.
-func (s Sender) propose(data []byte, out Outcome, boot time.Time) (Sender, Action, error) {
+// propose proposes to renew the lease and to record a box in place of another one. The
+// log gets the box only if it differs.
+func (s Sender) propose(recorded, box Box, out Outcome, boot time.Time) (Sender, Action, error) {
+	var data []byte
+	if box.Next != recorded.Next || len(box.Pending) != len(recorded.Pending) {
+		var err error
+		if data, err = box.Encode(); err != nil {
+			return s, Action{}, err
+		}
+	}
 	next, c, ok := s.member.Propose(s.name, data, boot)
 	if !ok {
 		return s, Action{}, nil
--- a/io/report/report_test.go
+++ b/io/report/report_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -181,3 +184,52 @@
 	bodies, _ := rec.calls()
 	is.Equal(bodies, []string{`{"windowId":1000,"counts":{}}`, `{"windowId":1001,"counts":{}}`})
 }
+
+// Guards against windows that are given up before they are recorded, where reports are
+// due only many windows later.
+func TestManyWindowsUntilLate(t *testing.T) {
+	is := is.New(t)
+	rec := newReceiver(t)
+	g := &fakeGroup{ledger: usage.NewLedger(), now: usage.Window(1000).End(5 * time.Second).Add(-time.Second)}
+	f := newFixture(rec.Listener.Addr().String(), 1, g)
+	cfg := f.cfg
+	cfg.Late = 40 * cfg.Window
+	f.Reporter = newReporter(cfg, g, func() time.Time { return f.now })
+	g.count(1000, "e1", 5)
+	f.run(30 * time.Second)
+	bodies, _ := rec.calls()
+	is.Equal(bodies, []string{`{"windowId":1000,"counts":{"w":5}}`})
+	f.run(30 * time.Second)
+	is.Equal(cfg.Meter.Counter(countGivenUp).Count(), int64(0))
+}
+
+// Guards against a call to a receiver that does not answer that goes on, or whose bytes
+// arrive later over a broken link.
+func TestSilentReceiver(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, conn)
+		}
+		ended <- err
+	}()
+	g := &fakeGroup{ledger: usage.NewLedger(), now: usage.Window(1000).End(5 * time.Second).Add(-time.Second)}
+	f := newFixture(l.Addr().String(), 1, g)
+	failed := f.cfg.Meter.Counter(countFailed)
+	go func() {
+		for failed.Count() == 0 {
+			f.run(pollInterval)
+		}
+	}()
+	select {
+	case err := <-ended:
+		is.True(errors.Is(err, syscall.ECONNRESET)) // not closed after bytes that wait
+	case <-time.After(3 * time.Second):
+		t.Fatal("the call goes on")
+	}
+}
