Play two crowds of clients in the soak, beside kills and cuts

Each round of faults has one at an entry process: 300 clients whose bodies stop one byte short, or whose heads are made of 2,500 short fields. A further promise, memory: the peak of the crowded process stays within its settings, now 64 MB.

--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -104,6 +104,8 @@
 		r.storage(ctx, s, tear)
 	case Evacuate:
 		r.evacuate(ctx, siteDomains[s.On%4].domain)
+	case Bodies, Heads:
+		r.crowd(ctx, r.entry(s), s)
 	case Crash, Swap, Drain, Slow:
 		r.doUpstream(ctx, r.upstreams[s.On%len(r.upstreams)], s)
 	default:
--- a/io/soak/ledger.go
+++ b/io/soak/ledger.go
@@ -32,11 +32,12 @@
 	Reported   Promise = "usage"    // each window of usage is reported with one count, also after all faults
 	OneHolder  Promise = "holder"   // one machine at a time reports, under a token of its own
 	Recovered  Promise = "recover"  // requests are served again after all faults have ended
+	InMemory   Promise = "memory"   // a process that clients crowd stays within its memory
 	Alive      Promise = "alive"    // no process ends by itself
 )
 
 // Promises lists all promises.
-var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Told, Pushback, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Reported, OneHolder, Recovered, Alive}
+var Promises = []Promise{OwnAnswer, OwnRequest, RunOnce, NotRun, Revoked, Drained, Told, Pushback, Emptied, InBounds, Applied, Allowed, Kept, Checked, Whole, Reported, OneHolder, Recovered, InMemory, Alive}
 
 // Breach is a broken promise.
 type Breach struct {
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -210,12 +210,13 @@
 beat: %s
 domains: {%s}
 losses: %d
+memory: %d
 data: %s
 log: info
 listen: %s
 bounds: {apply: %s, revoke: %s, grace: %s, window: %s, over: %g, slack: %g, lookup: 2s}
 `, p.Name, p.Role, p.Face, p.Bind, p.Domain, p.Region, peerPort, entryPeer, strings.Join(seeds, "', '"),
-		err != nil, beatEvery, strings.Join(domains, ", "), losses, filepath.Join(s.Dir, p.Name, "data"), listen,
+		err != nil, beatEvery, strings.Join(domains, ", "), losses, memoryBound, filepath.Join(s.Dir, p.Name, "data"), listen,
 		applyBound, revokeBound, graceBound, windowBound, overBound, slackBound) + s.usageSettings(p)
 }
 
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -125,6 +125,7 @@
 	}
 	if cfg.Plan == nil {
 		cfg.Plan = plan(r.random("plan"), cfg.Length)
+		cfg.Plan = append(cfg.Plan, planCrowds(r.random("crowds"), cfg.Length)...)
 	}
 	if err := r.play(ctx, cfg.Plan); err != nil {
 		return nil, err
