--- a/io/crowd/control_test.go
+++ b/io/crowd/control_test.go
@@ -73,6 +73,22 @@
 // TestAdminReadsOfLargeState sends one read of a large configuration from each client,
 // which does not take the response.
 func TestAdminReadsOfLargeState(t *testing.T) {
+	s := startLargeSite(t)
+	s.attack(s.addr(admin), manyAhead, func(c *client) func() {
+		c.write([]byte(getCall.head(c) + "\r\n"))
+		return nil
+	})
+}
+
+// TestAdminReadsSentAhead sends many such reads ahead from each client. Control traffic
+// must go on beside them.
+func TestAdminReadsSentAhead(t *testing.T) {
+	s := startLargeSite(t)
+	s.attack(s.addr(admin), manyAhead, getCall.sentAhead)
+}
+
+// startLargeSite starts a site with manyRoutes.
+func startLargeSite(t *testing.T) *site {
 	s := startSite(t, coreMemory, smallMemory)
 	rows := make([]string, manyRoutes)
 	for i := range rows {
@@ -84,10 +100,7 @@
 		status, _ := s.send("POST", "http://"+s.addr(admin)+"/Config.Patch", text)
 		return status == http.StatusOK
 	})
-	s.attack(s.addr(admin), manyAhead, func(c *client) func() {
-		c.write([]byte(getCall.head(c) + "\r\n"))
-		return nil
-	})
+	return s
 }
 
 func TestAdminEndlessChunks(t *testing.T) {
