Log who granted a slot of a cold upstream, and what each side knew

The log line of a request named the failure domain whose allocator granted a slot, but not the control instance, which on large sites is one of three or more, nor whether the allocator or the entry instance took the upstream for cold. Without it, two deciders that both know it is cold look like one that does not know it.

Attempts have 'at', 'peer', 'cold' and 'warmup' now, and the gauge D.P.coldpeak is the most that one allocator granted within a second for one upstream in its cold start. No behavior changes: go test ./core/place ./io/gate passes.

--- a/core/place/load.go
+++ b/core/place/load.go
@@ -27,6 +27,7 @@
 	Provisional bool
 	OverShare   int                   // waiting requests of workspaces over their share
 	Pace        corianderwing.Percent // mean work time that the upstreams report; 0 if none does
+	ColdPeak    int                   // most requests granted within a second for one upstream in its cold start
 }
 
 // provisionalPeriod is how long after its first request the load of a Pool is
@@ -38,6 +39,7 @@
 	l := Load{Demand: p.demand.rate(now), ArrivalRate: p.arrivals.rate(now)}
 	l.Provisional = now.Sub(p.arrivals.started) < provisionalPeriod
 	l.Pace = corianderwing.Percent(100 * p.pace.mean)
+	l.ColdPeak = p.coldPeak
 	for _, w := range p.queue {
 		if w.overShare {
 			l.OverShare++
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -156,6 +156,7 @@
 	domainSlots   map[corianderwing.DomainID]float64    // slots of the usable upstreams
 	classStats    map[corianderwing.RouteID]*classStats // objects requested in each class
 	sharedClasses map[corianderwing.RouteID]bool        // classes whose objects have one home domain in the region
+	coldPeak      int                                   // most grants within coldGrantWindow for a cold upstream
 	rankings      int                                   // number of calls to rankServers, for tests
 
 	available []*server // buffer of availableServers
@@ -326,6 +327,7 @@
 	cold := s.isCold(now)
 	if cold {
 		s.coldTokens--
+		p.coldPeak = max(p.coldPeak, s.recordColdGrant(now))
 	}
 	pace := p.expectedPace(s, now)
 	g := Grant{
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -56,6 +56,7 @@
 	recentObjects   *list.List
 	index           map[uint64]*list.Element // into recentObjects, most recent first
 	coldTokens      float64                  // requests that it may get during its cold start
+	coldGrants      []time.Time              // grants of the last coldGrantWindow during its cold start
 	tokensAt        time.Time
 	errorRate       float64   // moving average of failed attempts, 0 to 1
 	slowdown        float64   // moving average of actual to expected latency
@@ -155,6 +156,17 @@
 	s.tokensAt = now
 }
 
+// coldGrantWindow is the time over which the requests to a cold upstream are counted.
+const coldGrantWindow = time.Second
+
+// recordColdGrant records a grant during the cold start, and returns the number of
+// those in the last coldGrantWindow.
+func (s *server) recordColdGrant(now time.Time) int {
+	old := func(at time.Time) bool { return now.Sub(at) >= coldGrantWindow }
+	s.coldGrants = append(slices.DeleteFunc(s.coldGrants, old), now)
+	return len(s.coldGrants)
+}
+
 // eject excludes the upstream from scheduling, twice as long after each
 // consecutive failure.
 func (s *server) eject(now time.Time) {
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -280,6 +280,7 @@
 	Demand      float64               `json:"demand,omitempty"`  // slots needed by the arriving requests
 	ArrivalRate float64               `json:"arrived,omitempty"` // requests per second
 	Provisional bool                  `json:"new,omitempty"`     // see place.Load
+	ColdPeak    int                   `json:"-"`                 // see place.Load
 }
 
 // Loads returns the load of every pool.
@@ -301,6 +302,7 @@
 			Demand:      l.Demand,
 			ArrivalRate: l.ArrivalRate,
 			Provisional: l.Provisional,
+			ColdPeak:    l.ColdPeak,
 		})
 	}
 	return list
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -61,12 +61,17 @@
 	if err != nil {
 		code = err.Code
 	}
+	sent := time.Now().Add(-took)
 	x.attemptLog = append(x.attemptLog, attemptEntry{
+		At:       corianderwing.Millis(sent.Sub(x.start).Milliseconds()),
 		Upstream: sl.upstream.ID,
 		Version:  sl.upstream.Version,
 		Domain:   sl.upstream.Domain,
 		Code:     code,
 		From:     sl.source.Domain,
+		Peer:     sl.source.Peer,
+		Cold:     sl.coldStart,
+		Warmup:   corianderwing.Millis(max(0, sl.upstream.WarmupUntil.Sub(sent).Milliseconds())),
 		Expected: corianderwing.Millis(sl.expected.Milliseconds()),
 		First:    corianderwing.Millis(took.Milliseconds()),
 		Known:    sl.objectKnown,
@@ -75,12 +80,16 @@
 
 // attemptEntry describes an attempt in the log line of a request.
 type attemptEntry struct {
+	At       corianderwing.Millis     `json:"at"` // from the start of the request to the attempt
 	Upstream corianderwing.UpstreamID `json:"upstream"`
 	Version  corianderwing.VersionID  `json:"version"`
 	Domain   corianderwing.DomainID   `json:"domain"`
 	Code     corianderwing.Code       `json:"code"`
-	From     corianderwing.DomainID   `json:"from,omitempty"` // failure domain whose allocator granted the slot; empty if this instance did
-	Expected corianderwing.Millis     `json:"expected"`       // until the first byte
+	From     corianderwing.DomainID   `json:"from,omitempty"`   // failure domain whose allocator granted the slot; empty if this instance did
+	Peer     string                   `json:"peer,omitempty"`   // control instance that granted the slot
+	Cold     bool                     `json:"cold,omitempty"`   // the upstream was cold in the state of whoever granted the slot
+	Warmup   corianderwing.Millis     `json:"warmup,omitempty"` // remaining warm-up time in the state of this instance
+	Expected corianderwing.Millis     `json:"expected"`         // until the first byte
 	First    corianderwing.Millis     `json:"first"`
 	Known    bool                     `json:"known,omitempty"`   // the upstream was expected to know the object
 	Crashed  bool                     `json:"crashed,omitempty"` // the upstream refused connections after the attempt had failed
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -314,6 +314,7 @@
 			gauge(name+"waiting", int64(l.Waiting))
 			gauge(name+"pace", int64(l.Pace))
 			gauge(name+"over", int64(l.OverShare))
+			gauge(name+"coldpeak", int64(l.ColdPeak))
 		}
 	}
 }
