Lease the cold upstreams of a failure domain to one slot allocator

Cause: every control instance that is asked for slots of a failure domain makes an allocator, and each took itself for the only one ('Allocators: 1'): a bucket of its own for each cold upstream, filled at the start. Two or more decide at once whenever the entry instances do not all use the same control instance: it is lost, paused, cut off, lags or returns, and entry instances of the domain leave it one after the other, while those of other domains forward to it or to another.

Change: the leader leases the cold upstreams of a domain to one allocator at a time (core/lease), with the reports that control instances send anyway. Without a lease cold upstreams get nothing. A pool that becomes the only one starts with an empty bucket.

TestColdUpstreamIsGrantedByLeaseHolder fails when every allocator takes itself for the holder (not true: !granted("b")). TestStartingUpstream now says explicitly that its single pool is the only one; its bounds are as before.

A control instance of this version under a leader of an earlier one gets no lease: during an upgrade cold upstreams get no requests from it until the leader is new.

--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -32,6 +32,7 @@
 				Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: rate,
 				Evacuated: func(corianderwing.DomainID) bool { return false },
 			}, now)
+			p.SetSoleAllocator(sharers == 1, now)
 			for id := place.ID(1); id < 200; id++ {
 				now = now.Add(20 * time.Millisecond)
 				r := place.Request{ID: id, Class: "fetch", Object: uint64(id), NoForward: true, Goal: now.Add(10 * time.Millisecond), Deadline: now.Add(4 * time.Second)}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -107,8 +107,8 @@
 	Domain corianderwing.DomainID
 	// RegionOf returns the region of a failure domain.
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
-	// Allocators is the number of Pools that use the upstreams of the failure
-	// domain at the same time. It is 1 if a single Pool decides for all.
+	// Allocators is the number of Pools that are expected to share the upstreams of
+	// the failure domain.
 	Allocators int
 	Seed       uint64
 }
@@ -156,6 +156,7 @@
 	domainSlots   map[corianderwing.DomainID]float64    // slots of the usable upstreams
 	classStats    map[corianderwing.RouteID]*classStats // objects requested in each class
 	sharedClasses map[corianderwing.RouteID]bool        // classes whose objects have one home domain in the region
+	soleAllocator bool                                  // no other Pool uses cold upstreams of the failure domain
 	coldPeak      int                                   // most grants within coldGrantWindow for a cold upstream
 	rankings      int                                   // number of calls to rankServers, for tests
 
@@ -196,6 +197,18 @@
 // SetAllocators changes Config.Allocators.
 func (p *Pool) SetAllocators(n int) { p.cfg.Allocators = max(1, n) }
 
+// SetSoleAllocator sets whether this Pool is the only one that may send requests to
+// the cold upstreams of its failure domain. A Pool that becomes the only one may follow
+// another, which has just used up the burst of these upstreams.
+func (p *Pool) SetSoleAllocator(sole bool, now time.Time) {
+	if sole && !p.soleAllocator {
+		for _, s := range p.servers {
+			s.coldTokens, s.tokensAt = 0, now
+		}
+	}
+	p.soleAllocator = sole
+}
+
 // Sync applies a new setup.
 func (p *Pool) Sync(set Setup, now time.Time) []Effect {
 	p.effects = p.effects[:0]
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -202,8 +202,7 @@
 		room = min(room, 1) // a single probe shows whether it has recovered
 	}
 	if s.isCold(now) {
-		// Several Pools that decide independently would each send a request at once.
-		if s.remote || p.cfg.Allocators > 1 {
+		if s.remote || !p.soleAllocator {
 			return 0
 		}
 		s.refillColdTokens(p.setup.ColdRate, now)
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -51,6 +51,9 @@
 	// upstream.
 	Lent     map[corianderwing.UpstreamID]int
 	Borrowed map[corianderwing.UpstreamID]int
+	// ColdUntil is the end of the lease on the cold upstreams of the failure domain, on
+	// the boot clock. Afterwards, and without a lease, they get no requests.
+	ColdUntil time.Time
 }
 
 // Allocator grants the slots of the upstreams of a failure domain. It owns one
@@ -58,11 +61,12 @@
 type Allocator struct {
 	cfg Config
 
-	mu      sync.Mutex
-	pools   map[corianderwing.PoolID]*place.Pool
-	waiting map[place.ID]chan place.Effect
-	last    place.ID
-	queued  chan struct{} // buffered (1); signals that a request waits
+	mu        sync.Mutex
+	coldUntil time.Time // see SyncParams
+	pools     map[corianderwing.PoolID]*place.Pool
+	waiting   map[place.ID]chan place.Effect
+	last      place.ID
+	queued    chan struct{} // buffered (1); signals that a request waits
 }
 
 // New returns an Allocator without upstreams. The caller must call Run.
@@ -100,12 +104,27 @@
 func (a *Allocator) tick(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.checkLease(now)
 	for _, p := range a.pools {
 		a.deliver(p.Tick(now))
 	}
 	a.signalQueued()
 }
 
+// checkLease tells the pools whether the lease on cold upstreams is valid. The caller
+// must hold a.mu, and must call it before each decision: the process may have been
+// suspended since the last one.
+func (a *Allocator) checkLease(now time.Time) {
+	valid := a.hasLease()
+	for _, p := range a.pools {
+		p.SetSoleAllocator(valid, now)
+	}
+}
+
+// hasLease reports whether the lease on cold upstreams is valid. The caller must hold
+// a.mu.
+func (a *Allocator) hasLease() bool { return clock.Boot().Before(a.coldUntil) }
+
 // signalQueued makes Run tick soon if a request waits. The caller must hold a.mu.
 func (a *Allocator) signalQueued() {
 	if len(a.waiting) == 0 {
@@ -122,6 +141,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.coldUntil = params.ColdUntil
 	for name, list := range v.UpstreamsByPool() {
 		p, ok := a.pools[name]
 		if !ok {
@@ -134,6 +154,7 @@
 			a.pools[name] = p
 		}
 		p.SetAllocators(params.Allocators)
+		p.SetSoleAllocator(a.hasLease(), now)
 		a.deliver(p.Sync(setup(v, name, list, params), now))
 	}
 	for name, p := range a.pools {
@@ -217,7 +238,9 @@
 	r.ID = a.last
 	w := &PendingRequest{ID: r.ID, pool: pool, effect: make(chan place.Effect, 1)}
 	a.waiting[r.ID] = w.effect
-	a.deliver(p.Submit(r, time.Now()))
+	now := time.Now()
+	a.checkLease(now)
+	a.deliver(p.Submit(r, now))
 	a.signalQueued()
 	return w, nil
 }
@@ -248,6 +271,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.waiting, w.ID)
+	a.checkLease(now)
 	p := a.pools[w.pool]
 	a.deliver(p.Cancel(w.ID, now))
 	select {
@@ -264,7 +288,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p, ok := a.pools[pool]; ok {
-		a.deliver(p.Release(o, time.Now()))
+		now := time.Now()
+		a.checkLease(now)
+		a.deliver(p.Release(o, now))
 	}
 }
 
--- /dev/null
+++ b/io/plane/coldlease_test.go
@@ -0,0 +1,51 @@
+package plane
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"corianderwing"
+	"corianderwing/core/model"
+	"corianderwing/io/alloc"
+	"corianderwing/io/clock"
+)
+
+// Guards against a cold upstream that is flooded because two control instances grant
+// its slots at the same time, each as if it were the only one.
+func TestColdUpstreamIsGrantedByLeaseHolder(t *testing.T) {
+	is := is.New(t)
+	p, _, _ := openSingle(t)
+	is.NoErr(p.Edit(t.Context(), corianderwing.Edit{
+		Pools: []corianderwing.Pool{{Name: "files", Version: 1, MaxConns: 100, Protocol: "h1", Warmup: 3000, WarmupRate: 20}},
+	}))
+	for d, addr := range map[corianderwing.DomainID]string{"a": "127.0.0.1:80", "b": "127.0.0.2:80"} {
+		is.NoErr(p.propose(t.Context(), &model.Command{Announce: []model.Announcement{{
+			Upstream: corianderwing.Upstream{
+				ID: corianderwing.UpstreamID("i-" + d), Incarnation: 1, Pool: "files", Version: "v1", Domain: d,
+				Addr: addr, Slots: 4, Phase: corianderwing.Ready,
+			},
+			WarmupRemaining: 60_000,
+		}}}))
+	}
+	granted := func(d corianderwing.DomainID) bool {
+		a, err := p.acquire(t.Context(), &AcquireRequest{Domain: d, Pool: "files", Class: "r-1", Goal: 200, Timeout: 2000, NoForward: true})
+		is.NoErr(err)
+		return a.Upstream != "" && a.ColdStart
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for !granted("a") {
+		is.True(time.Now().Before(deadline))
+	}
+	term, ok := p.replica.IsLeader()
+	is.True(ok)
+	another := &reportRequest{Replica: "127.0.0.1:1", Loads: []domainLoads{{"b", []alloc.PoolLoad{{Pool: "files", ArrivalRate: 100}}}}}
+	lasting := clock.Boot().Add(time.Hour) // the lease of the other instance does not lapse during the test
+	for len(p.leaderState.renewColdLeases(term, another, lasting)) == 0 {
+		is.True(time.Now().Before(deadline))
+	}
+	for range 5 {
+		is.True(!granted("b"))
+	}
+}
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"corianderwing"
 	"corianderwing/core/fresh"
+	"corianderwing/core/lease"
 	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
@@ -37,6 +37,7 @@
 
 	rollouts       rollouts
 	loans          loanPlan
+	coldLeases     *lease.Table
 	quotaAllocator *quota.Allocator
 	boundsRevision corianderwing.Revision // revision that the bounds of quotaAllocator are based on
 	tolerance      RateTolerance
@@ -95,11 +96,13 @@
 	l.entries = map[corianderwing.InstanceID]entryRecord{}
 	l.controls = map[corianderwing.InstanceID]controlRecord{}
 	l.lastHeartbeats = map[uint32]time.Time{}
-	graceEnd := time.Time{}
+	graceEnd, leaseGraceEnd := time.Time{}, time.Time{}
 	if l.revision() > 0 {
-		// Shares granted by an earlier leader may still be valid.
+		// Shares and leases granted by an earlier leader may still be valid.
 		graceEnd = now.Add(quota.GracePeriod(l.tolerance.Window))
+		leaseGraceEnd = now.Add(lease.GracePeriod())
 	}
+	l.coldLeases = lease.NewTable(leaseGraceEnd)
 	l.quotaAllocator = quota.NewAllocator(l.tolerance.Window, graceEnd)
 	if l.knownHolders != nil {
 		l.quotaAllocator.ExpectReports(l.knownHolders(now), now)
@@ -155,7 +158,7 @@
 			l.quotaAllocator.Reported(string(e.ID), !e.SharesElsewhere, now)
 		}
 	}
-	return l.quotaAllocator.Allocate(string(q.Replica)+"/"+strconv.FormatUint(uint64(q.Incarnation), 36), q.Demands, now)
+	return l.quotaAllocator.Allocate(string(q.holder()), q.Demands, now)
 }
 
 // recordReport records a report from a control instance.
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -75,8 +75,9 @@
 	loansVersion      uint64
 	trials            []Trial     // received from entry instances since the last report
 	moveShares        []MoveShare // last received from the leader
-	sharesValidUntil  time.Time   // boot time at which the shares of quotaAllocator expire
-	confirmedAt       time.Time   // boot time of the last confirmation by the leader, reached or not
+	coldLeases        coldLeases
+	sharesValidUntil  time.Time // boot time at which the shares of quotaAllocator expire
+	confirmedAt       time.Time // boot time of the last confirmation by the leader, reached or not
 	confirmedRevision corianderwing.Revision
 	freshness         fresh.Tracker // how recently the state of this instance was the newest
 }
@@ -108,6 +109,7 @@
 		quotaAllocator: quota.NewAllocator(cfg.RateTolerance.Window, time.Time{}),
 		reserve:        quota.NewLimiter(cfg.RateTolerance.Window),
 		waiting:        map[place.ID]waitingRequest{},
+		coldLeases:     coldLeases{},
 		incarnation:    corianderwing.Incarnation(time.Now().UnixNano()),
 	}
 	p.usage.init(cfg.UsageWindow, p.incarnation, cfg.Log)
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -189,6 +189,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.moveShares = r.MoveShares
+	p.coldLeases.renew(r.ColdLeases, sentAt)
 	if r.LoansVersion != p.loansVersion {
 		p.loansVersion, p.loans = r.LoansVersion, r.Loans
 		p.logLoans()
@@ -239,6 +240,7 @@
 	if p.cfg.UsageWindow > 0 {
 		reply.Incarnation = p.usage.incarnation
 	}
+	reply.ColdLeases = p.leaderState.renewColdLeases(term, q, clock.Boot())
 	reply.LoansVersion, reply.Loans = p.leaderState.planLoans(term, view, clock.Boot())
 	if reply.LoansVersion == q.LoansVersion {
 		reply.Loans = nil
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -77,6 +77,7 @@
 		NextShare:  func(m corianderwing.Move) float64 { return shares[m.ID] },
 		Lent:       lent,
 		Borrowed:   borrowed,
+		ColdUntil:  p.coldLeases[domain],
 	}
 }
 
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -234,6 +234,9 @@
 	Entries          []corianderwing.Instance `json:"entries,omitempty"` // all live entry instances; omitted if the sender has this version
 	Loans            []steer.UpstreamLoan     `json:"lots,omitempty"`    // all loans; omitted if the sender has this version
 	LoansVersion     uint64                   `json:"lotsversion,omitempty"`
+	// ColdLeases are the failure domains whose cold upstreams only the sender may use,
+	// for lease.Duration after the report was sent.
+	ColdLeases []corianderwing.DomainID `json:"coldleases,omitempty"`
 	// Incarnation is that of the leader, which keeps usage only until it restarts; 0
 	// if it keeps none.
 	Incarnation corianderwing.Incarnation `json:"life,omitempty"`
