Give back a slot of a cold upstream that was granted as if it were warm

Cause: a control instance that was paused or cut off grants slots by a state in which an upstream is still warm, all five at once and again with each response. The entry instance compared the incarnation of a grant with its own state, but not the warm-up: after an evacuation an upstream is cold again under the incarnation that everybody knows. The own allocator of an entry instance follows the state a moment later too.

Change: such a slot is given back, as one of an upstream that drains is. In the last 250 ms of a warm-up it is used: the control instance may know its end earlier.

TestGrantOfControlThatLags/cold_again and TestOwnGrantOfLastState/cold fail without (not true: e != nil).

--- a/io/gate/outdated_grant_test.go
+++ b/io/gate/outdated_grant_test.go
@@ -12,9 +12,18 @@
 	"corianderwing/core/place"
 )
 
-// Guards against requests to an upstream that has left, drains or was evacuated: the
-// slot came from a control instance that lags behind the state of this instance, or the
-// request was admitted under a state from before that.
+// coldAgain announces that the upstream of the tests is cold.
+var coldAgain = model.Command{Announce: []model.Announcement{{
+	Upstream: corianderwing.Upstream{
+		ID: "i-1", Incarnation: 1, Pool: "files", Version: "v1", Domain: "a", Addr: "127.0.0.1:1", Slots: 100, Phase: corianderwing.Ready,
+	},
+	WarmupRemaining: 3000,
+}}}
+
+// Guards against requests to an upstream that has left, drains, was evacuated or is
+// flooded because it is cold again: the slot came from a control instance that lags
+// behind the state of this instance, or the request was admitted under a state from
+// before that.
 func TestGrantOfControlThatLags(t *testing.T) {
 	ref := model.UpstreamRef{ID: "i-1", Incarnation: 1}
 	draining := model.Announcement{Upstream: corianderwing.Upstream{
@@ -27,6 +36,7 @@
 		{"left", model.Command{Remove: []model.UpstreamRef{ref}}},
 		{"drains", model.Command{Announce: []model.Announcement{draining}}},
 		{"evacuated", model.Command{Evacuate: &model.Evacuation{Domain: "a", On: true}}},
+		{"cold again", coldAgain},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -51,12 +61,14 @@
 	}
 }
 
-// Guards against requests to an upstream that has left, drains or was evacuated on an
-// instance that decides alone: its allocator has not followed the state yet.
+// Guards against requests to an upstream that has left, was evacuated or is flooded
+// because it is cold again, on an instance that decides alone: its allocator has not
+// followed the state yet.
 func TestOwnGrantOfLastState(t *testing.T) {
 	for name, change := range map[string]model.Command{
 		"left":      {Remove: []model.UpstreamRef{{ID: "i-1", Incarnation: 1}}},
 		"evacuated": {Evacuate: &model.Evacuation{Domain: "a", On: true}},
+		"cold":      coldAgain,
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -64,7 +64,7 @@
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
 	u, ok := s.usableUpstream(p.name, a.Upstream, a.Incarnation)
-	if !ok {
+	if !ok || isTakenForWarm(u, a.ColdStart, time.Now()) {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
 		return s.acquireLocal(ctx, p, r)
 	}
@@ -96,6 +96,16 @@
 	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
 }
 
+// maxStateDelay is how much later than a control instance this instance may receive a
+// change of the state while nothing is wrong.
+const maxStateDelay = 250 * time.Millisecond
+
+// isTakenForWarm reports whether a slot was granted by a state in which a cold upstream
+// is warm. Whoever granted it lags behind, and may grant many more.
+func isTakenForWarm(u *model.Upstream, coldStart bool, now time.Time) bool {
+	return !coldStart && u.WarmupUntil.Sub(now) > maxStateDelay
+}
+
 // acquireLocal gets a slot from the allocator of this instance.
 func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
 	r.NoForward = true
@@ -105,7 +115,7 @@
 			return nil, after, err
 		}
 		u, ok := s.usableUpstream(p.name, ticket.Upstream.ID, ticket.Upstream.Incarnation)
-		if !ok {
+		if !ok || isTakenForWarm(u, ticket.ColdStart, time.Now()) {
 			s.allocator.Release(p.name, place.Outcome{ID: ticket.ID, Result: place.Canceled})
 			r.ExcludedUpstreams = append(slices.Clip(r.ExcludedUpstreams), ticket.Upstream.ID)
 			continue
