Keep the end of a warm-up when an earlier heartbeat is announced later

Cause: an announcement replaced the warm-up of its incarnation, whatever came before. Each control instance knows only the sequence numbers of the heartbeats that it got itself, so an earlier heartbeat (warm) that another one commits later, because it waited for a leader or did not know the upstream yet, ended the warm-up for everybody until the next heartbeat, 1.5 s later.

Change: within an incarnation the latest known end holds. A heartbeat can only extend a warm-up, as platform/heartbeat.go already says of its bound.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -155,6 +155,11 @@
 	old := v.upstreams[a.ID]
 	if old != nil && old.Incarnation == a.Incarnation {
 		u.ShortID = old.ShortID
+		// Announcements of several control instances may come in another order than
+		// the heartbeats. The latest known end of a warm-up holds.
+		if old.WarmupUntil.After(u.WarmupUntil) {
+			u.WarmupUntil = old.WarmupUntil
+		}
 		// Draining is final within an incarnation.
 		if old.Phase == corianderwing.Draining {
 			u.Phase = corianderwing.Draining
