Announce a renewed cold start that the own replica does not show

Cause: whether a heartbeat announces a cold start was decided by the warm-up in the replicated state of the control instance that got it. Each replica counts a warm-up from when it applied the announcement. One that applied it late, after a restart or a pause, took an upstream for cold that all others took for warm, and kept a second cold start to itself. A cold start that ends less than a second after the known one was ignored by design, so that delayed heartbeats announce nothing; in that second the upstream got as much as a warm one.

Evidence: by reading and the two tests. TestWarmupAfterLateAnnouncement failed before (not true: announcedCold(t, p, 2, 60_000)).

Change: a control instance compares the heartbeat with the warm-up that it has announced itself, and a difference of more than 100 ms counts. An upstream that changes its control instance while it is cold is announced once more.

--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -11,25 +11,28 @@
 	"corianderwing/io/clock"
 )
 
-// warmupEndTolerance is the maximum difference between the end of a cold start
-// given in a heartbeat and the known one that does not count as a change:
-// heartbeats are occasionally delayed.
-const warmupEndTolerance = time.Second
+// warmupEndTolerance is the maximum difference between the end of a cold start given in
+// a heartbeat and the announced one that does not count as a change: heartbeats take
+// differently long.
+const warmupEndTolerance = 100 * time.Millisecond
 
 // Heartbeat implements corianderwing.ControlPlane.
 func (p *Plane) Heartbeat(ctx context.Context, h corianderwing.Heartbeat) error {
-	view := p.machine.View()
-	if view.Stale(&h.Upstream) || p.heartbeats.outdated(&h, clock.Boot()) {
+	view, now := p.machine.View(), clock.Boot()
+	if view.Stale(&h.Upstream) || p.heartbeats.outdated(&h, now) {
 		return nil
 	}
 	u, known := view.Upstream(h.ID)
-	if known && u.Incarnation == h.Incarnation && !hasChanged(u, &h, time.Now()) {
-		p.heartbeats.record(u.ShortID, clock.Boot())
+	if known && u.Incarnation == h.Incarnation && !hasChanged(u, &h) && !p.heartbeats.extendsWarmup(&h, now) {
+		p.heartbeats.record(u.ShortID, now)
 		return nil
 	}
 	err := p.batch.add(ctx, func(c *model.Command) {
 		c.Announce = append(c.Announce, model.Announcement{Upstream: h.Upstream, WarmupRemaining: h.Cold})
 	})
+	if err == nil {
+		p.heartbeats.recordWarmup(&h, now)
+	}
 	p.log.Info().Str("upstream", string(h.ID)).Str("pool", string(h.Pool)).Str("addr", h.Addr).
 		Str("version", string(h.Version)).Str("phase", string(h.Phase)).Int64("cold", int64(h.Cold)).
 		Uint64("incarnation", uint64(h.Incarnation)).Err(err).Msg("upstream announced")
@@ -37,15 +40,12 @@
 }
 
 // hasChanged reports whether a heartbeat differs from the known state of its
-// upstream.
-func hasChanged(u *model.Upstream, h *corianderwing.Heartbeat, now time.Time) bool {
+// upstream, apart from the warm-up.
+func hasChanged(u *model.Upstream, h *corianderwing.Heartbeat) bool {
 	if u.Addr != h.Addr || u.Pool != h.Pool || u.Version != h.Version || u.Domain != h.Domain || u.Slots != h.Slots {
 		return true
 	}
-	if h.Phase == corianderwing.Draining && u.Phase != corianderwing.Draining {
-		return true
-	}
-	return h.Cold > 0 && h.Cold.After(now).Sub(u.WarmupUntil) > warmupEndTolerance
+	return h.Phase == corianderwing.Draining && u.Phase != corianderwing.Draining
 }
 
 // RemoveUpstream implements corianderwing.ControlPlane.
--- a/io/plane/heartbeat.go
+++ b/io/plane/heartbeat.go
@@ -22,6 +22,7 @@
 	incarnation corianderwing.Incarnation
 	seq         uint64
 	at          time.Time
+	warmupUntil time.Time // end of the warm-up that this instance has announced
 }
 
 func newHeartbeatTracker() *heartbeatTracker {
@@ -34,13 +35,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, ok := s.lastSeqs[h.ID]
-	if ok && last.incarnation == h.Incarnation && h.Seq < last.seq {
+	if !ok || last.incarnation != h.Incarnation {
+		last = lastSeq{incarnation: h.Incarnation}
+	}
+	if h.Seq < last.seq {
 		return true
 	}
-	s.lastSeqs[h.ID] = lastSeq{h.Incarnation, h.Seq, now}
+	last.seq, last.at = h.Seq, now
+	s.lastSeqs[h.ID] = last
 	return false
 }
 
+// extendsWarmup reports whether a heartbeat, which was not outdated, says that the
+// warm-up of its upstream ends later than this instance has announced. What this
+// instance knows from the replicated state does not count: each replica counts a
+// warm-up from when it applied the announcement, which after a restart is late.
+func (s *heartbeatTracker) extendsWarmup(h *corianderwing.Heartbeat, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return h.Cold > 0 && h.Cold.After(now).Sub(s.lastSeqs[h.ID].warmupUntil) > warmupEndTolerance
+}
+
+// recordWarmup records that a heartbeat that was received at now has been announced.
+func (s *heartbeatTracker) recordWarmup(h *corianderwing.Heartbeat, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if last, ok := s.lastSeqs[h.ID]; ok && last.incarnation == h.Incarnation {
+		last.warmupUntil = h.Cold.After(now)
+		s.lastSeqs[h.ID] = last
+	}
+}
+
 // record records a heartbeat from an upstream.
 func (s *heartbeatTracker) record(no uint32, at time.Time) {
 	s.mu.Lock()
--- a/io/plane/warmup_test.go
+++ b/io/plane/warmup_test.go
@@ -10,22 +10,18 @@
 	"corianderwing/core/model"
 )
 
-// warmingMachine returns a replica that applied, at a time, the announcement of an
-// upstream with 3 s of warm-up left.
-func warmingMachine(t *testing.T, at time.Time) *model.Machine {
+// announcedCold reports whether a control instance announces a heartbeat of an upstream
+// with some warm-up left.
+func announcedCold(t *testing.T, p *Plane, seq uint64, cold corianderwing.Millis) bool {
 	t.Helper()
-	m := model.NewMachine(func() time.Time { return at })
-	data, err := model.Encode(&model.Command{Announce: []model.Announcement{{
-		Upstream: corianderwing.Upstream{
-			ID: "1", Addr: "10.0.0.1:1", Pool: "files", Version: "v1", Domain: "a", Incarnation: 7, Seq: 1, Slots: 5, Phase: corianderwing.Ready,
-		},
-		WarmupRemaining: 3000,
-	}}})
+	before := p.machine.View().Revision()
+	err := p.Heartbeat(t.Context(), corianderwing.Heartbeat{Upstream: corianderwing.Upstream{
+		ID: "1", Addr: "10.0.0.1:1", Pool: "files", Version: "v1", Domain: "a", Incarnation: 7, Seq: seq, Slots: 5, Phase: corianderwing.Ready,
+	}, Cold: cold})
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Apply(1, data)
-	return m
+	return p.machine.View().Revision() > before
 }
 
 // Guards against a renewed cold start that is never announced: the control instance that
@@ -33,22 +29,34 @@
 // takes the upstream for cold while all others take it for warm.
 func TestWarmupAfterLateAnnouncement(t *testing.T) {
 	is := is.New(t)
-	announced := time.Unix(1000, 0)
-	restarted := announced.Add(time.Minute)
-	elsewhere, _ := warmingMachine(t, announced).View().Upstream("1")
-	here, _ := warmingMachine(t, restarted).View().Upstream("1")
-	now := restarted.Add(500 * time.Millisecond)
-	h := &corianderwing.Heartbeat{Upstream: here.Upstream, Cold: 3000}
-	is.True(hasChanged(elsewhere, h, now)) // warm for all others
-	is.True(hasChanged(here, h, now))
+	p, _, _ := openSingle(t)
+	u := corianderwing.Upstream{
+		ID: "1", Addr: "10.0.0.1:1", Pool: "files", Version: "v1", Domain: "a", Incarnation: 7, Seq: 1, Slots: 5, Phase: corianderwing.Ready,
+	}
+	// Announced by another instance, and applied here only now.
+	is.NoErr(p.propose(t.Context(), &model.Command{Announce: []model.Announcement{{Upstream: u, WarmupRemaining: 60_000}}}))
+	is.True(announcedCold(t, p, 2, 60_000))
+	is.True(!announcedCold(t, p, 3, 1000)) // the same cold start
 }
 
 // Guards against an upstream that is taken for warm in the last second of a renewed cold
-// start, which is less than warmupEndTolerance longer than the one that is known.
-func TestWarmupLongerByLessThanTolerance(t *testing.T) {
+// start, which ends less than a second after the one that is known.
+func TestWarmupLongerByLessThanSecond(t *testing.T) {
 	is := is.New(t)
-	announced := time.Unix(1000, 0)
-	u, _ := warmingMachine(t, announced).View().Upstream("1")
-	now := announced.Add(2500 * time.Millisecond)
-	is.True(hasChanged(u, &corianderwing.Heartbeat{Upstream: u.Upstream, Cold: 1400}, now))
+	now := time.Unix(1000, 0)
+	s := newHeartbeatTracker()
+	heartbeat := func(seq uint64, cold corianderwing.Millis) *corianderwing.Heartbeat {
+		return &corianderwing.Heartbeat{Upstream: corianderwing.Upstream{ID: "1", Incarnation: 7, Seq: seq}, Cold: cold}
+	}
+	h := heartbeat(1, 3000)
+	is.True(!s.outdated(h, now))
+	is.True(s.extendsWarmup(h, now))
+	s.recordWarmup(h, now)
+	now = now.Add(2500 * time.Millisecond)
+	h = heartbeat(2, 500)
+	is.True(!s.outdated(h, now))
+	is.True(!s.extendsWarmup(h, now))
+	h = heartbeat(3, 1400)
+	is.True(!s.outdated(h, now))
+	is.True(s.extendsWarmup(h, now))
 }
