Take upstreams for cold when the evacuation of their failure domain ends

Cause: the upstreams of an evacuated failure domain may have become cold shortly before its evacuation ends, under the incarnation that everybody knows as warm. Only their heartbeats say so, and nothing orders these with the end: a heartbeat whose control instance does not answer goes to the next one after a second, and both wait for a leader. If the end is in force first, the upstreams get as much as warm ones.

With the leader killed, frozen or cut off and no loss of packets, the heartbeats were in force in time. TestEvacuatedUpstreamReturnsCold fails without the change (0001-01-01 00:00:00 != 1970-01-01 00:17:43).

Change: with the end of an evacuation the warm-up of its upstreams begins, in the same command. A heartbeat can only extend it. Those that were not cold get the requests of a cold upstream for the length of a warm-up, 3 s on these sites; weighed against waiting for a heartbeat from after the end, which may be seconds late and out of order.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -75,7 +75,7 @@
 		n.updateUpstreams(c, now)
 		return n, nil
 	case c.Evacuate != nil:
-		return v.setEvacuated(*c.Evacuate), nil
+		return v.setEvacuated(*c.Evacuate, now), nil
 	case c.Move != nil:
 		return v.startMove(*c.Move)
 	case c.EndMove != nil:
@@ -223,7 +223,7 @@
 	}
 }
 
-func (v *View) setEvacuated(e Evacuation) *View {
+func (v *View) setEvacuated(e Evacuation, now time.Time) *View {
 	if v.evacuated[e.Domain] == e.On {
 		return v
 	}
@@ -233,11 +233,32 @@
 		n.evacuated[e.Domain] = true
 	} else {
 		delete(n.evacuated, e.Domain)
+		n.upstreams = v.presumedCold(e.Domain, now)
+		n.byPool = &poolIndex{}
 	}
 	n.revision++
 	return &n
 }
 
+// presumedCold returns the upstreams, with those of a failure domain at the start of
+// their warm-up. They may have become cold shortly before its evacuation ends, and the
+// heartbeats that say so are not ordered with the end.
+func (v *View) presumedCold(d corianderwing.DomainID, now time.Time) map[corianderwing.UpstreamID]*Upstream {
+	list := maps.Clone(v.upstreams)
+	for id, u := range list {
+		pool, ok := v.items.Pool(u.Pool)
+		if u.Domain != d || !ok {
+			continue
+		}
+		cold := *u
+		if end := pool.Warmup.After(now); end.After(cold.WarmupUntil) {
+			cold.WarmupUntil = end
+		}
+		list[id] = &cold
+	}
+	return list
+}
+
 // moveResendWindow is how long after a move started the same order is treated as
 // a duplicate even though the move was rolled back.
 const moveResendWindow = 10 * time.Second
