Count the leases on cold upstreams that a control instance holds

An operator who sees that starting upstreams get no requests can tell now whether any allocator may send them some. The comment on minAllocators no longer names cold upstreams: the lease decides there.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -206,7 +206,7 @@
 // minAllocators is the number of allocators that a domain has at least while this
 // instance allocates slots itself: its control instance, which does not answer it,
 // may still answer others. A single entry instance of a domain must not take its
-// own allocator for the only one, which may send requests to cold upstreams.
+// own allocator for the only one.
 const minAllocators = 2
 
 // remoteSlots returns one slot for each upstream of the pools that have no ready
--- a/io/plane/coldlease.go
+++ b/io/plane/coldlease.go
@@ -24,6 +24,17 @@
 	}
 }
 
+// valid returns the number of leases that are valid.
+func (c coldLeases) valid(now time.Time) int {
+	n := 0
+	for _, until := range c {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
 // renewColdLeases returns the failure domains whose cold upstreams only the sender of a
 // report may use.
 func (l *leaderState) renewColdLeases(term corianderwing.Term, q *reportRequest, now time.Time) []corianderwing.DomainID {
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -307,6 +307,7 @@
 	gauge("confirmed.ms", now.Sub(p.confirmedAt).Milliseconds())
 	gauge("shares.ms", max(0, p.sharesValidUntil.Sub(now).Milliseconds()))
 	gauge("entries", int64(len(p.localEntries)))
+	gauge("coldleases", int64(p.coldLeases.valid(now)))
 	p.mu.Unlock()
 	for _, d := range p.allocators.loads() {
 		for _, l := range d.Loads {
