Show that the end of a longer warm-up is not announced

A warm-up that ends up to warmupEndTolerance after the known end is no change, so the upstream counts as warm for that time. Fails; no fix yet.

--- a/io/plane/warmup_test.go
+++ b/io/plane/warmup_test.go
@@ -42,3 +42,13 @@
 	is.True(hasChanged(elsewhere, h, now)) // warm for all others
 	is.True(hasChanged(here, h, now))
 }
+
+// Guards against an upstream that is taken for warm in the last second of a renewed cold
+// start, which is less than warmupEndTolerance longer than the one that is known.
+func TestWarmupLongerByLessThanTolerance(t *testing.T) {
+	is := is.New(t)
+	announced := time.Unix(1000, 0)
+	u, _ := warmingMachine(t, announced).View().Upstream("1")
+	now := announced.Add(2500 * time.Millisecond)
+	is.True(hasChanged(u, &corianderwing.Heartbeat{Upstream: u.Upstream, Cold: 1400}, now))
+}
