Show that a rolled-back version gets requests by an outdated grant

usableUpstream checks whether the upstream has left, drains or was evacuated, but not whether its version serves the pool. Fails; no fix yet.

--- a/io/gate/outdated_grant_test.go
+++ b/io/gate/outdated_grant_test.go
@@ -77,3 +77,41 @@
 		})
 	}
 }
+
+// Guards against requests to a bad version after its move was rolled back: the slot came
+// from a control instance that does not know the roll-back yet.
+func TestGrantOfRolledBackVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		control := &pausingControl{grantingControl: newGrantingControl(t, "127.0.0.1:1"), pause: func(*pausingControl) {}}
+		apply := func(c model.Command) {
+			next, err := control.view.Apply(&c, time.Now())
+			is.NoErr(err)
+			control.view = next
+		}
+		apply(model.Command{Announce: []model.Announcement{{Upstream: corianderwing.Upstream{
+			ID: "i-2", Incarnation: 1, Pool: "files", Version: "v2", Domain: "a", Addr: "127.0.0.1:2", Slots: 100, Phase: corianderwing.Ready,
+		}}}})
+		move := corianderwing.Move{ID: "files.v2", Pool: "files", To: "v2", Start: time.Now(), By: time.Now().Add(time.Minute)}
+		apply(model.Command{Move: &move})
+		control.upstream, _ = control.view.Upstream("i-2")
+		s := newTestServer(control, quiet)
+		defer s.Close()
+		s.NotifyChange()
+		synctest.Wait()
+		acquire := func() corianderwing.VersionID {
+			now := time.Now()
+			sl, _, e := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+			if e != nil {
+				return ""
+			}
+			return sl.upstream.Version
+		}
+		is.Equal(acquire(), corianderwing.VersionID("v2")) // during the move
+		move.Outcome = corianderwing.RolledBack
+		apply(model.Command{EndMove: &move})
+		s.NotifyChange()
+		synctest.Wait()
+		is.True(acquire() != "v2")
+	})
+}
