Show that lender and borrower use a slot at the same time

Loans end at the lender and at the borrower after the same time without a confirmation. A lender that has lost the leader takes its slots back while the borrower, which has not, still uses them. Fails; no fix yet.

--- a/io/plane/loans_test.go
+++ b/io/plane/loans_test.go
@@ -31,3 +31,17 @@
 	}
 	is.Equal(l.loans.currentLoads(now), []steer.Load{{Pool: "web", Domain: "n-a", Region: "n", Slots: 40, Demand: 60, ArrivalRate: 100}})
 }
+
+// Guards against slots that two failure domains use at the same time: the control instance
+// of the lender has lost the leader, ends its loans, and that of the borrower has not.
+func TestLentSlotsOfLenderWithoutLeader(t *testing.T) {
+	is := is.New(t)
+	const slots = 5
+	now := time.Unix(1000, 0)
+	loans := []steer.UpstreamLoan{{Upstream: "1", Borrower: "b", Slots: 3}}
+	lender := &Plane{loans: loans, confirmedAt: now.Add(-loansTTL - time.Millisecond)}
+	borrower := &Plane{loans: loans, confirmedAt: now}
+	lent, _ := lender.loanedSlots("a", now)
+	_, borrowed := borrower.loanedSlots("b", now)
+	is.True(slots-lent["1"]+borrowed["1"] <= slots)
+}
