Show that a new leader exceeds the exposure of a bad version

A new leader starts the comparisons over, but takes the share from the time that has passed, so it leaves out the pause of the ramp. Fails; no fix yet.

--- a/core/shift/quick_test.go
+++ b/core/shift/quick_test.go
@@ -16,6 +16,11 @@
 // instances in other regions. It returns the move, when it ended, and the number
 // of requests to the old and the new version.
 func runQuickMove(seed uint64, rate float64, fault func(at time.Duration, route int, share float64) (errors, late float64)) (corianderwing.Move, time.Duration, [2]int) {
+	return runQuickMoveWithFailover(seed, rate, time.Hour, fault)
+}
+
+// runQuickMoveWithFailover is like runQuickMove, but another leader takes over at a time.
+func runQuickMoveWithFailover(seed uint64, rate float64, failover time.Duration, fault func(at time.Duration, route int, share float64) (errors, late float64)) (corianderwing.Move, time.Duration, [2]int) {
 	const step = 400 * time.Millisecond
 	r := rand.New(rand.NewPCG(seed, 9))
 	m := move
@@ -27,6 +32,9 @@
 	var queue [][]Sample
 	for t := time.Duration(0); t < 17*time.Second; t += step {
 		now := start.Add(t)
+		if t >= failover && t < failover+step {
+			p = New(m, WithPace(Quick))
+		}
 		share := shares[0]
 		var batch []Sample
 		for route, part := range []float64{0.8, 0.2} {
@@ -144,3 +152,27 @@
 	is.True(b.Blocks(now))
 	is.True(!b.Blocks(now.Add(blockTime)))
 }
+
+// Guards against a bad version that gets more than 10% of the requests plus 50 because
+// another leader took over: it goes on with the ramp and knows none of the samples that
+// had paused it.
+func TestQuickMoveWithFailover(t *testing.T) {
+	const rate = 60
+	limit := 0.1*rate*15 + 50
+	oneRouteFails := func(_ time.Duration, route int, _ float64) (float64, float64) {
+		return errorRateIf(route == 1, 0.5), 0.02
+	}
+	for _, failover := range []time.Duration{4 * time.Second, 6 * time.Second, 8 * time.Second, 10 * time.Second} {
+		worst, exceeded := 0, 0
+		for seed := range uint64(20) {
+			_, _, sent := runQuickMoveWithFailover(seed, rate, failover, oneRouteFails)
+			worst = max(worst, sent[1])
+			if float64(sent[1]) > limit {
+				exceeded++
+			}
+		}
+		if exceeded > 0 {
+			t.Errorf("failover after %v: %d of 20 runs exceed %.0f requests to the bad version, at most %d", failover, exceeded, limit, worst)
+		}
+	}
+}
