Return slots of versions that do not serve the pool

Cause: usableUpstream checks whether an upstream has left, drains or was evacuated, but not its version. A control instance that does not know yet that a move was rolled back, or that it is completed, still grants slots of a version that this instance knows to be out of use. It now returns such a slot, as for an upstream that drains, and allocates one itself.

A grant by a control instance that knows a new move before this instance is returned as well, until the move arrives here.

Before: TestGrantOfRolledBackVersion fails (outdated_grant_test.go:115, 'not true: acquire() != "v2"'). It passes now.

--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -84,13 +84,13 @@
 
 // usableUpstream returns an upstream if this instance's state allows new work of the pool
 // there. Whoever granted the slot may be behind: a control instance that was paused
-// grants slots of upstreams that have left or drain since, the allocator of this
-// instance follows its state a moment later, and the state may have changed while the
-// request waited.
+// grants slots of upstreams that have left or drain since, or whose version was rolled
+// back, the allocator of this instance follows its state a moment later, and the state
+// may have changed while the request waited.
 func (s *Server) usableUpstream(pool corianderwing.PoolID, id corianderwing.UpstreamID, i corianderwing.Incarnation) (*model.Upstream, bool) {
 	view, _ := s.cfg.Control.View()
 	u, ok := view.Upstream(id)
-	if !ok || u.Pool != pool || u.Incarnation != i {
+	if !ok || u.Pool != pool || u.Incarnation != i || !servesPool(view, u) {
 		return nil, false
 	}
 	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
