Test that a new leader gives no lease on cold upstreams at once

Guards against two allocators of a cold upstream after an election. The tests of core/lease make the table themselves, so none missed the waiting time that leaderState.ensureTerm sets: without it, the tests of io/plane whose names hold Cold, Lease, Warmup or Leader passed. This one fails then, and also if the table is kept across terms.

--- a/io/plane/coldlease_test.go
+++ b/io/plane/coldlease_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"corianderwing"
+	"corianderwing/core/lease"
 	"corianderwing/core/model"
 	"corianderwing/io/alloc"
 	"corianderwing/io/clock"
@@ -49,3 +50,37 @@
 		is.True(!granted("b"))
 	}
 }
+
+// newTestLeaderState returns the state of a leader whose replica has a revision.
+func newTestLeaderState(r corianderwing.Revision) *leaderState {
+	l := newLeaderState(time.Minute)
+	l.revision = func() corianderwing.Revision { return r }
+	l.tolerance = RateTolerance{Window: 5 * time.Second}
+	return l
+}
+
+// claimBy returns a report of an incarnation of a control instance that allocates the
+// slots of failure domain "b".
+func claimBy(addr string, i corianderwing.Incarnation) *reportRequest {
+	return &reportRequest{Replica: corianderwing.InstanceID(addr), Incarnation: i, Loads: []domainLoads{{Domain: "b"}}}
+}
+
+// Guards against two allocators of a cold upstream after an election: the lease that the
+// last leader gave to one of them is still valid.
+func TestColdLeaseWaitsAfterElection(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := newTestLeaderState(7)
+	given := func(term corianderwing.Term, addr string) bool {
+		return len(l.renewColdLeases(term, claimBy(addr, 1), now)) > 0
+	}
+	for term := corianderwing.Term(1); term <= 3; term++ { // also if this instance was the last leader
+		elected := now
+		is.True(!given(term, "10.0.0.1:1"))
+		now = elected.Add(lease.GracePeriod() - time.Millisecond)
+		is.True(!given(term, "10.0.0.1:1"))
+		now = elected.Add(lease.GracePeriod())
+		is.True(given(term, "10.0.0.1:1"))
+		is.True(!given(term, "10.0.0.2:1"))
+	}
+}
