Test that a restarted control instance waits for its own lease

Guards against a control instance that starts again within its lease and grants a second time what its earlier process granted. No test failed with the incarnation left out of the holder; this one does.

--- a/io/plane/coldlease_test.go
+++ b/io/plane/coldlease_test.go
@@ -84,3 +84,14 @@
 		is.True(!given(term, "10.0.0.2:1"))
 	}
 }
+
+// Guards against two allocators of a cold upstream: a control instance that has started
+// again does not know that its earlier process holds the lease, and has given away some of
+// the requests of this second. The allocator that was started again must wait.
+func TestColdLeaseOfRestartedControl(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := newTestLeaderState(0) // nothing was granted before
+	is.Equal(l.renewColdLeases(1, claimBy("10.0.0.1:1", 1), now), []corianderwing.DomainID{"b"})
+	is.Equal(len(l.renewColdLeases(1, claimBy("10.0.0.1:1", 2), now)), 0)
+}
