Test that a lease on cold upstreams ends by the time of its report

Guards against an allocator that uses the lease past its end because the response came late, or after a later one. No test failed with the lease counted from the response; this one does, and also if a response to an earlier report can shorten the lease.

--- a/io/plane/coldlease_test.go
+++ b/io/plane/coldlease_test.go
@@ -95,3 +95,19 @@
 	is.Equal(l.renewColdLeases(1, claimBy("10.0.0.1:1", 1), now), []corianderwing.DomainID{"b"})
 	is.Equal(len(l.renewColdLeases(1, claimBy("10.0.0.1:1", 2), now)), 0)
 }
+
+// Guards against a lease on cold upstreams that its holder uses past its end, because the
+// response came late or after a later one.
+func TestColdLeaseEndsByReportTime(t *testing.T) {
+	is := is.New(t)
+	p, _, _ := openSingle(t)
+	respond := func(sentAt time.Time) time.Time {
+		p.applyReportResponse(sentAt, &reportResponse{ColdLeases: []corianderwing.DomainID{"b"}})
+		return p.syncParams("b").ColdUntil
+	}
+	sent := clock.Boot().Add(-time.Second)
+	end := corianderwing.HolderDeadline(sent, lease.Duration)
+	is.Equal(respond(sent), end)
+	is.Equal(respond(sent.Add(-time.Second)), end)
+	is.True(p.syncParams("c").ColdUntil.IsZero())
+}
