End the lease of TestNoColdGrantAfterLease without waiting for the clock

The test gave a lease of 120 ms and expected the first grants within it, which a pause of the process fails. It now gives an hour, and moves the end into the past for the cases in which the lease has ended. Each of the four checks switched off still fails its case (tick, submit, cancel and release, one run each), three runs of the whole pass.

--- a/io/alloc/lease_test.go
+++ b/io/alloc/lease_test.go
@@ -16,14 +16,14 @@
 // the call under test. Its only upstream is cold and has one slot.
 type leaseTest struct {
 	*testing.T
-	a     *Allocator
-	until time.Time // end of the lease
+	a *Allocator
 }
 
 // refill is longer than the cold upstream of a leaseTest takes to bear another request.
 const refill = 60 * time.Millisecond
 
-func newLeaseTest(t *testing.T, length time.Duration) *leaseTest {
+// newLeaseTest returns a leaseTest whose lease lasts for an hour.
+func newLeaseTest(t *testing.T) *leaseTest {
 	t.Helper()
 	view := model.New()
 	for _, c := range []*model.Command{
@@ -41,9 +41,9 @@
 		}
 		view = next
 	}
-	l := &leaseTest{T: t, until: clock.Boot().Add(length)}
+	l := &leaseTest{T: t}
 	l.a = New(Config{Domain: "a", RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "r" }})
-	l.a.Sync(view, SyncParams{Allocators: 1, ColdUntil: l.until})
+	l.a.Sync(view, SyncParams{Allocators: 1, ColdUntil: clock.Boot().Add(time.Hour)})
 	return l
 }
 
@@ -78,8 +78,12 @@
 	}
 }
 
-// awaitEnd sleeps until the lease has ended.
-func (l *leaseTest) awaitEnd() { time.Sleep(l.until.Sub(clock.Boot()) + time.Millisecond) }
+// endLease moves the end of the lease into the past, as a suspension of the machine does.
+func (l *leaseTest) endLease() {
+	l.a.mu.Lock()
+	defer l.a.mu.Unlock()
+	l.a.coldUntil = clock.Boot().Add(-time.Millisecond)
+}
 
 // Guards against requests to a cold upstream by an allocator whose lease has ended, of
 // which no tick and no change of the state told it: the process may have been suspended.
@@ -109,16 +113,11 @@
 		for _, valid := range []bool{true, false} {
 			t.Run(c.name, func(t *testing.T) {
 				is := is.New(t)
-				length := 2 * refill
-				if valid {
-					length = time.Hour
-				}
-				l := newLeaseTest(t, length)
+				l := newLeaseTest(t)
 				w, call := c.next(l)
-				if valid {
-					time.Sleep(refill)
-				} else {
-					l.awaitEnd()
+				time.Sleep(refill)
+				if !valid {
+					l.endLease()
 				}
 				call()
 				is.Equal(l.isGranted(w), valid)
