--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -61,3 +61,47 @@
 	is.True(float64(most(1, 1)) <= 1.5*rate+5)
 	is.True(float64(most(15, 15)) <= 1.5*rate+5)
 }
+
+// Guards against a cold upstream that gets two bursts in a row: one from the Pool that
+// was the sole allocator until now, and one from the Pool that succeeds it.
+func TestSoleAllocatorStartsWithoutBurst(t *testing.T) {
+	is := is.New(t)
+	const rate = 4
+	now := time.Unix(1000, 0)
+	p := place.New(place.Config{
+		Name: "files", Domain: "a1",
+		RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "a" },
+	})
+	u := &model.Upstream{WarmupUntil: now.Add(10 * time.Second)}
+	u.ID, u.Pool, u.Domain, u.Slots = "u1", "files", "a1", 4
+	u.Phase, u.Version, u.Incarnation = corianderwing.Ready, "v1", 1
+	p.Sync(place.Setup{
+		Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: rate,
+		Evacuated: func(corianderwing.DomainID) bool { return false },
+	}, now)
+	last := place.ID(0)
+	granted := func() bool {
+		last++
+		r := place.Request{ID: last, Class: "fetch", Object: uint64(last), NoForward: true, Goal: now, Deadline: now.Add(time.Second)}
+		got := false
+		for _, e := range p.Submit(r, now) {
+			got = got || e.Grant.Upstream != nil
+		}
+		p.Cancel(last, now)
+		if got {
+			p.Release(place.Outcome{ID: last, Result: place.Succeeded, Latency: time.Millisecond}, now)
+		}
+		return got
+	}
+	for range 2 {
+		now = now.Add(time.Second)
+		is.True(!granted()) // another Pool is the sole allocator
+		p.SetSoleAllocator(true, now)
+		is.True(!granted())
+		now = now.Add(time.Second / rate)
+		p.SetSoleAllocator(true, now) // renewed
+		is.True(granted())
+		is.True(!granted())
+		p.SetSoleAllocator(false, now)
+	}
+}
