Test that allocators see the cold start at the end of an evacuation

Guards against allocators that go on with the upstreams of before. They read the list by pool, which the view keeps between changes; no test failed if the end of an evacuation did not renew it. This one does.

--- a/core/model/evacuation_test.go
+++ b/core/model/evacuation_test.go
@@ -51,3 +51,40 @@
 	announce("1", "a", "10.0.0.1:1") // a heartbeat from before
 	is.Equal(warmupUntil("1"), now.Add(3*time.Second))
 }
+
+// evacuatedView returns the view of an evacuated failure domain whose upstream, in a pool
+// with a warm-up of 3 s, says that it stays cold for some time.
+func evacuatedView(t *testing.T, cold corianderwing.Millis, now time.Time) *View {
+	t.Helper()
+	v := New()
+	for _, c := range []*Command{
+		{Edit: &corianderwing.Edit{Pools: []corianderwing.Pool{{Name: "files", Version: 1, MaxConns: 100, Protocol: "h1", Warmup: 3000, WarmupRate: 4}}}},
+		{Announce: []Announcement{{
+			Upstream: corianderwing.Upstream{
+				ID: "1", Addr: "10.0.0.1:1", Pool: "files", Version: "v1", Domain: "a", Incarnation: 7, Slots: 5, Phase: corianderwing.Ready,
+			},
+			WarmupRemaining: cold,
+		}}},
+		{Evacuate: &Evacuation{Domain: "a", On: true}},
+	} {
+		next, err := v.Apply(c, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v = next
+	}
+	return v
+}
+
+// Guards against allocators that go on with the upstreams of before the end of an
+// evacuation: they read them from the list of their pool, which is kept between changes.
+func TestEvacuatedUpstreamReturnsColdInPool(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := evacuatedView(t, 0, now)
+	is.True(v.PoolUpstreams("files")[0].WarmupUntil.IsZero())
+	next, err := v.Apply(&Command{Evacuate: &Evacuation{Domain: "a"}}, now)
+	is.NoErr(err)
+	is.Equal(next.PoolUpstreams("files")[0].WarmupUntil, now.Add(3*time.Second))
+	is.True(v.PoolUpstreams("files")[0].WarmupUntil.IsZero())
+}
