Test that the end of an evacuation shortens no cold start

Guards against a flooded upstream whose cold start is longer than the warm-up of its pool. No test failed if presumedCold always set the end of the warm-up; this one does.

--- a/core/model/evacuation_test.go
+++ b/core/model/evacuation_test.go
@@ -88,3 +88,14 @@
 	is.Equal(next.PoolUpstreams("files")[0].WarmupUntil, now.Add(3*time.Second))
 	is.True(v.PoolUpstreams("files")[0].WarmupUntil.IsZero())
 }
+
+// Guards against a flooded upstream whose cold start is longer than the warm-up of its
+// pool: the end of an evacuation must not shorten it.
+func TestEndOfEvacuationKeepsLongerWarmup(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := evacuatedView(t, 10_000, now)
+	next, err := v.Apply(&Command{Evacuate: &Evacuation{Domain: "a"}}, now.Add(time.Second))
+	is.NoErr(err)
+	is.Equal(next.PoolUpstreams("files")[0].WarmupUntil, now.Add(10*time.Second))
+}
