Test that no borrowed slot of a cold upstream is granted

Guards against a cold upstream that gets requests from the allocators of two failure domains. No test failed if freeSlots let the sole allocator of one domain use a cold upstream of another; this one does.

--- a/core/place/solecold_test.go
+++ b/core/place/solecold_test.go
@@ -54,3 +54,35 @@
 		p.SetSoleAllocator(false, now)
 	}
 }
+
+// Guards against a cold upstream that gets requests from two failure domains: the sole
+// allocator of its own, and that of another to which its slots are lent.
+func TestNoBorrowedSlotOfColdUpstream(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := place.New(place.Config{
+		Name: "files", Domain: "a1",
+		RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "a" },
+	})
+	u := &model.Upstream{WarmupUntil: now.Add(3 * time.Second)}
+	u.ID, u.Pool, u.Domain, u.Slots = "u1", "files", "a2", 4
+	u.Phase, u.Version, u.Incarnation = corianderwing.Ready, "v1", 1
+	p.SetSoleAllocator(true, now)
+	p.Sync(place.Setup{
+		Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: 4,
+		Borrowed:  map[corianderwing.UpstreamID]int{"u1": 2},
+		Evacuated: func(corianderwing.DomainID) bool { return false },
+	}, now)
+	granted := func(id place.ID) bool {
+		r := place.Request{ID: id, Class: "fetch", Object: 1, NoForward: true, Goal: now, Deadline: now.Add(time.Second)}
+		got := false
+		for _, e := range p.Submit(r, now) {
+			got = got || e.Grant.Upstream != nil
+		}
+		p.Cancel(id, now)
+		return got
+	}
+	is.True(!granted(1))
+	now = u.WarmupUntil
+	is.True(granted(2))
+}
