Let every new leader wait before it gives leases on cold upstreams

Cause: a leader whose state was empty took that for a new site and did not wait for the leases of its predecessor. A replica that has just started may be elected, and gets reports, before it has applied its log.

Change: every leader waits, also that of a new site. Nothing is cold there until its traffic begins, seconds later.

--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -96,13 +96,14 @@
 	l.entries = map[corianderwing.InstanceID]entryRecord{}
 	l.controls = map[corianderwing.InstanceID]controlRecord{}
 	l.lastHeartbeats = map[uint32]time.Time{}
-	graceEnd, leaseGraceEnd := time.Time{}, time.Time{}
+	graceEnd := time.Time{}
 	if l.revision() > 0 {
-		// Shares and leases granted by an earlier leader may still be valid.
+		// Shares granted by an earlier leader may still be valid.
 		graceEnd = now.Add(quota.GracePeriod(l.tolerance.Window))
-		leaseGraceEnd = now.Add(lease.GracePeriod())
 	}
-	l.coldLeases = lease.NewTable(leaseGraceEnd)
+	// So may leases. A replica that has just started may not have applied its log, so an
+	// empty state does not show that there were none.
+	l.coldLeases = lease.NewTable(now.Add(lease.GracePeriod()))
 	l.quotaAllocator = quota.NewAllocator(l.tolerance.Window, graceEnd)
 	if l.knownHolders != nil {
 		l.quotaAllocator.ExpectReports(l.knownHolders(now), now)
