Keep the lease on cold upstreams when one report gets no answer

Cause: a lease of 1.5 s ended before the report after one without an answer (0.4 + 0.9 + 0.4 s), and an idle allocator took it as soon as the claim of the busy one was a second old, and kept it for its whole length.

Change: a lease lasts 2 s, and a claim competes for as long. After the loss of its holder cold upstreams get nothing for up to 2 s instead of 1.5 s.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// Duration is the length of a lease: several reports of a control instance.
-	Duration = 1500 * time.Millisecond
-	// claimTTL is how long a claim competes with others after it was made.
-	claimTTL = time.Second
+	// Duration is the length of a lease. A holder loses it when two reports in a row get
+	// no answer, which takes 2.6 s, but not when one does.
+	Duration = 2 * time.Second
+	// claimTTL is how long a claim competes with others after it was made: as long as
+	// the lease that it got may last.
+	claimTTL = Duration
 	// minLead is by how many requests per second the arrivals at another allocator
 	// must exceed twice those at the holder for the lease to move there. Below this
 	// rate, an allocator counts as idle: moving averages decay slowly.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -254,3 +254,26 @@
 	}
 	is.True(!now.Before(corianderwing.HolderDeadline(sent, lease.Duration)))
 }
+
+// Guards against a lease that its busy holder loses to an idle allocator, or altogether,
+// because one of its reports gets no answer: cold upstreams get no requests then.
+func TestLostReportKeepsLease(t *testing.T) {
+	is := is.New(t)
+	const (
+		reportTimeout = 900 * time.Millisecond
+		roundTrip     = 50 * time.Millisecond
+	)
+	now := time.Unix(1000, 0)
+	table := lease.NewTable(time.Time{})
+	busy := lease.Claim{Holder: "c2", Domain: "a1", ArrivalRate: 50}
+	idle := lease.Claim{Holder: "c1", Domain: "a1"}
+	is.True(table.Take(busy, now))
+	until := corianderwing.HolderDeadline(now, lease.Duration)
+	lost := now.Add(interval + reportTimeout)
+	for now = now.Add(interval); now.Before(lost.Add(interval)); now = now.Add(50 * time.Millisecond) {
+		is.True(!table.Take(idle, now))
+	}
+	now = now.Add(roundTrip)
+	is.True(table.Take(busy, now))
+	is.True(now.Before(until))
+}
