Complete a seed whose outcome was unknown

It is a fault of the product.

(1) The next attempt took a tree with any workspace for a complete seed, and ended: no service, no key. All voters start together, so all end together. (2) The next attempt began at the current revision, which an entry instance's seat may have raised. The same request id then came with another base, and the group rejects that each time: 'request id seed-home-seats was used for another command'. There, the 10 s ended at 13:13:04, and a leader of this test and one of another lost their majorities at the same millisecond, 13:13:05.305. Ruled out: failed shipments of records (a side effect of the same syncs; they hold up no request).

A seed now starts at base 0 on each attempt and voter, which any group whose tree was never changed accepts, and each later base is the stored result of the command before. All attempts are the same commands, so each is applied once. A seed ends only when all commands have a result, or one is rejected, as the first is if the group has a tree.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -5,10 +5,8 @@
 	"errors"
 	"net/http"
 	"path/filepath"
-	"time"
 
 	"corianderwing"
-	"corianderwing/io/clock"
 	"corianderwing/io/ctrl"
 	"corianderwing/io/peer"
 	"corianderwing/io/record"
@@ -22,9 +20,6 @@
 	admin   *http.Server
 }
 
-// seedInterval is the time between checks whether a group needs its seed.
-const seedInterval = 200 * time.Millisecond
-
 func (d *Daemon) startControl() error {
 	p := d.process
 	holder, err := record.NewHolder(record.HolderConfig{Dir: filepath.Join(p.Control.DataDir, "records"), Log: d.log})
@@ -65,41 +60,15 @@
 	return nil
 }
 
-// seedGroup applies the settings file's tree to a group that has none. Every
-// voter tries; the request ids are fixed, so each command is applied only once.
+// seedGroup applies the settings file's tree to a group that has none.
 func (d *Daemon) seedGroup(g corianderwing.GroupID) {
-	client := ctrl.NewClient(d.peer, d.voters())
-	for d.ctx.Err() == nil {
-		view, ok := d.control.server.View(g)
-		if ok && len(view.Workspaces()) > 0 {
-			return
-		}
-		if ok {
-			err := d.applySeed(client, g, view.Revision())
-			if err == nil {
-				return
-			}
-			d.log.Debug().Str("group", string(g)).Err(err).Msg("seed not applied yet")
-		}
-		clock.Sleep(d.ctx, seedInterval)
+	s := &seeder{
+		group:    g,
+		commands: append(d.seatCommands(g), d.cfg.SeedCommands(g)...),
+		client:   ctrl.NewClient(d.peer, d.voters()),
+		log:      d.log,
 	}
-}
-
-func (d *Daemon) applySeed(client *ctrl.Client, g corianderwing.GroupID, base corianderwing.Revision) error {
-	ctx, cancel := context.WithTimeout(d.ctx, 10*time.Second)
-	defer cancel()
-	for _, c := range append(d.seatCommands(g), d.cfg.SeedCommands(g)...) {
-		c.Base = base
-		result, err := client.Propose(ctx, g, c)
-		if err != nil {
-			return err
-		}
-		if result.Error != nil {
-			return result.Error
-		}
-		base = max(base, result.Revision)
-	}
-	return nil
+	s.run(d.ctx)
 }
 
 // seatCommands returns the command that sets the number of seats of every failure
