Keep known cold starts when an evacuation ends

Callers saw: upstreams that get few requests for 1.3 s longer than they are cold.

Cause: the end of an evacuation began the warm-up of all its upstreams, also of those whose heartbeat had said 1.3 s before that they are cold.

Change: only upstreams that are not known to be cold are taken for cold.

TestEndOfEvacuationKeepsKnownWarmup fails without.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -241,19 +241,17 @@
 }
 
 // presumedCold returns the upstreams, with those of a failure domain at the start of
-// their warm-up. They may have become cold shortly before its evacuation ends, and the
-// heartbeats that say so are not ordered with the end.
+// their warm-up that are not known to be cold. They may have become cold shortly before
+// its evacuation ends, and the heartbeats that say so are not ordered with the end.
 func (v *View) presumedCold(d corianderwing.DomainID, now time.Time) map[corianderwing.UpstreamID]*Upstream {
 	list := maps.Clone(v.upstreams)
 	for id, u := range list {
 		pool, ok := v.items.Pool(u.Pool)
-		if u.Domain != d || !ok {
+		if u.Domain != d || !ok || u.WarmupUntil.After(now) {
 			continue
 		}
 		cold := *u
-		if end := pool.Warmup.After(now); end.After(cold.WarmupUntil) {
-			cold.WarmupUntil = end
-		}
+		cold.WarmupUntil = pool.Warmup.After(now)
 		list[id] = &cold
 	}
 	return list
--- a/core/model/evacuation_test.go
+++ b/core/model/evacuation_test.go
@@ -99,3 +99,14 @@
 	is.NoErr(err)
 	is.Equal(next.PoolUpstreams("files")[0].WarmupUntil, now.Add(10*time.Second))
 }
+
+// Guards against upstreams that get few requests for longer than they are cold: they have
+// said so before the evacuation ends.
+func TestEndOfEvacuationKeepsKnownWarmup(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := evacuatedView(t, 2000, now)
+	next, err := v.Apply(&Command{Evacuate: &Evacuation{Domain: "a"}}, now.Add(time.Second))
+	is.NoErr(err)
+	is.Equal(next.PoolUpstreams("files")[0].WarmupUntil, now.Add(2*time.Second))
+}
