Log the state that allowed an upstream, and why a request leaves its failure domain

Change: each attempt logs the incarnation of its upstream and the revision and the age of the state that allowed it, and why the allocator of another failure domain was asked. 'upstream announced' and 'upstream left' log the revision that includes the change, and whether the instance knew the upstream. The leader logs when loans begin or cease to change without a ramp, with the reason. No decision changes; go test of core/steer, core/place, io/plane, io/gate, io/follow and io/alloc passed on arm64.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -28,7 +28,7 @@
 			return
 		}
 		if d := p.reliefDomain(r, order, now); d != p.cfg.Domain {
-			p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d, RequireGoal: true})
+			p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d, Reason: ForwardRelief, RequireGoal: true})
 			return
 		}
 		if p.enqueue(r, order, now) {
@@ -39,7 +39,7 @@
 		return
 	}
 	if d := p.fallbackDomain(r); d != p.cfg.Domain {
-		p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d})
+		p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d, Reason: ForwardFallback})
 		return
 	}
 	p.reject(r, noUpstreamRetryAfter, corianderwing.NoUpstream, "pool %s has no usable upstream in %s", p.cfg.Name, p.cfg.Domain)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -70,11 +70,22 @@
 	ID          ID
 	Grant       Grant
 	ForwardTo   corianderwing.DomainID
-	RequireGoal bool // the other failure domain must reject it unless it can meet the goal
+	Reason      ForwardReason // for ForwardTo
+	RequireGoal bool          // the other failure domain must reject it unless it can meet the goal
 	Err         *corianderwing.Error
 	RetryAfter  time.Duration
 }
 
+// ForwardReason tells why a request is forwarded to another failure domain.
+type ForwardReason string
+
+// The reasons.
+const (
+	ForwardHome     ForwardReason = "home"     // of its object, or one in a home region of the request
+	ForwardRelief   ForwardReason = "relief"   // its goal cannot be met here
+	ForwardFallback ForwardReason = "fallback" // no upstream here is usable
+)
+
 // Result tells how an attempt ended.
 type Result uint8
 
@@ -270,7 +281,7 @@
 	p.arrivals.add(1, now)
 	p.recordRequest(&r, now)
 	if d := p.homeDomain(&r, now); d != p.cfg.Domain {
-		p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d})
+		p.effects = append(p.effects, Effect{ID: r.ID, ForwardTo: d, Reason: ForwardHome})
 		return p.effects
 	}
 	if !r.RequireGoal {
--- a/core/steer/ramp.go
+++ b/core/steer/ramp.go
@@ -72,15 +72,52 @@
 	}
 }
 
+// Lift says that the loans of a pool to a failure domain change without a ramp.
+type Lift struct {
+	Pool   corianderwing.PoolID   `json:"pool"`
+	Domain corianderwing.DomainID `json:"domain"`
+	Reason LiftReason             `json:"reason"`
+}
+
+// LiftReason tells why the ramp is lifted.
+type LiftReason string
+
+// The reasons.
+const (
+	LiftSuspended LiftReason = "suspended" // see Planner.SuspendRamp
+	LiftStartup   LiftReason = "startup"   // the first requests of the region
+	LiftLoss      LiftReason = "loss"      // the domain has lost many of its slots
+)
+
+// Lifts returns the loans that changed without a ramp in the last update. The slice is
+// valid until the next one.
+func (p *Planner) Lifts() []Lift { return p.lifts }
+
+// liftReason returns why the loans to a domain change without a ramp, or "".
+func (p *Planner) liftReason(l Load, now time.Time) LiftReason {
+	switch {
+	case now.Before(p.rampSuspendedUntil):
+		return LiftSuspended
+	case now.Sub(p.firstTraffic[l.Region]) < startupPeriod:
+		return LiftStartup
+	case p.lostCapacity(l):
+		return LiftLoss
+	}
+	return ""
+}
+
 // borrowers returns the borrower of each load.
 func (p *Planner) borrowers(loads []Load, regions map[corianderwing.DomainID]corianderwing.RegionID, targets map[loanKey]float64, now time.Time) map[poolKey]*borrower {
 	out := map[poolKey]*borrower{}
 	for _, l := range loads {
-		begins := now.Before(p.rampSuspendedUntil) || now.Sub(p.firstTraffic[l.Region]) < startupPeriod
+		reason := p.liftReason(l, now)
+		if reason != "" {
+			p.lifts = append(p.lifts, Lift{l.Pool, l.Domain, reason})
+		}
 		out[poolKey{l.Pool, l.Domain}] = &borrower{
 			Load:    l,
 			own:     l.Slots,
-			exempt:  begins || p.lostCapacity(l),
+			exempt:  reason != "",
 			current: map[corianderwing.RegionID]float64{},
 			target:  map[corianderwing.RegionID]float64{},
 		}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -103,6 +103,7 @@
 	restored           bool                                 // an earlier Planner planned for loads that arrive already
 	firstTraffic       map[corianderwing.RegionID]time.Time // time of a region's first request
 	rampSuspendedUntil time.Time                            // regions are exempt from the ramp before this time
+	lifts              []Lift                               // of the last update
 	lastUpdate         time.Time
 }
 
@@ -145,6 +146,7 @@
 			p.peaks[k] = peak{l.Slots, now}
 		}
 	}
+	p.lifts = p.lifts[:0]
 	reliable := p.reliableLoads(loads, now)
 	targets := p.targetLoans(reliable, p.heldLoans(now))
 	p.rampLoans(loads, targets, step, now)
--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -37,6 +37,7 @@
 	ID   place.ID
 	place.Grant
 	ForwardTo   corianderwing.DomainID
+	Reason      place.ForwardReason
 	RequireGoal bool
 }
 
@@ -261,7 +262,7 @@
 }
 
 func (w *PendingRequest) ticket(e place.Effect) (Ticket, time.Duration, *corianderwing.Error) {
-	return Ticket{w.pool, e.ID, e.Grant, e.ForwardTo, e.RequireGoal}, e.RetryAfter, e.Err
+	return Ticket{w.pool, e.ID, e.Grant, e.ForwardTo, e.Reason, e.RequireGoal}, e.RetryAfter, e.Err
 }
 
 // Cancel ends the wait for a slot. If one was granted meanwhile, it is
--- a/io/follow/slot.go
+++ b/io/follow/slot.go
@@ -77,18 +77,18 @@
 		return nil, SlotSource{}, false
 	}
 	if a.ForwardTo == "" {
-		return a, SlotSource{addr, q.Domain}, true
+		return a, SlotSource{Peer: addr, Domain: q.Domain}, true
 	}
-	remote := *q
+	remote, reason := *q, a.Reason
 	remote.Domain, remote.NoForward, remote.RequireGoal = a.ForwardTo, true, a.RequireGoal
 	if other, ok := f.remoteAllocator(a.ForwardTo); ok {
 		if a, ok := f.acquireAt(ctx, other, &remote); ok && !isDeclined(a, remote.RequireGoal) {
-			return a, SlotSource{other, remote.Domain}, true
+			return a, SlotSource{Peer: other, Domain: remote.Domain, Reason: reason}, true
 		}
 	}
 	q.NoForward = true
 	a, ok = f.acquireAt(ctx, addr, q)
-	return a, SlotSource{addr, q.Domain}, ok
+	return a, SlotSource{Peer: addr, Domain: q.Domain}, ok
 }
 
 // isDeclined reports whether a remote allocator leaves the request to the local one.
@@ -101,6 +101,7 @@
 type SlotSource struct {
 	Peer   string
 	Domain corianderwing.DomainID
+	Reason place.ForwardReason // why the request was forwarded there; empty if it was not
 }
 
 // acquireAt requests a slot from one control instance. It repeats the call while
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderwing"
+	"corianderwing/core/place"
 )
 
 // logRequest writes the log line of a request and counts it in the metrics.
@@ -63,34 +64,42 @@
 	}
 	sent := time.Now().Add(-took)
 	x.attemptLog = append(x.attemptLog, attemptEntry{
-		At:       corianderwing.Millis(sent.Sub(x.start).Milliseconds()),
-		Upstream: sl.upstream.ID,
-		Version:  sl.upstream.Version,
-		Domain:   sl.upstream.Domain,
-		Code:     code,
-		From:     sl.source.Domain,
-		Peer:     sl.source.Peer,
-		Cold:     sl.coldStart,
-		Warmup:   corianderwing.Millis(max(0, sl.upstream.WarmupUntil.Sub(sent).Milliseconds())),
-		Expected: corianderwing.Millis(sl.expected.Milliseconds()),
-		First:    corianderwing.Millis(took.Milliseconds()),
-		Known:    sl.objectKnown,
+		At:          corianderwing.Millis(sent.Sub(x.start).Milliseconds()),
+		Upstream:    sl.upstream.ID,
+		Incarnation: sl.upstream.Incarnation,
+		Revision:    sl.revision,
+		Age:         corianderwing.Millis(sl.stateAge.Milliseconds()),
+		Version:     sl.upstream.Version,
+		Domain:      sl.upstream.Domain,
+		Code:        code,
+		From:        sl.source.Domain,
+		Peer:        sl.source.Peer,
+		Reason:      sl.source.Reason,
+		Cold:        sl.coldStart,
+		Warmup:      corianderwing.Millis(max(0, sl.upstream.WarmupUntil.Sub(sent).Milliseconds())),
+		Expected:    corianderwing.Millis(sl.expected.Milliseconds()),
+		First:       corianderwing.Millis(took.Milliseconds()),
+		Known:       sl.objectKnown,
 	})
 }
 
 // attemptEntry describes an attempt in the log line of a request.
 type attemptEntry struct {
-	At       corianderwing.Millis     `json:"at"` // from the start of the request to the attempt
-	Upstream corianderwing.UpstreamID `json:"upstream"`
-	Version  corianderwing.VersionID  `json:"version"`
-	Domain   corianderwing.DomainID   `json:"domain"`
-	Code     corianderwing.Code       `json:"code"`
-	From     corianderwing.DomainID   `json:"from,omitempty"`   // failure domain whose allocator granted the slot; empty if this instance did
-	Peer     string                   `json:"peer,omitempty"`   // control instance that granted the slot
-	Cold     bool                     `json:"cold,omitempty"`   // the upstream was cold in the state of whoever granted the slot
-	Warmup   corianderwing.Millis     `json:"warmup,omitempty"` // remaining warm-up time in the state of this instance
-	Expected corianderwing.Millis     `json:"expected"`         // until the first byte
-	First    corianderwing.Millis     `json:"first"`
-	Known    bool                     `json:"known,omitempty"`   // the upstream was expected to know the object
-	Crashed  bool                     `json:"crashed,omitempty"` // the upstream refused connections after the attempt had failed
+	At          corianderwing.Millis      `json:"at"` // from the start of the request to the attempt
+	Upstream    corianderwing.UpstreamID  `json:"upstream"`
+	Incarnation corianderwing.Incarnation `json:"incarnation"`
+	Revision    corianderwing.Revision    `json:"revision"` // of the state that allowed the upstream
+	Age         corianderwing.Millis      `json:"age"`      // of that state
+	Version     corianderwing.VersionID   `json:"version"`
+	Domain      corianderwing.DomainID    `json:"domain"`
+	Code        corianderwing.Code        `json:"code"`
+	From        corianderwing.DomainID    `json:"from,omitempty"`   // failure domain whose allocator granted the slot; empty if this instance did
+	Peer        string                    `json:"peer,omitempty"`   // control instance that granted the slot
+	Reason      place.ForwardReason       `json:"reason,omitempty"` // why that allocator was asked, if it is of another failure domain
+	Cold        bool                      `json:"cold,omitempty"`   // the upstream was cold in the state of whoever granted the slot
+	Warmup      corianderwing.Millis      `json:"warmup,omitempty"` // remaining warm-up time in the state of this instance
+	Expected    corianderwing.Millis      `json:"expected"`         // until the first byte
+	First       corianderwing.Millis      `json:"first"`
+	Known       bool                      `json:"known,omitempty"`   // the upstream was expected to know the object
+	Crashed     bool                      `json:"crashed,omitempty"` // the upstream refused connections after the attempt had failed
 }
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -25,6 +25,8 @@
 	coldStart   bool
 	newVersion  bool
 	acquiredAt  time.Time
+	revision    corianderwing.Revision // of the state that allowed the upstream
+	stateAge    time.Duration          // of that state
 
 	// Set for the attempt at the upstream.
 	exchange *exchange
@@ -63,7 +65,7 @@
 	if a.Error != nil {
 		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
 	}
-	u, ok := s.usableUpstream(p.name, a.Upstream, a.Incarnation)
+	u, revision, ok := s.usableUpstream(p.name, a.Upstream, a.Incarnation)
 	if !ok || isTakenForWarm(u, a.ColdStart, time.Now()) {
 		s.cfg.Control.Release(source, p.name, place.Outcome{ID: a.ID, Result: place.Canceled})
 		return s.acquireLocal(ctx, p, r)
@@ -79,21 +81,23 @@
 		coldStart:   a.ColdStart,
 		newVersion:  a.NextVersion,
 		acquiredAt:  time.Now(),
+		revision:    revision,
+		stateAge:    s.cfg.Control.StateAge(),
 	}, 0, nil
 }
 
 // usableUpstream returns an upstream if this instance's state allows new work of the pool
-// there. Whoever granted the slot may be behind: a control instance that was paused
+// there, and the revision of that state. Whoever granted the slot may be behind: a control instance that was paused
 // grants slots of upstreams that have left or drain since, or whose version was rolled
 // back, the allocator of this instance follows its state a moment later, and the state
 // may have changed while the request waited.
-func (s *Server) usableUpstream(pool corianderwing.PoolID, id corianderwing.UpstreamID, i corianderwing.Incarnation) (*model.Upstream, bool) {
+func (s *Server) usableUpstream(pool corianderwing.PoolID, id corianderwing.UpstreamID, i corianderwing.Incarnation) (*model.Upstream, corianderwing.Revision, bool) {
 	view, _ := s.cfg.Control.View()
 	u, ok := view.Upstream(id)
 	if !ok || u.Pool != pool || u.Incarnation != i || !servesPool(view, u) {
-		return nil, false
+		return nil, 0, false
 	}
-	return u, u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
+	return u, view.Revision(), u.Phase == corianderwing.Ready && !view.Evacuated(u.Domain)
 }
 
 // maxStateDelay is how much later than a control instance this instance may receive a
@@ -114,7 +118,7 @@
 		if err != nil {
 			return nil, after, err
 		}
-		u, ok := s.usableUpstream(p.name, ticket.Upstream.ID, ticket.Upstream.Incarnation)
+		u, revision, ok := s.usableUpstream(p.name, ticket.Upstream.ID, ticket.Upstream.Incarnation)
 		if !ok || isTakenForWarm(u, ticket.ColdStart, time.Now()) {
 			s.allocator.Release(p.name, place.Outcome{ID: ticket.ID, Result: place.Canceled})
 			r.ExcludedUpstreams = append(slices.Clip(r.ExcludedUpstreams), ticket.Upstream.ID)
@@ -130,6 +134,8 @@
 			coldStart:   ticket.ColdStart,
 			newVersion:  ticket.NextVersion,
 			acquiredAt:  time.Now(),
+			revision:    revision,
+			stateAge:    s.cfg.Control.StateAge(),
 		}, 0, nil
 	}
 	return nil, 0, corianderwing.Errorf(corianderwing.NoUpstream, "the upstreams of pool %s that were granted are gone", p.name)
--- a/io/plane/batch.go
+++ b/io/plane/batch.go
@@ -19,7 +19,7 @@
 
 // batch combines registrations and removals of upstreams into shared commands.
 type batch struct {
-	propose func(context.Context, *model.Command) error
+	propose func(context.Context, *model.Command) (corianderwing.Revision, error)
 
 	mu   sync.Mutex
 	next *pending
@@ -27,17 +27,19 @@
 
 // pending is a command that is still being collected.
 type pending struct {
-	command model.Command
-	done    chan struct{}
-	err     error
+	command  model.Command
+	done     chan struct{}
+	revision corianderwing.Revision // that includes the command
+	err      error
 }
 
-func newBatch(propose func(context.Context, *model.Command) error) *batch {
+func newBatch(propose func(context.Context, *model.Command) (corianderwing.Revision, error)) *batch {
 	return &batch{propose: propose}
 }
 
-// add applies f to the next command and waits until the command is committed.
-func (b *batch) add(ctx context.Context, f func(*model.Command)) error {
+// add applies f to the next command and waits until the command is committed. It returns
+// the revision that includes the command.
+func (b *batch) add(ctx context.Context, f func(*model.Command)) (corianderwing.Revision, error) {
 	b.mu.Lock()
 	if b.next == nil {
 		p := &pending{done: make(chan struct{})}
@@ -49,9 +51,9 @@
 	b.mu.Unlock()
 	select {
 	case <-p.done:
-		return p.err
+		return p.revision, p.err
 	case <-ctx.Done():
-		return corianderwing.Errorf(corianderwing.NoQuorum, "change of upstreams is not committed yet")
+		return 0, corianderwing.Errorf(corianderwing.NoQuorum, "change of upstreams is not committed yet")
 	}
 }
 
@@ -61,6 +63,6 @@
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
-	p.err = b.propose(ctx, &p.command)
+	p.revision, p.err = b.propose(ctx, &p.command)
 	close(p.done)
 }
--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -27,7 +27,7 @@
 		p.heartbeats.record(u.ShortID, now)
 		return nil
 	}
-	err := p.batch.add(ctx, func(c *model.Command) {
+	revision, err := p.batch.add(ctx, func(c *model.Command) {
 		c.Announce = append(c.Announce, model.Announcement{Upstream: h.Upstream, WarmupRemaining: h.Cold})
 	})
 	if err == nil {
@@ -35,7 +35,8 @@
 	}
 	p.log.Info().Str("upstream", string(h.ID)).Str("pool", string(h.Pool)).Str("addr", h.Addr).
 		Str("version", string(h.Version)).Str("phase", string(h.Phase)).Int64("cold", int64(h.Cold)).
-		Uint64("incarnation", uint64(h.Incarnation)).Err(err).Msg("upstream announced")
+		Uint64("incarnation", uint64(h.Incarnation)).Uint64("seq", h.Seq).Bool("known", known).
+		Uint64("revision", uint64(revision)).Err(err).Msg("upstream announced")
 	return err
 }
 
@@ -54,10 +55,11 @@
 	if i == 0 && known {
 		i = u.Incarnation
 	}
-	err := p.batch.add(ctx, func(c *model.Command) {
+	revision, err := p.batch.add(ctx, func(c *model.Command) {
 		c.Remove = append(c.Remove, model.UpstreamRef{ID: id, Incarnation: i})
 	})
-	p.log.Info().Str("upstream", string(id)).Uint64("incarnation", uint64(i)).Err(err).Msg("upstream left")
+	p.log.Info().Str("upstream", string(id)).Uint64("incarnation", uint64(i)).Bool("known", known).
+		Uint64("revision", uint64(revision)).Err(err).Msg("upstream left")
 	return err
 }
 
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -43,6 +43,7 @@
 	tolerance      RateTolerance
 	knownLoans     func() []steer.UpstreamLoan  // loans assigned by an earlier leader
 	knownHolders   func(now time.Time) []string // instances that may have shares from an earlier leader
+	logLifts       func([]steer.Lift)           // called when loans begin or cease to change without a ramp; optional
 	revision       func() corianderwing.Revision
 	regionOf       func(corianderwing.DomainID) corianderwing.RegionID
 }
--- a/io/plane/loans.go
+++ b/io/plane/loans.go
@@ -41,6 +41,7 @@
 	planner   *steer.Planner
 	loads     map[reportKey]domainReport
 	plannedAt time.Time
+	lifts     []steer.Lift // as last logged
 	version   uint64
 	loans     []steer.UpstreamLoan
 }
@@ -92,6 +93,10 @@
 		}
 		return list
 	})
+	if lifts := s.planner.Lifts(); l.logLifts != nil && !sameLifts(lifts, s.lifts) {
+		s.lifts = slices.Clone(lifts)
+		l.logLifts(s.lifts)
+	}
 	if !slices.Equal(loans, s.loans) {
 		s.loans = loans
 		s.version = uint64(term)<<32 | (s.version+1)&(1<<32-1)
@@ -99,6 +104,11 @@
 	return s.version, s.loans
 }
 
+// sameLifts reports whether two lists hold the same lifts, in any order.
+func sameLifts(a, b []steer.Lift) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(x steer.Lift) bool { return !slices.Contains(b, x) })
+}
+
 // entriesByDomain returns the number of live entry instances in each failure domain.
 // The caller must hold l.mu.
 func (l *leaderState) entriesByDomain() map[corianderwing.DomainID]int {
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -125,6 +125,9 @@
 		return p.loans
 	}
 	p.leaderState.knownHolders = p.knownHolders
+	p.leaderState.logLifts = func(list []steer.Lift) {
+		p.log.Info().Any("lifts", list).Msg("ramp of loans lifted or in force")
+	}
 	p.register(ps)
 	var err error
 	p.replica, err = quorum.Open(cfg.Quorum, p.machine, pc, ps, func() {})
@@ -132,7 +135,7 @@
 		p.cancel()
 		return nil, err
 	}
-	p.batch = newBatch(p.propose)
+	p.batch = newBatch(p.commit)
 	p.confirmer = newConfirmer(p.ctx, p.replica.Confirm)
 	p.wg.Go(p.reportLoop)
 	p.wg.Go(p.expireLoop)
--- a/io/plane/slot.go
+++ b/io/plane/slot.go
@@ -168,7 +168,7 @@
 		return &AcquireResponse{Error: err, RetryAfter: corianderwing.Millis(after.Milliseconds())}
 	}
 	if t.ForwardTo != "" {
-		return &AcquireResponse{ForwardTo: t.ForwardTo, RequireGoal: t.RequireGoal}
+		return &AcquireResponse{ForwardTo: t.ForwardTo, Reason: t.Reason, RequireGoal: t.RequireGoal}
 	}
 	return &AcquireResponse{
 		ID:              t.ID,
--- a/io/plane/warmup_test.go
+++ b/io/plane/warmup_test.go
@@ -26,9 +26,9 @@
 	p := &Plane{machine: model.NewMachine(time.Now), heartbeats: newHeartbeatTracker(), log: &log.Logger{Level: log.PanicLevel}}
 	p.machine.Apply(1, data)
 	announced := 0
-	p.batch = newBatch(func(_ context.Context, c *model.Command) error {
+	p.batch = newBatch(func(_ context.Context, c *model.Command) (corianderwing.Revision, error) {
 		announced += len(c.Announce)
-		return nil
+		return 0, nil
 	})
 	heartbeat := func(seq uint64, cold corianderwing.Millis) {
 		t.Helper()
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -137,6 +137,7 @@
 	ColdStart       bool                      `json:"cold,omitempty"`
 	NextVersion     bool                      `json:"next,omitempty"`
 	ForwardTo       corianderwing.DomainID    `json:"elsewhere,omitempty"` // domain whose allocator to ask instead
+	Reason          place.ForwardReason       `json:"reason,omitempty"`    // for ForwardTo
 	RequireGoal     bool                      `json:"timely,omitempty"`    // use ForwardTo only if the goal can be met there
 	Error           *corianderwing.Error      `json:"error,omitempty"`
 	RetryAfter      corianderwing.Millis      `json:"after,omitempty"`
