Remove the incarnation that is announced when an upstream leaves without naming it

Cause: an upstream that leaves need not name its incarnation. The control instance filled it in from its own copy of the state. One that did not know the upstream, because it lagged or because the leader had removed the upstream for missing heartbeats, committed the removal of incarnation 0 and acknowledged it. That removes nothing, as every announced incarnation is later, and leaves no tombstone that keeps a late heartbeat out.

Whether this is what the users saw is likely, not shown.

Change: the control instance asks the leader for the newest state before it fills in the incarnation, and gives no ack without it; the upstream then asks the next instance. The state remembers the incarnations that were removed for missing heartbeats, so that their removal leaves a tombstone. Weighed against filling it in when the command is applied: a command that is committed twice could then remove the next incarnation.

--- a/core/model/codec.go
+++ b/core/model/codec.go
@@ -59,6 +59,7 @@
 	Items           items.Saved                                      `json:"items"`
 	Upstreams       []savedUpstream                                  `json:"upstreams,omitempty"`
 	Tombstones      []UpstreamRef                                    `json:"gone,omitempty"`
+	Expired         []UpstreamRef                                    `json:"expired,omitempty"`
 	Evacuated       []corianderwing.DomainID                         `json:"evacuated,omitempty"`
 	Moves           []corianderwing.Move                             `json:"moves,omitempty"`
 	CurrentVersions map[corianderwing.PoolID]corianderwing.VersionID `json:"versions,omitempty"`
@@ -82,6 +83,8 @@
 		CurrentVersions: v.currentVersions,
 		Suspects:        v.suspects.Save(),
 		LastShortID:     v.lastShortID,
+		Tombstones:      v.tombstones.list(),
+		Expired:         v.expired.list(),
 	}
 	for _, id := range sortedKeys(v.upstreams) {
 		u := v.upstreams[id]
@@ -92,9 +95,6 @@
 		}
 		s.Upstreams = append(s.Upstreams, su)
 	}
-	for _, id := range v.tombstoneOrder {
-		s.Tombstones = append(s.Tombstones, UpstreamRef{ID: id, Incarnation: v.tombstones[id]})
-	}
 	for _, p := range sortedKeys(v.moves) {
 		s.Moves = append(s.Moves, v.moves[p])
 	}
@@ -115,10 +115,7 @@
 	for _, su := range s.Upstreams {
 		v.upstreams[su.ID] = newUpstream(&su.Announcement, su.ShortID, now)
 	}
-	for _, ref := range s.Tombstones {
-		v.tombstones[ref.ID] = ref.Incarnation
-		v.tombstoneOrder = append(v.tombstoneOrder, ref.ID)
-	}
+	v.tombstones, v.expired = rememberedFrom(s.Tombstones), rememberedFrom(s.Expired)
 	for _, d := range s.Evacuated {
 		v.evacuated[d] = true
 	}
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"corianderwing"
@@ -60,10 +59,6 @@
 	Error    *corianderwing.Error   `json:"error,omitempty"`
 }
 
-// maxTombstones is the number of removed upstreams that are remembered, so that a
-// delayed heartbeat does not add one again.
-const maxTombstones = 4096
-
 // Apply returns the view after a command that was received at now. The view
 // itself does not change. If the command is rejected, Apply returns the same view.
 func (v *View) Apply(c *Command, now time.Time) (*View, error) {
@@ -137,6 +132,7 @@
 	for _, ref := range c.Expire {
 		if u, ok := v.upstreams[ref.ID]; ok && u.Incarnation == ref.Incarnation {
 			delete(v.upstreams, ref.ID)
+			v.expired = v.expired.add(ref)
 		}
 	}
 	if len(c.Suspect) > 0 {
@@ -187,7 +183,7 @@
 	if old, ok := v.upstreams[a.ID]; ok && old.Incarnation > a.Incarnation {
 		return true
 	}
-	if last, ok := v.tombstones[a.ID]; ok && last >= a.Incarnation {
+	if v.tombstones.covers(a.ID, a.Incarnation) {
 		return true
 	}
 	for id, other := range v.upstreams {
@@ -207,20 +203,7 @@
 		}
 		delete(v.upstreams, ref.ID)
 	}
-	if last, ok := v.tombstones[ref.ID]; ok && last >= ref.Incarnation {
-		return
-	}
-	_, known := v.tombstones[ref.ID]
-	v.tombstones = maps.Clone(v.tombstones)
-	v.tombstones[ref.ID] = ref.Incarnation
-	if known {
-		return
-	}
-	v.tombstoneOrder = append(slices.Clip(v.tombstoneOrder), ref.ID)
-	for len(v.tombstoneOrder) > maxTombstones {
-		delete(v.tombstones, v.tombstoneOrder[0])
-		v.tombstoneOrder = v.tombstoneOrder[1:]
-	}
+	v.tombstones = v.tombstones.add(ref)
 }
 
 func (v *View) setEvacuated(e Evacuation, now time.Time) *View {
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -46,8 +46,8 @@
 	revision        corianderwing.Revision
 	items           *items.Set
 	upstreams       map[corianderwing.UpstreamID]*Upstream
-	tombstones      map[corianderwing.UpstreamID]corianderwing.Incarnation
-	tombstoneOrder  []corianderwing.UpstreamID // keys of tombstones, oldest first
+	tombstones      remembered // removed for good
+	expired         remembered // removed for missing heartbeats, until they leave
 	evacuated       map[corianderwing.DomainID]bool
 	moves           map[corianderwing.PoolID]corianderwing.Move
 	currentVersions map[corianderwing.PoolID]corianderwing.VersionID // versions that serve requests
@@ -68,7 +68,6 @@
 	v := &View{
 		items:           items.New(),
 		upstreams:       map[corianderwing.UpstreamID]*Upstream{},
-		tombstones:      map[corianderwing.UpstreamID]corianderwing.Incarnation{},
 		evacuated:       map[corianderwing.DomainID]bool{},
 		moves:           map[corianderwing.PoolID]corianderwing.Move{},
 		currentVersions: map[corianderwing.PoolID]corianderwing.VersionID{},
@@ -89,6 +88,16 @@
 	return u, ok
 }
 
+// LastIncarnation returns the incarnation of an upstream that is announced, or was until
+// its heartbeats went missing, or 0.
+func (v *View) LastIncarnation(id corianderwing.UpstreamID) corianderwing.Incarnation {
+	last := v.expired.incarnations[id]
+	if u, ok := v.upstreams[id]; ok {
+		last = max(last, u.Incarnation)
+	}
+	return last
+}
+
 // EachUpstream calls f with every announced upstream, usable or not, in no particular
 // order.
 func (v *View) EachUpstream(f func(*Upstream)) {
--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -51,9 +51,13 @@
 
 // RemoveUpstream implements corianderwing.ControlPlane.
 func (p *Plane) RemoveUpstream(ctx context.Context, id corianderwing.UpstreamID, i corianderwing.Incarnation) error {
-	u, known := p.machine.View().Upstream(id)
-	if i == 0 && known {
-		i = u.Incarnation
+	_, known := p.machine.View().Upstream(id)
+	if i == 0 {
+		var err error
+		if i, err = p.lastIncarnation(ctx, id); err != nil {
+			p.log.Warn().Str("upstream", string(id)).Bool("known", known).Err(err).Msg("incarnation of an upstream that leaves is unknown")
+			return err
+		}
 	}
 	revision, err := p.batch.add(ctx, func(c *model.Command) {
 		c.Remove = append(c.Remove, model.UpstreamRef{ID: id, Incarnation: i})
@@ -63,6 +67,16 @@
 	return err
 }
 
+// lastIncarnation returns the last known incarnation of an upstream that did not name
+// it, or 0. The state of this instance alone may lack an incarnation that others use.
+func (p *Plane) lastIncarnation(ctx context.Context, id corianderwing.UpstreamID) (corianderwing.Incarnation, error) {
+	view, err := p.confirmed(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return max(view.LastIncarnation(id), p.heartbeats.lastIncarnation(id)), nil
+}
+
 // Edit implements corianderwing.ControlPlane.
 func (p *Plane) Edit(ctx context.Context, e corianderwing.Edit) error {
 	err := p.propose(ctx, &model.Command{Edit: &e})
--- a/io/plane/heartbeat.go
+++ b/io/plane/heartbeat.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// lastIncarnation returns the incarnation of the last heartbeat from an upstream, or 0.
+func (s *heartbeatTracker) lastIncarnation(id corianderwing.UpstreamID) corianderwing.Incarnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastSeqs[id].incarnation
+}
+
 // record records a heartbeat from an upstream.
 func (s *heartbeatTracker) record(no uint32, at time.Time) {
 	s.mu.Lock()
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -50,6 +50,7 @@
 	batch       *batch
 	heartbeats  *heartbeatTracker
 	confirmer   *confirmer
+	confirmed   func(context.Context) (*model.View, error) // see confirmedView
 	leaderState *leaderState
 	incarnation corianderwing.Incarnation
 	allocators  *allocators
@@ -136,6 +137,7 @@
 		return nil, err
 	}
 	p.batch = newBatch(p.commit)
+	p.confirmed = p.confirmedView
 	p.confirmer = newConfirmer(p.ctx, p.replica.Confirm)
 	p.wg.Go(p.reportLoop)
 	p.wg.Go(p.expireLoop)
