Keep an upstream out that began to drain while its removal was decided

Cause: the leader decides on the state that it has applied whether a silent upstream may return, and the command carries out what was decided. A drain that is committed in between was forgotten with the upstream: no tombstone kept a late heartbeat out that says that it is ready.

Evidence: by reading, and TestDrainWhileRemovalIsDecided, which fails on (expire_test.go: not true: !ok).

Change: whether the upstream may return is decided when the command is applied. Replicas of an earlier version still go by the decision in the command.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -130,10 +130,7 @@
 		v.removeUpstream(ref)
 	}
 	for _, ref := range c.Expire {
-		if u, ok := v.upstreams[ref.ID]; ok && u.Incarnation == ref.Incarnation {
-			delete(v.upstreams, ref.ID)
-			v.expired = v.expired.add(ref)
-		}
+		v.expireUpstream(ref)
 	}
 	if len(c.Suspect) > 0 {
 		v.suspects = v.suspects.Apply(c.Suspect, now)
@@ -194,6 +191,21 @@
 	return false
 }
 
+// expireUpstream removes a silent upstream, unless another incarnation of it has been
+// announced. One that was ready may return. One that drains must not, although it may
+// have begun to after the leader had decided on the command.
+func (v *View) expireUpstream(ref UpstreamRef) {
+	u, ok := v.upstreams[ref.ID]
+	switch {
+	case !ok || u.Incarnation != ref.Incarnation:
+	case u.Phase == corianderwing.Draining:
+		v.removeUpstream(ref)
+	default:
+		delete(v.upstreams, ref.ID)
+		v.expired = v.expired.add(ref)
+	}
+}
+
 // removeUpstream removes an upstream and records a tombstone, unless a later
 // incarnation of it has been announced.
 func (v *View) removeUpstream(ref UpstreamRef) {
--- a/io/plane/expire_test.go
+++ b/io/plane/expire_test.go
@@ -10,6 +10,30 @@
 	"corianderwing/core/model"
 )
 
+// Guards against new work for an upstream whose drain is committed after the leader has
+// decided to remove it as silent and before the removal, and whose last heartbeat from
+// before the drain comes late.
+func TestDrainWhileRemovalIsDecided(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	up := corianderwing.Upstream{ID: "1", Addr: "10.0.0.1:1", Pool: "files", Domain: "a", Incarnation: 7, Slots: 4, Phase: corianderwing.Ready}
+	draining := up
+	draining.Phase = corianderwing.Draining
+	v := model.New()
+	apply := func(c *model.Command) {
+		next, err := v.Apply(c, now)
+		is.NoErr(err)
+		v = next
+	}
+	apply(&model.Command{Announce: []model.Announcement{{Upstream: up}}})
+	removal := expireCommand(v, []model.UpstreamRef{{ID: "1", Incarnation: 7}})
+	apply(&model.Command{Announce: []model.Announcement{{Upstream: draining}}})
+	apply(removal)
+	apply(&model.Command{Announce: []model.Announcement{{Upstream: up}}})
+	_, ok := v.Upstream("1")
+	is.True(!ok)
+}
+
 // Guards against new work for an upstream that said that it drains: it fell silent
 // and was removed, and then a heartbeat arrived that it had sent before, or after the
 // control instances had restarted and forgotten its sequence number.
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -289,6 +289,8 @@
 // expireCommand returns the command that removes silent upstreams. One that was
 // ready may return, because its heartbeats may only have been lost. One that was
 // draining must not: a late heartbeat from before its drain says that it is ready.
+// Replicas decide this again when they apply the command; those of earlier versions do
+// not.
 func expireCommand(v *model.View, expired []model.UpstreamRef) *model.Command {
 	c := &model.Command{}
 	for _, ref := range expired {
