Acknowledge no heartbeat that the leader will not hear of

Cause: a control instance that is cut off from the leader acknowledged heartbeats of upstreams that it knows. They asked no other instance, and the leader removed them as silent after 7.5 s, which is how the upstream of the incident came to be unknown. The class is the same as that of the incident: an ack for what is not in the replicated state.

TestHeartbeatNeedsContactWithLeader fails on (report_test.go: ok != noleader).

The heartbeat is recorded in any case.

--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -25,7 +25,7 @@
 	u, known := view.Upstream(h.ID)
 	if known && u.Incarnation == h.Incarnation && !hasChanged(u, &h) && !p.heartbeats.extendsWarmup(&h, now) {
 		p.heartbeats.record(u.ShortID, now)
-		return nil
+		return p.requireReporting(now)
 	}
 	revision, err := p.batch.add(ctx, func(c *model.Command) {
 		c.Announce = append(c.Announce, model.Announcement{Upstream: h.Upstream, WarmupRemaining: h.Cold})
@@ -40,6 +40,18 @@
 	return err
 }
 
+// requireReporting returns an error if this instance cannot tell the leader of a
+// heartbeat in time. The upstream then sends it to another instance; the leader would
+// remove an upstream whose heartbeats were acknowledged here.
+func (p *Plane) requireReporting(now time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.confirmedAt) < maxReportedAge {
+		return nil
+	}
+	return corianderwing.Errorf(corianderwing.NoLeader, "the leader has not answered for %v", maxReportedAge)
+}
+
 // hasChanged reports whether a heartbeat differs from the known state of its
 // upstream, apart from the warm-up.
 func hasChanged(u *model.Upstream, h *corianderwing.Heartbeat) bool {
--- a/io/plane/report_test.go
+++ b/io/plane/report_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 
 	"corianderwing"
 	"corianderwing/core/model"
@@ -78,3 +79,23 @@
 	s.forgetSilent(now.Add(lastSeqTTL))
 	is.Equal(len(s.lastSeqs), 0)
 }
+
+// Guards against the removal of healthy upstreams that reach only a control instance
+// which the leader does not hear: it acknowledged their heartbeats, so that they asked no
+// other one.
+func TestHeartbeatNeedsContactWithLeader(t *testing.T) {
+	is := is.New(t)
+	u := leavingUpstream(7)
+	data, err := model.Encode(&model.Command{Announce: []model.Announcement{{Upstream: u}}})
+	is.NoErr(err)
+	p := &Plane{machine: model.NewMachine(time.Now), heartbeats: newHeartbeatTracker(), log: &log.Logger{Level: log.PanicLevel}}
+	p.machine.Apply(1, data)
+	heartbeat := func(silence time.Duration) error {
+		p.confirmedAt = clock.Boot().Add(-silence)
+		u.Seq++
+		return p.Heartbeat(t.Context(), corianderwing.Heartbeat{Upstream: u})
+	}
+	is.NoErr(heartbeat(time.Second))
+	is.Equal(corianderwing.CodeOf(heartbeat(maxReportedAge)), corianderwing.NoLeader)
+	is.Equal(len(p.heartbeats.take(clock.Boot())), 1) // reported if the contact returns
+}
--- a/io/plane/warmup_test.go
+++ b/io/plane/warmup_test.go
@@ -10,6 +10,7 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
+	"corianderwing/io/clock"
 )
 
 // Guards against a renewed cold start that is never announced: the control instance that
@@ -25,6 +26,7 @@
 	is.NoErr(err)
 	p := &Plane{machine: model.NewMachine(time.Now), heartbeats: newHeartbeatTracker(), log: &log.Logger{Level: log.PanicLevel}}
 	p.machine.Apply(1, data)
+	p.confirmedAt = clock.Boot()
 	announced := 0
 	p.batch = newBatch(func(_ context.Context, c *model.Command) (corianderwing.Revision, error) {
 		announced += len(c.Announce)
