Account for upstreams that join or leave in the limit on loans

Cause: the ramp limits what the planner changes, 5 in 100 of a region's requests a second. The fraction that runs elsewhere also changes when the region's own slots do, and the planner took the new slots for those of before. When upstreams join and the demand falls, requests return to the new upstreams and loans end at the full rate besides; when they leave, the reverse.

Change: what joined and left upstreams have moved is set off against the limit while the loans move requests in the same direction.

--- a/core/steer/ramp.go
+++ b/core/steer/ramp.go
@@ -34,20 +34,12 @@
 		regions[l.Domain] = l.Region
 	}
 	borrowers := p.borrowers(loads, regions, targets, now)
-	moved := map[corianderwing.RegionID]float64{}   // requests that would change their region
-	running := map[corianderwing.RegionID]float64{} // requests that get a slot
-	for _, b := range borrowers {
-		n := b.runningRequests()
-		running[b.Region] += n
-		if !b.exempt {
-			moved[b.Region] += n * b.movedFraction()
-		}
-	}
+	shifts := p.regionShifts(borrowers, maxShiftPerSecond*step)
 	for k, target := range targets {
 		part := 1.0
 		if b, ok := borrowers[poolKey{k.pool, k.borrower}]; ok && !b.exempt && regions[k.lender] != b.Region {
-			if limit := maxShiftPerSecond * step * running[b.Region]; moved[b.Region] > limit {
-				part = b.slotsPart(regions[k.lender], limit/moved[b.Region])
+			if s := shifts[b.Region]; s.moved > s.limit {
+				part = b.slotsPart(regions[k.lender], s.limit/s.moved)
 			}
 		}
 		n := p.loans[k] + (target-p.loans[k])*part
@@ -167,6 +159,13 @@
 	return min(1, max(0, (slots-b.current[region])/whole))
 }
 
+// withSlots returns the borrower as if its domain had other upstreams.
+func (b *borrower) withSlots(slots float64) *borrower {
+	other := *b
+	other.own += slots - b.Slots
+	return &other
+}
+
 // fractions returns the fraction of the slots that is in each other region.
 func (b *borrower) fractions(loans map[corianderwing.RegionID]float64) map[corianderwing.RegionID]float64 {
 	out := map[corianderwing.RegionID]float64{}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -103,6 +103,8 @@
 	restored           bool                                 // an earlier Planner planned for loads that arrive already
 	firstTraffic       map[corianderwing.RegionID]time.Time // time of a region's first request
 	rampSuspendedUntil time.Time                            // regions are exempt from the ramp before this time
+	lastSlots          map[poolKey]float64                  // slots of the last load
+	joined             map[corianderwing.RegionID]float64   // fraction of the requests moved by upstreams that joined or left, not yet accounted for by the ramp
 	lifts              []Lift                               // of the last update
 	lastUpdate         time.Time
 }
@@ -115,6 +117,8 @@
 		lastReport:   map[poolKey]time.Time{},
 		lastRequests: map[poolKey]time.Time{},
 		firstTraffic: map[corianderwing.RegionID]time.Time{},
+		lastSlots:    map[poolKey]float64{},
+		joined:       map[corianderwing.RegionID]float64{},
 	}
 }
 
