Take replaced upstreams for no loss of capacity when loans change

Cause: a domain that has lost 3 in 10 of the most slots of the last 6 s changes its loans without a ramp. When upstreams are replaced one at a time the new one joins before the old one leaves: with two upstreams 3 in 10 are 'lost' with each, and the limit is lifted while nothing is wrong.

TestReplacedUpstreamIsNoLoss fails without the change (shift_test.go:84: 1 != 0).

--- a/core/steer/shift_test.go
+++ b/core/steer/shift_test.go
@@ -64,3 +64,27 @@
 		})
 	}
 }
+
+// Guards against loans without a ramp when a domain with few upstreams replaces them one
+// at a time: the new one joins before the old one leaves, which looked like a loss.
+func TestReplacedUpstreamIsNoLoss(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	room := load("b1", 200, 20)
+	_, now := updateFor(p, epoch, 10, load("a1", 10, 5), room)
+	var elsewhere []float64
+	for i := range 60 {
+		slots, demand := 10.0, 40.0
+		if i%10 < 4 {
+			slots = 15
+		}
+		now = now.Add(shiftStep)
+		n := float64(totalBorrowed(p.Update([]Load{load("a1", slots, demand), room}, now), "a1"))
+		elsewhere = append(elsewhere, n/(slots+n))
+		is.Equal(len(p.Lifts()), 0)
+	}
+	is.True(elsewhere[len(elsewhere)-1] > 0.4)
+	now = now.Add(shiftStep)
+	p.Update([]Load{load("a1", 5, 40), room}, now) // half of them are lost
+	is.Equal(len(p.Lifts()), 1)
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -45,12 +45,6 @@
 	// startupPeriod is how long after its first request a region is exempt from
 	// the ramp: no established load can be disturbed yet.
 	startupPeriod = 700 * time.Millisecond
-	// lossThreshold is the fraction of its slots that a domain must have lost
-	// recently to borrow without a ramp, because its requests have nowhere else
-	// to go.
-	lossThreshold = 0.3
-	// lossWindow is how long a loss counts as recent.
-	lossWindow = 6 * time.Second
 	// minLoan is the smallest loan, in slots.
 	minLoan = 0.5
 )
@@ -87,12 +81,6 @@
 	domain corianderwing.DomainID
 }
 
-// peak is the highest recent number of slots of a pool in a failure domain.
-type peak struct {
-	slots float64
-	at    time.Time
-}
-
 // Planner plans the loans. The leader of a term owns it. A new leader restores
 // the loans that it knows of.
 type Planner struct {
@@ -146,9 +134,7 @@
 	p.recordFirstTraffic(loads, now)
 	for _, l := range loads {
 		k := poolKey{l.Pool, l.Domain}
-		if top := p.peaks[k]; l.Slots >= top.slots || now.Sub(top.at) > lossWindow {
-			p.peaks[k] = peak{l.Slots, now}
-		}
+		p.peaks[k] = p.peaks[k].update(l.Slots, now)
 	}
 	p.lifts = p.lifts[:0]
 	reliable := p.reliableLoads(loads, now)
@@ -292,12 +278,6 @@
 	return order
 }
 
-// lostCapacity reports whether a domain has recently lost a large part of its
-// slots.
-func (p *Planner) lostCapacity(l Load) bool {
-	return l.Slots < (1-lossThreshold)*p.peaks[poolKey{l.Pool, l.Domain}].slots
-}
-
 // wholeLoans returns the loans rounded to whole slots.
 func (p *Planner) wholeLoans() []Loan {
 	var out []Loan
