Bound the late requests of a home region by the slots of that region

Cause: an allocator lets one and a half times its slots of late requests wait. For requests that may run in one region only it counted all slots, also those that other regions lend, which are most of them in th-north. So several times as many waited for the same slots as for any others, for up to 2.6 s, and when the traffic ends they are what still runs.

TestLateRequestsOfHomeRegionAreFew fails on (home_test.go: 30 != 6).

Change: those that may run in home regions only are counted and bounded by the slots there.

--- a/core/place/home_test.go
+++ b/core/place/home_test.go
@@ -97,3 +97,42 @@
 		is.Equal(d, corianderwing.DomainID("c1"))
 	}
 }
+
+// Guards against requests that are bound to a region with few slots and wait there far
+// longer than others, because those that other regions lend counted as theirs. When the
+// load falls, they are all that is left, and the region in which requests run changes.
+func TestLateRequestsOfHomeRegionAreFew(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	set := place.Setup{Version: "v1", Evacuated: func(corianderwing.DomainID) bool { return false }, Borrowed: map[corianderwing.UpstreamID]int{"u-b1": 16}}
+	for d, slots := range map[corianderwing.DomainID]corianderwing.Slots{"a1": 4, "b1": 16} {
+		u := &model.Upstream{}
+		u.ID, u.Pool, u.Domain, u.Slots = corianderwing.UpstreamID("u-"+d), "files", d, slots
+		u.Phase, u.Version, u.Incarnation = corianderwing.Ready, "v1", 1
+		set.Upstreams = append(set.Upstreams, u)
+	}
+	newPool := func() *place.Pool {
+		p := place.New(place.Config{
+			Name: "files", Domain: "a1",
+			RegionOf: func(d corianderwing.DomainID) corianderwing.RegionID { return corianderwing.RegionID(d[:1]) },
+		})
+		p.Sync(set, now)
+		return p
+	}
+	submitLate := func(p *place.Pool, from, n int, homes ...corianderwing.RegionID) {
+		for i := range n {
+			p.Submit(place.Request{
+				ID: place.ID(from + i), Class: "fetch", HomeRegions: homes, NoForward: true,
+				Goal: now.Add(time.Millisecond), Deadline: now.Add(10 * time.Minute),
+			}, now)
+		}
+	}
+	p := newPool()
+	submitLate(p, 1000, 60)
+	is.Equal(p.QueueLen(), 30) // 1.5 times all slots
+	p = newPool()
+	submitLate(p, 2000, 60, "a")
+	is.Equal(p.QueueLen(), 6) // 1.5 times those of the home region
+	submitLate(p, 3000, 60)
+	is.True(p.QueueLen() > 20) // others still wait for theirs
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -46,6 +46,9 @@
 	overShare          bool // the workspace has used more than its share of the slots
 }
 
+// hasHomes reports whether only some regions may run the request.
+func (r *Request) hasHomes() bool { return len(r.HomeRegions) > 0 }
+
 // mayRunIn reports whether a region may run the request. A failure domain that is not
 // in the settings has the region "", which is nobody's home.
 func (r *Request) mayRunIn(region corianderwing.RegionID) bool {
--- a/core/place/queue.go
+++ b/core/place/queue.go
@@ -71,17 +71,17 @@
 }
 
 // admitLate reports whether a late request may wait: it is expected to be
-// served well before its deadline, and few other late requests are queued. Those of
-// workspaces over their share do not keep others out.
+// served well before its deadline, and few other late requests are queued for the slots
+// that may run it. Those of workspaces over their share do not keep others out.
 func (p *Pool) admitLate(r *Request, takes time.Duration, now time.Time) bool {
 	n, room := 0, 0
 	for _, w := range p.queue {
-		if w.late && (r.overShare || !w.overShare) {
+		if w.late && (r.overShare || !w.overShare) && (w.hasHomes() || !r.hasHomes()) {
 			n++
 		}
 	}
 	for _, s := range p.sorted {
-		if s.usable(now) {
+		if s.usable(now) && r.mayRunIn(p.cfg.RegionOf(s.upstream.Domain)) {
 			room += s.slots
 		}
 	}
