Let upstreams of the soak leave by a call that names no incarnation

Half of them now call to leave, name no incarnation and send no more heartbeats; the promise 'drained' holds for both. Only the soak and its client change.

--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -354,13 +354,18 @@
 	}
 }
 
-// drain empties an upstream as its operator does, and lets it come back. At first
-// only its answers say that it leaves.
+// drain empties an upstream as its operator does, and lets it come back. Some upstreams
+// only call to leave, without naming their life. Of the others, at first only the
+// answers say that they leave.
 func (r *run) drain(ctx context.Context, u *Upstream, s Step) {
-	u.announceLeaving()
-	r.pause(ctx, announceLead)
-	u.setPhase(corianderwing.Draining)
-	for !u.beat(ctx) && ctx.Err() == nil {
+	confirm := u.leave
+	if !u.chance(leavePart) {
+		u.announceLeaving()
+		r.pause(ctx, announceLead)
+		u.setPhase(corianderwing.Draining)
+		confirm = u.beat
+	}
+	for !confirm(ctx) && ctx.Err() == nil {
 		r.pause(ctx, beatEvery/5)
 	}
 	r.ledger.Drain(u.ID, time.Now())
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -30,6 +30,9 @@
 	// for no others for pushbackTime.
 	pushbackPart = 0.5
 	pushbackTime = 2 * time.Second
+	// leavePart is the part of the planned drains in which an upstream only calls to
+	// leave.
+	leavePart = 0.5
 	// announceLead is how long an upstream says in its answers that it leaves
 	// before it announces it to a control process.
 	announceLead = drainBound + 1500*time.Millisecond
@@ -128,6 +131,13 @@
 	return u.run.order(ctx, func(ctx context.Context, addr string) error { return u.run.cfg.Wire.Beat(ctx, addr, h) }) == nil
 }
 
+// leave tells the system that the upstream leaves, and ends its heartbeats. It reports
+// whether that was confirmed.
+func (u *Upstream) leave(ctx context.Context) bool {
+	u.setPhase("")
+	return u.run.order(ctx, func(ctx context.Context, addr string) error { return u.run.cfg.Wire.Leave(ctx, addr, u.ID, 0) }) == nil
+}
+
 func (u *Upstream) setPhase(p corianderwing.Phase) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/io/soak/wire.go
+++ b/io/soak/wire.go
@@ -54,6 +54,7 @@
 	PushBack(h http.Header, d time.Duration)
 
 	Beat(ctx context.Context, addr string, h corianderwing.Heartbeat) error
+	// Leave says that an upstream leaves. Its incarnation is not named if it is 0.
 	Leave(ctx context.Context, addr string, id corianderwing.UpstreamID, i corianderwing.Incarnation) error
 	Edit(ctx context.Context, addr string, e corianderwing.Edit) error
 	Items(ctx context.Context, addr string) (corianderwing.Edit, error)
