--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -355,7 +355,7 @@
 }
 
 // drain empties an upstream as its operator does, and lets it come back. Some upstreams
-// only call to leave, without naming their life. Of the others, at first only the
+// only call to leave, without naming their incarnation. Of the others, at first only the
 // answers say that they leave.
 func (r *run) drain(ctx context.Context, u *Upstream, s Step) {
 	confirm := u.leave
