--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -40,13 +40,14 @@
 	return err
 }
 
-// requireReporting returns an error if this instance cannot tell the leader of a
-// heartbeat in time. The upstream then sends it to another instance; the leader would
-// remove an upstream whose heartbeats were acknowledged here.
+// requireReporting returns an error if this instance is cut off from the leader and
+// cannot tell it of a heartbeat in time. The upstream then sends it to another instance;
+// the leader would remove an upstream whose heartbeats were acknowledged here. A leader
+// that is only too busy to answer still hears of them.
 func (p *Plane) requireReporting(now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.confirmedAt) < maxReportedAge {
+	if now.Sub(p.confirmedAt) < maxReportedAge || p.knowsLeader() {
 		return nil
 	}
 	return corianderwing.Errorf(corianderwing.NoLeader, "the leader has not answered for %v", maxReportedAge)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -51,6 +51,7 @@
 	heartbeats  *heartbeatTracker
 	confirmer   *confirmer
 	confirmed   func(context.Context) (*model.View, error) // see confirmedView
+	knowsLeader func() bool                                // the replica hears from a leader
 	leaderState *leaderState
 	incarnation corianderwing.Incarnation
 	allocators  *allocators
@@ -138,6 +139,7 @@
 	}
 	p.batch = newBatch(p.commit)
 	p.confirmed = p.confirmedView
+	p.knowsLeader = func() bool { return p.replica.LeaderAddr() != "" }
 	p.confirmer = newConfirmer(p.ctx, p.replica.Confirm)
 	p.wg.Go(p.reportLoop)
 	p.wg.Go(p.expireLoop)
--- a/io/plane/report_test.go
+++ b/io/plane/report_test.go
@@ -90,6 +90,8 @@
 	is.NoErr(err)
 	p := &Plane{machine: model.NewMachine(time.Now), heartbeats: newHeartbeatTracker(), log: &log.Logger{Level: log.PanicLevel}}
 	p.machine.Apply(1, data)
+	leader := false
+	p.knowsLeader = func() bool { return leader }
 	heartbeat := func(silence time.Duration) error {
 		p.confirmedAt = clock.Boot().Add(-silence)
 		u.Seq++
@@ -98,4 +100,6 @@
 	is.NoErr(heartbeat(time.Second))
 	is.Equal(corianderwing.CodeOf(heartbeat(maxReportedAge)), corianderwing.NoLeader)
 	is.Equal(len(p.heartbeats.take(clock.Boot())), 1) // reported if the contact returns
+	leader = true
+	is.NoErr(heartbeat(maxReportedAge)) // it is only too busy to answer
 }
