--- /dev/null
+++ b/review/stand2/proxy.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// proxy passes the connections between the machines on, with the delay of the
+// deployment's links. Each machine is known to the others under an address of a proxy.
+type proxy struct {
+	l       net.Listener
+	to      string
+	from    func(ip string) time.Duration // one-way delay from a machine
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	stopped bool
+}
+
+func startProxy(addr, to string, from func(ip string) time.Duration) (*proxy, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{l: l, to: to, from: from, conns: map[net.Conn]bool{}}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) serve() {
+	for {
+		c, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(c)
+	}
+}
+
+// pass connects to the machine and copies both directions.
+func (p *proxy) pass(c net.Conn) {
+	defer c.Close()
+	ip, _, _ := strings.Cut(c.RemoteAddr().String(), ":")
+	delay := p.from(ip)
+	time.Sleep(2 * delay) // the handshake
+	d, err := net.DialTimeout("tcp", p.to, time.Second)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	if !p.add(c, d) {
+		return
+	}
+	defer p.remove(c, d)
+	var wg sync.WaitGroup
+	wg.Go(func() { copyLate(d, c, delay) })
+	wg.Go(func() { copyLate(c, d, delay) })
+	wg.Wait()
+}
+
+func (p *proxy) add(list ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range list {
+		p.conns[c] = true
+	}
+	return !p.stopped
+}
+
+func (p *proxy) remove(list ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range list {
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) close() {
+	p.l.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	for c := range p.conns {
+		c.Close()
+	}
+}
+
+// piece is a part of a stream and when it arrives.
+type piece struct {
+	at   time.Time
+	data []byte
+}
+
+// copyLate copies a stream, each byte after a delay, and closes both ends with it.
+func copyLate(to, from net.Conn, delay time.Duration) {
+	pieces := make(chan piece, 1024)
+	go func() {
+		defer close(pieces)
+		for {
+			b := make([]byte, 16<<10)
+			n, err := from.Read(b)
+			if n > 0 {
+				pieces <- piece{time.Now().Add(delay), b[:n]}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for x := range pieces {
+		time.Sleep(time.Until(x.at))
+		if _, err := to.Write(x.data); err != nil {
+			break
+		}
+	}
+	to.Close()
+	from.Close()
+	go io.Copy(io.Discard, from)
+	for range pieces {
+	}
+}
