--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,13 +40,14 @@
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	dir     string
-	program string
-	base    int // first port; ports are the same on all machines
-	cores   []*machine
-	fronts  []*machine
-	rec     *recorder
-	proxies []*proxy
+	dir      string
+	program  string
+	base     int // first port; ports are the same on all machines
+	cores    []*machine
+	fronts   []*machine
+	rec      *recorder
+	proxies  []*proxy
+	isolated atomic.Pointer[machine] // cut off from all other machines; nil for none
 }
 
 // Delays of the links between machines, one way.
@@ -193,7 +195,8 @@
 func (f *fleet) startProxies() error {
 	for _, m := range f.machines() {
 		for _, port := range []int{portPeer, portPeer + 1} {
-			p, err := startProxy(f.addr(m.peerIP, port), f.addr(m.ip, port), func(ip string) time.Duration { return f.delay(ip, m) })
+			p, err := startProxy(f.addr(m.peerIP, port), f.addr(m.ip, port), func(ip string) time.Duration { return f.delay(ip, m) },
+				func(ip string) bool { return f.isCut(ip, m) })
 			if err != nil {
 				return err
 			}
@@ -203,6 +206,13 @@
 	return nil
 }
 
+// isCut reports whether the machine at an address and another one cannot reach each
+// other.
+func (f *fleet) isCut(ip string, to *machine) bool {
+	m := f.isolated.Load()
+	return m != nil && (m == to || m.ip == ip)
+}
+
 // delay returns the delay from the machine at an address to another one.
 func (f *fleet) delay(ip string, to *machine) time.Duration {
 	for _, m := range f.machines() {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) error{
 	"hup":   stopAndReload,
 	"quota": quotaAfterRestart,
+	"home":  homesBehindCut,
 }
 
 func main() {
--- a/review/stand2/proxy.go
+++ b/review/stand2/proxy.go
@@ -14,17 +14,18 @@
 	l       net.Listener
 	to      string
 	from    func(ip string) time.Duration // one-way delay from a machine
+	cut     func(ip string) bool          // whether the machine is cut off from this one now
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
 	stopped bool
 }
 
-func startProxy(addr, to string, from func(ip string) time.Duration) (*proxy, error) {
+func startProxy(addr, to string, from func(ip string) time.Duration, cut func(ip string) bool) (*proxy, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{l: l, to: to, from: from, conns: map[net.Conn]bool{}}
+	p := &proxy{l: l, to: to, from: from, cut: cut, conns: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -45,6 +46,8 @@
 	ip, _, _ := strings.Cut(c.RemoteAddr().String(), ":")
 	delay := p.from(ip)
 	time.Sleep(2 * delay) // the handshake
+	cut := func() bool { return p.cut(ip) }
+	waitWhile(cut)
 	d, err := net.DialTimeout("tcp", p.to, time.Second)
 	if err != nil {
 		return
@@ -55,8 +58,8 @@
 	}
 	defer p.remove(c, d)
 	var wg sync.WaitGroup
-	wg.Go(func() { copyLate(d, c, delay) })
-	wg.Go(func() { copyLate(c, d, delay) })
+	wg.Go(func() { copyLate(d, c, delay, cut) })
+	wg.Go(func() { copyLate(c, d, delay, cut) })
 	wg.Wait()
 }
 
@@ -93,8 +96,15 @@
 	data []byte
 }
 
+// waitWhile waits until a cut is over. Nothing is lost or reset in the meantime.
+func waitWhile(cut func() bool) {
+	for cut() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // copyLate copies a stream, each byte after a delay, and closes both ends with it.
-func copyLate(to, from net.Conn, delay time.Duration) {
+func copyLate(to, from net.Conn, delay time.Duration, cut func() bool) {
 	pieces := make(chan piece, 1024)
 	go func() {
 		defer close(pieces)
@@ -111,10 +121,12 @@
 	}()
 	for x := range pieces {
 		time.Sleep(time.Until(x.at))
+		waitWhile(cut)
 		if _, err := to.Write(x.data); err != nil {
 			break
 		}
 	}
+	waitWhile(cut)
 	to.Close()
 	from.Close()
 	go io.Copy(io.Discard, from)
