--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -47,6 +47,8 @@
 	fronts   []*machine
 	rec      *recorder
 	proxies  []*proxy
+	mu       sync.Mutex
+	closed   bool
 	isolated atomic.Pointer[machine] // cut off from all other machines; nil for none
 }
 
@@ -67,12 +69,16 @@
 	portServer  = 15
 )
 
+// current is the deployment that a signal to this program ends.
+var current atomic.Pointer[fleet]
+
 func newFleet(rec *recorder, cores, fronts int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{dir: dir, program: "target/corianderwing", rec: rec}
+	current.Store(f)
 	if f.base, err = freeBase(); err != nil {
 		return nil, err
 	}
@@ -173,6 +179,11 @@
 		return err
 	}
 	defer out.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errors.New("the deployment is closed")
+	}
 	cmd := exec.Command(f.program, "node", "--settings", m.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -261,6 +272,9 @@
 
 // close ends all processes and removes their files.
 func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, m := range f.machines() {
 		m.mu.Lock()
 		if m.cmd != nil {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // errBroken is the error of a case whose rule was broken.
@@ -30,6 +32,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go endOnSignal()
 	err = cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err == nil:
@@ -45,3 +48,14 @@
 		os.Exit(2)
 	}
 }
+
+// endOnSignal ends what was started when this program is told to stop.
+func endOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	if f := current.Load(); f != nil {
+		f.close()
+	}
+	os.Exit(2)
+}
--- a/review/stand2/quota.go
+++ b/review/stand2/quota.go
@@ -10,8 +10,12 @@
 	"time"
 )
 
-// quotaAfterRestart lets one tenant send several times its rate, kills all processes at
-// the same moment, 1.5 s later, and restarts them after 0.3 s.
+// loadTime is for_s of the site's hot_tenant.
+const loadTime = 6500 * time.Millisecond
+
+// quotaAfterRestart lets one tenant send several times its rate for loadTime. After 1.5 s
+// it sends a change, kills all processes at the same moment right after its ack, and
+// restarts them after 0.3 s.
 func quotaAfterRestart(rec *recorder, trouble bool) error {
 	f, err := newFleet(rec, 6, 6)
 	if err != nil {
@@ -29,7 +33,11 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { f.overload(ctx, x, 22*time.Millisecond) })
+	begin := time.Now()
 	time.Sleep(1500 * time.Millisecond)
+	if err := f.patch(map[string]any{"services": serviceTable("r2")}); err != nil {
+		return err
+	}
 	if trouble {
 		list := f.machines()
 		for _, m := range list {
@@ -48,7 +56,7 @@
 			}
 		}
 	}
-	time.Sleep(9 * time.Second)
+	time.Sleep(time.Until(begin.Add(loadTime)))
 	cancel()
 	wg.Wait()
 	return rec.checkQuota(x)
