Keep a process alive on SIGHUP while it starts and stops

What callers saw: an entry instance that was stopping got a SIGHUP, as its settings file had changed, and ended at once.

Cause: node subscribed to SIGHUP only while its loop waited for a reason to stop. signal.Stop on the way out restores the default action, which ends the process, before Close has begun. The same holds before the loop, while the settings are read and the listeners opened, and serve never subscribed.

Ruled out: a reload that blocks or fails; a second SIGTERM, which was ignored before as well.

Change: main subscribes first and never unsubscribes. node reloads on each SIGHUP until the process has ended. serve logs that it reads its file at the start only. All other commands take SIGHUP for SIGTERM, so that they end what they started, unless it was ignored at the start (nohup).

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
+	"slices"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,8 +14,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx := watchSignals()
 	if err := rootCommand().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitStatus(err))
@@ -25,28 +22,34 @@
 }
 
 func rootCommand() *cli.Command {
+	daemons := []*cli.Command{
+		serveCommand(),
+		nodeCommand(),
+	}
+	others := []*cli.Command{
+		demoCommand(),
+		explainCommand(),
+		stubCommand(),
+		stubsCommand(),
+		loadCommand(),
+		soakCommand(),
+		slopesCommand(),
+		checkCommand(),
+		statusCommand(),
+		treeCommand(),
+		keyCommand(),
+		drainCommand(),
+		moveCommand(),
+		recordsCommand(),
+		versionCommand(),
+	}
+	for _, c := range others {
+		c.Before = stopOnHangup
+	}
 	return &cli.Command{
-		Name:  "corianderwing",
-		Usage: "steer traffic between callers and upstreams",
-		Commands: []*cli.Command{
-			demoCommand(),
-			serveCommand(),
-			nodeCommand(),
-			explainCommand(),
-			stubCommand(),
-			stubsCommand(),
-			loadCommand(),
-			soakCommand(),
-			slopesCommand(),
-			checkCommand(),
-			statusCommand(),
-			treeCommand(),
-			keyCommand(),
-			drainCommand(),
-			moveCommand(),
-			recordsCommand(),
-			versionCommand(),
-		},
+		Name:     "corianderwing",
+		Usage:    "steer traffic between callers and upstreams",
+		Commands: slices.Concat(daemons, others),
 	}
 }
 
--- a/cmd/corianderwing/node.go
+++ b/cmd/corianderwing/node.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -46,7 +43,12 @@
 	if err != nil {
 		return err
 	}
-	failed := wait(ctx, n, cmd.String("settings"))
+	go reloadOnHangup(n, cmd.String("settings"))
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-n.Failed():
+	}
 	grace := time.Duration(set.Bounds.GracePeriod) - stopReserve
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
@@ -56,21 +58,10 @@
 	return failed
 }
 
-// wait returns when the instance is to stop, with the reason if it failed. On
-// SIGHUP it reads the settings again.
-func wait(ctx context.Context, n *node.Node, path string) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-n.Failed():
-			return err
-		case <-hup:
-			set, err := node.Load(path)
-			n.Reload(set, err)
-		}
+// reloadOnHangup reads the settings again on each SIGHUP, until the process has ended.
+func reloadOnHangup(n *node.Node, path string) {
+	for range hangups {
+		set, err := node.Load(path)
+		n.Reload(set, err)
 	}
 }
--- a/cmd/corianderwing/serve.go
+++ b/cmd/corianderwing/serve.go
@@ -62,6 +62,11 @@
 		return err
 	}
 	logger.Info().Str("process", string(id)).Msg("serving")
+	go func() {
+		for range hangups {
+			logger.Warn().Str("process", string(id)).Msg("SIGHUP ignored: the settings file is read at the start only")
+		}
+	}()
 	var failed error
 	select {
 	case <-ctx.Done():
