Refuse requests under settings that are not confirmed as current

Cause: checkHomes asked whether the settings are confirmed as current only if they name homes. Whether there are none is something that only current settings can say.

Ruled out: the way by other entry instances, which this cut closes too; a confirmation that lasts too long.

Change: a request is refused as not run unless the settings are confirmed as current, at admission, after each wait for a slot, and when the connection is open, just before the first byte. In a site of one region, where homes exclude nothing, requests without homes go on.

TestHomesNeedCurrentSettings demanded the old decision in two of its cases; they demand a refusal now: "200 != 503" twice before the fix. TestKeyAndRuleOfOneState made a new state at each question, so that the reading never settled; it makes one.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -67,14 +67,17 @@
 	Instance corianderwing.InstanceID // ID of this instance
 	Domain   corianderwing.DomainID
 	RegionOf func(corianderwing.DomainID) corianderwing.RegionID
-	Control  Control
-	Limits   *Limits
-	Dialect  corianderwing.Dialect
-	Dial     relay.DialFunc // default: TCP
-	SourceIP net.IP         // local address of TCP connections; nil for any
-	Log      *log.Logger
-	Meter    *meter.Meter     // default: a new one
-	Boot     func() time.Time // boot clock; default: clock.Boot
+	// SingleRegion is whether all failure domains are in one region, so that no home
+	// region can exclude an upstream.
+	SingleRegion bool
+	Control      Control
+	Limits       *Limits
+	Dialect      corianderwing.Dialect
+	Dial         relay.DialFunc // default: TCP
+	SourceIP     net.IP         // local address of TCP connections; nil for any
+	Log          *log.Logger
+	Meter        *meter.Meter     // default: a new one
+	Boot         func() time.Time // boot clock; default: clock.Boot
 	// Usage counts the requests that upstreams begin to run. Default: a new one, which
 	// counts nothing.
 	Usage *usage.Recorder
--- a/io/gate/homes.go
+++ b/io/gate/homes.go
@@ -5,6 +5,7 @@
 
 	"corianderwing"
 	"corianderwing/core/items"
+	"corianderwing/core/model"
 	"corianderwing/core/place"
 )
 
@@ -32,34 +33,50 @@
 }
 
 // checkHomes updates the home regions of the request and checks that they are still in
-// force. An instance that is cut off, or was paused, does not learn that they moved.
+// force. An instance that is cut off, or was paused, does not learn that they moved, or
+// that a request without homes has got some.
 func (x *exchange) checkHomes() *corianderwing.Error {
-	x.updateHomes()
-	for len(x.placement.HomeRegions) > 0 {
+	for range maxHomeReads {
 		current := x.s.cfg.Control.IsCurrent()
 		// A state that arrived in between is the one that was confirmed.
 		if x.updateHomes() {
 			continue
 		}
-		if !current {
-			return corianderwing.Errorf(corianderwing.StaleSettings, "home regions are not confirmed as current")
+		if current || len(x.placement.HomeRegions) == 0 && x.s.cfg.SingleRegion {
+			return nil
 		}
 		break
 	}
+	return corianderwing.Errorf(corianderwing.StaleSettings, "home regions are not confirmed as current")
+}
+
+// maxHomeReads bounds how often the home regions are read anew because the settings
+// changed meanwhile.
+const maxHomeReads = 4
+
+// checkHomeOf checks, just before the request is sent, that an upstream is in a home
+// region of the request.
+func (x *exchange) checkHomeOf(u *model.Upstream) *corianderwing.Error {
+	if err := x.checkHomes(); err != nil {
+		return err
+	}
+	homes := x.placement.HomeRegions
+	if len(homes) > 0 && !slices.Contains(homes, x.s.cfg.RegionOf(u.Domain)) {
+		return errOutsideHomes
+	}
 	return nil
 }
 
 // returnOutsideHomes returns a slot whose upstream is not, or may not be, in a home
-// region of the request, just before the request is sent. It reports whether it did.
+// region of the request. It reports whether it did.
 func (x *exchange) returnOutsideHomes(sl *slot) bool {
-	err := x.checkHomes()
-	homes := x.placement.HomeRegions
-	if len(homes) == 0 || err == nil && slices.Contains(homes, x.s.cfg.RegionOf(sl.upstream.Domain)) {
+	err := x.checkHomeOf(sl.upstream)
+	if err == nil {
 		return false
 	}
 	x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
 	x.s.log.Info().Str("request", string(x.ask.ID)).Str("upstream", string(sl.upstream.ID)).Str("domain", string(sl.upstream.Domain)).
-		Any("homes", homes).Msg("slot returned: the home regions have moved or are not current")
+		Any("homes", x.placement.HomeRegions).Msg("slot returned: the home regions have moved or are not current")
 	return true
 }
 
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -226,8 +226,12 @@
 func (x *exchange) judgeSlot(sl *slot) notice.Verdict { return sl.notice.judge(x.s.cfg.Boot) }
 
 // CheckSend implements relay.Hooks. The slot may have been granted, and the
-// connection opened, before the upstream said that it wants no requests.
+// connection opened, before the upstream said that it wants no requests, or the home
+// regions moved.
 func (sl *slot) CheckSend() *corianderwing.Error {
+	if err := sl.exchange.checkHomeOf(sl.upstream); err != nil {
+		return err
+	}
 	v := sl.exchange.judgeSlot(sl)
 	if v == notice.Trial {
 		sl.trial = sl.notice.beginTrial(sl.exchange.s.cfg.Boot())
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -359,7 +359,7 @@
 	case corianderwing.ConnectFailed:
 		return place.ConnectFailed
 	case corianderwing.DeadlineExceeded, corianderwing.CallerDisconnected, corianderwing.Stopping,
-		corianderwing.BodyTruncated, corianderwing.BodyTooLarge:
+		corianderwing.BodyTruncated, corianderwing.BodyTooLarge, corianderwing.StaleSettings, corianderwing.NoUpstream:
 		return place.Canceled
 	}
 	return place.ConnectionLost
--- a/io/gate/stale_homes_test.go
+++ b/io/gate/stale_homes_test.go
@@ -24,19 +24,24 @@
 func (c *outdatedControl) IsCurrent() bool { return !c.outdated.Load() }
 
 // Guards against running requests outside their home regions on an instance that was
-// cut off or paused, under settings as old as the cut: 20 s on the bench. A request
-// without homes is served, because old settings are better than none for it.
+// cut off or paused, under settings as old as the cut, which may not even say that there
+// are homes (HOME). In a site of one region homes exclude nothing, and old settings are
+// better than none.
 func TestHomesNeedCurrentSettings(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		homes  bool
-		before bool // outdated when the request comes, else from its wait for a slot on
-		status int
+		name         string
+		homes        bool
+		before       bool // outdated when the request comes, else from its wait for a slot on
+		singleRegion bool
+		status       int
 	}{
-		{"cut off before the request", true, true, http.StatusServiceUnavailable},
-		{"paused while it waits for a slot", true, false, http.StatusServiceUnavailable},
-		{"no homes, cut off before the request", false, true, http.StatusOK},
-		{"no homes, paused while it waits", false, false, http.StatusOK},
+		{"cut off before the request", true, true, false, http.StatusServiceUnavailable},
+		{"paused while it waits for a slot", true, false, false, http.StatusServiceUnavailable},
+		{"no homes, cut off before the request", false, true, false, http.StatusServiceUnavailable},
+		{"no homes, paused while it waits", false, false, false, http.StatusServiceUnavailable},
+		{"one region, homes", true, true, true, http.StatusServiceUnavailable},
+		{"one region, no homes, cut off before the request", false, true, true, http.StatusOK},
+		{"one region, no homes, paused while it waits", false, false, true, http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -54,11 +59,12 @@
 			control.pausingControl = &pausingControl{grantingControl: granting, pause: func(*pausingControl) { control.outdated.Store(true) }}
 			control.outdated.Store(c.before)
 			s := startTestServer(t, control)
+			s.cfg.SingleRegion = c.singleRegion
 			w := send(s, 1)
 			is.Equal(w.Code, c.status)
 			is.Equal(ran.Load() == 1, c.status == http.StatusOK)
 			is.Equal(w.Header().Get("Retry-After") != "", c.status != http.StatusOK)
-			if c.homes && !c.before {
+			if c.status != http.StatusOK && !c.before {
 				is.Equal(control.released.Load(), int32(1))
 			}
 		})
@@ -99,7 +105,8 @@
 	granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
 	full := granting.view
 	control := &freshControl{pausingControl: &pausingControl{grantingControl: granting, pause: func(*pausingControl) {}}}
-	control.wake = func() { granting.view = withoutKey(t, full) }
+	revoked := withoutKey(t, full)
+	control.wake = func() { granting.view = revoked }
 	s := startTestServer(t, control)
 	is.Equal(send(s, 1).Code, http.StatusUnauthorized)
 	is.Equal(ran.Load(), int32(0))
@@ -109,7 +116,8 @@
 	}}, time.Now())
 	is.NoErr(err)
 	granting.view, control.asked = empty, 0
-	control.wake = func() { granting.view = withHomes(t, full, 3) }
+	again := withHomes(t, full, 3)
+	control.wake = func() { granting.view = again }
 	is.Equal(send(s, 2).Code, http.StatusServiceUnavailable) // not 404: the rule exists again
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -156,11 +156,14 @@
 		RegionOf: cfg.regionOf,
 		SourceIP: cfg.sourceIP(),
 		Control:  n.follow,
-		Limits:   limits,
-		Dialect:  n.adapter,
-		Log:      n.log,
-		Meter:    n.meter,
-		Usage:    recorder,
+
+		SingleRegion: cfg.hasSingleRegion(),
+
+		Limits:  limits,
+		Dialect: n.adapter,
+		Log:     n.log,
+		Meter:   n.meter,
+		Usage:   recorder,
 
 		RetryRatio: cfg.Bounds.RetryRatio,
 	})
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -307,3 +307,13 @@
 }
 
 func (s *Settings) regionOf(d corianderwing.DomainID) corianderwing.RegionID { return s.Domains[d] }
+
+// hasSingleRegion reports whether all failure domains of the site are in one region.
+func (s *Settings) hasSingleRegion() bool {
+	for _, r := range s.Domains {
+		if r != s.Region {
+			return false
+		}
+	}
+	return true
+}
