Send callers elsewhere while a control instance is cut off

Cause: LocateEntries lists the nearest live entry instances, whether or not the control instance itself hears from a leader.

Change: without a confirmation for 2 s it names entry instances that do not follow it, if it knows any. After a restart it knows none, and answers as before. Weighed: no answer at all, so that callers ask the next directory; they keep the old answer then.

--- a/io/plane/controlplane.go
+++ b/io/plane/controlplane.go
@@ -174,13 +174,38 @@
 func (p *Plane) LocateEntries(region corianderwing.RegionID, d corianderwing.DomainID) ([]string, time.Time, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	addrs := nearestEntries(p.liveEntries(clock.Boot()), region, d)
+	now := clock.Boot()
+	addrs := nearestEntries(p.entriesElsewhere(now), region, d)
+	if len(addrs) == 0 {
+		addrs = nearestEntries(p.liveEntries(now), region, d)
+	}
 	if len(addrs) == 0 {
 		return nil, time.Time{}, corianderwing.Errorf(corianderwing.NoUpstream, "no entry instance is known")
 	}
 	return addrs, time.Now().Add(p.cfg.LookupTTL), nil
 }
 
+// maxLocateAge is the age of the last confirmation by the leader above which this
+// instance is probably cut off. Entry instances that follow it refuse requests then,
+// because their settings may be outdated.
+const maxLocateAge = 2 * time.Second
+
+// entriesElsewhere returns the entry instances that do not follow this instance, if it is
+// probably cut off: they may serve callers that it sends to them. The caller must hold
+// p.mu.
+func (p *Plane) entriesElsewhere(now time.Time) []corianderwing.Instance {
+	if now.Sub(p.confirmedAt) <= maxLocateAge {
+		return nil
+	}
+	var list []corianderwing.Instance
+	for _, e := range p.entries {
+		if _, here := p.localEntries[e.ID]; !here {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // liveEntries returns the live entry instances: those listed by the leader and
 // those that send heartbeats to this instance. The caller must hold p.mu.
 func (p *Plane) liveEntries(now time.Time) []corianderwing.Instance {
--- a/io/plane/locate_test.go
+++ b/io/plane/locate_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"corianderwing"
+	"corianderwing/io/clock"
 )
 
 // Guards against lookups that callers reject: after the loss of a failure domain,
@@ -29,3 +31,29 @@
 	is.Equal(len(seen), len(list)) // misses one of them with a probability below 1e-20
 	is.Equal(len(nearestEntries(list[:64], "n", "n-a")), 64)
 }
+
+// Guards against a control instance that is cut off from the leader and sends callers to
+// the entry instances that are cut off with it, which refuse their requests.
+func TestLookupWhileCutOff(t *testing.T) {
+	is := is.New(t)
+	entry := func(id corianderwing.InstanceID, d corianderwing.DomainID) corianderwing.Instance {
+		return corianderwing.Instance{ID: id, Domain: d, Region: "n", Phase: corianderwing.Ready, PublicAddr: string(id)}
+	}
+	here, there := entry("here", "n-a"), entry("there", "n-b")
+	now := clock.Boot()
+	p := &Plane{
+		entries:      []corianderwing.Instance{here, there},
+		localEntries: map[corianderwing.InstanceID]entryRecord{"here": {entry: here, lastHeartbeat: now}},
+		confirmedAt:  now,
+	}
+	locate := func() []string {
+		addrs, _, err := p.LocateEntries("n", "n-a")
+		is.NoErr(err)
+		return addrs
+	}
+	is.Equal(locate(), []string{"here"})
+	p.confirmedAt = now.Add(-maxLocateAge - time.Second)
+	is.Equal(locate(), []string{"there"})
+	p.entries = nil // it has just started
+	is.Equal(locate(), []string{"here"})
+}
