Take no reset for the end of a response without a length

What callers saw (MIXED, reported from the users' machines): an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports the error of a reset once, to whichever call comes first. If that is a write of the upload, the read gets the end of the connection, which is the proper end of such a response.

Ruled out: data that is lost with the reset (all of "part" arrives); framing by length or chunks, where the end of the connection is an error anyway; a response that is read after the upload was written (the read gets the error).

Change: at the end of such a response the state of the socket tells a reset or a time-out from an orderly end (TCP_INFO). Where that is not known, the response is complete only if the request was written without an error.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -88,7 +88,9 @@
 	idleSince   time.Time    // when it was last put into the pool
 	usableUntil time.Time    // not reused after this time; zero for no limit
 	isAlive     func() bool  // reports whether the idle connection is still usable
-	closed      atomic.Bool
+	// isReset reports whether the connection was reset, if that is known.
+	isReset func() (reset, known bool)
+	closed  atomic.Bool
 }
 
 // Read enforces the size limit of a response header.
@@ -173,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: raw, pool: p, epoch: epoch, isAlive: newLivenessCheck(raw)}
+	cn := &conn{Conn: raw, pool: p, epoch: epoch, isAlive: newLivenessCheck(raw), isReset: newResetCheck(raw)}
 	cn.br = bufio.NewReaderSize(cn, 4096)
 	cn.bw = bufio.NewWriterSize(cn, 4096)
 	return cn, nil
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -77,6 +77,7 @@
 	stop      func() bool
 	writeDone chan error                          // receives the result of writing a large body; nil for others
 	bodyErr   atomic.Pointer[corianderwing.Error] // error of the caller's side while the body was sent
+	writeErr  error                               // of a body that was written before the response was read
 	done      bool
 }
 
@@ -101,8 +102,8 @@
 	// Setting a deadline fails only on a closed connection, which the next read or
 	// write reports. Data received before can still be read.
 	cn.SetReadDeadline(c.FirstByteDeadline)
-	if err := r.writeRequest(c); err != nil && !hasResponse(cn) {
-		return nil, r.fail(err)
+	if r.writeErr = r.writeRequest(c); r.writeErr != nil && !hasResponse(cn) {
+		return nil, r.fail(r.writeErr)
 	}
 	if err := r.awaitFirstByte(c); err != nil {
 		return nil, r.fail(err)
@@ -300,6 +301,9 @@
 	n, err := r.Body.Read(b)
 	switch {
 	case err == nil:
+	case errors.Is(err, io.EOF) && r.isCloseDelimited() && r.wasReset():
+		r.Discard()
+		err = errReset
 	case errors.Is(err, io.EOF):
 		r.finish()
 	default:
@@ -308,6 +312,27 @@
 	return n, err
 }
 
+var errReset = errors.New("connection reset by peer before the end of the response")
+
+// wasReset reports whether the end of the connection was, or may have been, a reset. The
+// error of a reset is reported once, to a read or to a write: if the request was being
+// written, the read sees only the end of the connection.
+func (r *Response) wasReset() bool {
+	if reset, known := r.conn.isReset(); known {
+		return reset
+	}
+	if r.writeDone == nil {
+		return r.writeErr != nil
+	}
+	select {
+	case err := <-r.writeDone:
+		r.writeDone <- err
+		return err != nil
+	default:
+		return true // a write may get the error at any moment
+	}
+}
+
 // finish returns the connection to the pool after a complete exchange, or closes it if
 // it cannot be reused.
 func (r *Response) finish() {
--- a/io/relay/sock_linux.go
+++ b/io/relay/sock_linux.go
@@ -43,3 +43,26 @@
 	}
 	return func() bool { return raw.Read(peek) == nil && open }
 }
+
+// newResetCheck returns a function that reports whether a connection at whose end a read
+// has arrived was reset, or timed out, and whether that is known. After an orderly end by
+// the peer the socket still waits for its own close.
+func newResetCheck(c net.Conn) func() (reset, known bool) {
+	unknown := func() (bool, bool) { return false, false }
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return unknown
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return unknown
+	}
+	return func() (reset, known bool) {
+		ctl := raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			known = err == nil && info.State != 0
+			reset = known && info.State == unix.BPF_TCP_CLOSE
+		})
+		return reset, known && ctl == nil
+	}
+}
