Refuse responses with a blank in a field's name

Here net/http refuses tabs, control bytes, bytes beyond ASCII and empty names, and check refused blanks, but only in the final response that bears the right ID. It let them pass in an interim response, in a trailer and in a response to another request, whose end it relied on to find the next one. A line that begins with a blank was taken for the rest of the line before and passed on as part of its value.

Change: names are checked wherever a header is read, before its framing is used, and in trailers at the end of the body. A header with a folded line is refused, as far as it fits into the buffer of 4 kB; RFC 9112 allows that.

TestMalformedFieldName (12 names in 6 places): before, 15 cases "taken for a response", 6 of them of a name that is nothing but a blank; after, it passes. TestUnusualHeaderIsAccepted holds before and after.

--- a/io/relay/match.go
+++ b/io/relay/match.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -35,7 +37,7 @@
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxForeignBody))
-	return err == nil && n < maxForeignBody
+	return err == nil && n < maxForeignBody && !hasMalformedName(r.Trailer)
 }
 
 // http.ReadResponse uses the request only to determine whether a body follows.
@@ -62,12 +64,17 @@
 	}
 	for interim := 0; ; interim++ {
 		r.conn.readLimit = maxResponseHeader
+		if hasFoldedLine(r.conn.br) {
+			return errFoldedLine
+		}
 		resp, err := http.ReadResponse(r.conn.br, req)
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
-		}
-		if resp.StatusCode < http.StatusContinue {
+		case resp.StatusCode < http.StatusContinue:
 			return fmt.Errorf("peer sent the invalid status %q", resp.Status)
+		case hasMalformedName(resp.Header):
+			return errMalformedName
 		}
 		if interim == maxInterimResponses {
 			return errors.New("peer does not stop sending interim responses")
@@ -92,20 +99,22 @@
 	if ids := r.Header[c.EchoHeader]; len(ids) != 1 || ids[0] != string(c.ID) || c.ID == "" {
 		return corianderwing.Errorf(corianderwing.ResponseMismatch, "response has request ID %q, want %q", ids, c.ID)
 	}
-	if hasUnknownFraming(r.Response) {
-		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has a header that leaves its end in doubt")
-	}
 	if r.isCloseDelimited() && !c.AllowCloseDelimited {
 		return corianderwing.Errorf(corianderwing.ResponseTruncated, "response has neither a Content-Length nor chunked encoding, so its end cannot be detected")
 	}
 	return nil
 }
 
-// hasUnknownFraming reports whether the header leaves it in doubt where the response
-// ends: net/http accepts names with spaces, such as that of "Content-Length : 4", and
-// takes them for names of other headers.
-func hasUnknownFraming(resp *http.Response) bool {
-	for name := range resp.Header {
+var (
+	errFoldedLine    = errors.New("peer sent a header with a line that begins with a blank")
+	errMalformedName = errors.New("peer sent a field with a blank in its name")
+)
+
+// hasMalformedName reports whether the name of a field holds a blank: net/http accepts
+// "Content-Length : 4", and takes it for another field, so that the end of the response
+// is in doubt. It refuses all other malformed names itself.
+func hasMalformedName(h http.Header) bool {
+	for name := range h {
 		if strings.Contains(name, " ") {
 			return true
 		}
@@ -113,6 +122,33 @@
 	return false
 }
 
+// hasFoldedLine reports whether a line of the next header begins with a blank or a tab,
+// as far as the header fits into the buffer. net/http takes it for the rest of the line
+// before; it may as well be a field whose name is damaged.
+func hasFoldedLine(br *bufio.Reader) bool {
+	for scanned := 0; ; {
+		head, _ := br.Peek(br.Buffered())
+		for line := range bytes.Lines(head[scanned:]) {
+			if line[len(line)-1] != '\n' {
+				break
+			}
+			if scanned > 0 && (line[0] == ' ' || line[0] == '\t') {
+				return true
+			}
+			if line[0] == '\n' || line[0] == '\r' {
+				return false // the end of the header
+			}
+			scanned += len(line)
+		}
+		if len(head) == br.Size() {
+			return false
+		}
+		if _, err := br.Peek(len(head) + 1); err != nil {
+			return false // http.ReadResponse gets it as well
+		}
+	}
+}
+
 // hasSecondStatusLine reports whether the status line or a header value contains
 // another status line: a response that broke off in its header was followed by the
 // next one, and the two were read as one. The ID is then that of the second one, and
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -304,6 +304,9 @@
 	case errors.Is(err, io.EOF) && r.isCloseDelimited() && r.wasReset():
 		r.Discard()
 		err = errReset
+	case errors.Is(err, io.EOF) && hasMalformedName(r.Trailer):
+		r.Discard()
+		err = errMalformedName
 	case errors.Is(err, io.EOF):
 		r.finish()
 	default:
