Keep a daemon alive when nobody reads its log any more

Cause: a write to a closed standard output or error sends SIGPIPE, and the runtime ends the process unless the program ignores it.

Change: node and serve ignore SIGPIPE. Other commands end as before, so that they can be piped into head.

TestClosedLog: before, "signal: broken pipe" for node, and serve did not live until its listener opened; after, it passes.

--- a/cmd/corianderwing/main.go
+++ b/cmd/corianderwing/main.go
@@ -43,6 +43,9 @@
 		recordsCommand(),
 		versionCommand(),
 	}
+	for _, c := range daemons {
+		c.Before = ignoreClosedLog
+	}
 	for _, c := range others {
 		c.Before = stopOnHangup
 	}
--- a/cmd/corianderwing/signal.go
+++ b/cmd/corianderwing/signal.go
@@ -39,3 +39,10 @@
 	}()
 	return ctx, nil
 }
+
+// ignoreClosedLog keeps a daemon alive when whoever reads its log has gone. A write to a
+// closed standard output or error ends the process otherwise.
+func ignoreClosedLog(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	signal.Ignore(syscall.SIGPIPE)
+	return ctx, nil
+}
--- a/cmd/corianderwing/signal_test.go
+++ b/cmd/corianderwing/signal_test.go
@@ -40,6 +40,14 @@
 		t.Fatal(err)
 	}
 	defer out.Close()
+	d.start(out, args)
+	return d
+}
+
+// start starts the process with out as its output.
+func (d *piped) start(out *os.File, args []string) {
+	t := d.t
+	t.Helper()
 	d.cmd = exec.Command(binary, append(args, "--settings", d.settings)...)
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	if err := d.cmd.Start(); err != nil {
@@ -55,7 +63,6 @@
 			t.Logf("log:\n%s", d.output())
 		}
 	})
-	return d
 }
 
 func (d *piped) output() string {
@@ -197,3 +204,45 @@
 		})
 	}
 }
+
+// Guards against a daemon that ends because nobody reads its log any more: its requests
+// are cut off.
+func TestClosedLog(t *testing.T) {
+	t.Parallel()
+	f := newProcesses(t)
+	deployment, err := os.ReadFile(f.settings["e1"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	public := freeAddr(t)
+	for name, c := range map[string]struct {
+		args     []string
+		settings string
+		addr     string
+	}{
+		"node":  {[]string{"node"}, nodeSettings(t, "entry", "{public: '"+public+"'}"), public},
+		"serve": {[]string{"serve", "--process", "e1"}, string(deployment), f.Entries[0].Public},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			d := &piped{t: t, settings: filepath.Join(t.TempDir(), "settings.yaml"), ended: make(chan struct{})}
+			is.NoErr(os.WriteFile(d.settings, []byte(c.settings), 0o600))
+			reader, out, err := os.Pipe()
+			is.NoErr(err)
+			is.NoErr(reader.Close())
+			d.start(out, c.args)
+			is.NoErr(out.Close())
+			for deadline := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+				conn, err := net.Dial("tcp", c.addr)
+				if err == nil {
+					conn.Close()
+					break
+				}
+				is.True(time.Now().Before(deadline))
+			}
+			is.NoErr(d.cmd.Process.Signal(syscall.SIGTERM)) // it logs that it stops
+			is.NoErr(d.end())
+		})
+	}
+}
