--- a/io/stub/announce.go
+++ b/io/stub/announce.go
@@ -94,7 +94,7 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<16)) // lets the connection be used again
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusBadRequest {
 		return fmt.Errorf("announcement refused with status %d", resp.StatusCode)
 	}
 	return nil
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -210,7 +210,8 @@
 func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
 // Guards against an upstream that stops announcing when one entry instance
-// fails, repeats a sequence number, or leaves without saying so.
+// fails or answers with a status that is none, repeats a sequence number, or leaves
+// without saying so.
 func TestAnnounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -219,13 +220,16 @@
 			if r.URL.Host == "dead:1" {
 				return nil, errors.New("refused")
 			}
+			if r.URL.Host == "mad:1" {
+				return &http.Response{StatusCode: 0, Body: io.NopCloser(&bytes.Buffer{})}, nil
+			}
 			var u corianderwing.Upstream
 			is.Equal(r.URL.Path, "/-/announce")
 			is.NoErr(json.NewDecoder(r.Body).Decode(&u))
 			got = append(got, u)
 			return &http.Response{StatusCode: 204, Body: io.NopCloser(&bytes.Buffer{})}, nil
 		})}
-		s := New(Config{ID: "u", Entries: []string{"dead:1", "live:1"}, Client: client, Slots: 3})
+		s := New(Config{ID: "u", Entries: []string{"dead:1", "mad:1", "live:1"}, Client: client, Slots: 3})
 		done := make(chan error)
 		go func() { done <- s.Announce(t.Context()) }()
 		time.Sleep(2500 * time.Millisecond) // virtual
