Give requests, outcomes, quota records and servers files of their own

core/place/place.go (382 lines) held the requests and effects beside the pool, io/plane/leader.go the shares of rates and the expiry of upstreams beside the leader's state, io/node/node.go the HTTP servers beside the instance.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -18,103 +18,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"corianderwing"
 	"corianderwing/core/model"
 )
 
-// ID identifies a request within a Pool.
-type ID uint64
-
-// Request is a request to be scheduled on an upstream.
-type Request struct {
-	ID                 ID
-	Object             uint64 // hash of the affinity key; 0 for none
-	Class              corianderwing.RouteID
-	Workspace          corianderwing.WorkspaceID // empty if the request has no key
-	Rank               int                       // 0 is the most urgent
-	Retried            bool                      // the caller was rejected before
-	Goal               time.Time
-	Deadline           time.Time
-	HomeRegions        []corianderwing.RegionID // regions that may run the request; empty for all
-	ExcludedUpstreams  []corianderwing.UpstreamID
-	CurrentVersionOnly bool // never run on the new version during a version move
-	NoForward          bool // never forward to another failure domain
-	RequireGoal        bool // reject unless the goal can be met here
-	overShare          bool // the workspace has used more than its share of the slots
-}
-
-// hasHomes reports whether only some regions may run the request.
-func (r *Request) hasHomes() bool { return len(r.HomeRegions) > 0 }
-
-// mayRunIn reports whether a region may run the request. A failure domain that is not
-// in the settings has the region "", which is nobody's home.
-func (r *Request) mayRunIn(region corianderwing.RegionID) bool {
-	return len(r.HomeRegions) == 0 || region != "" && slices.Contains(r.HomeRegions, region)
-}
-
-// Grant is an upstream slot that a request holds until Release.
-type Grant struct {
-	Upstream        *model.Upstream
-	ExpectedLatency time.Duration // expected time to the first byte of the response
-	MissLatency     time.Duration // the same on a cache miss; 0 if no miss was measured
-	ExpectHit       bool          // a cache hit is expected
-	ColdStart       bool          // the upstream is still in its cold start
-	NextVersion     bool          // the upstream runs the target version of a move
-}
-
-// Effect is a decision about a request. If Err is set, the request is rejected
-// and may be retried after RetryAfter. If ForwardTo is set, the caller must
-// ask the allocator of that failure domain. Otherwise the request has the
-// Grant.
-type Effect struct {
-	ID          ID
-	Grant       Grant
-	ForwardTo   corianderwing.DomainID
-	Reason      ForwardReason // for ForwardTo
-	RequireGoal bool          // the other failure domain must reject it unless it can meet the goal
-	Err         *corianderwing.Error
-	RetryAfter  time.Duration
-}
-
-// ForwardReason tells why a request is forwarded to another failure domain.
-type ForwardReason string
-
-// The reasons.
-const (
-	ForwardHome     ForwardReason = "home"     // of its object, or one in a home region of the request
-	ForwardRelief   ForwardReason = "relief"   // its goal cannot be met here
-	ForwardFallback ForwardReason = "fallback" // no upstream here is usable
-)
-
-// Result tells how an attempt ended.
-type Result uint8
-
-// The results of an attempt.
-const (
-	Succeeded      Result = iota // complete response without a server error
-	ServerError                  // complete response with a server error
-	Overloaded                   // the upstream was full and did not run the request
-	AddressReused                // another upstream listens at the address
-	ConnectFailed                // the connection could not be opened
-	ConnectionLost               // the connection failed after it was opened
-	TimedOut                     // no response in time
-	Canceled                     // the caller canceled; says nothing about the upstream
-)
-
-// Outcome is the result of an attempt. It ends a Grant.
-type Outcome struct {
-	ID       ID
-	Result   Result
-	Latency  time.Duration // time to the first byte of the response
-	DialTime time.Duration // time to open a connection; 0 if one was reused
-	Bytes    int           // size of request and response; 0 if unknown
-	Load     LoadReport
-	Leaving  bool // the upstream said that it is leaving
-}
-
 // Config configures a Pool.
 type Config struct {
 	Name   corianderwing.PoolID
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -1,7 +1,6 @@
 package plane
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -9,7 +8,6 @@
 	"corianderwing"
 	"corianderwing/core/fresh"
 	"corianderwing/core/lease"
-	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/core/shift"
 	"corianderwing/core/steer"
@@ -115,119 +113,6 @@
 	}
 }
 
-// RateTolerance is how far the requests of a workspace may exceed its rate and
-// burst: in any period of length Window, by Fraction of both plus Requests.
-type RateTolerance struct {
-	Window   time.Duration
-	Fraction float64
-	Requests float64
-}
-
-// boundFraction is the fraction of a bound that is allocated. The rest
-// compensates for clock drift.
-const boundFraction = 0.97
-
-// bound returns the maximum number of requests of a workspace in any period of
-// length Window.
-func (x RateTolerance) bound(t *corianderwing.WorkspacePolicy) int {
-	w := x.Window.Seconds()
-	return int(boundFraction * ((float64(t.Rate)*w+float64(t.Burst))*(1+x.Fraction) + x.Requests))
-}
-
-// allocateShares returns a control instance's shares of the workspace bounds for a
-// report that arrived at the given time. This instance must have applied all that was
-// committed before the term.
-func (l *leaderState) allocateShares(term corianderwing.Term, q *reportRequest, arrived time.Time, v *model.View, now time.Time) []quota.Share {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ensureTerm(term, now)
-	l.setBounds(v)
-	l.quotaAllocator.Reported(quorum.AddrOf(q.Replica), true, now)
-	for _, e := range q.Entries {
-		at := arrived.Add(-time.Duration(e.Age) * time.Millisecond)
-		l.holders[string(e.ID)] = at
-		// A heartbeat from before the term may precede shares that an earlier
-		// leader granted.
-		if !at.Before(l.termStart) {
-			l.quotaAllocator.Reported(string(e.ID), !e.SharesElsewhere, now)
-		}
-	}
-	return l.quotaAllocator.Allocate(string(q.holder()), q.Demands, now)
-}
-
-// setBounds gives the allocator the bounds and the ceilings of the workspaces. The
-// caller must hold l.mu.
-func (l *leaderState) setBounds(v *model.View) {
-	r := l.quotaRecord()
-	if r == nil && l.founded {
-		r = &quota.Record{} // there was no earlier leader
-	}
-	if !l.inherits {
-		l.inherits = true
-		l.quotaAllocator.Inherit(r, l.members())
-	}
-	l.quotaAllocator.SetRecord(r)
-	if l.boundsRevision == v.Revision() {
-		return
-	}
-	l.boundsRevision = v.Revision()
-	bounds := map[corianderwing.WorkspaceID]int{}
-	v.Items().EachPolicy(func(t *corianderwing.WorkspacePolicy) {
-		if t.Rate > 0 {
-			bounds[t.Name] = l.tolerance.bound(t)
-		}
-	})
-	l.quotaAllocator.SetBounds(bounds)
-}
-
-// nextQuotaChange returns the change of the quota record that the leader should commit,
-// or nil.
-func (l *leaderState) nextQuotaChange(term corianderwing.Term, v *model.View, now time.Time) *quota.RecordChange {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term != term || !l.inherits {
-		return nil // no report has been answered in this term
-	}
-	l.setBounds(v)
-	change := &quota.RecordChange{Set: l.quotaAllocator.CeilingChanges(now)}
-	r := l.quotaRecord()
-	for name := range l.holders {
-		if !r.Covers(name) {
-			change.Add = append(change.Add, name)
-		}
-	}
-	slices.Sort(change.Add)
-	if r == nil {
-		return change // also if it is empty, so that successors have a record
-	}
-	for _, name := range r.Holders {
-		if now.Sub(later(l.holders[name], l.termStart)) > quota.GracePeriod(l.tolerance.Window) {
-			delete(l.holders, name)
-			change.Remove = append(change.Remove, name)
-		}
-	}
-	if change.IsEmpty() {
-		return nil
-	}
-	return change
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// quotaChanged records that a change of the quota record was committed.
-func (l *leaderState) quotaChanged(term corianderwing.Term, change *quota.RecordChange) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term == term {
-		l.quotaAllocator.CeilingsCommitted(change.Set)
-	}
-}
-
 // recordReport records a report from a control instance.
 func (l *leaderState) recordReport(term corianderwing.Term, q *reportRequest, now time.Time) {
 	l.mu.Lock()
@@ -291,79 +176,3 @@
 func sameInstance(a, b corianderwing.Instance) bool {
 	return a.ID == b.ID && a.Incarnation == b.Incarnation && a.Phase == b.Phase && a.PublicAddr == b.PublicAddr && a.PeerAddr == b.PeerAddr
 }
-
-// expiredUpstreams returns the upstreams whose heartbeats have timed out. It
-// returns none until the leader has observed heartbeats for at least the
-// timeout.
-func (l *leaderState) expiredUpstreams(term corianderwing.Term, v *model.View, now time.Time) []model.UpstreamRef {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ensureTerm(term, now)
-	timeout := time.Duration(maxMissedHeartbeats) * l.heartbeatInterval
-	if now.Sub(l.lastExpiryCheck) > timeout/2 {
-		// This instance was suspended and received no reports meanwhile, so
-		// missing heartbeats prove nothing.
-		l.observedSince = now
-		clear(l.lastHeartbeats)
-	}
-	l.lastExpiryCheck = now
-	if now.Sub(l.observedSince) < timeout {
-		return nil
-	}
-	var expired []model.UpstreamRef
-	v.EachUpstream(func(u *model.Upstream) {
-		at, ok := l.lastHeartbeats[u.ShortID]
-		switch {
-		case !ok:
-			l.lastHeartbeats[u.ShortID] = now // the timeout starts now
-		case now.Sub(at) >= timeout:
-			expired = append(expired, model.UpstreamRef{ID: u.ID, Incarnation: u.Incarnation})
-		}
-	})
-	return expired
-}
-
-// maxMissedHeartbeats is the number of heartbeat intervals after which an
-// upstream without heartbeats is removed. Entry instances detect a dead
-// upstream sooner on their own.
-const maxMissedHeartbeats = 5
-
-// expireLoop forgets silent upstreams, and removes those whose heartbeats have
-// timed out while this instance is the leader.
-func (p *Plane) expireLoop() {
-	for clock.Sleep(p.ctx, p.cfg.HeartbeatInterval/2) {
-		p.heartbeats.forgetSilent(clock.Boot())
-		term, ok := p.replica.IsLeader()
-		if !ok {
-			continue
-		}
-		p.expireSuspects()
-		expired := p.leaderState.expiredUpstreams(term, p.machine.View(), clock.Boot())
-		if len(expired) == 0 {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-		err := p.proposeInTerm(ctx, term, expireCommand(p.machine.View(), expired))
-		cancel()
-		for _, l := range expired {
-			p.log.Info().Str("upstream", string(l.ID)).Int("beats", maxMissedHeartbeats).Err(err).Msg("silent upstream removed")
-		}
-	}
-}
-
-// expireCommand returns the command that removes silent upstreams. One that was
-// ready may return, because its heartbeats may only have been lost. One that was
-// draining must not: a late heartbeat from before its drain says that it is ready.
-// Replicas decide this again when they apply the command; those of earlier versions do
-// not.
-func expireCommand(v *model.View, expired []model.UpstreamRef) *model.Command {
-	c := &model.Command{}
-	for _, ref := range expired {
-		if u, ok := v.Upstream(ref.ID); ok && u.Phase == corianderwing.Draining {
-			c.Remove = append(c.Remove, ref)
-			continue
-		}
-		c.Expire = append(c.Expire, ref)
-	}
-	return c
-}
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -1,13 +1,11 @@
 package plane
 
 import (
-	"context"
 	"slices"
 	"strconv"
 	"time"
 
 	"corianderwing"
-	"corianderwing/core/model"
 	"corianderwing/core/quota"
 	"corianderwing/io/clock"
 )
@@ -31,32 +29,6 @@
 	r.LeaseDuration = corianderwing.Millis(max(0, remaining.Milliseconds()))
 }
 
-// quotaInterval is the interval at which the leader commits changes of the quota record.
-const quotaInterval = 100 * time.Millisecond
-
-// quotaLoop commits what a successor must know of the tokens of workspaces while this
-// instance is the leader.
-func (p *Plane) quotaLoop() {
-	for clock.Sleep(p.ctx, quotaInterval) {
-		term, ok := p.replica.IsLeader()
-		if !ok {
-			continue
-		}
-		change := p.leaderState.nextQuotaChange(term, p.machine.View(), clock.Boot())
-		if change == nil {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
-		err := p.proposeInTerm(ctx, term, &model.Command{Quota: change})
-		cancel()
-		if err != nil {
-			p.log.Debug().Err(err).Msg("the quota record is not committed")
-			continue
-		}
-		p.leaderState.quotaChanged(term, change)
-	}
-}
-
 func hasSharesElsewhere(demands []quota.Demand) bool {
 	return slices.ContainsFunc(demands, func(n quota.Demand) bool { return n.Elsewhere > 0 })
 }
