--- a/core/model/quota_test.go
+++ b/core/model/quota_test.go
@@ -18,8 +18,8 @@
 	is.True(m.Quota() == nil)
 	for i, c := range []*quota.RecordChange{
 		{},
-		{Set: quota.Ceilings{"shop": 50, "bakery": 20}, Add: []string{"e2", "e1"}},
-		{Set: quota.Ceilings{"bakery": 0}, Add: []string{"e3"}, Remove: []string{"e2"}},
+		{Set: quota.Ceilings{"shop": 50, "bakery": 20}, Add: []corianderwing.InstanceID{"e2", "e1"}},
+		{Set: quota.Ceilings{"bakery": 0}, Add: []corianderwing.InstanceID{"e3"}, Remove: []corianderwing.InstanceID{"e2"}},
 	} {
 		data, err := Encode(&Command{Quota: c})
 		is.NoErr(err)
@@ -34,7 +34,7 @@
 	restored := NewMachine(time.Now)
 	is.NoErr(restored.Restore(saved))
 	is.Equal(restored.Quota().Ceilings, quota.Ceilings{"shop": 50})
-	is.Equal(restored.Quota().Holders, []string{"e1", "e3"})
+	is.Equal(restored.Quota().Holders, []corianderwing.InstanceID{"e1", "e3"})
 	is.True(restored.Quota().Covers("e3"))
 	is.True(!restored.Quota().Covers("e2"))
 }
--- a/core/quota/ceiling_test.go
+++ b/core/quota/ceiling_test.go
@@ -42,7 +42,7 @@
 // proposal.
 func (r *restarts) commit(now time.Time) {
 	changes := r.leader.CeilingChanges(now)
-	names := []string{"0", "1", "2", "3"}
+	names := []corianderwing.InstanceID{"0", "1", "2", "3"}
 	if rapid.IntRange(0, 5).Draw(r.t, "proposal lost") == 0 {
 		return
 	}
@@ -54,7 +54,7 @@
 }
 
 func (r *restarts) renew(i int, now time.Time) {
-	if !r.record.Covers(fmt.Sprint(i)) {
+	if !r.record.Covers(corianderwing.InstanceID(fmt.Sprint(i))) {
 		return
 	}
 	r.leader.Reported("c", true, now)
--- a/core/quota/cutoff_test.go
+++ b/core/quota/cutoff_test.go
@@ -24,7 +24,7 @@
 }
 
 // commit commits all changes that an Allocator asks for, as its owner does.
-func commit(a *Allocator, r *Record, now time.Time, holders ...string) *Record {
+func commit(a *Allocator, r *Record, now time.Time, holders ...corianderwing.InstanceID) *Record {
 	a.SetRecord(r)
 	changes := a.CeilingChanges(now)
 	r = r.Apply(&RecordChange{Set: changes, Add: holders})
--- a/core/quota/grace.go
+++ b/core/quota/grace.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"slices"
 	"time"
 
 	"corianderwing"
@@ -49,7 +48,10 @@
 		return // there may be any other holders
 	}
 	a.grace.missing = map[string]bool{}
-	for _, name := range slices.Concat(r.Holders, others) {
+	for _, id := range r.Holders {
+		a.grace.missing[string(id)] = true
+	}
+	for _, name := range others {
 		a.grace.missing[name] = true
 	}
 	a.grace.awaited = len(a.grace.missing)
--- a/core/quota/record.go
+++ b/core/quota/record.go
@@ -12,8 +12,8 @@
 // before the holders get anything that it does not cover. A nil Record says nothing: the
 // holders may have all tokens. Records are immutable.
 type Record struct {
-	Ceilings Ceilings `json:"ceilings"`
-	Holders  []string `json:"holders"` // that may have tokens; sorted
+	Ceilings Ceilings                   `json:"ceilings"`
+	Holders  []corianderwing.InstanceID `json:"holders"` // entry instances that may have tokens; sorted
 }
 
 // Ceilings holds the most tokens of each workspace that all its holders together may
@@ -22,9 +22,9 @@
 
 // RecordChange changes a Record.
 type RecordChange struct {
-	Set    Ceilings `json:"set,omitempty"` // 0 removes a workspace
-	Add    []string `json:"add,omitempty"` // holders
-	Remove []string `json:"remove,omitempty"`
+	Set    Ceilings                   `json:"set,omitempty"` // 0 removes a workspace
+	Add    []corianderwing.InstanceID `json:"add,omitempty"` // holders
+	Remove []corianderwing.InstanceID `json:"remove,omitempty"`
 }
 
 // IsEmpty reports whether the change changes nothing.
@@ -42,14 +42,14 @@
 	}
 	maps.DeleteFunc(next.Ceilings, func(_ corianderwing.WorkspaceID, n int) bool { return n <= 0 })
 	next.Holders = append(next.Holders, change.Add...)
-	next.Holders = slices.DeleteFunc(next.Holders, func(h string) bool { return slices.Contains(change.Remove, h) })
+	next.Holders = slices.DeleteFunc(next.Holders, func(h corianderwing.InstanceID) bool { return slices.Contains(change.Remove, h) })
 	slices.Sort(next.Holders)
 	next.Holders = slices.Compact(next.Holders)
 	return next
 }
 
 // Covers reports whether a holder may have tokens.
-func (r *Record) Covers(holder string) bool {
+func (r *Record) Covers(holder corianderwing.InstanceID) bool {
 	if r == nil {
 		return false
 	}
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -39,11 +39,11 @@
 	quotaAllocator *quota.Allocator
 	boundsRevision corianderwing.Revision // revision that the bounds of quotaAllocator are based on
 	tolerance      RateTolerance
-	inherits       bool                        // quotaAllocator has the record of its predecessor
-	holders        map[string]time.Time        // when each entry instance was last heard of
-	founded        bool                        // the site was founded when this instance started
-	knownLoans     func() []steer.UpstreamLoan // loans assigned by an earlier leader
-	logLifts       func([]steer.Lift)          // called when loans begin or cease to change without a ramp; optional
+	inherits       bool                                   // quotaAllocator has the record of its predecessor
+	holders        map[corianderwing.InstanceID]time.Time // when each entry instance was last heard of
+	founded        bool                                   // the site was founded when this instance started
+	knownLoans     func() []steer.UpstreamLoan            // loans assigned by an earlier leader
+	logLifts       func([]steer.Lift)                     // called when loans begin or cease to change without a ramp; optional
 	revision       func() corianderwing.Revision
 	quotaRecord    func() *quota.Record // committed; nil if there never was one
 	members        func() []string      // peer addresses of the group
@@ -103,7 +103,7 @@
 	// started may not have applied its log, so an empty state does not show that there
 	// were none.
 	l.quotaAllocator, l.inherits = quota.NewAllocator(l.tolerance.Window, now.Add(quota.GracePeriod(l.tolerance.Window))), false
-	l.holders = map[string]time.Time{}
+	l.holders = map[corianderwing.InstanceID]time.Time{}
 	l.coldLeases = lease.NewTable(now.Add(lease.GracePeriod()))
 	l.boundsRevision = 0
 	l.loans = loanPlan{planner: steer.New(), loads: map[reportKey]domainReport{}}
--- a/io/plane/quota.go
+++ b/io/plane/quota.go
@@ -42,7 +42,7 @@
 	l.quotaAllocator.Reported(quorum.AddrOf(q.Replica), true, now)
 	for _, e := range q.Entries {
 		at := arrived.Add(-time.Duration(e.Age) * time.Millisecond)
-		l.holders[string(e.ID)] = at
+		l.holders[e.ID] = at
 		// A heartbeat from before the term may precede shares that an earlier
 		// leader granted.
 		if !at.Before(l.termStart) {
@@ -88,19 +88,19 @@
 	l.setBounds(v)
 	change := &quota.RecordChange{Set: l.quotaAllocator.CeilingChanges(now)}
 	r := l.quotaRecord()
-	for name := range l.holders {
-		if !r.Covers(name) {
-			change.Add = append(change.Add, name)
+	for id := range l.holders {
+		if !r.Covers(id) {
+			change.Add = append(change.Add, id)
 		}
 	}
 	slices.Sort(change.Add)
 	if r == nil {
 		return change // also if it is empty, so that successors have a record
 	}
-	for _, name := range r.Holders {
-		if now.Sub(later(l.holders[name], l.termStart)) > quota.GracePeriod(l.tolerance.Window) {
-			delete(l.holders, name)
-			change.Remove = append(change.Remove, name)
+	for _, id := range r.Holders {
+		if now.Sub(later(l.holders[id], l.termStart)) > quota.GracePeriod(l.tolerance.Window) {
+			delete(l.holders, id)
+			change.Remove = append(change.Remove, id)
 		}
 	}
 	if change.IsEmpty() {
--- a/io/plane/shares.go
+++ b/io/plane/shares.go
@@ -22,7 +22,7 @@
 		p.quotaAllocator.SetBounds(nil)
 	}
 	p.renewReserve(now.Add(remaining), now)
-	if p.machine.Quota().Covers(string(b.Entry.ID)) {
+	if p.machine.Quota().Covers(b.Entry.ID) {
 		name := string(b.Entry.ID) + "/" + strconv.FormatUint(uint64(b.Entry.Incarnation), 36)
 		r.Shares = p.quotaAllocator.Allocate(name, b.Demands, now)
 	}
--- a/io/plane/shares_test.go
+++ b/io/plane/shares_test.go
@@ -93,7 +93,7 @@
 // after it has heard of all.
 func TestTokensAreFreeOnceAllReported(t *testing.T) {
 	is := is.New(t)
-	s := newSuccessor(&quota.Record{Ceilings: quota.Ceilings{"shop": 106}, Holders: []string{"entry-1"}})
+	s := newSuccessor(&quota.Record{Ceilings: quota.Ceilings{"shop": 106}, Holders: []corianderwing.InstanceID{"entry-1"}})
 	s.replay(is)
 	entry := reportedEntry{Instance: corianderwing.Instance{ID: "entry-1"}, Age: 100}
 	now := time.Unix(2000, 0)
