--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -93,7 +93,7 @@
 	case Controls:
 		r.down(ctx, r.site.Controls(), s, nil)
 	case Term:
-		r.term(ctx, r.entry(s))
+		r.term(r.entry(s), s)
 	case Pause:
 		r.with(ctx, p, s, func() { p.Signal(syscall.SIGSTOP) }, func() { p.Signal(syscall.SIGCONT) })
 	case Hup:
@@ -267,23 +267,37 @@
 	}
 }
 
-// term stops a process in the planned way and starts it again.
-func (r *run) term(ctx context.Context, p *Proc) {
+// term stops a process in the planned way and starts it again. Its settings change while
+// it stops.
+func (r *run) term(p *Proc, s Step) {
 	if !p.take() {
 		return
 	}
 	defer p.release()
 	r.note(Term, p.Name)
 	p.Signal(syscall.SIGTERM)
-	select {
-	case <-p.Exited():
-	case <-time.After(graceBound + time.Second):
-		r.ledger.Break(Alive, time.Now(), "", "%s still runs %v after it was told to stop", p.Name, graceBound+time.Second)
-		p.Kill()
+	hup := time.After(time.Duration(s.On) * hupStep)
+	late := time.After(graceBound + time.Second)
+	for stopping := true; stopping; {
+		select {
+		case <-p.Exited():
+			stopping = false
+		case <-hup:
+			r.note(Hup, p.Name)
+			p.Signal(syscall.SIGHUP) // it may have ended
+		case <-late:
+			r.ledger.Break(Alive, time.Now(), "", "%s still runs %v after it was told to stop", p.Name, graceBound+time.Second)
+			p.Kill()
+			stopping = false
+		}
 	}
 	r.launch(p)
 }
 
+// hupStep is the unit of the time from the beginning of a planned stop until the settings
+// change, 3 s at most.
+const hupStep = 3 * time.Millisecond
+
 // storage kills a control process, damages its files and starts it again. Only
 // one disk may be lost at a time, and its replica needs time to catch up.
 func (r *run) storage(ctx context.Context, s Step, damage func(dir string) error) {
