Give tests rows of ports that other tests have not reserved

Cause: go test runs the two packages beside each other. Those of cmd/corianderwing take their ports from io/local, which reserves each with a UDP socket until the process ends. freePorts of platform and of platform/crowd looked only for ports on which nothing listens on TCP, always from 21000 (23000) upward, in the range from which io/local allocates. The fleet had allocated 21040 and not yet bound it; the test of platform took 21040 to 21059. Each then failed at a port of the other. It takes a start in this gap of some 100 ms, and a random first port near 21000 (1 run in some 100), so it was rare.

Ruled out: a port left by an earlier test (each run starts on a machine of its own), an outgoing connection (the range lies below the ephemeral one), load (1-minute load unknown, but the message names the cause).

--- a/cmd/corianderwing/signal_test.go
+++ b/cmd/corianderwing/signal_test.go
@@ -7,13 +7,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"corianderwing/io/local"
 )
 
 // piped is a process that runs until it is told to stop, and reads its settings from a pipe.
@@ -137,20 +138,11 @@
 // freePorts returns the first of two consecutive ports on 127.0.0.1 for listeners.
 func freePorts(t *testing.T) int {
 	t.Helper()
-	for last := 0; ; {
-		_, text, err := net.SplitHostPort(freeAddr(t))
-		if err != nil {
-			t.Fatal(err)
-		}
-		port, err := strconv.Atoi(text)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if port == last+1 {
-			return last
-		}
-		last = port
+	first, err := local.Ports(2)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return first
 }
 
 // nodeSettings are the settings of an instance of a site without any other instance.
--- a/io/local/local_test.go
+++ b/io/local/local_test.go
@@ -51,3 +51,26 @@
 	is.True(addr != tcpAddr(first).String())
 	is.True(addr != tcpAddr(first+1).String())
 }
+
+// Guards against a row of ports with one that another process has allocated but not
+// yet bound, and against a row that is allocated twice.
+func TestPortsSkipsPortsInUse(t *testing.T) {
+	is := is.New(t)
+	mu.Lock()
+	first := next
+	if first > lastPort-30 {
+		first = firstPort
+	}
+	next = first
+	mu.Unlock()
+	reservation, err := net.ListenUDP("udp4", &net.UDPAddr{IP: loopback, Port: first + 4})
+	if err == nil { // otherwise another process holds the port, which has the same effect
+		defer reservation.Close()
+	}
+	row, err := Ports(10)
+	is.NoErr(err)
+	is.True(row > first+4)
+	other, err := Ports(10)
+	is.NoErr(err)
+	is.True(other >= row+10 || other+10 <= row)
+}
