Let a new leader go on with the rollouts of its predecessor

Cause: share, samples and trips of circuit breakers were in the memory of the leader only. A successor took the share from the time that had passed, without the pauses of its predecessor, and compared from nothing. Samples in a report that no leader answered were dropped besides.

Ruled out: the circuit breakers of entry instances (too few requests each on that route). Weighed: to start again with the initial share (a good move ends late, the evidence is gone all the same); to have entry instances send all samples again.

Change: the leader commits a shift.Record per move in progress every 300 ms if it has changed (not a revision, so entry instances do not receive it). A successor goes on from it once it has applied the log, and raises the share only after samples have arrived. A control instance sends unanswered samples again with the same number, and the record holds the last number of each, so that they count once.

TestNewLeaderKeepsRolloutPaused fails without the record (share 0.58 for 0.05) and without the numbers (rolled back). TestFailedReportKeepsHeartbeats asked that samples of an unanswered report be dropped, "the leader may have counted them"; TestUnansweredSamplesAreSentAgain replaces that part.

--- a/core/model/command.go
+++ b/core/model/command.go
@@ -32,7 +32,7 @@
 // Command is one change to the replicated state. Exactly one of its fields is
 // set, except for Announce, Remove and Expire, which a control instance batches
 // into one command, and for Suspect, which NewSuspectCommand combines with Expire.
-// Duty and Quota change the duties and the quota record of a Machine, and not the view.
+// Duty, Quota and Rollout change what a Machine holds besides the view.
 type Command struct {
 	Edit     *corianderwing.Edit `json:"edit,omitempty"`
 	Announce []Announcement      `json:"announce,omitempty"`
@@ -45,6 +45,8 @@
 	Duty     *duty.Change        `json:"duty,omitempty"`
 
 	Quota *quota.RecordChange `json:"quota,omitempty"`
+
+	Rollout *RolloutRecord `json:"rollout,omitempty"` // replaces the record of a move in progress
 }
 
 // NewSuspectCommand returns a command with observations of requests that crash
--- a/core/model/machine.go
+++ b/core/model/machine.go
@@ -58,6 +58,7 @@
 	view     *View
 	duties   duty.Table    // not part of the view, which entry instances follow
 	quota    *quota.Record // neither; nil if there never was one
+	rollouts rolloutRecords
 	index    corianderwing.Index
 	updates  []Update
 	replaced chan struct{} // closed when the next state replaces this one
@@ -81,6 +82,14 @@
 // Quota returns the record of the tokens of workspaces, nil if there never was one.
 func (m *Machine) Quota() *quota.Record { return m.current.Load().quota }
 
+// Rollout returns the record of the rollout of a move in progress, nil if there is none.
+func (m *Machine) Rollout(move corianderwing.Move) *RolloutRecord {
+	if r := m.current.Load().rollouts[move.Pool]; r.Of(move) {
+		return r
+	}
+	return nil
+}
+
 // Applied returns the index of the last command that the view includes.
 func (m *Machine) Applied() corianderwing.Index { return m.current.Load().index }
 
@@ -147,7 +156,7 @@
 		return encodeResult(Result{Revision: p.view.revision})
 	}
 	m.applied = i
-	next, duties, tokens := p.view, p.duties, p.quota
+	next, duties, tokens, rollouts := p.view, p.duties, p.quota, p.rollouts
 	c, err := Decode(data)
 	switch {
 	case err != nil:
@@ -155,9 +164,14 @@
 		duties, err = p.duties.Apply(c.Duty)
 	case c.Quota != nil:
 		tokens = p.quota.Apply(c.Quota)
+	case c.Rollout != nil:
+		rollouts = p.rollouts.with(c.Rollout, p.view)
 	default:
 		next, err = p.view.Apply(c, m.now())
 	}
+	if c != nil && c.EndMove != nil {
+		rollouts = p.rollouts.inProgress(next)
+	}
 	updates := p.updates
 	if next.revision != p.view.revision {
 		updates = append(updates, Update{Revision: next.revision, Command: data})
@@ -165,7 +179,7 @@
 			updates = updates[extra:]
 		}
 	}
-	m.current.Store(&published{view: next, duties: duties, quota: tokens, index: i, updates: updates, replaced: make(chan struct{})})
+	m.current.Store(&published{view: next, duties: duties, quota: tokens, rollouts: rollouts, index: i, updates: updates, replaced: make(chan struct{})})
 	close(p.replaced)
 	return encodeResult(Result{Revision: next.revision, Error: asError(err)})
 }
@@ -176,6 +190,8 @@
 	View   []byte                   `json:"view"`
 	Duties map[duty.Name]duty.State `json:"duties,omitempty"`
 	Quota  *quota.Record            `json:"quota,omitempty"`
+
+	Rollouts rolloutRecords `json:"rollouts,omitempty"`
 }
 
 // Save implements corianderwing.StateMachine.
@@ -185,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encMode.Marshal(machineSnapshot{Index: p.index, View: view, Duties: p.duties.Save(), Quota: p.quota})
+	return encMode.Marshal(machineSnapshot{Index: p.index, View: view, Duties: p.duties.Save(), Quota: p.quota, Rollouts: p.rollouts})
 }
 
 // Restore implements corianderwing.StateMachine. It ignores a snapshot that is not
@@ -206,7 +222,7 @@
 	}
 	m.applied = r.Index
 	p := m.current.Load()
-	m.current.Store(&published{view: view, duties: duty.Load(r.Duties), quota: r.Quota, index: r.Index, replaced: make(chan struct{})})
+	m.current.Store(&published{view: view, duties: duty.Load(r.Duties), quota: r.Quota, rollouts: r.Rollouts, index: r.Index, replaced: make(chan struct{})})
 	close(p.replaced)
 	return nil
 }
--- a/core/shift/shift.go
+++ b/core/shift/shift.go
@@ -67,8 +67,8 @@
 func WithPace(p Pace) Option { return func(r *Rollout) { r.pace = p } }
 
 // Rollout is the state of one version move, owned by the leader of the pool's
-// home group. A new leader starts over with the initial share and new
-// comparisons.
+// home group. A new leader goes on from a Record, or starts over with the initial
+// share and new comparisons.
 type Rollout struct {
 	move       corianderwing.Move
 	pace       Pace
--- a/io/plane/leader.go
+++ b/io/plane/leader.go
@@ -8,8 +8,8 @@
 	"corianderwing"
 	"corianderwing/core/fresh"
 	"corianderwing/core/lease"
+	"corianderwing/core/model"
 	"corianderwing/core/quota"
-	"corianderwing/core/shift"
 	"corianderwing/core/steer"
 	"corianderwing/io/clock"
 	"corianderwing/io/quorum"
@@ -33,7 +33,7 @@
 	entryList        []corianderwing.Instance // at instancesVersion
 	controlList      []ControlInstance        // at instancesVersion
 
-	rollouts       rollouts
+	rollouts       map[corianderwing.RequestID]*rollout // of the moves in progress
 	loans          loanPlan
 	coldLeases     *lease.Table
 	quotaAllocator *quota.Allocator
@@ -45,8 +45,9 @@
 	knownLoans     func() []steer.UpstreamLoan            // loans assigned by an earlier leader
 	logLifts       func([]steer.Lift)                     // called when loans begin or cease to change without a ramp; optional
 	revision       func() corianderwing.Revision
-	quotaRecord    func() *quota.Record // committed; nil if there never was one
-	members        func() []string      // peer addresses of the group
+	quotaRecord    func() *quota.Record                          // committed; nil if there never was one
+	rolloutRecord  func(corianderwing.Move) *model.RolloutRecord // committed; nil if there is none
+	members        func() []string                               // peer addresses of the group
 	regionOf       func(corianderwing.DomainID) corianderwing.RegionID
 }
 
@@ -107,10 +108,7 @@
 	l.coldLeases = lease.NewTable(now.Add(lease.GracePeriod()))
 	l.boundsRevision = 0
 	l.loans = loanPlan{planner: steer.New(), loads: map[reportKey]domainReport{}}
-	l.rollouts = rollouts{
-		byMove:  map[corianderwing.RequestID]*shift.Rollout{},
-		running: map[corianderwing.RequestID]map[string]int{},
-	}
+	l.rollouts = map[corianderwing.RequestID]*rollout{}
 }
 
 // recordReport records a report from a control instance.
--- a/io/plane/move.go
+++ b/io/plane/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"corianderwing"
@@ -15,31 +16,64 @@
 // of a fault in the new version.
 const moveReportInterval = 150 * time.Millisecond
 
-// rollouts holds the rollouts of the moves in progress. It belongs to the
-// leader of the current term; a new leader restarts each rollout.
-type rollouts struct {
-	byMove  map[corianderwing.RequestID]*shift.Rollout
-	running map[corianderwing.RequestID]map[string]int // requests in flight at the old version, by reporter
+// rollout is the rollout of a move in progress, at the leader of the current term.
+type rollout struct {
+	*shift.Rollout
+	running map[string]int           // requests in flight at the old version, by reporter
+	batches map[string]model.BatchID // last batch of samples of each reporter
+	// Share and requests in the last record.
+	recordedShare, recordedTotal float64
+}
+
+// newRollout returns the rollout of a move, which goes on from the record of an earlier
+// leader if there is one.
+func newRollout(m corianderwing.Move, r *model.RolloutRecord, now time.Time) *rollout {
+	opts := []shift.Option{shift.WithPace(shift.Quick)}
+	n := &rollout{running: map[string]int{}, batches: map[string]model.BatchID{}}
+	if r != nil {
+		opts = append(opts, shift.WithRecord(r.Rollout, now))
+		maps.Copy(n.batches, r.Batches)
+	}
+	n.Rollout = shift.New(m, opts...)
+	return n
+}
+
+// observe records what a control instance reports of the move. A batch of samples that
+// it sends again counts once.
+func (r *rollout) observe(reporter string, b model.BatchID, t Trial, now time.Time) {
+	r.running[reporter] = t.Running
+	running := 0
+	for _, n := range r.running {
+		running += n
+	}
+	r.SetRunning(running)
+	last := r.batches[reporter]
+	if b.No != 0 && b.Incarnation == last.Incarnation && b.No <= last.No {
+		return
+	}
+	r.batches[reporter] = b
+	r.Observe(now, t.Samples)
 }
 
 // recordTrials records the samples reported by a control instance, and returns
-// the current move shares.
-func (l *leaderState) recordTrials(term corianderwing.Term, reporter string, trials []Trial, v *model.View, now time.Time) []MoveShare {
+// the current move shares. This instance must have applied all that was committed
+// before the term.
+func (l *leaderState) recordTrials(term corianderwing.Term, q *reportRequest, v *model.View, now time.Time) []MoveShare {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ensureTerm(term, clock.Boot())
-	for _, t := range trials {
+	batch := model.BatchID{Incarnation: uint64(q.Incarnation), No: q.Batch}
+	for _, t := range q.Trials {
 		m, ok := v.LatestMove(t.Pool)
 		if !ok || m.ID != t.Move || m.Outcome != corianderwing.Moving {
 			continue
 		}
-		l.rollout(m).Observe(now, t.Samples)
-		l.rollouts.running[m.ID][reporter] = t.Running
+		l.rollout(m, now).observe(string(q.Replica), batch, t, now)
 	}
 	var list []MoveShare
 	v.EachMove(func(m corianderwing.Move) {
 		if m.Outcome == corianderwing.Moving {
-			list = append(list, MoveShare{m.Pool, m.ID, l.rollout(m).Share(now)})
+			list = append(list, MoveShare{m.Pool, m.ID, l.rollout(m, now).Share(now)})
 		}
 	})
 	return list
@@ -47,19 +81,23 @@
 
 // rollout returns the rollout of a move, and starts it if necessary. The caller
 // must hold l.mu.
-func (l *leaderState) rollout(m corianderwing.Move) *shift.Rollout {
-	p, ok := l.rollouts.byMove[m.ID]
-	if !ok || !p.Move().Start.Equal(m.Start) {
-		p = shift.New(m, shift.WithPace(shift.Quick))
-		l.rollouts.byMove[m.ID] = p
-		l.rollouts.running[m.ID] = map[string]int{}
+func (l *leaderState) rollout(m corianderwing.Move, now time.Time) *rollout {
+	r, ok := l.rollouts[m.ID]
+	if !ok || !r.Move().Start.Equal(m.Start) {
+		r = newRollout(m, l.rolloutRecord(m), now)
+		l.rollouts[m.ID] = r
 	}
-	running := 0
-	for _, n := range l.rollouts.running[m.ID] {
-		running += n
-	}
-	p.SetRunning(running)
-	return p
+	return r
+}
+
+// eachRollout calls f with the rollouts of the moves in progress for which a report has
+// been answered in this term. The caller must hold l.mu.
+func (l *leaderState) eachRollout(v *model.View, f func(corianderwing.Move, *rollout)) {
+	v.EachMove(func(m corianderwing.Move) {
+		if r, ok := l.rollouts[m.ID]; ok && m.Outcome == corianderwing.Moving && r.Move().Start.Equal(m.Start) {
+			f(m, r)
+		}
+	})
 }
 
 // endedMoves returns the moves whose rollouts have ended but whose outcome is
@@ -69,19 +107,55 @@
 	defer l.mu.Unlock()
 	l.ensureTerm(term, clock.Boot())
 	var list []corianderwing.Move
-	v.EachMove(func(m corianderwing.Move) {
-		if m.Outcome != corianderwing.Moving {
-			return
+	l.eachRollout(v, func(_ corianderwing.Move, r *rollout) {
+		r.Share(now)
+		if r.Move().Outcome != corianderwing.Moving {
+			list = append(list, r.Move())
 		}
-		p := l.rollout(m)
-		p.Share(now)
-		if p.Move().Outcome != corianderwing.Moving {
-			list = append(list, p.Move())
+	})
+	return list
+}
+
+// nextRolloutRecords returns the records of rollouts that have changed since their last
+// record.
+func (l *leaderState) nextRolloutRecords(term corianderwing.Term, v *model.View, now time.Time) []*model.RolloutRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ensureTerm(term, clock.Boot())
+	var list []*model.RolloutRecord
+	l.eachRollout(v, func(m corianderwing.Move, r *rollout) {
+		rec := r.Record(now)
+		if rec.Share == r.recordedShare && rec.Total == r.recordedTotal {
+			return
 		}
+		r.recordedShare, r.recordedTotal = rec.Share, rec.Total
+		list = append(list, &model.RolloutRecord{Pool: m.Pool, Move: m.ID, Start: m.Start, Rollout: rec, Batches: maps.Clone(r.batches)})
 	})
 	return list
 }
 
+// recordInterval is the interval at which the leader commits the state of rollouts.
+const recordInterval = 300 * time.Millisecond
+
+// recordLoop commits what a successor must know of the rollouts in progress while this
+// instance is the leader.
+func (p *Plane) recordLoop() {
+	for clock.Sleep(p.ctx, recordInterval) {
+		term, ok := p.replica.IsLeader()
+		if !ok {
+			continue
+		}
+		for _, r := range p.leaderState.nextRolloutRecords(term, p.machine.View(), time.Now()) {
+			ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
+			err := p.proposeInTerm(ctx, term, &model.Command{Rollout: r})
+			cancel()
+			if err != nil {
+				p.log.Debug().Str("pool", string(r.Pool)).Err(err).Msg("the state of a rollout is not committed")
+			}
+		}
+	}
+}
+
 // moveLoop records the outcomes of moves while this instance is the leader.
 func (p *Plane) moveLoop() {
 	for clock.Sleep(p.ctx, moveReportInterval) {
@@ -105,6 +179,23 @@
 	return inProgress
 }
 
+// trialBatch holds the samples in a report. They are sent again with the same number
+// until a leader answers, as one that does not may have counted them.
+type trialBatch struct {
+	no       uint64
+	trials   []Trial
+	answered bool
+}
+
+// nextTrialBatch returns the samples for the next report. The caller must hold p.mu.
+func (p *Plane) nextTrialBatch() trialBatch {
+	if p.sentTrials.answered || p.sentTrials.no == 0 {
+		p.sentTrials = trialBatch{no: p.sentTrials.no + 1, trials: p.trials}
+		p.trials = nil
+	}
+	return p.sentTrials
+}
+
 // mergeTrials merges the samples of several entry instances. The running
 // function returns the total number of requests in flight at the old version of
 // a move.
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -74,7 +74,8 @@
 	reserve           *quota.Limiter       // fraction of the shares from which entry instances borrow
 	loans             []steer.UpstreamLoan // slots that failure domains lend each other
 	loansVersion      uint64
-	trials            []Trial     // received from entry instances since the last report
+	trials            []Trial     // received from entry instances, in no report yet
+	sentTrials        trialBatch  // in the last report
 	moveShares        []MoveShare // last received from the leader
 	coldLeases        coldLeases
 	sharesValidUntil  time.Time // boot time at which the shares of quotaAllocator expire
@@ -125,7 +126,8 @@
 		defer p.mu.Unlock()
 		return p.loans
 	}
-	p.leaderState.quotaRecord, p.leaderState.members = p.machine.Quota, func() []string { return p.replica.MemberAddrs() }
+	p.leaderState.quotaRecord, p.leaderState.rolloutRecord = p.machine.Quota, p.machine.Rollout
+	p.leaderState.members = func() []string { return p.replica.MemberAddrs() }
 	p.leaderState.founded = cfg.Quorum.Bootstrap
 	p.leaderState.logLifts = func(list []steer.Lift) {
 		p.log.Info().Any("lifts", list).Msg("ramp of loans lifted or in force")
@@ -145,6 +147,7 @@
 	p.wg.Go(p.expireLoop)
 	p.wg.Go(p.quotaLoop)
 	p.wg.Go(p.moveLoop)
+	p.wg.Go(p.recordLoop)
 	p.wg.Go(p.syncLoop)
 	return p, nil
 }
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -51,7 +51,7 @@
 		reply, err := p.sendReport(ctx, q)
 		cancel()
 		if err != nil {
-			p.restoreReport(q, sentAt, err)
+			p.restoreReport(q, sentAt)
 			p.log.Debug().Err(err).Msg("no leader confirmed the state")
 			continue
 		}
@@ -128,6 +128,7 @@
 	if !now.Before(p.sharesValidUntil) {
 		p.quotaAllocator.SetBounds(nil)
 	}
+	batch := p.nextTrialBatch()
 	q := &reportRequest{
 		Replica:          p.replica.Self(),
 		Domain:           p.cfg.Quorum.Domain,
@@ -136,13 +137,13 @@
 		InstancesVersion: p.instancesVersion,
 		Incarnation:      p.incarnation,
 		Demands:          p.quotaAllocator.Demands(now),
-		Trials:           mergeTrials(p.trials, p.runningRequests),
+		Trials:           mergeTrials(batch.trials, p.runningRequests),
+		Batch:            batch.no,
 		Loads:            p.allocators.loads(),
 		LoansVersion:     p.loansVersion,
 	}
 	revision := p.machine.View().Revision()
 	q.Revision = &revision
-	p.trials = nil
 	for id, b := range p.localEntries {
 		age := now.Sub(b.lastHeartbeat)
 		if age > instanceTTL {
@@ -156,19 +157,14 @@
 }
 
 // restoreReport keeps for the next report what a failed one held: upstreams whose
-// heartbeats the leader does not learn of would be removed. The samples of moves
-// are kept only if the report was not sent, because the leader may have counted
-// them.
-func (p *Plane) restoreReport(q *reportRequest, sentAt time.Time, err error) {
+// heartbeats the leader does not learn of would be removed.
+func (p *Plane) restoreReport(q *reportRequest, sentAt time.Time) {
 	for _, no := range q.Upstreams {
 		p.heartbeats.record(no, sentAt)
 	}
-	if !errors.Is(err, errNoLeaderKnown) {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.trials = append(q.Trials, p.trials...)
+	p.trials = mergeTrials(p.trials, p.runningRequests)
 }
 
 // errNoLeaderKnown is returned for a report that was not sent.
@@ -188,7 +184,7 @@
 func (p *Plane) applyReportResponse(sentAt time.Time, r *reportResponse) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.moveShares = r.MoveShares
+	p.moveShares, p.sentTrials.answered = r.MoveShares, true
 	p.coldLeases.renew(r.ColdLeases, sentAt)
 	if r.LoansVersion != p.loansVersion {
 		p.loansVersion, p.loans = r.LoansVersion, r.Loans
@@ -234,7 +230,7 @@
 	reply := &reportResponse{
 		Revision:   view.Revision(),
 		Shares:     p.leaderState.allocateShares(term, q, arrived, view, clock.Boot()),
-		MoveShares: p.leaderState.recordTrials(term, string(q.Replica), q.Trials, view, time.Now()),
+		MoveShares: p.leaderState.recordTrials(term, q, view, time.Now()),
 	}
 	if p.cfg.UsageWindow > 0 {
 		reply.Incarnation = p.usage.incarnation
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -202,6 +202,7 @@
 	Incarnation      corianderwing.Incarnation `json:"life"`
 	Demands          []quota.Demand            `json:"needs,omitempty"`
 	Trials           []Trial                   `json:"trials,omitempty"`
+	Batch            uint64                    `json:"batch,omitempty"` // number of the samples in Trials; 0 from earlier versions
 	Loads            []domainLoads             `json:"loads,omitempty"`
 	LoansVersion     uint64                    `json:"knownlots,omitempty"`
 	// Usage contains the counted requests that the leader has not acknowledged.
