--- a/io/plane/rollout_test.go
+++ b/io/plane/rollout_test.go
@@ -106,7 +106,7 @@
 
 	l.replace()
 	is.Equal(len(l.endedMoves(l.term, l.machine.View(), at(20*time.Second))), 0) // before it knows anything
-	for range 3 { // the answers to the last batch were lost
+	for range 3 {                                                                // the answers to the last batch were lost
 		is.Equal(l.report(4, 2, 1, at(10*time.Second)), share)
 	}
 	is.Equal(l.report(5, 2, 0, at(10*time.Second)), share) // still suspicious
