Let the soak break on a planned stop that ends with an error

Change: an end counts as told if the process was killed, or was told to stop and ended with status 0. Ended is called before Exited is closed, so that a restart cannot come first.

Result: TestEndOfPlannedStop.

--- a/io/soak/ledger.go
+++ b/io/soak/ledger.go
@@ -33,7 +33,7 @@
 	OneHolder  Promise = "holder"   // one machine at a time reports, under a token of its own
 	Recovered  Promise = "recover"  // requests are served again after all faults have ended
 	InMemory   Promise = "memory"   // a process that clients crowd stays within its memory
-	Alive      Promise = "alive"    // no process ends by itself
+	Alive      Promise = "alive"    // no process ends by itself, or in a planned stop with an error
 )
 
 // Promises lists all promises.
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -57,7 +57,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	ending bool      // it was told to stop
+	ending bool // it was told to stop, or killed
+	killed bool
 	since  time.Time // when it was told to end in a planned way; zero if it was not
 }
 
@@ -71,7 +72,8 @@
 	Receiver string
 	octet    int
 	domains  map[corianderwing.DomainID]corianderwing.RegionID
-	// Ended is called when a process ends by itself.
+	// Ended is called when a process ends otherwise than it was told to: by itself, or
+	// with an error after a planned stop.
 	Ended func(p *Proc, err error)
 }
 
@@ -254,7 +256,7 @@
 		return eris.Wrap(err, "mark the site as founded")
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited, p.ending, p.since = cmd, exited, false, time.Time{}
+	p.cmd, p.exited, p.ending, p.killed, p.since = cmd, exited, false, false, time.Time{}
 	go p.wait(cmd, exited)
 	return nil
 }
@@ -262,12 +264,12 @@
 func (p *Proc) wait(cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
 	p.mu.Lock()
-	ending := p.ending
+	asTold := p.killed || p.ending && err == nil
 	p.mu.Unlock()
-	close(exited)
-	if !ending && p.site.Ended != nil {
+	if !asTold && p.site.Ended != nil {
 		p.site.Ended(p, err)
 	}
+	close(exited)
 }
 
 // Signal sends a signal to the process; one that ends it is expected to.
@@ -277,7 +279,8 @@
 	if p.cmd == nil {
 		return errors.New("not started")
 	}
-	p.ending = p.ending || sig == syscall.SIGKILL || sig == syscall.SIGTERM
+	p.killed = p.killed || sig == syscall.SIGKILL
+	p.ending = p.ending || p.killed || sig == syscall.SIGTERM
 	if sig == syscall.SIGTERM {
 		p.since = time.Now()
 	}
--- a/io/soak/site_test.go
+++ b/io/soak/site_test.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -35,3 +39,43 @@
 		s.Close()
 	}
 }
+
+// Guards against a process that answers a planned stop with an error, or that a second
+// signal ends in one, and that nobody notices.
+func TestEndOfPlannedStop(t *testing.T) {
+	for name, x := range map[string]struct {
+		onTerm  string
+		signals []syscall.Signal
+		broken  bool
+	}{
+		"ends well":           {"exit 0", []syscall.Signal{syscall.SIGTERM}, false},
+		"fails":               {"exit 3", []syscall.Signal{syscall.SIGTERM}, true},
+		"ended by a hangup":   {":", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}, true},
+		"killed":              {":", []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}, false},
+		"ends by itself well": {":", []syscall.Signal{syscall.SIGUSR1}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			dir := t.TempDir()
+			program := filepath.Join(dir, "program")
+			script := "#!/bin/sh\ntrap '" + x.onTerm + "' TERM\ntrap 'exit 0' USR1\n: >" + dir + "/ready\nwhile :; do sleep 0.01; done\n"
+			is.NoErr(os.WriteFile(program, []byte(script), 0o755))
+			s, err := NewSite(program, dir, 1, 0)
+			is.NoErr(err)
+			defer s.Close()
+			broken := false
+			s.Ended = func(*Proc, error) { broken = true }
+			p := s.Procs[0]
+			is.NoErr(p.Start())
+			for ready := false; !ready; time.Sleep(time.Millisecond) {
+				_, err := os.Stat(filepath.Join(dir, "ready"))
+				ready = err == nil
+			}
+			for _, sig := range x.signals {
+				is.NoErr(p.Signal(sig))
+			}
+			<-p.Exited()
+			is.Equal(broken, x.broken)
+		})
+	}
+}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -121,7 +121,11 @@
 	}
 	defer r.receiver.close()
 	r.site.Ended = func(p *Proc, err error) {
-		r.ledger.Break(Alive, time.Now(), "", "%s ended by itself: %v", p.Name, err)
+		how := "by itself"
+		if !p.stopSince().IsZero() {
+			how = "in a planned stop"
+		}
+		r.ledger.Break(Alive, time.Now(), "", "%s ended %s: %v", p.Name, how, err)
 	}
 	if cfg.Plan == nil {
 		cfg.Plan = plan(r.random("plan"), cfg.Length)
