--- a/io/gate/grant_test.go
+++ b/io/gate/grant_test.go
@@ -40,13 +40,8 @@
 		for _, when := range []string{"before the request", "during the wait"} {
 			t.Run(c.name+" "+when, func(t *testing.T) {
 				is := is.New(t)
-				var ran atomic.Int32
-				up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					ran.Add(1)
-					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-				}))
-				defer up.Close()
-				grants := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+				ran, addr := startCountingUpstream(t)
+				grants := newGrantingControl(t, addr)
 				change := func() {
 					next, err := grants.view.Apply(c.change(grants.upstream.Upstream), time.Now())
 					is.NoErr(err)
@@ -73,3 +68,15 @@
 		}
 	}
 }
+
+// startCountingUpstream starts an upstream that answers every request, and returns the
+// number of those that it ran and its address.
+func startCountingUpstream(t *testing.T) (ran *atomic.Int32, addr string) {
+	ran = new(atomic.Int32)
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}))
+	t.Cleanup(up.Close)
+	return ran, strings.TrimPrefix(up.URL, "http://")
+}
--- a/io/gate/pause_test.go
+++ b/io/gate/pause_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,13 +53,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			var ran atomic.Int32
-			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
-				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-			}))
-			defer up.Close()
-			control := &pausingControl{grantingControl: newGrantingControl(t, strings.TrimPrefix(up.URL, "http://")), pause: c.pause}
+			ran, addr := startCountingUpstream(t)
+			control := &pausingControl{grantingControl: newGrantingControl(t, addr), pause: c.pause}
 			s := startTestServer(t, control)
 			w := send(s, 1)
 			is.Equal(w.Code, c.status)
--- a/io/gate/stale_homes_test.go
+++ b/io/gate/stale_homes_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,13 +43,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			var ran atomic.Int32
-			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
-				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-			}))
-			defer up.Close()
-			granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+			ran, addr := startCountingUpstream(t)
+			granting := newGrantingControl(t, addr)
 			if c.homes {
 				granting.view = withHomes(t, granting.view, 2, "r")
 			}
@@ -96,13 +89,8 @@
 // two looks at it.
 func TestKeyAndRuleOfOneState(t *testing.T) {
 	is := is.New(t)
-	var ran atomic.Int32
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ran.Add(1)
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	}))
-	defer up.Close()
-	granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+	ran, addr := startCountingUpstream(t)
+	granting := newGrantingControl(t, addr)
 	full := granting.view
 	control := &freshControl{pausingControl: &pausingControl{grantingControl: granting, pause: func(*pausingControl) {}}}
 	revoked := withoutKey(t, full)
@@ -137,13 +125,8 @@
 // state changed and was confirmed between the two looks at it.
 func TestHomesOfOneState(t *testing.T) {
 	is := is.New(t)
-	var ran atomic.Int32
-	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ran.Add(1)
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	}))
-	defer up.Close()
-	granting := newGrantingControl(t, strings.TrimPrefix(up.URL, "http://"))
+	ran, addr := startCountingUpstream(t)
+	granting := newGrantingControl(t, addr)
 	granting.view = withHomes(t, granting.view, 2, "r")
 	moved := withHomes(t, granting.view, 3, "s")
 	control := &wakingControl{wake: func() {}}
--- a/io/gate/stop_test.go
+++ b/io/gate/stop_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -103,13 +102,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			var ran atomic.Int32
-			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
-				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-			}))
-			defer up.Close()
-			control := &expectingControl{grantingControl: newGrantingControl(t, strings.TrimPrefix(up.URL, "http://")), expected: c.expected}
+			ran, addr := startCountingUpstream(t)
+			control := &expectingControl{grantingControl: newGrantingControl(t, addr), expected: c.expected}
 			rule, ok := control.view.Items().MatchRule("shop.example", "/files/1")
 			is.True(ok)
 			next := *rule
