--- a/io/accept/guard_test.go
+++ b/io/accept/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,40 +17,25 @@
 	"github.com/phuslu/log"
 
 	"corianderwing/core/budget"
+	"corianderwing/internal/pipes"
 	"corianderwing/io/meter"
 )
 
-// pipes is a listener for connections in memory.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (l *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
+// dial connects to a server in memory.
+func dial(l *pipes.Listener) net.Conn {
+	c, err := l.Dial(context.Background())
+	if err != nil {
+		panic(err)
 	}
-}
-
-func (l *pipes) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
-func (l *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
-func (l *pipes) dial() net.Conn {
-	client, server := net.Pipe()
-	l.conns <- server
-	return client
+	return c
 }
 
 // serveGuarded serves h in virtual time while f runs. Then nothing may be in use.
-func serveGuarded(t *testing.T, limits budget.Limits, class budget.Class, h http.HandlerFunc, f func(*is.I, *Guard, *pipes)) {
+func serveGuarded(t *testing.T, limits budget.Limits, class budget.Class, h http.HandlerFunc, f func(*is.I, *Guard, *pipes.Listener)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := NewGuard(limits, &log.Logger{Level: log.PanicLevel}, meter.New())
-		l := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+		l := pipes.Listen()
 		s := &http.Server{Handler: g.Handler(h), ConnContext: ConnContext, ConnState: ConnState}
 		go s.Serve(g.Wrap(l, class))
 		f(is, g, l)
@@ -96,16 +82,16 @@
 // give way to an ordinary client, and a slow one that goes on sending is served too.
 func TestStalledBodiesGiveWay(t *testing.T) {
 	limits := budget.Limits{Memory: 100 * budget.ConnCost, Held: 5 * bodySize, Conns: 80}
-	serveGuarded(t, limits, budget.Callers, keepBody, func(is *is.I, g *Guard, l *pipes) {
+	serveGuarded(t, limits, budget.Callers, keepBody, func(is *is.I, g *Guard, l *pipes.Listener) {
 		var wg sync.WaitGroup
-		wg.Go(func() { is.Equal(post(l.dial(), 10, bodySize/10), http.StatusOK) })
+		wg.Go(func() { is.Equal(post(dial(l), 10, bodySize/10), http.StatusOK) })
 		time.Sleep(time.Second / 2)
 		for range 30 {
-			go post(l.dial(), 1, bodySize-1)
+			go post(dial(l), 1, bodySize-1)
 		}
 		time.Sleep(4 * time.Second)
 		is.True(g.Usage().Held <= limits.Held)
-		is.Equal(post(l.dial(), 1, bodySize), http.StatusOK)
+		is.Equal(post(dial(l), 1, bodySize), http.StatusOK)
 		wg.Wait()
 	})
 }
@@ -117,8 +103,8 @@
 	const fields = 3000
 	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n"
 	h := func(w http.ResponseWriter, r *http.Request) { time.Sleep(10 * time.Second) }
-	serveGuarded(t, limits, budget.Callers, h, func(is *is.I, g *Guard, l *pipes) {
-		first, second := l.dial(), l.dial()
+	serveGuarded(t, limits, budget.Callers, h, func(is *is.I, g *Guard, l *pipes.Listener) {
+		first, second := dial(l), dial(l)
 		io.WriteString(first, head)
 		synctest.Wait()
 		is.True(g.Usage().Held >= fields*budget.FieldCost-freeHead)
@@ -144,9 +130,9 @@
 				io.Copy(io.Discard, r.Body)
 				w.Write(make([]byte, 200_000))
 			}
-			serveGuarded(t, limits, budget.Control, h, func(is *is.I, g *Guard, l *pipes) {
+			serveGuarded(t, limits, budget.Control, h, func(is *is.I, g *Guard, l *pipes.Listener) {
 				for range 20 {
-					go io.WriteString(l.dial(), request)
+					go io.WriteString(dial(l), request)
 				}
 				synctest.Wait()
 				u := g.Usage()
@@ -160,10 +146,10 @@
 // exceeded: the one that is idle for the longest time is closed for a new one.
 func TestConnsAreBounded(t *testing.T) {
 	limits := budget.Limits{Memory: 1 << 20, Held: 512 << 10, Conns: 4}
-	serveGuarded(t, limits, budget.Callers, echoPath, func(is *is.I, g *Guard, l *pipes) {
+	serveGuarded(t, limits, budget.Callers, echoPath, func(is *is.I, g *Guard, l *pipes.Listener) {
 		var list []net.Conn
 		for i := range 6 {
-			c := l.dial()
+			c := dial(l)
 			list = append(list, c)
 			go io.WriteString(c, request(i))
 			readPath(t, bufio.NewReader(c))
@@ -184,8 +170,8 @@
 	limits := budget.Limits{Memory: 1 << 20, Held: 600 << 10, Conns: 8}
 	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\nbegin"
 	h := func(http.ResponseWriter, *http.Request) {}
-	serveGuarded(t, limits, budget.Callers, h, func(is *is.I, g *Guard, l *pipes) {
-		c := l.dial()
+	serveGuarded(t, limits, budget.Callers, h, func(is *is.I, g *Guard, l *pipes.Listener) {
+		c := dial(l)
 		go io.WriteString(c, head)
 		time.Sleep(time.Second)
 		is.True(g.Usage().Held >= 1000*budget.FieldCost-freeHead)
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"testing/synctest"
 
 	"corianderwing"
+	"corianderwing/internal/pipes"
 )
 
 const secret = "fleet secret"
@@ -35,7 +37,7 @@
 
 	regions     map[string]corianderwing.RegionID    // by failure domain
 	links       map[string]corianderwing.LinkLimiter // by instance
-	listeners   map[string]*listener
+	listeners   map[string]*pipes.Listener
 	servers     []*http.Server
 	cleanups    []func()
 	rejections  int // requests that the limiter still rejects
@@ -55,7 +57,7 @@
 		moves:     make(map[corianderwing.PoolID]corianderwing.Move),
 		upstreams: make(map[corianderwing.DomainID][]corianderwing.Upstream),
 		owners:    make(map[corianderwing.DomainID]corianderwing.Instance),
-		listeners: make(map[string]*listener),
+		listeners: make(map[string]*pipes.Listener),
 		orders:    make(map[string]*corianderwing.Order),
 		applied:   make(map[corianderwing.RequestID]corianderwing.Result),
 	}
@@ -159,8 +161,8 @@
 	go srv.Serve(l)
 }
 
-func (w *fixture) listen(addr string) *listener {
-	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
+func (w *fixture) listen(addr string) *pipes.Listener {
+	l := pipes.Listen()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.listeners[addr] = l
@@ -174,15 +176,11 @@
 	if !ok {
 		return nil, fmt.Errorf("dial %s: connection refused", addr)
 	}
-	here, there := net.Pipe()
-	select {
-	case l.conns <- there:
-		return here, nil
-	case <-l.done:
-		return nil, fmt.Errorf("dial %s: connection refused", addr)
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	c, err := l.Dial(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		err = fmt.Errorf("dial %s: connection refused", addr)
 	}
+	return c, err
 }
 
 // rawUpstream starts an upstream that handles its connections itself.
@@ -223,24 +221,6 @@
 	synctest.Wait()
 }
 
-type listener struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
-func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 // result is the response that a caller receives.
 type result struct {
 	status int
--- a/io/node/slow_test.go
+++ b/io/node/slow_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,28 +12,10 @@
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
 
+	"corianderwing/internal/pipes"
 	"corianderwing/io/accept"
 )
 
-// pipes is a listener for connections in memory.
-type pipes struct {
-	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (l *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipes) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
-func (l *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
-
 // Guards against upstreams and operators that hold connections of a control instance
 // for as long as they like: they do not send the rest of a call, or do not read its
 // response.
@@ -50,7 +31,7 @@
 				mux := http.NewServeMux()
 				mux.HandleFunc("/read", func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
 				mux.HandleFunc("/long", func(w http.ResponseWriter, _ *http.Request) { w.Write(make([]byte, 1<<20)) })
-				l := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+				l := pipes.Listen()
 				s := newServer(accept.Wrap(l), mux, callTimeout, &log.Logger{Level: log.PanicLevel})
 				closed := make(chan struct{})
 				s.ConnState = func(_ net.Conn, state http.ConnState) {
@@ -59,9 +40,9 @@
 					}
 				}
 				go s.Serve(s.listener)
-				client, conn := net.Pipe()
+				client, err := l.Dial(t.Context())
+				is.NoErr(err)
 				defer client.Close()
-				l.conns <- conn
 				start := time.Now()
 				go io.WriteString(client, request)
 				if name != "unread response" {
