--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -42,12 +42,10 @@
 	is.True(!f.IsCurrent())
 }
 
-// Guards against using upstreams that have left: an entry instance that starts
-// follows a control instance that has just restarted, and gets the state from
-// before its restart.
-func TestStateOfRestartedControl(t *testing.T) {
+// followerAndUpdates returns a Follower without a state, and three updates that follow
+// each other.
+func followerAndUpdates(t *testing.T, now time.Time) (*Follower, []model.Update) {
 	is := is.New(t)
-	now := time.Unix(1000, 0)
 	f := &Follower{cfg: Config{Lease: 4 * time.Second, Now: func() time.Time { return now }, Log: &log.Logger{Level: log.PanicLevel}}}
 	f.state.Store(&state{view: model.New()})
 	m := model.NewMachine(func() time.Time { return now })
@@ -58,6 +56,16 @@
 	}
 	list, err := m.Updates(0)
 	is.NoErr(err)
+	return f, list
+}
+
+// Guards against using upstreams that have left: an entry instance that starts
+// follows a control instance that has just restarted, and gets the state from
+// before its restart.
+func TestStateOfRestartedControl(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	f, list := followerAndUpdates(t, now)
 	known := func() bool {
 		_, known := f.View()
 		return known
@@ -79,23 +87,14 @@
 func TestDiscardedStateDoesNotGoBack(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	f := &Follower{cfg: Config{Lease: 4 * time.Second, Now: func() time.Time { return now }, Log: &log.Logger{Level: log.PanicLevel}}}
-	f.state.Store(&state{view: model.New()})
-	m := model.NewMachine(func() time.Time { return now })
-	for i, on := range []bool{true, false, true} {
-		data, err := model.Encode(&model.Command{Evacuate: &model.Evacuation{Domain: "a", On: on}})
-		is.NoErr(err)
-		m.Apply(corianderwing.Index(i+1), data)
-	}
-	list, err := m.Updates(0)
-	is.NoErr(err)
+	f, list := followerAndUpdates(t, now)
 	for i := range list {
 		is.NoErr(f.apply(&list[i]))
 	}
 	f.confirm(3, now.Add(f.cfg.Lease))
 	_, known := f.View()
 	is.True(known)
-	err = f.apply(&model.Update{Revision: 9, Command: list[0].Command})
+	err := f.apply(&model.Update{Revision: 9, Command: list[0].Command})
 	is.Equal(corianderwing.CodeOf(err), corianderwing.RevisionConflict)
 	is.NoErr(f.apply(&list[0])) // the first update after the conflict, from a lagging control instance
 	is.NoErr(f.apply(&list[1]))
--- a/io/relay/endless_test.go
+++ b/io/relay/endless_test.go
@@ -29,6 +29,18 @@
 	return n
 }
 
+// callFlooding returns a call to an upstream that floods its caller, and the channel
+// that receives the number of bytes that the caller took.
+func callFlooding(prefix, text string) (call Call, taken chan int) {
+	taken = make(chan int, 1)
+	call = newCall(newPipePool(func(conn net.Conn, br *bufio.Reader) {
+		http.ReadRequest(br)
+		taken <- flood(conn, prefix, text)
+	}), "1")
+	call.EchoHeader = "Echo"
+	return call, taken
+}
+
 // Guards against an upstream that sends bytes without end, in a header, in interim
 // responses, or in the body of a response to another request: the attempt must end
 // with an error after a bounded number of bytes, and the connection must be closed.
@@ -45,20 +57,14 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				taken := make(chan int, 1)
-				h := newPipePool(func(conn net.Conn, br *bufio.Reader) {
-					http.ReadRequest(br)
-					taken <- flood(conn, c.prefix, c.text)
-				})
-				call := newCall(h, "1")
-				call.EchoHeader = "Echo"
+				call, taken := callFlooding(c.prefix, c.text)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
 				_, err := Send(ctx, call)
 				is.True(err != nil)
 				is.Equal(err.Execution, corianderwing.ExecutionUnknown)
 				is.True(<-taken <= maxForeignBody+2*maxResponseHeader)
-				is.Equal(h.Idle(), 0)
+				is.Equal(call.Conns.Idle(), 0)
 			})
 		})
 	}
@@ -99,7 +105,7 @@
 				is.True(err != nil)
 				is.Equal(time.Since(start), 2*time.Second)
 				<-closed
-				is.Equal(h.Idle(), 0)
+				is.Equal(call.Conns.Idle(), 0)
 			})
 		})
 	}
@@ -121,13 +127,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				taken := make(chan int, 1)
-				h := newPipePool(func(conn net.Conn, br *bufio.Reader) {
-					http.ReadRequest(br)
-					taken <- flood(conn, c.prefix, c.text)
-				})
-				call := newCall(h, "1")
-				call.EchoHeader = "Echo"
+				call, taken := callFlooding(c.prefix, c.text)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
 				resp, e := Send(ctx, call)
@@ -135,7 +135,7 @@
 				n, err := io.Copy(io.Discard, resp)
 				is.True(err != nil)
 				is.True(<-taken-int(n) <= maxResponseHeader)
-				is.Equal(h.Idle(), 0)
+				is.Equal(call.Conns.Idle(), 0)
 			})
 		})
 	}
