--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -21,17 +21,7 @@
 		at := []time.Time{}
 		for range pools {
 			now := time.Unix(1000, 0)
-			p := place.New(place.Config{
-				Name: "files", Domain: "a1", Allocators: sharers,
-				RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "a" },
-			})
-			u := &model.Upstream{WarmupUntil: now.Add(10 * time.Second)}
-			u.ID, u.Pool, u.Domain, u.Slots = "u1", "files", "a1", 4
-			u.Phase, u.Version, u.Incarnation = corianderwing.Ready, "v1", 1
-			p.Sync(place.Setup{
-				Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: rate,
-				Evacuated: func(corianderwing.DomainID) bool { return false },
-			}, now)
+			p := poolWithColdUpstream(sharers, rate, now)
 			p.SetSoleAllocator(sharers == 1, now)
 			for id := place.ID(1); id < 200; id++ {
 				now = now.Add(20 * time.Millisecond)
@@ -62,14 +52,11 @@
 	is.True(float64(most(15, 15)) <= 1.5*rate+5)
 }
 
-// Guards against a cold upstream that gets two bursts in a row: one from the Pool that
-// was the sole allocator until now, and one from the Pool that succeeds it.
-func TestSoleAllocatorStartsWithoutBurst(t *testing.T) {
-	is := is.New(t)
-	const rate = 4
-	now := time.Unix(1000, 0)
+// poolWithColdUpstream returns a Pool with one upstream, which warms up for 10 s and may
+// start the given number of requests a second.
+func poolWithColdUpstream(allocators int, rate float64, now time.Time) *place.Pool {
 	p := place.New(place.Config{
-		Name: "files", Domain: "a1",
+		Name: "files", Domain: "a1", Allocators: allocators,
 		RegionOf: func(corianderwing.DomainID) corianderwing.RegionID { return "a" },
 	})
 	u := &model.Upstream{WarmupUntil: now.Add(10 * time.Second)}
@@ -79,6 +66,16 @@
 		Upstreams: []*model.Upstream{u}, Version: "v1", ColdRate: rate,
 		Evacuated: func(corianderwing.DomainID) bool { return false },
 	}, now)
+	return p
+}
+
+// Guards against a cold upstream that gets two bursts in a row: one from the Pool that
+// was the sole allocator until now, and one from the Pool that succeeds it.
+func TestSoleAllocatorStartsWithoutBurst(t *testing.T) {
+	is := is.New(t)
+	const rate = 4
+	now := time.Unix(1000, 0)
+	p := poolWithColdUpstream(0, rate, now)
 	last := place.ID(0)
 	granted := func() bool {
 		last++
--- a/io/gate/notice_test.go
+++ b/io/gate/notice_test.go
@@ -50,17 +50,7 @@
 // rejection.
 func TestLeavingInRejection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		first := &fakeUpstream{script: func(int) reply {
-			return rejection(leavingHeader)
-		}}
-		second := &fakeUpstream{script: plain}
-		g := newFakeSite(t, first, second).startQuiet()
-		defer g.Close()
-		for i := range 3 {
-			is.Equal(send(g, i).Code, http.StatusOK)
-		}
-		is.Equal(first.count(), 1)
+		checkAskedOnce(t, func(int) reply { return rejection(leavingHeader) })
 	})
 }
 
--- a/io/gate/pushback_test.go
+++ b/io/gate/pushback_test.go
@@ -55,21 +55,27 @@
 // lost.
 func TestPushbackInTruncatedResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		first, second := &fakeUpstream{script: func(int) reply {
+		checkAskedOnce(t, func(int) reply {
 			r := pushBack("2")
 			r.truncated = true
 			return r
-		}}, &fakeUpstream{script: plain}
-		g := newFakeSite(t, first, second).startQuiet()
-		defer g.Close()
-		for i := range 3 {
-			is.Equal(send(g, i).Code, http.StatusOK)
-		}
-		is.Equal(first.count(), 1)
+		})
 	})
 }
 
+// checkAskedOnce checks that of two upstreams, the one with the given script gets no
+// request after its first response, and that all requests are served.
+func checkAskedOnce(t *testing.T, script func(int) reply) {
+	is := is.New(t)
+	first, second := &fakeUpstream{script: script}, &fakeUpstream{script: plain}
+	g := newFakeSite(t, first, second).startQuiet()
+	defer g.Close()
+	for i := range 3 {
+		is.Equal(send(g, i).Code, http.StatusOK)
+	}
+	is.Equal(first.count(), 1)
+}
+
 // Guards against a pushback that is read from a response other than a rejection.
 func TestRetryAfterOfOtherResponses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
