--- a/io/alloc/alloc.go
+++ b/io/alloc/alloc.go
@@ -67,6 +67,7 @@
 	pools     map[corianderwing.PoolID]*place.Pool
 	waiting   map[place.ID]chan place.Effect
 	last      place.ID
+	tally     Tally         // since TakeTally
 	queued    chan struct{} // buffered (1); signals that a request waits
 }
 
@@ -199,6 +200,7 @@
 		ch, ok := a.waiting[e.ID]
 		if ok {
 			delete(a.waiting, e.ID)
+			a.tally.add(e)
 			ch <- e
 		}
 	}
@@ -272,6 +274,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.waiting, w.ID)
+	a.tally.Canceled++
 	a.checkLease(now)
 	p := a.pools[w.pool]
 	a.deliver(p.Cancel(w.ID, now))
--- a/io/gate/alone_test.go
+++ b/io/gate/alone_test.go
@@ -38,11 +38,11 @@
 		s.NotifyChange()
 		synctest.Wait()
 		now := time.Now()
-		_, _, e := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
-		is.True(e != nil)
+		_, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+		is.True(no != nil)
 		time.Sleep(3 * time.Second) // the upstream is warm
 		now = time.Now()
-		_, _, e = s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
-		is.True(e == nil)
+		_, no = s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+		is.True(no == nil)
 	})
 }
--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -119,11 +119,11 @@
 	if checked {
 		wait = x.waitForSlot
 	}
-	sl, _, err := wait()
-	if err == nil {
-		err = x.recheckKey()
+	sl, no := wait()
+	if no != nil {
+		b.Fatal(no.err)
 	}
-	if err != nil {
+	if err := x.recheckKey(); err != nil {
 		b.Fatal(err)
 	}
 	conns := x.pool.connsTo(sl.upstream)
@@ -177,7 +177,7 @@
 }
 
 // waitForSlotUnchecked is waitForSlot without the exclusion of upstreams.
-func (x *exchange) waitForSlotUnchecked() (*slot, time.Duration, *corianderwing.Error) {
+func (x *exchange) waitForSlotUnchecked() (*slot, *refusal) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	defer context.AfterFunc(x.s.slotWaits, cancel)()
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -52,6 +52,7 @@
 	borrowed    follow.BorrowedToken // the token, if it is not from the local share
 	retryDelay  time.Duration        // Retry-After for the caller; 0 if unknown
 	slotWait    time.Duration        // total time spent waiting for slots
+	refusedBy   *follow.SlotSource   // allocator that refused the last slot; nil if none did
 }
 
 // serve handles the request.
--- a/io/gate/outdated_grant_test.go
+++ b/io/gate/outdated_grant_test.go
@@ -53,8 +53,8 @@
 				s.NotifyChange()
 				synctest.Wait()
 				now := time.Now()
-				_, _, e := s.acquire(t.Context(), pool, place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
-				is.True(e != nil)
+				_, no := s.acquire(t.Context(), pool, place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+				is.True(no != nil)
 				is.Equal(control.released.Load(), int32(1))
 			})
 		})
@@ -82,9 +82,9 @@
 				is.NoErr(err)
 				control.view = next // the allocator has not been told
 				now := time.Now()
-				_, _, e := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
-				is.True(e != nil)
-				is.Equal(e.Execution, corianderwing.NotExecuted)
+				_, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+				is.True(no != nil)
+				is.Equal(no.err.Execution, corianderwing.NotExecuted)
 			})
 		})
 	}
@@ -113,8 +113,8 @@
 		synctest.Wait()
 		acquire := func() corianderwing.VersionID {
 			now := time.Now()
-			sl, _, e := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
-			if e != nil {
+			sl, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+			if no != nil {
 				return ""
 			}
 			return sl.upstream.Version
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -42,6 +42,9 @@
 	if len(x.placement.HomeRegions) > 0 {
 		e = e.Any("homes", x.placement.HomeRegions)
 	}
+	if x.err != nil && x.refusedBy != nil {
+		e = e.Str("refused_in", string(x.refusedBy.Domain)).Str("refused_by", x.refusedBy.Peer)
+	}
 	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
 	if x.suspected {
 		e = e.Str("fingerprint", string(x.fingerprint))
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -88,11 +88,11 @@
 // the wait for it.
 func (x *exchange) checkedSlot() (*slot, *corianderwing.Error) {
 	now := time.Now()
-	sl, wait, err := x.acquireSlot()
+	sl, no := x.acquireSlot()
 	x.slotWait += time.Since(now)
-	if err != nil {
-		x.retryDelay = wait
-		return nil, x.slotError(err)
+	if no != nil {
+		x.retryDelay, x.refusedBy = no.after, &no.source
+		return nil, x.slotError(no.err)
 	}
 	if err := x.recheck(sl); err != nil {
 		x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
@@ -103,24 +103,24 @@
 
 // acquireSlot gets a slot at an upstream that may run the request now, after the wait
 // for it.
-func (x *exchange) acquireSlot() (*slot, time.Duration, *corianderwing.Error) {
+func (x *exchange) acquireSlot() (*slot, *refusal) {
 	for range maxUpstreamsTried {
 		if err := x.checkHomes(); err != nil {
-			return nil, 0, err
+			return nil, &refusal{err: err}
 		}
-		sl, wait, err := x.waitForSlot()
-		if err != nil || !x.returnOutsideHomes(sl) {
-			return sl, wait, err
+		sl, no := x.waitForSlot()
+		if no != nil || !x.returnOutsideHomes(sl) {
+			return sl, no
 		}
 	}
-	return nil, 0, errOutsideHomes
+	return nil, &refusal{err: errOutsideHomes}
 }
 
 // waitForSlot gets a slot for the request. The wait ends early when the instance
 // is about to stop.
-func (x *exchange) waitForSlot() (*slot, time.Duration, *corianderwing.Error) {
+func (x *exchange) waitForSlot() (*slot, *refusal) {
 	if x.s.slotWaits.Err() != nil {
-		return nil, 0, errStopping
+		return nil, &refusal{err: errStopping}
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
@@ -130,10 +130,13 @@
 	r.ExcludedUpstreams = spare.exclude(r.ExcludedUpstreams)
 	free, err := x.limitPushback(&spare, &r)
 	if err != nil {
-		return nil, free, err
+		return nil, &refusal{err: err, after: free}
+	}
+	sl, no := x.s.acquire(ctx, x.pool, r, time.Now())
+	if no != nil {
+		no.after = max(no.after, free)
 	}
-	sl, after, err := x.s.acquire(ctx, x.pool, r, time.Now())
-	return sl, max(after, free), err
+	return sl, no
 }
 
 // slotError returns the error for a request that got no slot. If its context or
--- a/io/gate/slot.go
+++ b/io/gate/slot.go
@@ -37,11 +37,17 @@
 	window   usage.Window
 }
 
+// refusal says why a request got no slot.
+type refusal struct {
+	err    *corianderwing.Error
+	after  time.Duration     // delay after which the caller should retry
+	source follow.SlotSource // allocator that refused; empty if this instance did
+}
+
 // acquire gets a slot for the request from the control instance of the failure
 // domain, which sees all requests there. While that instance is unreachable, the
-// slot comes from the local allocator. An error comes with the delay after which the
-// caller should retry.
-func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, now time.Time) (*slot, time.Duration, *corianderwing.Error) {
+// slot comes from the local allocator.
+func (s *Server) acquire(ctx context.Context, p *pool, r place.Request, now time.Time) (*slot, *refusal) {
 	p.mu.Lock()
 	r.CurrentVersionOnly = p.moveStats.guard.Blocks(now)
 	p.mu.Unlock()
@@ -63,7 +69,7 @@
 		return s.acquireLocal(ctx, p, r)
 	}
 	if a.Error != nil {
-		return nil, time.Duration(a.RetryAfter) * time.Millisecond, a.Error
+		return nil, &refusal{a.Error, time.Duration(a.RetryAfter) * time.Millisecond, source}
 	}
 	u, revision, ok := s.usableUpstream(p.name, a.Upstream, a.Incarnation)
 	if !ok || isTakenForWarm(u, a.ColdStart, time.Now()) {
@@ -83,7 +89,7 @@
 		acquiredAt:  time.Now(),
 		revision:    revision,
 		stateAge:    s.cfg.Control.StateAge(),
-	}, 0, nil
+	}, nil
 }
 
 // usableUpstream returns an upstream if this instance's state allows new work of the pool
@@ -111,12 +117,12 @@
 }
 
 // acquireLocal gets a slot from the allocator of this instance.
-func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, time.Duration, *corianderwing.Error) {
+func (s *Server) acquireLocal(ctx context.Context, p *pool, r place.Request) (*slot, *refusal) {
 	r.NoForward = true
 	for range maxUpstreamsTried {
 		ticket, after, err := s.allocator.Acquire(ctx, p.name, r)
 		if err != nil {
-			return nil, after, err
+			return nil, &refusal{err: err, after: after}
 		}
 		u, revision, ok := s.usableUpstream(p.name, ticket.Upstream.ID, ticket.Upstream.Incarnation)
 		if !ok || isTakenForWarm(u, ticket.ColdStart, time.Now()) {
@@ -136,9 +142,9 @@
 			acquiredAt:  time.Now(),
 			revision:    revision,
 			stateAge:    s.cfg.Control.StateAge(),
-		}, 0, nil
+		}, nil
 	}
-	return nil, 0, corianderwing.Errorf(corianderwing.NoUpstream, "the upstreams of pool %s that were granted are gone", p.name)
+	return nil, &refusal{err: corianderwing.Errorf(corianderwing.NoUpstream, "the upstreams of pool %s that were granted are gone", p.name)}
 }
 
 // release returns a slot to its source and reports the outcome of the attempt.
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"corianderwing/core/budget"
 	"corianderwing/io/clock"
@@ -34,6 +35,8 @@
 func (n *Node) updateGauges() {
 	gauge := func(name string, v int64) { n.meter.Gauge(name).Update(v) }
 	gauge("log.dropped", n.logWriter.Dropped())
+	gauge("late.ms", time.Duration(n.lateness.last.Load()).Milliseconds())
+	gauge("late.worst.ms", time.Duration(n.lateness.worst.Load()).Milliseconds())
 	u := n.guard.Usage()
 	gauge("clients.conns", int64(u.Conns))
 	gauge("clients.memory", int64(u.Memory))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -51,10 +51,12 @@
 	peerClient *peer.Client
 	peerServer *peer.Server
 
-	wg      sync.WaitGroup
-	failed  chan error
-	guard   *accept.Guard
-	servers []*server
+	wg       sync.WaitGroup
+	failed   chan error
+	lateness lateness
+	stopLate context.CancelFunc
+	guard    *accept.Guard
+	servers  []*server
 
 	plane         *plane.Plane
 	reporter      *report.Reporter // nil if usage is not reported
@@ -81,6 +83,9 @@
 		peerClient: peer.NewClient([]byte(cfg.Secret), peer.WithSourceIP(cfg.sourceIP())),
 		failed:     make(chan error, 8),
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopLate = cancel
+	n.wg.Go(func() { n.lateness.run(ctx, n.log) })
 	n.guard = accept.NewGuard(budget.LimitsOf(cfg.memory(), cfg.maxFiles()), n.log, n.meter, cfg.classes()...)
 	n.peerServer = peer.NewServer([]byte(cfg.Secret), peer.WithLog(n.log), peer.WithMaxHandshakes(maxHandshakes(cfg.MemoryLimitMB)))
 	n.log.Info().Str("role", cfg.Role).Str("domain", string(cfg.Domain)).Str("peer", cfg.peerAddr()).
@@ -240,6 +245,7 @@
 	}
 	n.peerServer.Stop()
 	n.peerClient.Close()
+	n.stopLate()
 	n.wg.Wait()
 	n.guard.Close()
 	n.log.Info().Int64("dropped", n.logWriter.Dropped()).Msg(logs.Stopped)
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -149,6 +149,7 @@
 	p.wg.Go(p.moveLoop)
 	p.wg.Go(p.recordLoop)
 	p.wg.Go(p.syncLoop)
+	p.wg.Go(p.tallyLoop)
 	return p, nil
 }
 
