Replace the loans of a lost lender without a ramp

Cause: the ramp moved each loan by itself and took slots of a lender without usable upstreams for slots where requests run. Its loan fell slowly, the loans that were to replace it rose slowly, also those of the same region, where no request changes its region. A domain that lost its lenders was not treated like one that lost its own slots.

Ruled out: too few spare slots (hkt-a and hkt-b had over 300 free ones), late plans (one every 0.4 s).

Now the lost part is lent by others of the same region at once, as far as they are to lend more; where three tenths of a domain's slots are lost with its lenders, its loans change at once (reason 'lender' in the log).

TestLostLenderIsReplacedAtOnce: 31 of 63 and 3 of 51 slots at once before, 65 and 53 now. TestReturnedLoansAreNoLoss: loans given back lift nothing.

--- a/core/steer/ramp.go
+++ b/core/steer/ramp.go
@@ -33,8 +33,10 @@
 	for _, l := range loads {
 		regions[l.Domain] = l.Region
 	}
-	borrowers := p.borrowers(loads, regions, targets, now)
+	usable := p.usableLoans(loads)
+	borrowers := p.borrowers(loads, regions, targets, usable, now)
 	shifts := p.regionShifts(borrowers, maxShiftPerSecond*step)
+	lost := map[borrowerRegion]float64{}
 	for k, target := range targets {
 		part := 1.0
 		if b, ok := borrowers[poolKey{k.pool, k.borrower}]; ok && !b.exempt && regions[k.lender] != b.Region {
@@ -42,13 +44,15 @@
 				part = b.slotsPart(regions[k.lender], s.limit/s.moved)
 			}
 		}
-		n := p.loans[k] + (target-p.loans[k])*part
+		lost[k.region(regions)] += (p.loans[k] - usable[k]) * (1 - part)
+		n := usable[k] + (target-usable[k])*part
 		if n < 0.05 && target == 0 {
 			delete(p.loans, k)
 			continue
 		}
 		p.loans[k] = n
 	}
+	p.replaceLost(lost, targets, regions)
 }
 
 // recordFirstTraffic records when the requests of each region began. With restored
@@ -79,6 +83,7 @@
 	LiftSuspended LiftReason = "suspended" // see Planner.SuspendRamp
 	LiftStartup   LiftReason = "startup"   // the first requests of the region
 	LiftLoss      LiftReason = "loss"      // the domain has lost many of its slots
+	LiftLender    LiftReason = "lender"    // its lenders have lost many of those that it has
 )
 
 // Lifts returns the loans that changed without a ramp in the last update. The slice is
@@ -86,7 +91,7 @@
 func (p *Planner) Lifts() []Lift { return p.lifts }
 
 // liftReason returns why the loans to a domain change without a ramp, or "".
-func (p *Planner) liftReason(l Load, now time.Time) LiftReason {
+func (p *Planner) liftReason(l Load, usable map[loanKey]float64, now time.Time) LiftReason {
 	switch {
 	case now.Before(p.rampSuspendedUntil):
 		return LiftSuspended
@@ -94,15 +99,17 @@
 		return LiftStartup
 	case p.lostCapacity(l):
 		return LiftLoss
+	case p.lostLoans(l, usable):
+		return LiftLender
 	}
 	return ""
 }
 
 // borrowers returns the borrower of each load.
-func (p *Planner) borrowers(loads []Load, regions map[corianderwing.DomainID]corianderwing.RegionID, targets map[loanKey]float64, now time.Time) map[poolKey]*borrower {
+func (p *Planner) borrowers(loads []Load, regions map[corianderwing.DomainID]corianderwing.RegionID, targets, usable map[loanKey]float64, now time.Time) map[poolKey]*borrower {
 	out := map[poolKey]*borrower{}
 	for _, l := range loads {
-		reason := p.liftReason(l, now)
+		reason := p.liftReason(l, usable, now)
 		if reason != "" {
 			p.lifts = append(p.lifts, Lift{l.Pool, l.Domain, reason})
 		}
