Keep expected loans until the loads show what callers need

Cause: the loans for expected requests (118 slots before the traffic) ended with the first loads, in one step, as the start is exempt from the ramp. Those loads show only what reaches an allocator. A domain with upstreams enough of its own does not notice.

Ruled out: the ramp itself (needed for SHIFT), spare slots (hkt-a 348 of 484 free, hkt-b 419 of 506, at 6.1 s), the allocator's answers (lines 'no answer to a request for a slot' come later).

The planner takes at least the expected demand until a region has had requests for 3 s, and until 3 s after the end of the suspension.

--- a/core/place/allocators_test.go
+++ b/core/place/allocators_test.go
@@ -171,7 +171,8 @@
 	for _, x := range d.w.domains {
 		entries[x.id] = 1
 	}
-	d.lots = steer.Assign(d.planner.Update(steer.Expect(steer.Merge(loads), entries), now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
+	d.planner.SetInstances(entries)
+	d.lots = steer.Assign(d.planner.Update(steer.Merge(loads), now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
 		for _, u := range d.w.byPool[p] {
 			list = append(list, u.model.Upstream)
 		}
--- a/core/steer/expect.go
+++ b/core/steer/expect.go
@@ -1,24 +1,37 @@
 package steer
 
-import "corianderwing"
+import (
+	"time"
+
+	"corianderwing"
+)
 
 // expectedUtilization is the fraction of a pool's slots that callers are expected to
-// need before the first requests show it.
+// need before their requests show it.
 const expectedUtilization = 0.4
 
-// Expect returns loads as they will be once callers send requests: for each pool
-// without requests, the demand of a domain is its part of the entry instances. The
-// map holds their number in each failure domain.
+// SetInstances sets the number of entry instances in each failure domain, by which the
+// demand is expected while the loads do not show it.
+func (p *Planner) SetInstances(n map[corianderwing.DomainID]int) { p.instances = n }
+
+// expect returns the loads with at least the demand that is expected, where they do not
+// show it yet: in pools without requests, at the start of the traffic, and while the
+// ramp is suspended. The expected demand of a domain is its part of the entry instances.
 //
 // A region with few upstreams runs most of its requests elsewhere. If it borrowed
 // slots only after its first requests, these would wait or be rejected, and when
 // their reports are late, the region in which its requests run would change within
-// two seconds.
-func Expect(loads []Load, instances map[corianderwing.DomainID]int) []Load {
+// two seconds. The first loads show too little as well: entry instances reject many
+// requests that never reach an allocator, while the rates of workspaces are divided. If
+// they ended the loans, the ramp would give them back only after many seconds.
+func (p *Planner) expect(loads []Load, now time.Time) []Load {
 	total := 0
-	for _, n := range instances {
+	for _, n := range p.instances {
 		total += n
 	}
+	if total == 0 {
+		return loads
+	}
 	slots := map[corianderwing.PoolID]float64{}
 	arriving := map[corianderwing.PoolID]float64{}
 	for _, l := range loads {
@@ -27,10 +40,23 @@
 	}
 	expected := make([]Load, len(loads))
 	for i, l := range loads {
-		if arriving[l.Pool] < minArrivalRate && total > 0 {
-			l.Demand = expectedUtilization * slots[l.Pool] * float64(instances[l.Domain]) / float64(total)
+		if arriving[l.Pool] < minArrivalRate || p.starts(l.Region, now) {
+			l.Demand = max(l.Demand, expectedUtilization*slots[l.Pool]*float64(p.instances[l.Domain])/float64(total))
 		}
 		expected[i] = l
 	}
 	return expected
 }
+
+// starts reports whether the traffic of a region, or all traffic, began only a moment
+// ago, or begins again after a total loss.
+func (p *Planner) starts(region corianderwing.RegionID, now time.Time) bool {
+	first, ok := p.firstTraffic[region]
+	if !ok {
+		first = p.trafficSince
+	}
+	if now.Sub(p.rampSuspendedUntil) < establishedAfter {
+		return true // rates are divided later than the ramp is suspended
+	}
+	return now.Sub(first) < establishedAfter
+}
--- a/core/steer/ramp.go
+++ b/core/steer/ramp.go
@@ -62,8 +62,12 @@
 		now = time.Time{}
 	}
 	for _, l := range loads {
-		if _, ok := p.firstTraffic[l.Region]; !ok && l.ArrivalRate > 0 {
-			p.firstTraffic[l.Region] = now
+		if _, ok := p.firstTraffic[l.Region]; ok || l.ArrivalRate == 0 {
+			continue
+		}
+		p.firstTraffic[l.Region] = now
+		if p.trafficSince.IsZero() {
+			p.trafficSince = now
 		}
 	}
 }
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -90,11 +90,13 @@
 	lastRequests       map[poolKey]time.Time                // time of the last load with requests
 	restored           bool                                 // an earlier Planner planned for loads that arrive already
 	firstTraffic       map[corianderwing.RegionID]time.Time // time of a region's first request
+	trafficSince       time.Time                            // time of the first request of all
 	rampSuspendedUntil time.Time                            // regions are exempt from the ramp before this time
 	lastSlots          map[poolKey]float64                  // slots of the last load
 	joined             map[corianderwing.RegionID]float64   // fraction of the requests moved by upstreams that joined or left, not yet accounted for by the ramp
 	lifts              []Lift                               // of the last update
 	lastUpdate         time.Time
+	instances          map[corianderwing.DomainID]int // entry instances
 }
 
 // New returns a Planner without loans.
@@ -137,6 +139,7 @@
 		p.peaks[k] = p.peaks[k].update(l.Slots, now)
 	}
 	p.lifts = p.lifts[:0]
+	loads = p.expect(loads, now)
 	reliable := p.reliableLoads(loads, now)
 	targets := p.targetLoans(reliable, p.heldLoans(now))
 	p.rampLoans(loads, targets, step, now)
--- a/io/plane/loans.go
+++ b/io/plane/loans.go
@@ -83,8 +83,8 @@
 	if now.Sub(l.observedSince) < 2*reportInterval {
 		return s.version, s.loans // some loads may not have been reported yet
 	}
-	loads := steer.Expect(s.currentLoads(now), l.entriesByDomain())
-	loans := steer.Assign(s.planner.Update(loads, now), func(p corianderwing.PoolID) []corianderwing.Upstream {
+	s.planner.SetInstances(l.entriesByDomain())
+	loans := steer.Assign(s.planner.Update(s.currentLoads(now), now), func(p corianderwing.PoolID) []corianderwing.Upstream {
 		var list []corianderwing.Upstream
 		for _, u := range v.PoolUpstreams(p) {
 			if u.Phase == corianderwing.Ready && !v.Evacuated(u.Domain) && u.Version == v.CurrentVersion(p) {
