Let an entry instance that decides alone use the loans of its failure domain

Cause: an entry instance that decides alone knew the upstreams of its own failure domain only. A domain with few of them runs most of its requests on slots that it borrows, and only its control instance knew these. It is the same class as the loans of a lost lender: the way out in a failure leaves out what the normal way rests on.

Control instances send the slots that a domain borrows with the heartbeat, once for each change; they end 4 s after the last confirmation, as at the allocator, less the time for which the user of the list may be late. As with the own upstreams, an instance uses its part of a borrowed upstream until that reports its load.

--- a/core/place/server.go
+++ b/core/place/server.go
@@ -195,7 +195,7 @@
 		// A borrowed slot idles while the response and the next request are in transit.
 		room = math.Ceil(room * p.pipelineFactor(s))
 	}
-	if p.cfg.Allocators > 1 && !s.remote && s.reportedAt.IsZero() {
+	if p.cfg.Allocators > 1 && s.reportedAt.IsZero() {
 		room = math.Ceil(room / float64(p.cfg.Allocators))
 	}
 	if s.failureStreak > 0 {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -119,6 +119,7 @@
 	confirmationAge time.Duration            // age of the last confirmation from current
 	lastProbe       time.Time                // when another control instance was last probed
 	probeIndex      int                      // rotates over controls
+	loans           loans                    // of the failure domain
 	grantor         grantor                  // of the present shares
 	lostGrantor     grantor                  // one that did not answer and was left; see grantorToProbe
 	lenderIndex     int                      // rotates over neighbors
--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	sent := f.cfg.Now()
 	f.mu.Lock()
-	known, followed := f.listsVersion, addr == f.current
+	known, knownLoans, followed := f.listsVersion, f.loans.version, addr == f.current
 	f.mu.Unlock()
 	demands := f.cfg.Limits.Needs(addr)
 	method := plane.HeartbeatMethod
@@ -155,6 +155,7 @@
 		Entry:            f.cfg.Self(),
 		Demands:          demands,
 		InstancesVersion: known,
+		LoansVersion:     knownLoans,
 		Trials:           trials,
 	}
 	if followed {
@@ -176,6 +177,7 @@
 	if len(reply.Shares) > 0 {
 		f.recordGrantor(addr, until)
 	}
+	f.setLoans(reply, sent)
 	if !reply.Confirmed {
 		return reply, neverConfirmed, nil
 	}
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -54,12 +54,13 @@
 	upstream *model.Upstream
 }
 
-func (c *grantingControl) View() (*model.View, bool)           { return c.view, true }
-func (c *grantingControl) IsFresh() bool                       { return true }
-func (c *grantingControl) IsCurrent() bool                     { return true }
-func (c *grantingControl) StateAge() time.Duration             { return 0 }
-func (c *grantingControl) LeaderMissing() bool                 { return false }
-func (c *grantingControl) Neighbors() []corianderwing.Instance { return nil }
+func (c *grantingControl) View() (*model.View, bool)                       { return c.view, true }
+func (c *grantingControl) IsFresh() bool                                   { return true }
+func (c *grantingControl) IsCurrent() bool                                 { return true }
+func (c *grantingControl) StateAge() time.Duration                         { return 0 }
+func (c *grantingControl) LeaderMissing() bool                             { return false }
+func (c *grantingControl) Neighbors() []corianderwing.Instance             { return nil }
+func (c *grantingControl) BorrowedSlots() map[corianderwing.UpstreamID]int { return nil }
 func (c *grantingControl) BorrowToken(context.Context, corianderwing.WorkspaceID) (follow.BorrowedToken, time.Duration, error) {
 	return follow.BorrowedToken{}, 0, nil
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -43,6 +44,9 @@
 	LeaderMissing() bool
 	// Neighbors returns the other entry instances of the failure domain.
 	Neighbors() []corianderwing.Instance
+	// BorrowedSlots returns the slots of upstreams in other failure domains that the
+	// domain of this instance may use.
+	BorrowedSlots() map[corianderwing.UpstreamID]int
 	// BorrowToken requests a token from a workspace's rate limit. If it gets none, it
 	// returns the delay until a token may be available; zero means that no control
 	// instance has a share.
@@ -212,10 +216,14 @@
 // own allocator for the only one.
 const minAllocators = 2
 
-// remoteSlots returns one slot for each upstream of the pools that have no ready
-// upstream in the local failure domain.
+// remoteSlots returns the slots in other failure domains that this instance may use while
+// it allocates slots itself: those that its domain borrows, and one of each upstream of
+// the pools that have no ready upstream in the domain.
 func (s *Server) remoteSlots(v *model.View) map[corianderwing.UpstreamID]int {
-	slots := map[corianderwing.UpstreamID]int{}
+	slots := maps.Clone(s.cfg.Control.BorrowedSlots())
+	if slots == nil {
+		slots = map[corianderwing.UpstreamID]int{}
+	}
 	for _, list := range v.UpstreamsByPool() {
 		own := false
 		for _, u := range list {
@@ -225,7 +233,7 @@
 			continue
 		}
 		for _, u := range list {
-			slots[u.ID] = 1
+			slots[u.ID] = max(slots[u.ID], 1)
 		}
 	}
 	return slots
--- a/io/plane/plane.go
+++ b/io/plane/plane.go
@@ -74,9 +74,10 @@
 	reserve           *quota.Limiter       // fraction of the shares from which entry instances borrow
 	loans             []steer.UpstreamLoan // slots that failure domains lend each other
 	loansVersion      uint64
-	trials            []Trial     // received from entry instances, in no report yet
-	sentTrials        trialBatch  // in the last report
-	moveShares        []MoveShare // last received from the leader
+	borrowed          map[corianderwing.DomainID]borrowedList // by borrower
+	trials            []Trial                                 // received from entry instances, in no report yet
+	sentTrials        trialBatch                              // in the last report
+	moveShares        []MoveShare                             // last received from the leader
 	coldLeases        coldLeases
 	sharesValidUntil  time.Time // boot time at which the shares of quotaAllocator expire
 	confirmedAt       time.Time // boot time of the last confirmation by the leader, reached or not
@@ -271,6 +272,7 @@
 		r.Age = corianderwing.Millis(now.Sub(c.At).Milliseconds() + 1)
 	}
 	p.listInstances(b, r)
+	p.listLoans(b, r, now)
 	p.allocateShares(b, r, now)
 	p.trials = append(p.trials, b.Trials...)
 	if now.Sub(p.confirmedAt) <= moveShareTTL {
--- a/io/plane/report.go
+++ b/io/plane/report.go
@@ -188,6 +188,7 @@
 	p.coldLeases.renew(r.ColdLeases, sentAt)
 	if r.LoansVersion != p.loansVersion {
 		p.loansVersion, p.loans = r.LoansVersion, r.Loans
+		p.borrowed = borrowedByDomain(p.loans, p.loansVersion, p.borrowed)
 		p.logLoans()
 	}
 	if sentAt.After(p.confirmedAt) {
--- a/io/plane/wire.go
+++ b/io/plane/wire.go
@@ -21,6 +21,8 @@
 	// InstancesVersion is the version of the instance lists that the sender
 	// knows; 0 for none.
 	InstancesVersion uint64 `json:"known,omitempty"`
+	// LoansVersion is the version of the loans that the sender knows; 0 for none.
+	LoansVersion uint64 `json:"loans,omitempty"`
 	// Trials contains the samples that the instance collected for moves since
 	// its last heartbeat.
 	Trials []Trial `json:"trials,omitempty"`
@@ -71,6 +73,12 @@
 	// LeaseDuration after the heartbeat was sent.
 	Shares        []quota.Share        `json:"shares,omitempty"`
 	LeaseDuration corianderwing.Millis `json:"left,omitempty"`
+	// Loans contains the slots in other failure domains that the sender's domain
+	// borrows. They are omitted if the sender has LoansVersion, which is 0 while none
+	// are valid. They are valid for LoansDuration after the heartbeat was sent.
+	Loans         []BorrowedSlots      `json:"loans,omitempty"`
+	LoansVersion  uint64               `json:"lversion,omitempty"`
+	LoansDuration corianderwing.Millis `json:"lleft,omitempty"`
 	// MoveShares contains the shares of the moves in progress.
 	MoveShares []MoveShare `json:"moves,omitempty"`
 	// UsageWindow is the length of a window in which entry instances count requests; 0
@@ -83,6 +91,12 @@
 	Incarnation corianderwing.Incarnation `json:"life,omitempty"`
 }
 
+// BorrowedSlots is a number of slots of an upstream in another failure domain.
+type BorrowedSlots struct {
+	Upstream corianderwing.UpstreamID `json:"upstream"`
+	Slots    int                      `json:"slots"`
+}
+
 // TokenTime is the time at which a token was taken from a share, in ns on the boot
 // clock of the instance that has the share.
 type TokenTime int64
