After a total loss, add only what is missing from the expected demand

What reaches the allocators shows after a total loss how the demand is divided, as all regions lack rates alike.

Now the difference between the expected demand of all domains and the present one is divided by their entry instances.

--- a/core/steer/expect.go
+++ b/core/steer/expect.go
@@ -14,9 +14,9 @@
 // demand is expected while the loads do not show it.
 func (p *Planner) SetInstances(n map[corianderwing.DomainID]int) { p.instances = n }
 
-// expect returns the loads with at least the demand that is expected, where they do not
-// show it yet: in pools without requests, at the start of the traffic, and while the
-// ramp is suspended. The expected demand of a domain is its part of the entry instances.
+// expect returns the loads with the demand that is expected, where they do not show it
+// yet: in pools without requests, at the start of the traffic, and after a total loss.
+// The expected demand of a domain is its part of the entry instances.
 //
 // A region with few upstreams runs most of its requests elsewhere. If it borrowed
 // slots only after its first requests, these would wait or be rejected, and when
@@ -33,30 +33,41 @@
 		return loads
 	}
 	slots := map[corianderwing.PoolID]float64{}
+	demand := map[corianderwing.PoolID]float64{}
 	arriving := map[corianderwing.PoolID]float64{}
 	for _, l := range loads {
 		slots[l.Pool] += l.Slots
+		demand[l.Pool] += l.Demand
 		arriving[l.Pool] += l.ArrivalRate
 	}
 	expected := make([]Load, len(loads))
 	for i, l := range loads {
-		if arriving[l.Pool] < minArrivalRate || p.starts(l.Region, now) {
-			l.Demand = max(l.Demand, expectedUtilization*slots[l.Pool]*float64(p.instances[l.Domain])/float64(total))
+		part := float64(p.instances[l.Domain]) / float64(total)
+		all := expectedUtilization * slots[l.Pool]
+		switch {
+		case arriving[l.Pool] < minArrivalRate || p.starts(l.Region, now):
+			l.Demand = max(l.Demand, all*part)
+		case p.recovers(now):
+			l.Demand += max(0, all-demand[l.Pool]) * part
 		}
 		expected[i] = l
 	}
 	return expected
 }
 
-// starts reports whether the traffic of a region, or all traffic, began only a moment
-// ago, or begins again after a total loss.
+// starts reports whether the traffic of a region, or of the first region if it has had
+// none, began only a moment ago.
 func (p *Planner) starts(region corianderwing.RegionID, now time.Time) bool {
 	first, ok := p.firstTraffic[region]
 	if !ok {
 		first = p.trafficSince
 	}
-	if now.Sub(p.rampSuspendedUntil) < establishedAfter {
-		return true // rates are divided later than the ramp is suspended
-	}
-	return now.Sub(first) < establishedAfter
+	return now.Sub(first) < establishedAfter && !p.recovers(now)
+}
+
+// recovers reports whether traffic has begun again after a total loss. The rates of
+// workspaces are divided later than the ramp is suspended. All regions are affected
+// alike, and what reaches the allocators shows how the demand is divided between them.
+func (p *Planner) recovers(now time.Time) bool {
+	return now.Sub(p.rampSuspendedUntil) < establishedAfter
 }
