Name the caller's request and the workspace's policy of an exchange by what they are

The request that tests of slots make was written out six times. No logic, wire name or log field changes; go test ./io/gate ./core/steer passes.

--- a/core/place/allocators_test.go
+++ b/core/place/allocators_test.go
@@ -21,7 +21,7 @@
 	last    place.ID
 	synced  time.Duration
 	silent  time.Duration // reports of requests do not reach the planner before this time
-	lots    []steer.UpstreamLoan
+	loans   []steer.UpstreamLoan
 	noLoans bool
 	stopped []stoppedPool
 }
@@ -172,7 +172,7 @@
 		entries[x.id] = 1
 	}
 	d.planner.SetInstances(entries)
-	d.lots = steer.Assign(d.planner.Update(steer.Merge(loads), now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
+	d.loans = steer.Assign(d.planner.Update(steer.Merge(loads), now), func(p corianderwing.PoolID) (list []corianderwing.Upstream) {
 		for _, u := range d.w.byPool[p] {
 			list = append(list, u.model.Upstream)
 		}
@@ -198,7 +198,7 @@
 			if d.w.divided {
 				set.Weight = d.w.weightOf
 			}
-			for _, l := range d.lots {
+			for _, l := range d.loans {
 				if l.Borrower == x.id {
 					set.Borrowed[l.Upstream] += l.Slots
 				} else {
--- a/core/steer/assign.go
+++ b/core/steer/assign.go
@@ -23,7 +23,7 @@
 // the usable upstreams of a pool.
 func Assign(loans []Loan, usable func(corianderwing.PoolID) []corianderwing.Upstream) []UpstreamLoan {
 	taken := map[corianderwing.UpstreamID]int{}
-	var lots []UpstreamLoan
+	var assigned []UpstreamLoan
 	for _, l := range loans {
 		var list []corianderwing.Upstream
 		for _, u := range usable(l.Pool) {
@@ -42,10 +42,10 @@
 			}
 			taken[u.ID] += n
 			left -= n
-			lots = append(lots, UpstreamLoan{u.ID, l.Borrower, n})
+			assigned = append(assigned, UpstreamLoan{u.ID, l.Borrower, n})
 		}
 	}
-	return lots
+	return assigned
 }
 
 func rendezvousScore(d corianderwing.DomainID, id corianderwing.UpstreamID) uint64 {
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -102,14 +102,14 @@
 	}
 	usable := func(corianderwing.PoolID) []corianderwing.Upstream { return ups }
 	loans := []Loan{{"files", "b1", "a1", 5}, {"files", "b1", "a2", 6}}
-	lots := Assign(loans, usable)
+	assigned := Assign(loans, usable)
 	slots := map[corianderwing.UpstreamID]int{}
-	for _, l := range lots {
+	for _, l := range assigned {
 		slots[l.Upstream] += l.Slots
 	}
 	is.Equal(slots, map[corianderwing.UpstreamID]int{"u1": 4, "u2": 4})
 	for range 10 {
-		is.Equal(Assign(loans, usable), lots)
+		is.Equal(Assign(loans, usable), assigned)
 	}
 }
 
--- a/io/gate/alone_test.go
+++ b/io/gate/alone_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"corianderwing/core/model"
-	"corianderwing/core/place"
 	"corianderwing/io/follow"
 	"corianderwing/io/plane"
 )
@@ -37,12 +36,10 @@
 		defer s.Close()
 		s.NotifyChange()
 		synctest.Wait()
-		now := time.Now()
-		_, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+		_, no := acquireFrom(t.Context(), s)
 		is.True(no != nil)
 		time.Sleep(3 * time.Second) // the upstream is warm
-		now = time.Now()
-		_, no = s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+		_, no = acquireFrom(t.Context(), s)
 		is.True(no == nil)
 	})
 }
--- a/io/gate/bench_test.go
+++ b/io/gate/bench_test.go
@@ -101,7 +101,7 @@
 	rule, _ := control.view.Items().MatchRule("shop.example", "/files/1")
 	owner, _ := control.view.Items().PolicyByKey("k-1")
 	v := &exchange{
-		s: s, start: time.Now(), ask: corianderwing.CallerRequest{ID: "21f4b6f1a2b48370", Object: "4c"}, view: control.view, rule: rule, tenure: owner,
+		s: s, start: time.Now(), caller: corianderwing.CallerRequest{ID: "21f4b6f1a2b48370", Object: "4c"}, view: control.view, rule: rule, policy: owner,
 		pool: newPool("files", nil, 0.2), status: 200,
 	}
 	v.logAttempt(&slot{upstream: control.upstream, source: follow.SlotSource{Domain: "a"}, expected: time.Second, objectKnown: true}, nil, time.Second)
@@ -150,7 +150,7 @@
 	r.Header.Set("X-Request-Id", "21f4b6f1a2b48370")
 	r.Header.Set("X-Key", "k-1")
 	x := &exchange{s: s, r: r, start: time.Now(), ctx: b.Context()}
-	x.ask = s.cfg.Dialect.ParseRequest(r, x.start)
+	x.caller = s.cfg.Dialect.ParseRequest(r, x.start)
 	if err := x.admit(); err != nil {
 		b.Fatal(err)
 	}
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -20,17 +20,17 @@
 
 // exchange is one HTTP request and its response.
 type exchange struct {
-	s     *Server
-	w     http.ResponseWriter
-	r     *http.Request
-	start time.Time
-	ask   corianderwing.CallerRequest
+	s      *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	start  time.Time
+	caller corianderwing.CallerRequest
 
 	view        *model.View
 	settings    *items.Set    // from which the home regions were read
 	stateAge    time.Duration // age of the view when the request was admitted
 	rule        *corianderwing.Rule
-	tenure      *corianderwing.WorkspacePolicy
+	policy      *corianderwing.WorkspacePolicy
 	pool        *pool
 	deadline    time.Time
 	body        *relay.Body
@@ -57,7 +57,7 @@
 
 // serve handles the request.
 func (x *exchange) serve() {
-	x.ask = x.s.cfg.Dialect.ParseRequest(x.r, x.start)
+	x.caller = x.s.cfg.Dialect.ParseRequest(x.r, x.start)
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
@@ -112,7 +112,7 @@
 		return corianderwing.Errorf(corianderwing.BodyTooLarge, "body has %d bytes, limit %d", n, limits.Body)
 	}
 	x.deadline = rule.Timeout.After(x.start)
-	if d := x.ask.Deadline; !d.IsZero() && d.Before(x.deadline) {
+	if d := x.caller.Deadline; !d.IsZero() && d.Before(x.deadline) {
 		x.deadline = d
 	}
 	name := x.s.pickTarget(rule)
@@ -130,26 +130,26 @@
 // takeToken takes a token from the rate limit of the request's workspace. If the
 // local share is empty, it borrows one.
 func (x *exchange) takeToken() *corianderwing.Error {
-	if x.tenure == nil {
+	if x.policy == nil {
 		return nil
 	}
 	x.tokenTime = clock.Boot()
-	ok, borrow, wait := x.s.cfg.Limits.takeToken(x.tenure, x.tokenTime)
+	ok, borrow, wait := x.s.cfg.Limits.takeToken(x.policy, x.tokenTime)
 	if !ok && borrow {
-		token, after, err := x.s.cfg.Control.BorrowToken(x.r.Context(), x.tenure.Name)
+		token, after, err := x.s.cfg.Control.BorrowToken(x.r.Context(), x.policy.Name)
 		if err != nil {
-			x.s.log.Warn().Str("request", string(x.ask.ID)).Err(err).Msg("failed to borrow a rate limit token")
+			x.s.log.Warn().Str("request", string(x.caller.ID)).Err(err).Msg("failed to borrow a rate limit token")
 		}
 		x.borrowed, ok = token, token.Lender != ""
-		x.s.cfg.Limits.recordBorrow(x.tenure.Name, ok, after)
+		x.s.cfg.Limits.recordBorrow(x.policy.Name, ok, after)
 		wait = max(wait, after)
 	}
 	if !ok && wait == 0 {
-		return corianderwing.Errorf(corianderwing.NoShare, "no share of the rate limit of workspace %s received yet", x.tenure.Name)
+		return corianderwing.Errorf(corianderwing.NoShare, "no share of the rate limit of workspace %s received yet", x.policy.Name)
 	}
 	if !ok {
 		x.retryDelay = wait
-		return corianderwing.Errorf(corianderwing.RateExceeded, "workspace %s is over its share of %v a second", x.tenure.Name, x.tenure.Rate)
+		return corianderwing.Errorf(corianderwing.RateExceeded, "workspace %s is over its share of %v a second", x.policy.Name, x.policy.Rate)
 	}
 	x.tokenTaken = true
 	return nil
@@ -158,10 +158,10 @@
 // returnToken returns the token of a request that did not run.
 func (x *exchange) returnToken() {
 	if x.borrowed.Lender != "" {
-		x.s.cfg.Control.ReturnToken(x.borrowed, x.tenure.Name)
+		x.s.cfg.Control.ReturnToken(x.borrowed, x.policy.Name)
 		return
 	}
-	x.s.cfg.Limits.returnToken(x.tenure, x.tokenTime)
+	x.s.cfg.Limits.returnToken(x.policy, x.tokenTime)
 }
 
 // isSettingsCurrent reports whether what is missing from the settings of the request does
@@ -177,9 +177,9 @@
 // checkKey resolves the request's key to a workspace and checks that the rule
 // admits it.
 func (x *exchange) checkKey(set *items.Set, fresh bool) *corianderwing.Error {
-	if x.ask.Key != "" {
-		if t, ok := set.PolicyByKey(x.ask.Key); ok {
-			x.tenure = t
+	if x.caller.Key != "" {
+		if t, ok := set.PolicyByKey(x.caller.Key); ok {
+			x.policy = t
 		}
 	}
 	if x.rule.Public || !set.KeysRequired() {
@@ -188,11 +188,11 @@
 	switch {
 	case !fresh:
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys cannot be verified because settings are not fresh")
-	case x.ask.Key == "":
+	case x.caller.Key == "":
 		return corianderwing.Errorf(corianderwing.MissingKey, "rule %s needs a key", x.rule.Name)
-	case x.tenure == nil && !x.isSettingsCurrent():
+	case x.policy == nil && !x.isSettingsCurrent():
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys are not confirmed as current")
-	case x.tenure == nil:
+	case x.policy == nil:
 		return corianderwing.Errorf(corianderwing.InvalidKey, "the key is unknown")
 	}
 	return nil
@@ -200,23 +200,23 @@
 
 // buildPlacement builds the placement request from which an upstream is chosen.
 func (x *exchange) buildPlacement() {
-	since := x.s.sinceFirstTry(x.rule.Name, x.ask.Deadline, x.start)
+	since := x.s.sinceFirstTry(x.rule.Name, x.caller.Deadline, x.start)
 	x.placement = place.Request{
 		Class:       x.rule.Name,
 		Rank:        x.rule.Priority,
 		Goal:        x.rule.TargetLatency.After(x.start),
 		Deadline:    x.deadline,
-		HomeRegions: items.HomeRegions(x.rule, x.tenure),
+		HomeRegions: items.HomeRegions(x.rule, x.policy),
 		Retried:     since > 0,
 	}
-	if x.tenure != nil {
-		x.placement.Workspace = x.tenure.Name
-		if x.tenure.Priority != nil {
-			x.placement.Rank = *x.tenure.Priority
+	if x.policy != nil {
+		x.placement.Workspace = x.policy.Name
+		if x.policy.Priority != nil {
+			x.placement.Rank = *x.policy.Priority
 		}
 	}
-	if x.rule.Sticky && x.ask.Object != "" {
-		x.placement.Object = xxhash.Sum64String(x.ask.Object)
+	if x.rule.Sticky && x.caller.Object != "" {
+		x.placement.Object = xxhash.Sum64String(x.caller.Object)
 	}
 }
 
@@ -248,7 +248,7 @@
 // readRequest reads the request's header and the prefix of its body, and checks
 // their sizes.
 func (x *exchange) readRequest() *corianderwing.Error {
-	if x.ask.ID == "" {
+	if x.caller.ID == "" {
 		return corianderwing.Errorf(corianderwing.InvalidInput, "the request has no ID by which its response could be recognized")
 	}
 	limits := x.view.Items().Limits()
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -48,6 +48,12 @@
 	return s
 }
 
+// acquireFrom gets a slot of the pool files for a request that may take two seconds.
+func acquireFrom(ctx context.Context, s *Server) (*slot, *refusal) {
+	now := time.Now()
+	return s.acquire(ctx, s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+}
+
 // grantingControl is a Control that grants every slot immediately.
 type grantingControl struct {
 	view     *model.View
--- a/io/gate/homes.go
+++ b/io/gate/homes.go
@@ -22,7 +22,7 @@
 	if !ok {
 		return true // the rule was deleted after the request was admitted
 	}
-	policy := x.tenure
+	policy := x.policy
 	if policy != nil {
 		if p, ok := x.settings.Policy(policy.Name); ok {
 			policy = p
@@ -75,7 +75,7 @@
 		return false
 	}
 	x.s.release(sl, nil, place.Outcome{Result: place.Canceled})
-	x.s.log.Info().Str("request", string(x.ask.ID)).Str("upstream", string(sl.upstream.ID)).Str("domain", string(sl.upstream.Domain)).
+	x.s.log.Info().Str("request", string(x.caller.ID)).Str("upstream", string(sl.upstream.ID)).Str("domain", string(sl.upstream.Domain)).
 		Any("homes", x.placement.HomeRegions).Msg("slot returned: the home regions have moved or are not current")
 	return true
 }
--- a/io/gate/loans_test.go
+++ b/io/gate/loans_test.go
@@ -12,7 +12,6 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
-	"corianderwing/core/place"
 )
 
 // borrowingControl is a Control that does not answer requests for slots. Its failure
@@ -50,11 +49,10 @@
 			synctest.Wait()
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			now := time.Now()
 			var n atomic.Int64
 			for range 12 {
 				go func() {
-					if sl, _ := s.acquire(ctx, s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now); sl != nil {
+					if sl, _ := acquireFrom(ctx, s); sl != nil {
 						n.Add(1)
 					}
 				}()
--- a/io/gate/notice.go
+++ b/io/gate/notice.go
@@ -292,7 +292,7 @@
 		return
 	}
 	s.log.Warn().Str("pool", string(sl.pool.name)).Str("upstream", string(sl.upstream.ID)).
-		Str("heard_in", string(sl.exchange.ask.ID)).Msg("ignored a pushback with an invalid time")
+		Str("heard_in", string(sl.exchange.caller.ID)).Msg("ignored a pushback with an invalid time")
 }
 
 // observeNotice applies what the upstream of a slot said in a response.
@@ -306,7 +306,7 @@
 	s.meter.Counter("spare." + v.String()).Inc(1)
 	e := s.log.Info().Str("pool", string(sl.pool.name)).Str("upstream", string(sl.upstream.ID)).
 		Uint64("incarnation", uint64(sl.upstream.Incarnation)).Str("reason", v.String()).
-		Str("heard_in", string(sl.exchange.ask.ID))
+		Str("heard_in", string(sl.exchange.caller.ID))
 	if v == notice.PushedBack {
 		e = e.Int64("ms", after.Pushback.Until.Sub(now).Milliseconds())
 	}
--- a/io/gate/outdated_grant_test.go
+++ b/io/gate/outdated_grant_test.go
@@ -9,7 +9,6 @@
 
 	"corianderwing"
 	"corianderwing/core/model"
-	"corianderwing/core/place"
 )
 
 // coldAgain announces that the upstream of the tests is cold.
@@ -46,14 +45,12 @@
 				defer s.Close()
 				s.NotifyChange()
 				synctest.Wait()
-				pool := s.pool("files")
 				next, err := control.view.Apply(&c.change, time.Now())
 				is.NoErr(err)
 				control.view = next
 				s.NotifyChange()
 				synctest.Wait()
-				now := time.Now()
-				_, no := s.acquire(t.Context(), pool, place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+				_, no := acquireFrom(t.Context(), s)
 				is.True(no != nil)
 				is.Equal(control.released.Load(), int32(1))
 			})
@@ -81,8 +78,7 @@
 				next, err := control.view.Apply(&change, time.Now())
 				is.NoErr(err)
 				control.view = next // the allocator has not been told
-				now := time.Now()
-				_, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+				_, no := acquireFrom(t.Context(), s)
 				is.True(no != nil)
 				is.Equal(no.err.Execution, corianderwing.NotExecuted)
 			})
@@ -112,8 +108,7 @@
 		s.NotifyChange()
 		synctest.Wait()
 		acquire := func() corianderwing.VersionID {
-			now := time.Now()
-			sl, no := s.acquire(t.Context(), s.pool("files"), place.Request{Class: "r-1", Goal: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+			sl, no := acquireFrom(t.Context(), s)
 			if no != nil {
 				return ""
 			}
--- a/io/gate/requestlog.go
+++ b/io/gate/requestlog.go
@@ -18,7 +18,7 @@
 	if x.err != nil {
 		e = x.s.log.Warn()
 	}
-	e = e.Str("request", string(x.ask.ID)).Uint16("code", uint16(code)).Int("status", x.status).Int64("us", took.Microseconds())
+	e = e.Str("request", string(x.caller.ID)).Uint16("code", uint16(code)).Int("status", x.status).Int64("us", took.Microseconds())
 	if x.err != nil {
 		e = e.Str("run", string(x.err.Execution)).Str("reason", x.err.Detail)
 	}
@@ -26,8 +26,8 @@
 		e = e.Uint64("revision", uint64(x.view.Revision())).Int64("age", x.stateAge.Milliseconds())
 	}
 	var workspace corianderwing.WorkspaceID
-	if x.tenure != nil {
-		workspace = x.tenure.Name
+	if x.policy != nil {
+		workspace = x.policy.Name
 		e = e.Str("workspace", string(workspace))
 	}
 	if x.rule != nil {
@@ -45,7 +45,7 @@
 	if x.err != nil && x.refusedBy != nil {
 		e = e.Str("refused_in", string(x.refusedBy.Domain)).Str("refused_by", x.refusedBy.Peer)
 	}
-	e = e.Str("object", x.ask.Object).Int64("waited", x.slotWait.Milliseconds())
+	e = e.Str("object", x.caller.Object).Int64("waited", x.slotWait.Milliseconds())
 	if x.suspected {
 		e = e.Str("fingerprint", string(x.fingerprint))
 	}
--- a/io/gate/response.go
+++ b/io/gate/response.go
@@ -24,7 +24,7 @@
 	if err.Code != corianderwing.BodyTruncated { // the body's own deadline has passed
 		x.limitBodyWait(err.Code)
 	}
-	x.status = x.s.cfg.Dialect.WriteError(x.w, x.ask.ID, err, x.retryAfter(err))
+	x.status = x.s.cfg.Dialect.WriteError(x.w, x.caller.ID, err, x.retryAfter(err))
 }
 
 // bodyWait is how long a refusal waits for the rest of the request's body. The HTTP
@@ -205,7 +205,7 @@
 func (x *exchange) finish() {
 	panicked := recover()
 	if panicked != nil && panicked != http.ErrAbortHandler {
-		x.s.log.Error().Str("request", string(x.ask.ID)).Any("panic", panicked).Msg("panic while serving a request")
+		x.s.log.Error().Str("request", string(x.caller.ID)).Any("panic", panicked).Msg("panic while serving a request")
 		if !x.wroteHeader {
 			x.refuse(corianderwing.Errorf(corianderwing.Internal, "internal error while serving the request"))
 			panicked = nil
--- a/io/gate/roundtrip.go
+++ b/io/gate/roundtrip.go
@@ -179,7 +179,7 @@
 
 // recheckKey checks that the key is still valid after the wait for a slot.
 func (x *exchange) recheckKey() *corianderwing.Error {
-	if x.rule.Public || x.tenure == nil {
+	if x.rule.Public || x.policy == nil {
 		return nil
 	}
 	fresh := x.s.cfg.Control.IsFresh() // before the state is read, as in admit
@@ -187,7 +187,7 @@
 	if !known || !fresh {
 		return corianderwing.Errorf(corianderwing.StaleSettings, "keys cannot be verified because settings are not fresh")
 	}
-	if t, ok := view.Items().PolicyByKey(x.ask.Key); !ok || t.Name != x.tenure.Name {
+	if t, ok := view.Items().PolicyByKey(x.caller.Key); !ok || t.Name != x.policy.Name {
 		return corianderwing.Errorf(corianderwing.InvalidKey, "key was revoked while the request waited")
 	}
 	return nil
@@ -301,7 +301,7 @@
 		Host:                x.r.Host,
 		Header:              x.header,
 		Body:                x.body,
-		ID:                  x.ask.ID,
+		ID:                  x.caller.ID,
 		EchoHeader:          d.RequestIDHeader(),
 		FirstByteDeadline:   x.firstByteDeadline(sl, now),
 		ExtendDeadline:      x.extendFirstByteDeadline,
@@ -312,9 +312,9 @@
 	if x.rule.AtMostOnce {
 		c.MinIdleSince = now.Add(-onceMaxIdle)
 	}
-	o := corianderwing.UpstreamRequest{Request: x.ask, Upstream: sl.upstream.ID, Deadline: x.deadline}
-	if x.tenure != nil {
-		o.Workspace = x.tenure.Name
+	o := corianderwing.UpstreamRequest{Request: x.caller, Upstream: sl.upstream.ID, Deadline: x.deadline}
+	if x.policy != nil {
+		o.Workspace = x.policy.Name
 	}
 	d.AddRequestHeaders(o, now, func(name, value string) {
 		c.AttemptHeader = append(c.AttemptHeader, relay.HeaderField{Name: name, Value: value})
--- a/io/gate/suspect.go
+++ b/io/gate/suspect.go
@@ -294,8 +294,8 @@
 		return x.fingerprint
 	}
 	r := crash.Request{Method: x.r.Method, Host: x.r.Host, URI: x.r.RequestURI, Body: x.body.Prefix, Length: x.body.ContentLength}
-	if x.tenure != nil {
-		r.Workspace = x.tenure.Name
+	if x.policy != nil {
+		r.Workspace = x.policy.Name
 	}
 	x.fingerprint = r.Fingerprint()
 	return x.fingerprint
--- a/io/gate/usage.go
+++ b/io/gate/usage.go
@@ -8,10 +8,10 @@
 // usually do so while they run requests.
 func (sl *slot) countSent() {
 	x := sl.exchange
-	if x.tenure == nil || !x.s.cfg.Usage.Enabled() {
+	if x.policy == nil || !x.s.cfg.Usage.Enabled() {
 		return
 	}
-	sl.window, sl.counted = x.s.cfg.Usage.Sent(x.tenure.Name, x.s.cfg.Boot())
+	sl.window, sl.counted = x.s.cfg.Usage.Sent(x.policy.Name, x.s.cfg.Boot())
 }
 
 // uncount takes the attempt back if it failed with an error that says that it did not
@@ -21,5 +21,5 @@
 		return
 	}
 	sl.counted = false
-	sl.exchange.s.cfg.Usage.Refused(sl.window, sl.exchange.tenure.Name)
+	sl.exchange.s.cfg.Usage.Refused(sl.window, sl.exchange.policy.Name)
 }
--- a/io/gate/usage_test.go
+++ b/io/gate/usage_test.go
@@ -97,7 +97,7 @@
 			}
 			view, _ := s.cfg.Control.View()
 			owner, _ := view.Items().PolicyByKey("k-1")
-			sl := &slot{exchange: &exchange{s: s, tenure: owner}}
+			sl := &slot{exchange: &exchange{s: s, policy: owner}}
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				sl := *sl
