Keep newer loans when an older reply comes last

Found when reading the diff: an entry instance that has lost its control instance sends heartbeats to two at once. A reply that omits the loans, as the instance had named their version, emptied the list if the other reply had brought a newer one meanwhile, until the loans changed again.

TestLateReplyKeepsNewerLoans: an empty list in place of 3 slots before.

--- a/io/follow/heartbeat.go
+++ b/io/follow/heartbeat.go
@@ -177,7 +177,7 @@
 	if len(reply.Shares) > 0 {
 		f.recordGrantor(addr, until)
 	}
-	f.setLoans(reply, sent)
+	f.setLoans(reply, knownLoans, sent)
 	if !reply.Confirmed {
 		return reply, neverConfirmed, nil
 	}
--- a/io/follow/loans.go
+++ b/io/follow/loans.go
@@ -18,13 +18,18 @@
 	until   time.Time // on the boot clock
 }
 
-// setLoans takes over the loans of a reply to a heartbeat that was sent at a time.
-func (f *Follower) setLoans(r *plane.HeartbeatResponse, sent time.Time) {
+// setLoans takes over the loans of a reply to a heartbeat that was sent at a time and
+// named a version of the loans. With heartbeats to two control instances at once, the
+// loans may be of another version by now.
+func (f *Follower) setLoans(r *plane.HeartbeatResponse, named uint64, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r.LoansVersion == 0 {
 		return // no leader has confirmed any; those that are known expire
 	}
+	if r.LoansVersion == named && named != f.loans.version {
+		return // the reply omits loans that were replaced meanwhile
+	}
 	if r.LoansVersion != f.loans.version {
 		f.loans = loans{version: r.LoansVersion, slots: map[corianderwing.UpstreamID]int{}}
 		for _, l := range r.Loans {
