Replay a start at which most requests of one region are rejected

In the replay of unequal failure domains 9 in 10 requests of the region with few upstreams are rejected for 1.2 s before they ask for a slot. The least ratio is that of TestReplayedUnequalDomains, less what the rejections themselves take.

--- a/core/place/allocators_test.go
+++ b/core/place/allocators_test.go
@@ -24,6 +24,9 @@
 	loans   []steer.UpstreamLoan
 	noLoans bool
 	stopped []stoppedPool
+	// rejects says which requests an entry instance rejects before it asks for a slot;
+	// nil for none.
+	rejects func(q *request) bool
 }
 
 // stoppedPool is a pool of a control instance that has stopped. Its last report
@@ -81,6 +84,10 @@
 const allocatorRTT = time.Millisecond // round trip between an entry instance and its allocator
 
 func (d *allocators) ask(q *request, done func(*upstream, place.ID, bool, time.Duration)) {
+	if d.rejects != nil && d.rejects(q) {
+		done(nil, 0, true, 200*time.Millisecond)
+		return
+	}
 	d.askAt(q, q.domain.id, false, false, allocatorRTT/2, done)
 }
 
--- a/core/place/start_test.go
+++ b/core/place/start_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -32,3 +33,34 @@
 		}
 	}
 }
+
+// Guards against a region with few upstreams that starves after the start of the
+// traffic, because its entry instances rejected most of the first requests, and its
+// loans ended with the loads of the others.
+func TestReplayedStartWithRejections(t *testing.T) {
+	const (
+		rejected  = 0.9 // of the requests of the region, for rejectFor seconds
+		rejectFor = 1.2
+		length    = 8.0 // of the traffic, in seconds
+		// minValue is the least ratio of the worst failure domain's value to that of
+		// all: that of TestReplayedUnequalDomains, less what the rejections take.
+		minValue = 0.92 * (1 - rejected*rejectFor/length)
+	)
+	is := is.New(t)
+	w := newSimulation(unequal(330), 1)
+	d := newAllocators(w)
+	w.placer = d
+	rng := rand.New(rand.NewPCG(1, 1))
+	d.rejects = func(q *request) bool {
+		return q.domain.region == "a" && w.now.Seconds() < rejectFor && rng.Float64() < rejected
+	}
+	d.sync(w.clock()) // upstreams and loans are known before the traffic
+	d.plan(w.clock())
+	d.sync(w.clock())
+	w.shifts = nil
+	w.length = time.Duration(length * float64(time.Second))
+	w.run()
+	value := w.total.value / w.total.maxValue
+	t.Logf("value %.3f, worst domain %.3f", value, lowest(w.domain))
+	is.True(lowest(w.domain) >= minValue*value)
+}
